--- /dev/null
+++ b/cmake/targets.cmake
@@ -0,0 +1,26 @@
+# Adds one program from folders of sources and single files.
+function(citronseam_program name)
+  set(sources)
+  foreach(part IN LISTS ARGN)
+    if(part MATCHES "\\.cpp$")
+      list(APPEND sources ${part})
+    else()
+      file(GLOB found CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${part}/*.cpp)
+      list(APPEND sources ${found})
+    endif()
+  endforeach()
+  add_executable(${name} ${sources})
+  target_link_libraries(${name} PRIVATE citronseam_io)
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+  target_compile_definitions(${name} PRIVATE CITRONSEAM_VERSION="${PROJECT_VERSION}")
+endfunction()
+
+# Adds one test executable by topic and registers it with ctest.
+function(citronseam_test name)
+  add_executable(${name} ${name}.cpp)
+  target_link_libraries(${name} PRIVATE citronseam_io test_support GTest::gmock GTest::gtest_main)
+  target_compile_definitions(${name} PRIVATE
+    CITRONSEAM_BIN_DIR="${CMAKE_BINARY_DIR}/bin" CITRONSEAM_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 120 ${ARGN})
+endfunction()
--- /dev/null
+++ b/include/citronseam/connection/http_server.h
@@ -0,0 +1,62 @@
+/// @file
+/// HTTP server on Pistache whose answers may be written from any thread.
+#ifndef CITRONSEAM_CONNECTION_HTTP_SERVER_H
+#define CITRONSEAM_CONNECTION_HTTP_SERVER_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "citronseam/connection/http_responder.h"
+#include "citronseam/process/settings.h"
+#include "citronseam/request/key_record.h"
+
+namespace citronseam {
+
+/// A request as it came.
+struct server_request {
+    std::string method;
+    std::string path;   ///< without the query
+    std::string target; ///< path and query
+    std::vector<http_header> headers;
+    std::string body;
+    std::string caller; ///< address of the caller
+};
+
+/// @return the value of a query parameter, empty when it is absent
+std::string query_parameter(const server_request& request, std::string_view name);
+
+/// Handles one request. Runs on a server thread and must not block; the answer may come later from
+/// any thread.
+using request_handler =
+    std::function<void(server_request request, std::shared_ptr<http_responder> responder)>;
+
+/// Bounds of a server.
+struct server_options {
+    host_port address;
+    int threads{2};
+    std::size_t largest_body{8U * 1024 * 1024}; ///< a longer body is answered with 413
+};
+
+/// The server. It serves from construction to destruction.
+class http_server {
+public:
+    /// @throws std::runtime_error when the address cannot be bound
+    http_server(const server_options& options, request_handler handler);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// @return the port, also when 0 was asked for
+    std::uint16_t port() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/include/citronseam/connection/io_threads.h
@@ -0,0 +1,49 @@
+/// @file
+/// An event loop with its threads.
+#ifndef CITRONSEAM_CONNECTION_IO_THREADS_H
+#define CITRONSEAM_CONNECTION_IO_THREADS_H
+
+#include <functional>
+#include <thread>
+#include <vector>
+
+#include <asio.hpp>
+
+#include "citronseam/process/clock.h"
+
+namespace citronseam {
+
+/// Runs an asio event loop on its own threads from construction to stop().
+class io_threads {
+public:
+    /// @param count number of threads; with one thread all handlers run one after another
+    explicit io_threads(std::size_t count);
+    ~io_threads();
+    io_threads(const io_threads&) = delete;
+    io_threads& operator=(const io_threads&) = delete;
+
+    /// @return the event loop
+    asio::io_context& context() noexcept { return context_; }
+
+    /// Runs a function on one of the threads.
+    void post(std::function<void()> work);
+    /// Runs a function on one of the threads after a delay.
+    void post_after(microseconds delay, std::function<void()> work);
+    /// Stops the loop and joins the threads. Handlers that did not run yet never run.
+    void stop();
+
+private:
+    asio::io_context context_;
+    asio::executor_work_guard<asio::io_context::executor_type> guard_;
+    std::vector<std::thread> threads_;
+};
+
+/// Calls a function again and again on the loop until the loop stops.
+/// @param loop     where it runs
+/// @param interval time between the end of one call and the next
+/// @param work     the function
+void repeat(io_threads& loop, milliseconds interval, std::function<void()> work);
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/include/citronseam/connection/peer_session.h
@@ -0,0 +1,110 @@
+/// @file
+/// One TCP connection between two processes.
+#ifndef CITRONSEAM_CONNECTION_PEER_SESSION_H
+#define CITRONSEAM_CONNECTION_PEER_SESSION_H
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <asio.hpp>
+
+#include "citronseam/connection/frame.h"
+#include "citronseam/connection/wire_message.h"
+#include "citronseam/process/clock.h"
+
+namespace citronseam {
+
+class peer_session;
+
+/// What the owner of a session wants to hear. All functions run on the session's strand; they must
+/// not block.
+struct session_observer {
+    /// The other side's hello came and its protocol version is right.
+    std::function<void(const std::shared_ptr<peer_session>&, const wire::hello&)> on_hello;
+    /// A message came after the hello. The envelope holds during the call only.
+    std::function<void(const std::shared_ptr<peer_session>&, const wire::envelope&)> on_message;
+    /// The connection is closed; called exactly once.
+    std::function<void(const std::shared_ptr<peer_session>&, close_reason)> on_closed;
+    /// Gives the next heartbeat frame for a session; an empty pointer sends none.
+    std::function<shared_frame(const std::shared_ptr<peer_session>&)> make_heartbeat;
+};
+
+/// Timing of a session.
+struct session_timing {
+    milliseconds heartbeat_interval{500};
+    milliseconds silence_timeout{2000};
+};
+
+/// One connection. It keeps itself alive while an operation is pending, so its owner may drop it
+/// at any time.
+class peer_session : public std::enable_shared_from_this<peer_session> {
+public:
+    /// @param socket   connected socket whose executor is a strand
+    /// @param hello    first frame to send
+    /// @param timing   heartbeat interval and silence timeout
+    /// @param observer hears what comes
+    peer_session(asio::ip::tcp::socket socket, shared_frame hello, session_timing timing,
+                 session_observer observer);
+
+    /// Sends the hello and begins to read.
+    void start();
+
+    /// Queues a frame. Frames go out in the order of the calls. May be called from any thread.
+    /// @return false when the connection is closed; the frame will not be sent
+    bool send(shared_frame frame);
+
+    /// Closes the connection. May be called from any thread.
+    void close(close_reason reason);
+
+    /// @return whether the connection is open. May be called from any thread.
+    bool is_open() const noexcept { return is_open_.load(std::memory_order_acquire); }
+
+    /// @return bytes queued and not yet handed to the operating system. May be called from any
+    /// thread.
+    std::size_t queued_bytes() const noexcept { return queued_bytes_.load(); }
+
+    /// @return the time the last frame came
+    time_point last_received() const noexcept { return last_received_.load(); }
+
+    /// @return a number that no other session of this process has
+    std::uint64_t number() const noexcept { return number_; }
+
+    /// @return the executor on which the observer's functions run
+    asio::any_io_executor executor() { return socket_.get_executor(); }
+
+private:
+    void read_more();
+    void handle_bytes(std::size_t size);
+    bool handle_frame(std::basic_string_view<std::uint8_t> payload);
+    void write_queued();
+    void tick();
+    void close_now(close_reason reason);
+
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    session_timing timing_;
+    session_observer observer_;
+    std::uint64_t number_;
+
+    frame_decoder decoder_;
+    std::array<std::uint8_t, 64 * 1024> read_buffer_{};
+    bool has_hello_{false};
+
+    std::mutex queue_mutex_;
+    std::deque<shared_frame> queue_;
+    bool is_writing_{false};
+    std::vector<shared_frame> in_flight_;
+
+    std::atomic<bool> is_open_{true};
+    std::atomic<std::size_t> queued_bytes_{0};
+    std::atomic<time_point> last_received_;
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/include/citronseam/connection/wire_message.h
@@ -0,0 +1,61 @@
+/// @file
+/// Builds frames out of messages.
+#ifndef CITRONSEAM_CONNECTION_WIRE_MESSAGE_H
+#define CITRONSEAM_CONNECTION_WIRE_MESSAGE_H
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "citronseam/connection/frame.h"
+#include "citronseam/request/key_record.h"
+#include "citronseam/request/verdict.h"
+#include "generated/wire_generated.h"
+
+namespace citronseam {
+
+/// A finished frame with its header. Shared, so that one frame can go to many connections.
+using shared_frame = std::shared_ptr<const std::vector<std::uint8_t>>;
+
+/// @return the frame around a finished FlatBuffers builder
+shared_frame finish_frame(const flatbuffers::FlatBufferBuilder& builder);
+
+/// Builds the frame of one message out of its object form.
+/// @param message one of the tables of the union `wire::body`
+template<typename Message>
+shared_frame make_frame(Message message) {
+    wire::envelopeT envelope;
+    envelope.body.Set(std::move(message));
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(wire::envelope::Pack(builder, &envelope));
+    return finish_frame(builder);
+}
+
+/// Builds the frame of a part of an answer. This is the frequent message, so it skips the object
+/// form and its copies.
+shared_frame make_data_frame(std::uint64_t request, std::uint64_t offset, std::string_view data);
+
+/// @return the text of a FlatBuffers string, empty when it is absent
+std::string_view view(const flatbuffers::String* text) noexcept;
+/// @return the bytes of a FlatBuffers vector, empty when it is absent
+std::string_view view(const flatbuffers::Vector<std::uint8_t>* bytes) noexcept;
+
+/// @return the headers of a message, empty when they are absent
+std::vector<http_header>
+read_headers(const flatbuffers::Vector<flatbuffers::Offset<wire::header>>* headers);
+/// @return headers in the object form of a message
+std::vector<std::unique_ptr<wire::headerT>> write_headers(const std::vector<http_header>& headers);
+
+/// Conversions between the wire's enumerations and those of the decision logic. A value that this
+/// version does not know becomes the careful one.
+run_verdict from_wire(wire::verdict verdict) noexcept;
+wire::verdict to_wire(run_verdict verdict) noexcept;
+refusal from_wire(wire::refusal reason) noexcept;
+wire::refusal to_wire(refusal reason) noexcept;
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/include/citronseam/process/configuration.h
@@ -0,0 +1,131 @@
+/// @file
+/// Configuration of the whole system: what operators keep under version control.
+#ifndef CITRONSEAM_PROCESS_CONFIGURATION_H
+#define CITRONSEAM_PROCESS_CONFIGURATION_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "citronseam/process/settings.h"
+
+namespace citronseam {
+
+/// What kind of backend servers a service has.
+enum class service_kind : std::uint8_t {
+    engine, ///< model engines: completions, weights, orders
+    plain   ///< HTTP passed through
+};
+/// @return the name of a kind as written in configuration
+std::string_view name(service_kind kind) noexcept;
+
+/// Whether the engines of a service check the fencing number of an order.
+enum class fencing_mode : std::uint8_t {
+    enforced, ///< the engine refuses an older number
+    ignored   ///< the engine takes any order, so its agent guards it
+};
+/// @return the name of a mode as written in configuration
+std::string_view name(fencing_mode mode) noexcept;
+
+/// What a process does that has had no proof for too long that its configuration is the newest.
+enum class isolation_policy : std::uint8_t {
+    refuse, ///< refuse new work as not run
+    serve   ///< go on with the configuration it has
+};
+/// @return the name of a policy as written in configuration
+std::string_view name(isolation_policy policy) noexcept;
+
+/// A region: availability zones joined by fast links.
+struct region {
+    std::string name;
+    std::uint64_t link_rate{0}; ///< bytes a second towards other regions, for all traffic
+};
+
+/// An availability zone.
+struct availability_zone {
+    std::string name;
+    std::string region;
+    bool in_service{true}; ///< false: no new work
+};
+
+/// A customer's share of the system.
+struct workspace {
+    std::string name;
+    std::uint32_t weight{1};       ///< share of a full service, relative to other workspaces
+    std::uint32_t queue_limit{64}; ///< requests of this workspace that may wait at one entry
+};
+
+/// Says for one method and path whether a request may be repeated.
+struct idempotency_rule {
+    std::string method; ///< HTTP method, `*` for any
+    std::string path;   ///< path prefix
+    bool is_idempotent{true};
+};
+
+/// Bounds of a service.
+struct service_limits {
+    std::uint32_t cold_concurrency{1};       ///< requests that a cold backend server bears at once
+    std::uint32_t max_concurrency{16};       ///< requests that a warm backend server bears at once
+    std::uint32_t queue_limit{256};          ///< requests that may wait at one entry
+    milliseconds request_timeout{30000};     ///< whole time for one request
+    std::uint32_t retry_percent{10};         ///< retries allowed per hundred requests
+    milliseconds result_retention{86400000}; ///< how long results of keyed requests are kept
+};
+
+/// Bounds of putting a model version in force.
+struct rollout_limits {
+    std::uint32_t parallel_per_zone{1}; ///< engines that may reload at once per zone
+    std::uint64_t origin_rate{0};       ///< bytes a second drawn from the origin; 0 unlimited
+    std::uint64_t peer_rate{0};         ///< bytes a second each agent sends; 0 unlimited
+};
+
+/// A service: backend servers that answer the same requests.
+struct service {
+    std::string name;
+    service_kind kind{service_kind::engine};
+    std::string model_version; ///< hash of the manifest in force; empty for none
+    fencing_mode fencing{fencing_mode::enforced};
+    service_limits limits;
+    rollout_limits rollout;
+    std::vector<idempotency_rule> rules;
+};
+
+/// How long evidence of the newest configuration lasts.
+struct evidence_settings {
+    milliseconds bound{3000};
+    isolation_policy when_isolated{isolation_policy::refuse};
+};
+
+/// The configuration of a whole deployment.
+struct configuration {
+    std::string deployment;
+    evidence_settings evidence;
+    std::vector<region> regions;
+    std::vector<availability_zone> availability_zones;
+    std::vector<workspace> workspaces;
+    std::vector<service> services;
+};
+
+/// Reads and checks a configuration.
+/// @param content text of the file
+/// @param file    its name, for messages
+file_result<configuration> parse_configuration(const std::string& content, const std::string& file);
+
+/// @return the service of that name, or nullptr
+const service* find_service(const configuration& config, std::string_view name) noexcept;
+/// @return the availability zone of that name, or nullptr
+const availability_zone* find_zone(const configuration& config, std::string_view name) noexcept;
+/// @return the workspace of that name, or nullptr
+const workspace* find_workspace(const configuration& config, std::string_view name) noexcept;
+/// @return the region of an availability zone, empty when the zone is unknown
+std::string_view region_of(const configuration& config, std::string_view zone) noexcept;
+
+/// Decides whether a request may be repeated. The first rule that matches decides; without a rule,
+/// GET and HEAD may be repeated, and so may any request to an engine.
+/// @param target path with an optional query
+bool is_idempotent(const service& target_service, std::string_view method, std::string_view target);
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/include/citronseam/process/enum_names.h
@@ -0,0 +1,59 @@
+/// @file
+/// Tables of names for `enum class` values.
+#ifndef CITRONSEAM_PROCESS_ENUM_NAMES_H
+#define CITRONSEAM_PROCESS_ENUM_NAMES_H
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace citronseam {
+
+/// One row of a table of names.
+template<typename Enum>
+struct enum_name {
+    Enum value;
+    std::string_view text;
+};
+
+/// Looks a value up in its table.
+/// @return the name, or "unknown" for a value outside the table
+template<typename Enum, std::size_t Size>
+constexpr std::string_view find_name(const std::array<enum_name<Enum>, Size>& table,
+                                     Enum value) noexcept {
+    for (const auto& row : table) {
+        if (row.value == value) {
+            return row.text;
+        }
+    }
+    return "unknown";
+}
+
+/// Looks a name up in its table.
+/// @return the value, or nothing when the name is not in the table
+template<typename Enum, std::size_t Size>
+constexpr std::optional<Enum> find_value(const std::array<enum_name<Enum>, Size>& table,
+                                         std::string_view text) noexcept {
+    for (const auto& row : table) {
+        if (row.text == text) {
+            return row.value;
+        }
+    }
+    return std::nullopt;
+}
+
+/// @return all names of a table, in its order, for messages that list the choices
+template<typename Enum, std::size_t Size>
+std::vector<std::string> all_names(const std::array<enum_name<Enum>, Size>& table) {
+    std::vector<std::string> names;
+    for (const auto& row : table) {
+        names.emplace_back(row.text);
+    }
+    return names;
+}
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/include/citronseam/process/log.h
@@ -0,0 +1,40 @@
+/// @file
+/// Structured log: one line for each change of state, `event=... key=value`.
+#ifndef CITRONSEAM_PROCESS_LOG_H
+#define CITRONSEAM_PROCESS_LOG_H
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace citronseam {
+
+/// How much a line matters.
+enum class log_level : std::uint8_t { info, warning, error };
+
+/// One key and value of a line. Values with blanks or quotes are quoted.
+struct log_field {
+    std::string_view key;
+    std::string value;
+
+    /// @param name key, lower case with underscores
+    /// @param text value
+    log_field(std::string_view name, std::string_view text) : key(name), value(text) {}
+    /// @param name   key, lower case with underscores
+    /// @param number value
+    template<typename Number, typename = std::enable_if_t<std::is_arithmetic_v<Number>>>
+    log_field(std::string_view name, Number number) : key(name), value(std::to_string(number)) {}
+};
+
+/// Sets the log up; called once at the start of a process.
+/// @param process name that stands on every line
+void start_log(const std::string& process);
+
+/// Writes one line to the standard output stream.
+void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/include/citronseam/process/settings.h
@@ -0,0 +1,93 @@
+/// @file
+/// Settings of one process: what it is, where it listens, where the platform is.
+#ifndef CITRONSEAM_PROCESS_SETTINGS_H
+#define CITRONSEAM_PROCESS_SETTINGS_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "citronseam/process/clock.h"
+#include "citronseam/process/error.h"
+#include "citronseam/process/file_problem.h"
+
+namespace citronseam {
+
+/// What a daemon does.
+enum class process_role : std::uint8_t {
+    entry, ///< takes requests from callers
+    agent  ///< stands beside one backend server and guards it
+};
+
+/// @return the name of a role as written in settings
+std::string_view name(process_role role) noexcept;
+
+/// Addresses of the platform's services.
+struct platform_settings {
+    std::string table_service; ///< base URL of the table service
+    std::string object_store;  ///< base URL of the object store
+    std::string weight_store;  ///< base URL of the origin of weights
+    std::string instance_list; ///< URL of the list of live and leaving instances
+};
+
+/// The backend server beside an agent.
+struct backend_server_settings {
+    std::string service; ///< name of the service in the configuration
+    std::string address; ///< `host:port` of its HTTP interface
+};
+
+/// Timing of the control connections.
+struct control_settings {
+    milliseconds heartbeat_interval{500};
+    milliseconds silence_timeout{2000};  ///< a connection without frames for this long is closed
+    milliseconds store_poll{1000};       ///< how often an entry reads the head row
+    milliseconds list_poll{2000};        ///< how often the instance list is read
+    std::uint32_t entries_per_agent{12}; ///< entries that an agent reports to
+};
+
+/// Settings of one daemon.
+struct settings {
+    process_role role{process_role::entry};
+    std::string instance;
+    std::string availability_zone;
+    std::string http_address; ///< `host:port` for callers, entries only; port 0 picks a free one
+    std::string peer_address; ///< `host:port` for other processes of the system
+    std::string operator_address; ///< `host:port` for operators: health, metrics, status, control
+    platform_settings platform;
+    backend_server_settings backend_server; ///< agents only
+    control_settings control;
+    std::uint32_t traffic_threads{2};
+    std::uint32_t http_threads{2};
+    std::uint64_t weight_memory{1ULL << 30U}; ///< bytes that held chunks may take
+    std::uint64_t peer_link{0};               ///< bytes a second for weights sent; 0 is unlimited
+};
+
+/// A file that was read: the value holds only when there are no problems.
+template<typename T>
+struct file_result {
+    T value{};
+    std::vector<file_problem> problems;
+
+    /// @return whether the file was accepted
+    bool is_valid() const noexcept { return problems.empty(); }
+};
+
+/// Reads and checks settings.
+/// @param content text of the file
+/// @param file    its name, for messages
+file_result<settings> parse_settings(const std::string& content, const std::string& file);
+
+/// An address as host and port.
+struct host_port {
+    std::string host;
+    std::uint16_t port{0};
+};
+
+/// Reads `a.b.c.d:port`.
+/// @return the parts, or an error when the text has another form
+result<host_port> parse_host_port(std::string_view text);
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/include/citronseam/version/sha256.h
@@ -0,0 +1,16 @@
+/// @file
+/// SHA-256 as hexadecimal text.
+#ifndef CITRONSEAM_VERSION_SHA256_H
+#define CITRONSEAM_VERSION_SHA256_H
+
+#include <string>
+#include <string_view>
+
+namespace citronseam {
+
+/// @return the SHA-256 of `content` as 64 lower-case hexadecimal digits
+std::string sha256_hex(std::string_view content);
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/connection/http_client.cpp
@@ -0,0 +1,357 @@
+#include "citronseam/connection/http_client.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include <curl/curl.h>
+#include <strings.h>
+
+namespace citronseam {
+namespace {
+
+constexpr int poll_timeout_ms = 1000;
+constexpr long most_connections_kept = 64;
+constexpr long receive_buffer_size = 64 * 1024;
+
+bool is_same_name(std::string_view left, std::string_view right) {
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::string_view trimmed(std::string_view text) {
+    constexpr std::string_view blanks = " \t\r\n";
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+void start_library() {
+    static std::once_flag once;
+    std::call_once(once, [] { curl_global_init(CURL_GLOBAL_ALL); });
+}
+
+/// One exchange under way.
+struct exchange {
+    std::uint64_t number{0};
+    http_request request;
+    http_observer observer;
+    CURL* easy{nullptr};
+    curl_slist* header_list{nullptr};
+    std::vector<http_header> headers;
+    bool has_head{false};
+    bool is_stopped{false};
+    std::array<char, CURL_ERROR_SIZE> problem{};
+
+    exchange() = default;
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+    ~exchange() {
+        curl_slist_free_all(header_list);
+        curl_easy_cleanup(easy);
+    }
+};
+
+void announce_head(exchange& current) {
+    if (current.has_head) {
+        return;
+    }
+    current.has_head = true;
+    long status = 0;
+    curl_easy_getinfo(current.easy, CURLINFO_RESPONSE_CODE, &status);
+    if (current.observer.on_head) {
+        current.observer.on_head(static_cast<int>(status), current.headers);
+    }
+}
+
+std::size_t take_header(char* data, std::size_t size, std::size_t count, void* user) {
+    auto& current = *static_cast<exchange*>(user);
+    const std::string_view line(data, size * count);
+    if (line.rfind("HTTP/", 0) == 0) {
+        // An interim answer such as 100 Continue is followed by another head.
+        current.headers.clear();
+        return line.size();
+    }
+    const auto colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        current.headers.push_back({std::string(trimmed(line.substr(0, colon))),
+                                   std::string(trimmed(line.substr(colon + 1)))});
+    }
+    return line.size();
+}
+
+std::size_t take_body(char* data, std::size_t size, std::size_t count, void* user) {
+    auto& current = *static_cast<exchange*>(user);
+    const std::string_view part(data, size * count);
+    announce_head(current);
+    if (current.observer.on_data && !current.observer.on_data(part)) {
+        current.is_stopped = true;
+        return 0;
+    }
+    return part.size();
+}
+
+void set_body(CURL* easy, const http_request& request) {
+    const bool has_body = !request.body.empty() || request.method == "POST" ||
+                          request.method == "PUT" || request.method == "PATCH";
+    if (request.method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    } else if (has_body) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(request.body.size()));
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+}
+
+void set_connection(CURL* easy, const http_request& request) {
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, receive_buffer_size);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(request.connect_timeout.count()));
+    if (!request.may_reuse_connection) {
+        // On a reused connection that breaks before the first byte of an answer libcurl sends the
+        // request once more by itself, which would run it twice.
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    if (request.receive_rate > 0) {
+        curl_easy_setopt(easy, CURLOPT_MAX_RECV_SPEED_LARGE,
+                         static_cast<curl_off_t>(request.receive_rate));
+    }
+}
+
+void set_headers(exchange& current) {
+    for (const auto& header : current.request.headers) {
+        const std::string line = header.name + ": " + header.value;
+        current.header_list = curl_slist_append(current.header_list, line.c_str());
+    }
+    // Without this libcurl waits for "100 Continue" before it sends a larger body.
+    current.header_list = curl_slist_append(current.header_list, "Expect:");
+    curl_easy_setopt(current.easy, CURLOPT_HTTPHEADER, current.header_list);
+}
+
+void prepare(exchange& current) {
+    current.easy = curl_easy_init();
+    CURL* easy = current.easy;
+    curl_easy_setopt(easy, CURLOPT_URL, current.request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &current);
+    curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, current.problem.data());
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &take_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &current);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &take_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &current);
+    set_body(easy, current.request);
+    set_connection(easy, current.request);
+    set_headers(current);
+}
+
+/// Bytes of the request that left this process, the head included.
+long sent_bytes(CURL* easy) {
+    long size = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &size);
+    return size;
+}
+
+http_outcome describe_outcome(exchange& current, CURLcode code) {
+    http_outcome outcome;
+    long status = 0;
+    curl_easy_getinfo(current.easy, CURLINFO_RESPONSE_CODE, &status);
+    outcome.status = static_cast<int>(status);
+    outcome.is_complete = code == CURLE_OK;
+    outcome.is_cancelled = current.is_stopped;
+    outcome.is_timeout = code == CURLE_OPERATION_TIMEDOUT;
+    if (code == CURLE_OK) {
+        outcome.verdict = run_verdict::ran;
+        return outcome;
+    }
+    // A request of which no byte was sent cannot have been run.
+    outcome.verdict =
+        sent_bytes(current.easy) > 0 ? run_verdict::may_have_run : run_verdict::not_run;
+    outcome.message =
+        current.problem[0] != '\0' ? current.problem.data() : curl_easy_strerror(code);
+    return outcome;
+}
+
+} // namespace
+
+/// The thread and all it owns. Only the queues are shared with other threads.
+class http_client::worker {
+public:
+    worker() : multi_(curl_multi_init()) {
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, most_connections_kept);
+        thread_ = std::thread([this] { run(); });
+    }
+
+    ~worker() {
+        is_stopping_ = true;
+        curl_multi_wakeup(multi_);
+        thread_.join();
+        for (auto& entry : running_) {
+            curl_multi_remove_handle(multi_, entry.second->easy);
+        }
+        running_.clear();
+        curl_multi_cleanup(multi_);
+    }
+
+    worker(const worker&) = delete;
+    worker& operator=(const worker&) = delete;
+
+    void add(std::unique_ptr<exchange> added) {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            added_.push_back(std::move(added));
+        }
+        ++size_;
+        curl_multi_wakeup(multi_);
+    }
+
+    void cancel(std::uint64_t number) {
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            cancelled_.push_back(number);
+        }
+        curl_multi_wakeup(multi_);
+    }
+
+    std::size_t size() const { return size_; }
+
+private:
+    void run() {
+        while (!is_stopping_) {
+            take_queues();
+            int still_running = 0;
+            curl_multi_perform(multi_, &still_running);
+            finish_done();
+            curl_multi_poll(multi_, nullptr, 0, poll_timeout_ms, nullptr);
+        }
+    }
+
+    void take_queues() {
+        std::deque<std::unique_ptr<exchange>> added;
+        std::vector<std::uint64_t> cancelled;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            added.swap(added_);
+            cancelled.swap(cancelled_);
+        }
+        for (auto& current : added) {
+            prepare(*current);
+            curl_multi_add_handle(multi_, current->easy);
+            running_[current->number] = std::move(current);
+        }
+        for (const std::uint64_t number : cancelled) {
+            const auto found = running_.find(number);
+            if (found != running_.end()) {
+                found->second->is_stopped = true;
+                finish(*found->second, CURLE_ABORTED_BY_CALLBACK);
+            }
+        }
+    }
+
+    void finish_done() {
+        int left = 0;
+        while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+            if (message->msg != CURLMSG_DONE) {
+                continue;
+            }
+            exchange* current = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &current);
+            finish(*current, message->data.result);
+        }
+    }
+
+    void finish(exchange& current, CURLcode code) {
+        if (code == CURLE_OK) {
+            announce_head(current);
+        }
+        const http_outcome outcome = describe_outcome(current, code);
+        curl_multi_remove_handle(multi_, current.easy);
+        const auto found = running_.find(current.number);
+        const std::unique_ptr<exchange> owned = std::move(found->second);
+        running_.erase(found);
+        --size_;
+        if (owned->observer.on_done) {
+            owned->observer.on_done(outcome);
+        }
+    }
+
+    CURLM* multi_;
+    std::thread thread_;
+    std::atomic<bool> is_stopping_{false};
+    std::atomic<std::size_t> size_{0};
+    std::mutex mutex_;
+    std::deque<std::unique_ptr<exchange>> added_;
+    std::vector<std::uint64_t> cancelled_;
+    std::map<std::uint64_t, std::unique_ptr<exchange>> running_;
+};
+
+http_client::http_client() {
+    start_library();
+    worker_ = std::make_shared<worker>();
+}
+
+http_client::~http_client() = default;
+
+std::uint64_t http_client::send(http_request request, http_observer observer) {
+    static std::atomic<std::uint64_t> counter{0};
+    auto current = std::make_unique<exchange>();
+    const std::uint64_t number = ++counter;
+    current->number = number;
+    current->request = std::move(request);
+    current->observer = std::move(observer);
+    worker_->add(std::move(current));
+    return number;
+}
+
+std::uint64_t http_client::fetch(http_request request, std::size_t largest_body,
+                                 std::function<void(http_answer)> on_answer) {
+    auto answer = std::make_shared<http_answer>();
+    http_observer observer;
+    observer.on_head = [answer](int, const std::vector<http_header>& headers) {
+        answer->headers = headers;
+    };
+    observer.on_data = [answer, largest_body](std::string_view data) {
+        answer->body += data;
+        return answer->body.size() <= largest_body;
+    };
+    observer.on_done = [answer, on_answer = std::move(on_answer)](const http_outcome& outcome) {
+        answer->outcome = outcome;
+        on_answer(std::move(*answer));
+    };
+    return send(std::move(request), std::move(observer));
+}
+
+void http_client::cancel(std::uint64_t number) {
+    worker_->cancel(number);
+}
+
+std::size_t http_client::running() const {
+    return worker_->size();
+}
+
+http_answer fetch_and_wait(http_client& client, http_request request, std::size_t largest_body) {
+    std::promise<http_answer> promise;
+    client.fetch(std::move(request), largest_body,
+                 [&promise](http_answer answer) { promise.set_value(std::move(answer)); });
+    return promise.get_future().get();
+}
+
+std::string find_header(const std::vector<http_header>& headers, std::string_view name) {
+    const auto found = std::find_if(headers.begin(), headers.end(), [name](const auto& header) {
+        return is_same_name(header.name, name);
+    });
+    return found == headers.end() ? std::string{} : found->value;
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/connection/http_responder.cpp
@@ -0,0 +1,148 @@
+#include "citronseam/connection/http_responder.h"
+
+#include <array>
+#include <cstdio>
+
+#include "connection/server_connection.h"
+
+namespace citronseam {
+namespace {
+
+struct status_text {
+    int status;
+    std::string_view text;
+};
+
+constexpr std::array<status_text, 24> status_texts{{
+    {200, "OK"},
+    {201, "Created"},
+    {202, "Accepted"},
+    {204, "No Content"},
+    {206, "Partial Content"},
+    {301, "Moved Permanently"},
+    {302, "Found"},
+    {304, "Not Modified"},
+    {400, "Bad Request"},
+    {401, "Unauthorized"},
+    {403, "Forbidden"},
+    {404, "Not Found"},
+    {405, "Method Not Allowed"},
+    {409, "Conflict"},
+    {412, "Precondition Failed"},
+    {413, "Content Too Large"},
+    {416, "Range Not Satisfiable"},
+    {422, "Unprocessable Content"},
+    {429, "Too Many Requests"},
+    {499, "Client Closed Request"},
+    {500, "Internal Server Error"},
+    {502, "Bad Gateway"},
+    {503, "Service Unavailable"},
+    {504, "Gateway Timeout"},
+}};
+
+std::string_view text_of(int status) {
+    for (const auto& row : status_texts) {
+        if (row.status == status) {
+            return row.text;
+        }
+    }
+    return "Status";
+}
+
+bool is_field_clean(std::string_view text) {
+    return text.find_first_of("\r\n") == std::string_view::npos;
+}
+
+std::string head_text(int status, const std::vector<http_header>& headers) {
+    std::string text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(text_of(status));
+    text += "\r\n";
+    for (const auto& header : headers) {
+        // A line break inside a value would let a backend server add headers of its own.
+        if (is_field_clean(header.name) && is_field_clean(header.value)) {
+            text += header.name + ": " + header.value + "\r\n";
+        }
+    }
+    return text;
+}
+
+bool has_no_body(int status) {
+    return status == 204 || status == 304;
+}
+
+} // namespace
+
+http_responder::http_responder(std::shared_ptr<server_connection> connection, bool is_head)
+    : connection_(std::move(connection)), is_head_(is_head) {}
+
+http_responder::~http_responder() {
+    abort();
+}
+
+void http_responder::respond(int status, const std::vector<http_header>& headers,
+                             std::string_view body) {
+    if (state_ != state::waiting) {
+        return;
+    }
+    std::string text = head_text(status, headers);
+    if (!has_no_body(status)) {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    text += "\r\n";
+    if (!is_head_ && !has_no_body(status)) {
+        text += body;
+    }
+    connection_->send(std::move(text));
+    end();
+}
+
+void http_responder::begin(int status, const std::vector<http_header>& headers) {
+    if (state_ != state::waiting) {
+        return;
+    }
+    state_ = state::streaming;
+    connection_->send(head_text(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void http_responder::write(std::string_view data) {
+    if (state_ != state::streaming || data.empty() || is_head_) {
+        return;
+    }
+    std::array<char, 24> length{};
+    std::snprintf(length.data(), length.size(), "%zx\r\n", data.size());
+    std::string text = length.data();
+    text.append(data).append("\r\n");
+    connection_->send(std::move(text));
+}
+
+void http_responder::finish() {
+    if (state_ != state::streaming) {
+        return;
+    }
+    if (!is_head_) {
+        connection_->send("0\r\n\r\n");
+    }
+    end();
+}
+
+void http_responder::abort() {
+    if (state_ == state::done) {
+        return;
+    }
+    state_ = state::done;
+    connection_->cut();
+}
+
+void http_responder::end() {
+    state_ = state::done;
+    connection_->end_answer();
+}
+
+bool http_responder::is_open() const {
+    return connection_->is_open();
+}
+
+void http_responder::on_hang_up(std::function<void()> callback) {
+    connection_->on_closed(std::move(callback));
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/connection/http_server.cpp
@@ -0,0 +1,241 @@
+#include "citronseam/connection/http_server.h"
+
+#include <sstream>
+
+#include <pistache/endpoint.h>
+#include <pistache/http.h>
+#include <pistache/transport.h>
+
+#include "citronseam/connection/http_client.h"
+#include "citronseam/connection/request_guard.h"
+#include "connection/server_connection.h"
+
+namespace citronseam {
+namespace {
+
+namespace http = Pistache::Http;
+using peer_pointer = std::shared_ptr<Pistache::Tcp::Peer>;
+
+constexpr const char* connection_key = "citronseam_connection";
+/// The library would cut an answer that takes longer than its header timeout, so its timeouts stand
+/// above the longest answer; deadlines are kept by the handler of the request.
+constexpr std::chrono::hours library_timeout{24};
+
+/// State of one connection while requests are read from it.
+struct connection_input {
+    std::shared_ptr<server_connection> connection;
+    std::string head;                ///< bytes of a head that has not come whole
+    std::uint64_t body_remaining{0}; ///< announced bytes that have not come yet
+    bool is_in_body{false};
+    bool is_chunked{false};
+    bool is_refused{false};
+};
+
+void add_typed_headers(const http::Request& request, std::vector<http_header>& headers) {
+    for (const auto& header : request.headers().list()) {
+        if (!find_header(headers, header->name()).empty()) {
+            continue;
+        }
+        std::ostringstream value;
+        header->write(value);
+        headers.push_back({header->name(), value.str()});
+    }
+}
+
+server_request convert(const http::Request& request) {
+    server_request converted;
+    converted.method = http::methodString(request.method());
+    converted.path = request.resource();
+    converted.target = request.resource() + request.query().as_str();
+    for (const auto& [name, raw] : request.headers().rawList()) {
+        converted.headers.push_back({raw.name(), raw.value()});
+    }
+    add_typed_headers(request, converted.headers);
+    converted.body = request.body();
+    converted.caller = request.address().host();
+    return converted;
+}
+
+/// Stands between the socket and the library's parser: checks each head, feeds the parser with one
+/// request at a time and keeps the sockets' life span.
+class guarding_handler : public http::Handler {
+    HTTP_PROTOTYPE(guarding_handler)
+
+public:
+    guarding_handler(request_handler handler, std::size_t largest_body)
+        : handler_(std::move(handler)), largest_body_(largest_body) {}
+
+    /// The library calls this from its own input function, which onInput() replaces.
+    void onRequest(const http::Request&, http::ResponseWriter) override {}
+
+    void onConnection(const peer_pointer& peer) override {
+        peer->putData(ParserData,
+                      std::make_shared<http::RequestParser>(largest_body_ + largest_head));
+        auto input = std::make_shared<connection_input>();
+        input->connection = std::make_shared<server_connection>(peer);
+        peer->putData(connection_key, input);
+    }
+
+    void onDisconnection(const peer_pointer& peer) override {
+        const auto input = input_of(peer);
+        if (input == nullptr) {
+            return;
+        }
+        input->connection->mark_closed();
+        // Writes queued for this descriptor must leave the queue before its number is given free.
+        transport()->flush();
+    }
+
+private:
+    static std::shared_ptr<connection_input> input_of(const peer_pointer& peer) {
+        return std::static_pointer_cast<connection_input>(peer->tryGetData(connection_key));
+    }
+
+    void onInput(const char* buffer, std::size_t size, const peer_pointer& peer) override {
+        const auto input = input_of(peer);
+        if (input == nullptr || input->is_refused) {
+            return;
+        }
+        if (input->is_in_body) {
+            feed_body({buffer, size}, *input, peer);
+            return;
+        }
+        input->head.append(buffer, size);
+        const guard_result checked = check_head(input->head, largest_body_);
+        if (checked.finding == guard_finding::incomplete) {
+            return;
+        }
+        if (checked.finding != guard_finding::accepted) {
+            refuse(http_status(checked.finding), message(checked.finding), *input);
+            return;
+        }
+        const std::string bytes = std::move(input->head);
+        input->head.clear();
+        input->is_in_body = true;
+        input->is_chunked = checked.is_chunked;
+        input->body_remaining = checked.head_size + checked.body_size;
+        feed_body(bytes, *input, peer);
+    }
+
+    void feed_body(std::string_view bytes, connection_input& input, const peer_pointer& peer) {
+        if (!input.is_chunked && bytes.size() > input.body_remaining) {
+            input.connection->close_after_answer();
+            bytes = bytes.substr(0, input.body_remaining);
+        }
+        if (!input.is_chunked) {
+            input.body_remaining -= bytes.size();
+        }
+        if (!bytes.empty()) {
+            feed_parser(bytes, input, peer);
+        }
+    }
+
+    void feed_parser(std::string_view bytes, connection_input& input, const peer_pointer& peer) {
+        const auto parser = getParser(peer);
+        try {
+            if (!parser->feed(bytes.data(), bytes.size())) {
+                refuse(http_status(guard_finding::body_too_large),
+                       message(guard_finding::body_too_large), input);
+                return;
+            }
+            if (parser->parse() == http::Private::State::Done) {
+                parser->request.copyAddress(peer->address());
+                input.is_in_body = false;
+                hand_over(parser->request, input);
+                parser->reset();
+            }
+        } catch (const std::exception&) {
+            refuse(http_status(guard_finding::bad_length), "the request cannot be parsed", input);
+        }
+    }
+
+    void hand_over(const http::Request& request, connection_input& input) {
+        if (!input.connection->begin_request()) {
+            return;
+        }
+        const bool is_head = request.method() == http::Method::Head;
+        handler_(convert(request), std::make_shared<http_responder>(input.connection, is_head));
+    }
+
+    static void refuse(int status, std::string_view text, connection_input& input) {
+        input.is_refused = true;
+        if (!input.connection->begin_request()) {
+            return;
+        }
+        input.connection->close_after_answer();
+        http_responder responder(input.connection, false);
+        const std::string body =
+            "{\"error\":{\"message\":\"" + std::string(text) + "\",\"verdict\":\"not_run\"}}\n";
+        responder.respond(status,
+                          {{"Content-Type", "application/json"},
+                           {"Connection", "close"},
+                           {"X-Run-Verdict", "not_run"}},
+                          body);
+    }
+
+    request_handler handler_;
+    std::size_t largest_body_;
+};
+
+} // namespace
+
+class http_server::implementation {
+public:
+    implementation(const server_options& options, request_handler handler)
+        : endpoint_(Pistache::Address(Pistache::Ipv4::any(), Pistache::Port(0))) {
+        const Pistache::Address address(options.address.host, Pistache::Port(options.address.port));
+        auto settings =
+            http::Endpoint::options()
+                .threads(options.threads)
+                .flags(Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay)
+                .backlog(1024)
+                .maxRequestSize(options.largest_body + largest_head)
+                .headerTimeout(library_timeout)
+                .bodyTimeout(library_timeout)
+                .keepaliveTimeout(library_timeout);
+        endpoint_.init(settings);
+        endpoint_.setHandler(
+            std::make_shared<guarding_handler>(std::move(handler), options.largest_body));
+        endpoint_.bind(address);
+        endpoint_.serveThreaded();
+    }
+
+    ~implementation() { endpoint_.shutdown(); }
+
+    implementation(const implementation&) = delete;
+    implementation& operator=(const implementation&) = delete;
+
+    std::uint16_t port() const { return endpoint_.getPort(); }
+
+private:
+    http::Endpoint endpoint_;
+};
+
+http_server::http_server(const server_options& options, request_handler handler)
+    : implementation_(std::make_unique<implementation>(options, std::move(handler))) {}
+
+http_server::~http_server() = default;
+
+std::uint16_t http_server::port() const {
+    return implementation_->port();
+}
+
+std::string query_parameter(const server_request& request, std::string_view name) {
+    const auto mark = request.target.find('?');
+    if (mark == std::string::npos) {
+        return {};
+    }
+    std::string_view rest = std::string_view(request.target).substr(mark + 1);
+    while (!rest.empty()) {
+        const auto stop = rest.find('&');
+        const std::string_view pair = rest.substr(0, stop);
+        const auto equals = pair.find('=');
+        if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
+            return std::string(pair.substr(equals + 1));
+        }
+        rest = stop == std::string_view::npos ? std::string_view{} : rest.substr(stop + 1);
+    }
+    return {};
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/connection/peer_session.cpp
@@ -0,0 +1,182 @@
+#include "citronseam/connection/peer_session.h"
+
+#include "citronseam/process/log.h"
+
+namespace citronseam {
+namespace {
+
+/// A peer that leaves more than this unread is closed: memory stays bounded, and a connection that
+/// lost its way is found out before the silence timeout.
+constexpr std::size_t most_queued_bytes = 64U * 1024 * 1024;
+constexpr std::size_t most_frames_per_write = 64;
+
+std::uint64_t next_number() {
+    static std::atomic<std::uint64_t> counter{0};
+    return ++counter;
+}
+
+} // namespace
+
+peer_session::peer_session(asio::ip::tcp::socket socket, shared_frame hello, session_timing timing,
+                           session_observer observer)
+    : socket_(std::move(socket)), timer_(socket_.get_executor()), timing_(timing),
+      observer_(std::move(observer)), number_(next_number()),
+      last_received_(std::chrono::steady_clock::now()) {
+    queue_.push_back(std::move(hello));
+}
+
+void peer_session::start() {
+    asio::dispatch(socket_.get_executor(), [self = shared_from_this()] {
+        asio::error_code ignored;
+        self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->write_queued();
+        self->read_more();
+        self->tick();
+    });
+}
+
+bool peer_session::send(shared_frame frame) {
+    if (!is_open()) {
+        return false;
+    }
+    const std::size_t size = frame->size();
+    bool is_first = false;
+    {
+        const std::lock_guard<std::mutex> lock(queue_mutex_);
+        is_first = queue_.empty() && !is_writing_;
+        queue_.push_back(std::move(frame));
+    }
+    if (queued_bytes_.fetch_add(size) + size > most_queued_bytes) {
+        close(close_reason::overflow);
+        return false;
+    }
+    if (is_first) {
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->write_queued(); });
+    }
+    return true;
+}
+
+void peer_session::close(close_reason reason) {
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this(), reason] { self->close_now(reason); });
+}
+
+void peer_session::read_more() {
+    socket_.async_read_some(
+        asio::buffer(read_buffer_),
+        [self = shared_from_this()](const asio::error_code& problem, std::size_t size) {
+            if (problem) {
+                const bool is_end = problem == asio::error::eof;
+                self->close_now(is_end ? close_reason::ended : close_reason::failed);
+                return;
+            }
+            self->handle_bytes(size);
+        });
+}
+
+void peer_session::handle_bytes(std::size_t size) {
+    last_received_ = std::chrono::steady_clock::now();
+    decoder_.feed(read_buffer_.data(), size);
+    std::basic_string_view<std::uint8_t> payload;
+    while (is_open() && decoder_.next(payload)) {
+        if (!handle_frame(payload)) {
+            return;
+        }
+    }
+    if (decoder_.is_oversized()) {
+        close_now(close_reason::oversized);
+    }
+    if (is_open()) {
+        read_more();
+    }
+}
+
+bool peer_session::handle_frame(std::basic_string_view<std::uint8_t> payload) {
+    if (!is_valid_envelope(payload)) {
+        close_now(close_reason::garbage);
+        return false;
+    }
+    const wire::envelope* envelope = wire::Getenvelope(payload.data());
+    if (has_hello_) {
+        observer_.on_message(shared_from_this(), *envelope);
+        return true;
+    }
+    const wire::hello* hello = envelope->body_as_hello();
+    if (hello == nullptr || hello->protocol() != wire_protocol_version) {
+        close_now(close_reason::wrong_protocol);
+        return false;
+    }
+    has_hello_ = true;
+    observer_.on_hello(shared_from_this(), *hello);
+    return true;
+}
+
+void peer_session::write_queued() {
+    {
+        const std::lock_guard<std::mutex> lock(queue_mutex_);
+        if (is_writing_ || queue_.empty() || !is_open()) {
+            return;
+        }
+        is_writing_ = true;
+        while (!queue_.empty() && in_flight_.size() < most_frames_per_write) {
+            in_flight_.push_back(std::move(queue_.front()));
+            queue_.pop_front();
+        }
+    }
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(in_flight_.size());
+    for (const auto& frame : in_flight_) {
+        buffers.emplace_back(frame->data(), frame->size());
+    }
+    asio::async_write(
+        socket_, buffers,
+        [self = shared_from_this()](const asio::error_code& problem, std::size_t size) {
+            self->in_flight_.clear();
+            self->queued_bytes_ -= std::min(size, self->queued_bytes_.load());
+            {
+                const std::lock_guard<std::mutex> lock(self->queue_mutex_);
+                self->is_writing_ = false;
+            }
+            if (problem) {
+                self->close_now(close_reason::failed);
+                return;
+            }
+            self->write_queued();
+        });
+}
+
+void peer_session::tick() {
+    if (!is_open()) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (now - last_received_.load() > timing_.silence_timeout) {
+        close_now(close_reason::silent);
+        return;
+    }
+    if (has_hello_ && observer_.make_heartbeat) {
+        if (shared_frame heartbeat = observer_.make_heartbeat(shared_from_this())) {
+            send(std::move(heartbeat));
+        }
+    }
+    timer_.expires_after(timing_.heartbeat_interval);
+    timer_.async_wait([self = shared_from_this()](const asio::error_code& problem) {
+        if (!problem) {
+            self->tick();
+        }
+    });
+}
+
+void peer_session::close_now(close_reason reason) {
+    if (!is_open_.exchange(false)) {
+        return;
+    }
+    asio::error_code ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+    observer_.on_closed(shared_from_this(), reason);
+    // The observer's functions own their captures; letting go of them here breaks cycles.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->observer_ = {}; });
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/process/control_state.cpp
@@ -0,0 +1,120 @@
+#include "citronseam/process/control_state.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "citronseam/version/sha256.h"
+
+namespace citronseam {
+
+std::string to_json(const configuration_head& head) {
+    const nlohmann::json json = {
+        {"generation", head.generation}, {"hash", head.hash},
+        {"attempt", head.attempt},       {"parent", head.parent},
+        {"author", head.author},         {"accepted_at_ms", head.accepted_at_ms}};
+    return json.dump();
+}
+
+result<configuration_head> parse_head(const std::string& text) {
+    try {
+        const nlohmann::json json = nlohmann::json::parse(text);
+        configuration_head head;
+        head.generation = json.at("generation");
+        head.hash = json.at("hash");
+        head.attempt = json.at("attempt");
+        head.parent = json.at("parent");
+        head.author = json.at("author");
+        head.accepted_at_ms = json.at("accepted_at_ms");
+        return head;
+    } catch (const nlohmann::json::exception& exception) {
+        return failure(error_code::corrupt,
+                       std::string("the head row cannot be read: ") + exception.what());
+    }
+}
+
+result<std::shared_ptr<const accepted_configuration>>
+read_accepted(std::uint64_t generation, std::string hash, std::string attempt, std::string body) {
+    if (sha256_hex(body) != hash) {
+        return failure(error_code::corrupt, "the body of generation " + std::to_string(generation) +
+                                                " does not match its hash");
+    }
+    auto parsed = parse_configuration(body, "generation-" + std::to_string(generation));
+    if (!parsed.is_valid()) {
+        return failure(error_code::invalid_file, describe(parsed.problems));
+    }
+    auto accepted = std::make_shared<accepted_configuration>();
+    accepted->generation = generation;
+    accepted->hash = std::move(hash);
+    accepted->attempt = std::move(attempt);
+    accepted->body = std::move(body);
+    accepted->content = std::move(parsed.value);
+    return accepted;
+}
+
+bool take_configuration(control_state& state,
+                        std::shared_ptr<const accepted_configuration> candidate) {
+    if (candidate == nullptr || candidate->generation <= generation_of(state)) {
+        return false;
+    }
+    state.accepted = std::move(candidate);
+    return true;
+}
+
+bool take_notice(control_state& state, const zone_notice& notice) {
+    const auto known = state.notices.find(notice.availability_zone);
+    if (known != state.notices.end() && known->second.stamp_ms >= notice.stamp_ms) {
+        return false;
+    }
+    state.notices[notice.availability_zone] = notice;
+    return true;
+}
+
+void expire_notices(control_state& state, time_point now) {
+    std::erase_if(state.notices, [now](const auto& entry) { return entry.second.expires <= now; });
+}
+
+void take_evidence(control_state& state, time_point moment) noexcept {
+    if (!state.has_evidence || moment > state.evidence) {
+        state.evidence = moment;
+        state.has_evidence = true;
+    }
+}
+
+std::uint64_t generation_of(const control_state& state) noexcept {
+    return state.accepted == nullptr ? 0 : state.accepted->generation;
+}
+
+bool is_zone_in_service(const control_state& state, std::string_view zone, time_point now) {
+    if (state.accepted == nullptr) {
+        return false;
+    }
+    const availability_zone* found = find_zone(state.accepted->content, zone);
+    if (found == nullptr || !found->in_service) {
+        return false;
+    }
+    const auto notice = state.notices.find(std::string(zone));
+    const bool is_noticed = notice != state.notices.end() && notice->second.expires > now;
+    return !is_noticed || !notice->second.is_out;
+}
+
+bool is_evidence_stale(const control_state& state, time_point now) noexcept {
+    if (state.accepted == nullptr || !state.has_evidence) {
+        return true;
+    }
+    const evidence_settings& rule = state.accepted->content.evidence;
+    return rule.when_isolated == isolation_policy::refuse && now - state.evidence > rule.bound;
+}
+
+time_point majority_contact(std::vector<time_point> last_heard, std::size_t known_total,
+                            time_point now) {
+    last_heard.push_back(now);
+    const std::size_t majority = known_total / 2 + 1;
+    if (last_heard.size() < majority) {
+        return time_point{};
+    }
+    std::sort(last_heard.begin(), last_heard.end(), std::greater<>());
+    return last_heard[majority - 1];
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/agent/admission_gate.cpp
@@ -0,0 +1,151 @@
+#include "programs/agent/admission_gate.h"
+
+#include "citronseam/process/log.h"
+
+namespace citronseam {
+
+admission_gate::admission_gate(std::string zone, std::string service, const control_hub& hub,
+                               metrics& numbers)
+    : zone_(std::move(zone)), service_(std::move(service)), hub_(hub), metrics_(numbers),
+      state_(cold_admission({})) {}
+
+refusal admission_gate::check() const {
+    const control_view view = hub_.view();
+    const time_point now = std::chrono::steady_clock::now();
+    if (view->accepted == nullptr) {
+        return refusal::not_ready;
+    }
+    if (!is_zone_in_service(*view, zone_, now)) {
+        return refusal::availability_zone_out;
+    }
+    if (is_evidence_stale(*view, now)) {
+        return refusal::stale_evidence;
+    }
+    if (find_service(view->accepted->content, service_) == nullptr) {
+        return refusal::unknown_service;
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (is_leaving_) {
+        return refusal::leaving;
+    }
+    return is_ready_ ? refusal::none : refusal::not_ready;
+}
+
+refusal admission_gate::enter(bool is_isolated, admission_ticket& ticket) {
+    const refusal found = check();
+    if (found != refusal::none) {
+        return found;
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!is_admissible(state_, is_isolated)) {
+        return refusal::limit;
+    }
+    ticket = admit(state_, is_isolated);
+    return refusal::none;
+}
+
+void admission_gate::leave(const admission_ticket& ticket) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    release(state_, ticket);
+}
+
+void admission_gate::leave_answered(const admission_ticket& ticket, milliseconds first_byte) {
+    bool is_sign = false;
+    bool is_changed = false;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const std::uint32_t before = state_.limit;
+        is_sign = finish(state_, ticket, first_byte);
+        is_changed = state_.limit != before;
+    }
+    if (is_sign) {
+        metrics_.count("citronseam_cold_signs_total", {{"sign", "slow_answer"}});
+        log_event(log_level::warning, "turned_cold",
+                  {{"sign", name(cold_sign::slow_answer)}, {"first_byte_ms", first_byte.count()}});
+    }
+    if (is_changed) {
+        notify();
+    }
+}
+
+void admission_gate::turn_cold(cold_sign sign) {
+    bool was_warm = false;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        was_warm = state_.limit > state_.bounds.cold_limit;
+        citronseam::turn_cold(state_);
+    }
+    metrics_.count("citronseam_cold_signs_total", {{"sign", std::string(name(sign))}});
+    if (was_warm) {
+        log_event(log_level::warning, "turned_cold", {{"sign", name(sign)}});
+    }
+    notify();
+}
+
+void admission_gate::set_bounds(const admission_bounds& bounds) {
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        citronseam::set_bounds(state_, bounds);
+    }
+    notify();
+}
+
+void admission_gate::set_ready(bool is_ready) {
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (is_ready_ == is_ready) {
+            return;
+        }
+        is_ready_ = is_ready;
+    }
+    log_event(log_level::info, "readiness", {{"ready", is_ready ? "true" : "false"}});
+    notify();
+}
+
+void admission_gate::set_leaving() {
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        is_leaving_ = true;
+    }
+    notify();
+}
+
+void admission_gate::on_change(std::function<void()> callback) {
+    callback_ = std::move(callback);
+}
+
+std::uint32_t admission_gate::open_limit() const {
+    if (check() != refusal::none) {
+        return 0;
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return state_.limit;
+}
+
+std::uint32_t admission_gate::running() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return state_.running;
+}
+
+bool admission_gate::is_ready() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return is_ready_;
+}
+
+bool admission_gate::is_leaving() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return is_leaving_;
+}
+
+bool admission_gate::is_cold() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return citronseam::is_cold(state_);
+}
+
+void admission_gate::notify() const {
+    if (callback_) {
+        callback_();
+    }
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/agent/agent.cpp
@@ -0,0 +1,364 @@
+#include "programs/agent/agent.h"
+
+#include <map>
+
+#include <nlohmann/json.hpp>
+
+#include "citronseam/connection/dialer.h"
+#include "citronseam/process/log.h"
+#include "citronseam/process/membership.h"
+#include "programs/agent/agent_request.h"
+#include "programs/agent/version_keeper.h"
+#include "programs/daemon/operator_server.h"
+#include "programs/daemon/shutdown_signal.h"
+
+namespace citronseam {
+namespace {
+
+constexpr milliseconds reconcile_interval{200};
+constexpr milliseconds status_interval{500};
+constexpr milliseconds store_timeout{1500};
+constexpr milliseconds drain_poll{20};
+/// After the last request ended, answers may still be in the sockets' buffers.
+constexpr milliseconds linger{300};
+constexpr std::size_t largest_instance_list = 16U * 1024 * 1024;
+
+/// The agent's parts and the traffic between them.
+class agent {
+public:
+    explicit agent(const settings& options)
+        : options_(options), incarnation_(wall_clock_ms()), control_(1),
+          traffic_(options.traffic_threads), hub_(control_, numbers_),
+          gate_(options.availability_zone, options.backend_server.service, hub_, numbers_),
+          store_(platform_, options.platform.table_service, options.platform.object_store,
+                 store_timeout),
+          context_{options_, incarnation_, control_, traffic_, numbers_, hub_, gate_,
+                   backend_, platform_,    store_,   {1},      {},       {}},
+          keeper_(std::make_shared<version_keeper>(context_)) {}
+
+    int run() {
+
+        start();
+        const int signal = shutdown_signal::wait();
+        log_event(log_level::info, "leaving", {{"signal", signal}});
+        leave();
+        log_event(log_level::info, "stopped", {});
+        return 0;
+    }
+
+private:
+    using session_pointer = std::shared_ptr<peer_session>;
+    using request_map = std::map<std::uint64_t, std::weak_ptr<agent_request>>;
+
+    void start() {
+        context_.report_loss = [this](std::uint64_t fingerprint) { report_loss(fingerprint); };
+        context_.request_ended = [] {};
+        gate_.on_change([this] { announce(); });
+        hub_.on_change([this](const control_view&) { reconcile(); });
+        dialer_ = std::make_shared<dialer>(
+            traffic_.context(), [this] { return make_hello(); },
+            session_timing{options_.control.heartbeat_interval, options_.control.silence_timeout},
+            make_observer());
+        operator_server_ =
+            start_operator_server(*parse_host_port(options_.operator_address), numbers_,
+                                  {[this] { return readiness(); },
+                                   [this](const server_request& request,
+                                          const std::shared_ptr<http_responder>& responder) {
+                                       handle_operator(request, *responder);
+                                   }});
+        log_event(log_level::info, "listening",
+                  {{"role", "agent"},
+                   {"instance", options_.instance},
+                   {"operator", address_of(options_.operator_address, operator_server_->port())}});
+        control_.post([this] { read_instance_list(); });
+        control_.post([this] { watch_backend(); });
+        repeat(control_, reconcile_interval, [this] { reconcile(); });
+    }
+
+    static std::string address_of(const std::string& listen, std::uint16_t port) {
+        return parse_host_port(listen)->host + ":" + std::to_string(port);
+    }
+
+    void reconcile() {
+        if (is_engine()) {
+            keeper_->reconcile();
+        } else if (const service* found = own_service()) {
+            gate_.set_bounds({found->limits.cold_concurrency, found->limits.max_concurrency});
+            gate_.set_ready(true);
+        }
+    }
+
+    const service* own_service() const {
+        const control_view view = hub_.view();
+        return view->accepted == nullptr
+                   ? nullptr
+                   : find_service(view->accepted->content, options_.backend_server.service);
+    }
+
+    bool is_engine() const {
+        const service* found = own_service();
+        return found == nullptr || found->kind == service_kind::engine;
+    }
+
+    void watch_backend() {
+        if (own_service() == nullptr || !is_engine()) {
+            control_.post_after(status_interval, [this] { watch_backend(); });
+            return;
+        }
+        ask_status(platform_, options_.backend_server.address,
+                   [this](result<engine_status> status) {
+                       control_.post([this, status = std::move(status)] {
+                           keeper_->take_status(status);
+                           keeper_->reconcile();
+                           control_.post_after(status_interval, [this] { watch_backend(); });
+                       });
+                   });
+    }
+
+    void read_instance_list() {
+        http_request request;
+        request.url = options_.platform.instance_list;
+        platform_.fetch(std::move(request), largest_instance_list, [this](http_answer answer) {
+            control_.post([this, answer = std::move(answer)] {
+                if (answer.outcome.is_complete && answer.outcome.status == 200) {
+                    take_instance_list(answer.body);
+                }
+                control_.post_after(options_.control.list_poll, [this] { read_instance_list(); });
+            });
+        });
+    }
+
+    void take_instance_list(const std::string& text) {
+        const auto list = parse_instance_list(text);
+        if (!list) {
+            return;
+        }
+        std::vector<listed_instance> entries;
+        for (const auto& row : *list) {
+            if (row.role == process_role::entry && !row.is_leaving) {
+                entries.push_back(row);
+            }
+        }
+        dialer::target_map targets;
+        for (const auto& entry : choose_entries(options_.instance, options_.availability_zone,
+                                                entries, options_.control.entries_per_agent)) {
+            targets.emplace(entry.instance, entry.peer_address);
+        }
+        // An empty list is a fault of the list, not a reason to cut connections that work.
+        if (!targets.empty()) {
+            dialer_->set_targets(std::move(targets));
+        }
+    }
+
+    shared_frame make_hello() const {
+        wire::helloT hello;
+        hello.protocol = wire_protocol_version;
+        hello.role = wire::role::agent;
+        hello.instance = options_.instance;
+        hello.incarnation = incarnation_;
+        hello.availability_zone = options_.availability_zone;
+        hello.service = options_.backend_server.service;
+        hello.peer_address = options_.peer_address;
+        return make_frame(std::move(hello));
+    }
+
+    shared_frame make_heartbeat(std::uint64_t session) const {
+        wire::heartbeatT heartbeat;
+        hub_.fill_heartbeat(heartbeat, session);
+        heartbeat.leaving = gate_.is_leaving();
+        heartbeat.ready = gate_.is_ready();
+        heartbeat.limit = gate_.open_limit();
+        heartbeat.running = gate_.running();
+        const std::lock_guard<std::mutex> lock(progress_mutex_);
+        heartbeat.model_version = progress_.in_force;
+        heartbeat.chunks_held = progress_.held;
+        heartbeat.chunks_total = progress_.total;
+        heartbeat.origin_bytes = progress_.origin_bytes;
+        return make_frame(std::move(heartbeat));
+    }
+
+    session_observer make_observer() {
+        session_observer observer;
+        observer.on_hello = [this](const session_pointer& session, const wire::hello&) {
+            session->send(make_heartbeat(session->number()));
+        };
+        observer.on_message = [this](const session_pointer& session,
+                                     const wire::envelope& message) {
+            handle_message(session, message);
+        };
+        observer.on_closed = [this](const session_pointer& session, close_reason reason) {
+            handle_closed(session, reason);
+        };
+        observer.make_heartbeat = [this](const session_pointer& session) {
+            return make_heartbeat(session->number());
+        };
+        return observer;
+    }
+
+    void handle_message(const session_pointer& session, const wire::envelope& message) {
+        switch (message.body_type()) {
+        case wire::body::heartbeat:
+            hub_.handle_heartbeat(session, *message.body_as_heartbeat());
+            break;
+        case wire::body::configuration_request:
+            hub_.handle_request(session, *message.body_as_configuration_request());
+            break;
+        case wire::body::configuration_body:
+            hub_.handle_body(*message.body_as_configuration_body());
+            break;
+        case wire::body::request_start:
+            start_request(session, *message.body_as_request_start());
+            break;
+        case wire::body::request_cancel:
+            cancel_request(session, message.body_as_request_cancel()->request());
+            break;
+        default:
+            numbers_.count("citronseam_unexpected_messages_total");
+            break;
+        }
+    }
+
+    void start_request(const session_pointer& session, const wire::request_start& message) {
+        auto request = std::make_shared<agent_request>(context_, session, message);
+        {
+            const std::lock_guard<std::mutex> lock(requests_mutex_);
+            request_map& own = requests_[session->number()];
+            std::erase_if(own, [](const auto& entry) { return entry.second.expired(); });
+            own[request->number()] = request;
+        }
+        request->start();
+    }
+
+    void cancel_request(const session_pointer& session, std::uint64_t number) {
+        std::shared_ptr<agent_request> found;
+        {
+            const std::lock_guard<std::mutex> lock(requests_mutex_);
+            found = requests_[session->number()][number].lock();
+        }
+        if (found != nullptr) {
+            found->cancel();
+        }
+    }
+
+    void handle_closed(const session_pointer& session, close_reason reason) {
+        numbers_.count("citronseam_connections_closed_total",
+                       {{"reason", std::string(name(reason))}});
+        hub_.forget(session->number());
+        request_map orphans;
+        {
+            const std::lock_guard<std::mutex> lock(requests_mutex_);
+            orphans.swap(requests_[session->number()]);
+            requests_.erase(session->number());
+        }
+        for (const auto& [number, weak] : orphans) {
+            if (const auto request = weak.lock()) {
+                request->entry_lost();
+            }
+        }
+    }
+
+    void report_loss(std::uint64_t fingerprint) {
+        wire::crash_reportT report;
+        report.fingerprint = fingerprint;
+        report.instance = options_.instance;
+        report.incarnation = context_.backend_life;
+        broadcast(make_frame(std::move(report)));
+    }
+
+    void broadcast(const shared_frame& frame) {
+        for (const auto& [name, session] : dialer_->sessions()) {
+            session->send(frame);
+        }
+    }
+
+    /// Sends heartbeats at once instead of at the next interval; several changes in a short time
+    /// give one heartbeat.
+    void announce() {
+        if (is_announcing_.exchange(true)) {
+            return;
+        }
+        control_.post([this] {
+            is_announcing_ = false;
+            {
+                const std::lock_guard<std::mutex> lock(progress_mutex_);
+                progress_ = keeper_->progress();
+            }
+            if (dialer_ == nullptr) {
+                return;
+            }
+            for (const auto& [name, session] : dialer_->sessions()) {
+                session->send(make_heartbeat(session->number()));
+            }
+        });
+    }
+
+    std::string readiness() const {
+        if (hub_.view()->accepted == nullptr) {
+            return "no configuration yet";
+        }
+        return gate_.is_ready() ? "" : "the backend server is not ready";
+    }
+
+    void handle_operator(const server_request& request, http_responder& responder) {
+        if (request.path != "/v1/status") {
+            respond_error(responder, 404, "no such path: " + request.path);
+            return;
+        }
+        const std::lock_guard<std::mutex> lock(progress_mutex_);
+        const nlohmann::json status = {{"instance", options_.instance},
+                                       {"role", "agent"},
+                                       {"availability_zone", options_.availability_zone},
+                                       {"generation", generation_of(*hub_.view())},
+                                       {"limit", gate_.open_limit()},
+                                       {"running", gate_.running()},
+                                       {"refusal", name(gate_.check())},
+                                       {"version", progress_.in_force},
+                                       {"wanted", progress_.wanted},
+                                       {"chunks_held", progress_.held},
+                                       {"chunks_total", progress_.total},
+                                       {"origin_bytes", progress_.origin_bytes}};
+        respond_json(responder, 200, status.dump());
+    }
+
+    void leave() {
+        gate_.set_leaving();
+        while (gate_.running() > 0) {
+            std::this_thread::sleep_for(drain_poll);
+        }
+        std::this_thread::sleep_for(linger);
+        dialer_->stop();
+        operator_server_.reset();
+        control_.stop();
+        traffic_.stop();
+    }
+
+    const settings& options_;
+    std::uint64_t incarnation_;
+    metrics numbers_;
+    io_threads control_;
+    io_threads traffic_;
+    control_hub hub_;
+    admission_gate gate_;
+    http_client backend_;
+    http_client platform_;
+    table_client store_;
+    agent_context context_;
+    std::shared_ptr<version_keeper> keeper_;
+    std::shared_ptr<dialer> dialer_;
+    std::unique_ptr<http_server> operator_server_;
+
+    std::mutex requests_mutex_;
+    std::map<std::uint64_t, request_map> requests_;
+
+    mutable std::mutex progress_mutex_;
+    version_progress progress_;
+    std::atomic<bool> is_announcing_{false};
+};
+
+} // namespace
+
+int run_agent(const settings& options) {
+    return agent(options).run();
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/agent/agent_request.cpp
@@ -0,0 +1,279 @@
+#include "programs/agent/agent_request.h"
+
+#include "citronseam/process/random.h"
+#include "citronseam/request/quarantine.h"
+
+namespace citronseam {
+namespace {
+
+/// Time after which a place is likely free again.
+constexpr milliseconds place_expected{200};
+constexpr std::size_t largest_part = 64 * 1024;
+constexpr int overloaded_status = 503;
+constexpr std::string_view overload_header = "X-Engine-Overloaded";
+
+/// Headers that belong to one connection and are not passed on.
+bool is_connection_header(const std::string& name) {
+    static const std::vector<http_header> names{
+        {"Connection", "x"},     {"Keep-Alive", "x"},       {"Transfer-Encoding", "x"},
+        {"Content-Length", "x"}, {"Upgrade", "x"},          {"TE", "x"},
+        {"Trailer", "x"},        {"Proxy-Connection", "x"}, {"Host", "x"},
+        {"Expect", "x"}};
+    return !find_header(names, name).empty();
+}
+
+std::vector<http_header> without_connection_headers(const std::vector<http_header>& headers) {
+    std::vector<http_header> kept;
+    for (const auto& header : headers) {
+        if (!is_connection_header(header.name)) {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+} // namespace
+
+agent_request::agent_request(agent_context& context, std::shared_ptr<peer_session> session,
+                             const wire::request_start& message)
+    : context_(context), session_(std::move(session)), received_(std::chrono::steady_clock::now()) {
+    message.UnPackTo(&message_);
+}
+
+milliseconds agent_request::time_left() const {
+    const milliseconds budget(message_.budget_ms);
+    const milliseconds spent(elapsed_ms(received_, std::chrono::steady_clock::now()));
+    return budget > spent ? budget - spent : milliseconds(0);
+}
+
+void agent_request::start() {
+    const refusal found = context_.gate.enter(message_.isolated, ticket_);
+    if (found != refusal::none) {
+        refuse(found, "the backend server takes no more work now");
+        return;
+    }
+    has_place_ = true;
+    if (message_.idempotent) {
+        dispatch();
+    } else {
+        claim_key();
+    }
+}
+
+void agent_request::claim_key() {
+    const control_view view = context_.hub.view();
+    const service* found = find_service(view->accepted->content, message_.service);
+    const milliseconds retention =
+        found == nullptr ? service_limits{}.result_retention : found->limits.result_retention;
+    auto random = seeded_random_source();
+    claim_ = std::make_shared<key_claim>(
+        context_, key_row_name(message_.service, message_.workspace, message_.key),
+        unique_identifier(random), message_.fingerprint, retention);
+    claim_->start([self = shared_from_this()](claim_outcome outcome) {
+        self->handle_claim(std::move(outcome));
+    });
+}
+
+void agent_request::handle_claim(claim_outcome outcome) {
+    if (outcome.is_replay) {
+        context_.gate.leave(ticket_);
+        has_place_ = false;
+        send_answer(outcome.answer, true);
+        send_end(run_verdict::ran, refusal::none, "");
+        return;
+    }
+    if (outcome.reason != refusal::none) {
+        context_.gate.leave(ticket_);
+        has_place_ = false;
+        context_.numbers.count("citronseam_refusals_total",
+                               {{"reason", std::string(name(outcome.reason))}});
+        send_end(outcome.verdict, outcome.reason, outcome.message, milliseconds(1000));
+        return;
+    }
+    // The claim took time, perhaps because the process was paused: everything is checked again just
+    // before the act.
+    const refusal found = time_left().count() == 0 ? refusal::deadline : context_.gate.check();
+    if (found != refusal::none) {
+        claim_->give_back();
+        refuse(found, "the request was not begun");
+        return;
+    }
+    dispatch();
+}
+
+http_request agent_request::build() const {
+    http_request request;
+    request.method = message_.method;
+    request.url = "http://" + context_.options.backend_server.address + message_.target;
+    for (const auto& header : message_.headers) {
+        if (!is_connection_header(header->name)) {
+            request.headers.push_back({header->name, header->value});
+        }
+    }
+    request.body.assign(message_.body.begin(), message_.body.end());
+    request.timeout = std::max(time_left(), milliseconds(1));
+    request.may_reuse_connection = message_.idempotent;
+    return request;
+}
+
+void agent_request::dispatch() {
+    if (is_cancelled_ && message_.idempotent) {
+        refuse(refusal::cancelled, "the caller hung up");
+        return;
+    }
+    dispatched_ = std::chrono::steady_clock::now();
+    http_observer observer;
+    observer.on_head = [self = shared_from_this()](int status,
+                                                   const std::vector<http_header>& headers) {
+        self->handle_head(status, headers);
+    };
+    observer.on_data = [self = shared_from_this()](std::string_view data) {
+        return self->handle_data(data);
+    };
+    observer.on_done = [self = shared_from_this()](const http_outcome& outcome) {
+        self->handle_done(outcome);
+    };
+    exchange_ = context_.backend.send(build(), std::move(observer));
+}
+
+void agent_request::cancel() {
+    is_cancelled_ = true;
+    // A non-idempotent request that began runs to its end: its result is kept for the caller.
+    if (message_.idempotent && exchange_ != 0) {
+        context_.backend.cancel(exchange_);
+    }
+}
+
+void agent_request::entry_lost() {
+    cancel();
+}
+
+void agent_request::handle_head(int status, const std::vector<http_header>& headers) {
+    first_byte_ = milliseconds(elapsed_ms(dispatched_, std::chrono::steady_clock::now()));
+    has_first_byte_ = true;
+    is_overloaded_ = status == overloaded_status && !find_header(headers, overload_header).empty();
+    if (is_overloaded_) {
+        return;
+    }
+    collected_.status = status;
+    collected_.headers = without_connection_headers(headers);
+    if (message_.idempotent) {
+        send_head(status, collected_.headers, false);
+    }
+}
+
+bool agent_request::handle_data(std::string_view data) {
+    if (is_overloaded_) {
+        return true;
+    }
+    if (message_.idempotent) {
+        send_data(data);
+        return session_->is_open();
+    }
+    collected_.body += data;
+    return true;
+}
+
+void agent_request::handle_done(const http_outcome& outcome) {
+    if (outcome.is_complete) {
+        handle_answer(outcome);
+    } else {
+        handle_broken(outcome);
+    }
+    context_.request_ended();
+}
+
+void agent_request::handle_answer(const http_outcome&) {
+    if (is_overloaded_) {
+        context_.gate.leave(ticket_);
+        context_.gate.turn_cold(cold_sign::overloaded);
+        if (claim_ != nullptr) {
+            claim_->give_back();
+        }
+        // The backend server said itself that it did not run the request.
+        send_end(run_verdict::not_run, refusal::limit, "the backend server is overloaded",
+                 place_expected);
+        return;
+    }
+    context_.gate.leave_answered(ticket_, first_byte_);
+    if (claim_ != nullptr) {
+        send_answer(collected_, false);
+        claim_->keep(std::move(collected_));
+    }
+    send_end(run_verdict::ran, refusal::none, "");
+}
+
+void agent_request::handle_broken(const http_outcome& outcome) {
+    context_.gate.leave(ticket_);
+    if (outcome.verdict == run_verdict::not_run) {
+        if (claim_ != nullptr) {
+            claim_->give_back();
+        }
+        context_.gate.turn_cold(cold_sign::lost);
+        send_end(run_verdict::not_run, refusal::backend_unreachable, outcome.message,
+                 place_expected);
+        return;
+    }
+    if (outcome.is_cancelled) {
+        send_end(run_verdict::may_have_run, refusal::cancelled, "the caller hung up");
+        return;
+    }
+    if (outcome.is_timeout) {
+        send_end(run_verdict::may_have_run, refusal::deadline, outcome.message);
+        return;
+    }
+    context_.gate.turn_cold(cold_sign::lost);
+    context_.report_loss(message_.fingerprint);
+    send_end(run_verdict::may_have_run, refusal::backend_lost, outcome.message);
+}
+
+void agent_request::send_answer(const whole_answer& answer, bool is_replay) {
+    send_head(answer.status, answer.headers, is_replay);
+    std::string_view rest = answer.body;
+    while (!rest.empty()) {
+        const std::string_view part = rest.substr(0, largest_part);
+        send_data(part);
+        rest.remove_prefix(part.size());
+    }
+}
+
+void agent_request::send_head(int status, const std::vector<http_header>& headers, bool is_replay) {
+    wire::response_headT head;
+    head.request = message_.request;
+    head.status = static_cast<std::uint16_t>(status);
+    head.headers = write_headers(headers);
+    head.model_version = find_header(headers, "X-Model-Version");
+    head.replayed = is_replay;
+    session_->send(make_frame(std::move(head)));
+}
+
+void agent_request::send_data(std::string_view data) {
+    const std::uint64_t offset = sent_.total;
+    append(sent_, data);
+    session_->send(make_data_frame(message_.request, offset, data));
+}
+
+void agent_request::send_end(run_verdict verdict, refusal reason, const std::string& message,
+                             milliseconds retry_after) {
+    wire::response_endT end;
+    end.request = message_.request;
+    end.total = sent_.total;
+    end.checksum = sent_.checksum;
+    end.verdict = to_wire(verdict);
+    end.refusal = to_wire(reason);
+    end.message = message;
+    end.retry_after_ms = static_cast<std::uint32_t>(retry_after.count());
+    session_->send(make_frame(std::move(end)));
+}
+
+void agent_request::refuse(refusal reason, const std::string& message) {
+    if (has_place_) {
+        context_.gate.leave(ticket_);
+        has_place_ = false;
+    }
+    context_.numbers.count("citronseam_refusals_total", {{"reason", std::string(name(reason))}});
+    send_end(run_verdict::not_run, reason, message, place_expected);
+    context_.request_ended();
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/agent/agent_request.h
@@ -0,0 +1,80 @@
+/// @file
+/// One request at an agent, from its admission to the end of its answer.
+#ifndef CITRONSEAM_PROGRAMS_AGENT_AGENT_REQUEST_H
+#define CITRONSEAM_PROGRAMS_AGENT_AGENT_REQUEST_H
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "citronseam/connection/peer_session.h"
+#include "citronseam/request/admission.h"
+#include "citronseam/request/answer_check.h"
+#include "programs/agent/agent_context.h"
+#include "programs/agent/key_claim.h"
+
+namespace citronseam {
+
+/// Runs one request on the backend server and sends the answer to the entry. It keeps itself alive
+/// while the exchange runs.
+class agent_request : public std::enable_shared_from_this<agent_request> {
+public:
+    /// @param context parts of the agent
+    /// @param session connection to the entry
+    /// @param message the request; it is copied
+    agent_request(agent_context& context, std::shared_ptr<peer_session> session,
+                  const wire::request_start& message);
+
+    /// Admits and runs the request, or refuses it.
+    void start();
+    /// Ends the exchange with the backend server: the caller is gone.
+    void cancel();
+    /// The connection to the entry is closed: an idempotent request is ended, another one runs on
+    /// so that its result can be kept.
+    void entry_lost();
+
+    /// @return the number the entry gave it
+    std::uint64_t number() const noexcept { return message_.request; }
+
+private:
+    void claim_key();
+    void handle_claim(claim_outcome outcome);
+    void dispatch();
+    http_request build() const;
+    void handle_head(int status, const std::vector<http_header>& headers);
+    bool handle_data(std::string_view data);
+    void handle_done(const http_outcome& outcome);
+    void handle_answer(const http_outcome& outcome);
+    void handle_broken(const http_outcome& outcome);
+    void send_answer(const whole_answer& answer, bool is_replay);
+    void send_head(int status, const std::vector<http_header>& headers, bool is_replay);
+    void send_data(std::string_view data);
+    void send_end(run_verdict verdict, refusal reason, const std::string& message,
+                  milliseconds retry_after = milliseconds(0));
+    void refuse(refusal reason, const std::string& message);
+    milliseconds time_left() const;
+
+    agent_context& context_;
+    std::shared_ptr<peer_session> session_;
+    wire::request_startT message_;
+    time_point received_;
+    time_point dispatched_;
+    admission_ticket ticket_;
+    bool has_place_{false};
+    std::shared_ptr<key_claim> claim_;
+
+    std::atomic<bool> is_cancelled_{false};
+    std::atomic<std::uint64_t> exchange_{0};
+
+    milliseconds first_byte_{0};
+    bool has_first_byte_{false};
+    bool is_overloaded_{false};
+    whole_answer collected_; ///< non-idempotent requests only
+    answer_check sent_;
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/programs/agent/engine_orders.cpp
@@ -0,0 +1,87 @@
+#include "programs/agent/engine_orders.h"
+
+#include <nlohmann/json.hpp>
+
+namespace citronseam {
+namespace {
+
+constexpr std::size_t largest_status = 64 * 1024;
+constexpr milliseconds status_timeout{1000};
+constexpr milliseconds chunk_timeout{30000};
+
+result<engine_status> parse_status(const std::string& text) {
+    try {
+        const auto json = nlohmann::json::parse(text);
+        return engine_status{json.at("version"), json.at("boot"), json.at("warm")};
+    } catch (const nlohmann::json::exception& exception) {
+        return failure(error_code::protocol,
+                       std::string("the engine's status cannot be read: ") + exception.what());
+    }
+}
+
+result<bool> read_acknowledgement(const http_answer& answer) {
+    if (!answer.outcome.is_complete) {
+        const bool is_sent = answer.outcome.verdict != run_verdict::not_run;
+        return failure(is_sent ? error_code::outcome_unknown : error_code::unavailable,
+                       "the engine did not answer: " + answer.outcome.message);
+    }
+    switch (answer.outcome.status) {
+    case 200:
+        return true;
+    case 409:
+        return failure(error_code::precondition_failed, "the engine took a later order");
+    case 422:
+        return failure(error_code::corrupt, "the engine found the weights not whole");
+    default:
+        return failure(error_code::protocol,
+                       "the engine answered " + std::to_string(answer.outcome.status));
+    }
+}
+
+} // namespace
+
+void ask_status(http_client& http, const std::string& address,
+                std::function<void(result<engine_status>)> done) {
+    http_request request;
+    request.url = "http://" + address + "/admin/status";
+    request.timeout = status_timeout;
+    http.fetch(std::move(request), largest_status,
+               [done = std::move(done)](const http_answer& answer) {
+                   if (!answer.outcome.is_complete || answer.outcome.status != 200) {
+                       done(failure(error_code::unavailable,
+                                    "no status from the engine: " + answer.outcome.message));
+                       return;
+                   }
+                   done(parse_status(answer.body));
+               });
+}
+
+void send_chunk(http_client& http, const std::string& address, const std::string& version,
+                std::size_t index, std::string content, std::function<void(result<bool>)> done) {
+    http_request request;
+    request.method = "PUT";
+    request.url = "http://" + address + "/admin/weights/" + version + "/" + std::to_string(index);
+    request.body = std::move(content);
+    request.timeout = chunk_timeout;
+    http.fetch(std::move(request), largest_status,
+               [done = std::move(done)](const http_answer& answer) {
+                   done(read_acknowledgement(answer));
+               });
+}
+
+void order_load(http_client& http, const std::string& address, const load_order& order,
+                milliseconds timeout, std::function<void(result<bool>)> done) {
+    const nlohmann::json body = {
+        {"version", order.version}, {"manifest", order.manifest}, {"fencing", order.fencing}};
+    http_request request;
+    request.method = "POST";
+    request.url = "http://" + address + "/admin/load";
+    request.body = body.dump();
+    request.timeout = timeout;
+    http.fetch(std::move(request), largest_status,
+               [done = std::move(done)](const http_answer& answer) {
+                   done(read_acknowledgement(answer));
+               });
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/daemon/control_hub.cpp
@@ -0,0 +1,196 @@
+#include "programs/daemon/control_hub.h"
+
+#include "citronseam/process/log.h"
+
+namespace citronseam {
+namespace {
+
+/// Notices expire on every process's own clock; a bound keeps a wrong one from lasting.
+constexpr milliseconds longest_notice{3600000};
+
+std::uint64_t to_stamp(time_point moment) {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(moment.time_since_epoch()).count());
+}
+
+time_point from_stamp(std::uint64_t stamp) {
+    return time_point{} + milliseconds(static_cast<std::int64_t>(stamp));
+}
+
+zone_notice read_notice(const wire::zone_notice& message, time_point now) {
+    zone_notice notice;
+    notice.availability_zone = std::string(view(message.availability_zone()));
+    notice.stamp_ms = message.stamp_ms();
+    notice.is_out = message.is_out();
+    const milliseconds left(static_cast<std::int64_t>(message.expires_in_ms()));
+    notice.expires = now + std::clamp(left, milliseconds(0), longest_notice);
+    return notice;
+}
+
+} // namespace
+
+control_hub::control_hub(io_threads& control, metrics& numbers)
+    : control_(control), metrics_(numbers), view_(std::make_shared<control_state>()) {}
+
+control_view control_hub::view() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return view_;
+}
+
+void control_hub::on_change(std::function<void(const control_view&)> callback) {
+    callback_ = std::move(callback);
+}
+
+void control_hub::fill_heartbeat(wire::heartbeatT& heartbeat, std::uint64_t peer) const {
+    const time_point now = std::chrono::steady_clock::now();
+    control_view current;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        current = view_;
+        const auto found = stamps_.find(peer);
+        heartbeat.echo_ms = found == stamps_.end() ? 0 : found->second.heard_ms;
+    }
+    heartbeat.stamp_ms = to_stamp(now);
+    heartbeat.generation = generation_of(*current);
+    heartbeat.has_evidence = current->has_evidence;
+    heartbeat.evidence_age_ms = elapsed_ms(current->evidence, now);
+    for (const auto& [zone, notice] : current->notices) {
+        if (notice.expires <= now) {
+            continue;
+        }
+        auto row = std::make_unique<wire::zone_noticeT>();
+        row->availability_zone = zone;
+        row->stamp_ms = notice.stamp_ms;
+        row->expires_in_ms = elapsed_ms(now, notice.expires);
+        row->is_out = notice.is_out;
+        heartbeat.notices.push_back(std::move(row));
+    }
+}
+
+void control_hub::handle_heartbeat(const std::shared_ptr<peer_session>& from,
+                                   const wire::heartbeat& message) {
+    const time_point now = std::chrono::steady_clock::now();
+    time_point echoed{};
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        peer_stamps& stamps = stamps_[from->number()];
+        stamps.heard_ms = message.stamp_ms();
+        if (message.echo_ms() != 0) {
+            echoed = from_stamp(message.echo_ms());
+            stamps.echoed = std::max(stamps.echoed, echoed);
+        }
+    }
+    std::vector<zone_notice> notices;
+    if (message.notices() != nullptr) {
+        for (const auto* notice : *message.notices()) {
+            notices.push_back(read_notice(*notice, now));
+        }
+    }
+    const bool has_evidence = message.has_evidence() && echoed != time_point{};
+    // The other side had evidence of that age when it last heard this process's stamp.
+    const time_point evidence = echoed - milliseconds(message.evidence_age_ms());
+    const std::uint64_t generation = message.generation();
+    control_.post([this, from, notices = std::move(notices), has_evidence, evidence, generation] {
+        bool is_changed = false;
+        for (const auto& notice : notices) {
+            is_changed = take_notice(state_, notice) || is_changed;
+        }
+        if (generation > generation_of(state_)) {
+            wire::configuration_requestT request;
+            request.after = generation_of(state_);
+            from->send(make_frame(std::move(request)));
+        } else if (has_evidence) {
+            // All that the other side had is known here, so its evidence holds here as well.
+            take_evidence(state_, evidence);
+            is_changed = true;
+        }
+        if (is_changed) {
+            publish();
+        }
+    });
+}
+
+void control_hub::handle_request(const std::shared_ptr<peer_session>& from,
+                                 const wire::configuration_request& message) const {
+    const control_view current = view();
+    if (generation_of(*current) <= message.after()) {
+        return;
+    }
+    wire::configuration_bodyT body;
+    body.generation = current->accepted->generation;
+    body.hash = current->accepted->hash;
+    body.attempt = current->accepted->attempt;
+    body.body = current->accepted->body;
+    from->send(make_frame(std::move(body)));
+}
+
+void control_hub::handle_body(const wire::configuration_body& message) {
+    if (message.generation() <= generation_of(*view())) {
+        return;
+    }
+    auto accepted =
+        read_accepted(message.generation(), std::string(citronseam::view(message.hash())),
+                      std::string(citronseam::view(message.attempt())),
+                      std::string(citronseam::view(message.body())));
+    if (!accepted) {
+        metrics_.count("citronseam_configuration_rejected_total");
+        log_event(log_level::error, "configuration_rejected",
+                  {{"generation", message.generation()}, {"reason", accepted.error().message}});
+        return;
+    }
+    control_.post([this, accepted = std::move(*accepted)] { take(accepted); });
+}
+
+void control_hub::forget(std::uint64_t peer) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stamps_.erase(peer);
+}
+
+void control_hub::take(std::shared_ptr<const accepted_configuration> accepted) {
+    const std::uint64_t before = generation_of(state_);
+    if (!take_configuration(state_, std::move(accepted))) {
+        return;
+    }
+    log_event(log_level::info, "configuration_in_force",
+              {{"generation", generation_of(state_)}, {"before", before}});
+    metrics_.set("citronseam_generation", {}, static_cast<double>(generation_of(state_)));
+    publish();
+}
+
+void control_hub::take_notice_later(zone_notice notice) {
+    control_.post([this, notice = std::move(notice)] {
+        if (take_notice(state_, notice)) {
+            log_event(log_level::info, "zone_notice",
+                      {{"availability_zone", notice.availability_zone},
+                       {"out", notice.is_out ? "true" : "false"}});
+            publish();
+        }
+    });
+}
+
+void control_hub::take_evidence_later(time_point moment) {
+    control_.post([this, moment] {
+        take_evidence(state_, moment);
+        publish();
+    });
+}
+
+time_point control_hub::last_echo(std::uint64_t peer) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = stamps_.find(peer);
+    return found == stamps_.end() ? time_point{} : found->second.echoed;
+}
+
+void control_hub::publish() {
+    expire_notices(state_, std::chrono::steady_clock::now());
+    auto copy = std::make_shared<const control_state>(state_);
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        view_ = copy;
+    }
+    if (callback_) {
+        callback_(copy);
+    }
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/daemon/shutdown_signal.cpp
@@ -0,0 +1,33 @@
+#include "programs/daemon/shutdown_signal.h"
+
+#include <csignal>
+
+#include <pthread.h>
+
+namespace citronseam::shutdown_signal {
+namespace {
+
+sigset_t leaving_signals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+} // namespace
+
+void block() {
+    const sigset_t signals = leaving_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+int wait() {
+    const sigset_t signals = leaving_signals();
+    int received = 0;
+    sigwait(&signals, &received);
+    return received;
+}
+
+} // namespace citronseam::shutdown_signal
--- /dev/null
+++ b/src/programs/entry/backend_directory.cpp
@@ -0,0 +1,144 @@
+#include "programs/entry/backend_directory.h"
+
+#include "citronseam/process/log.h"
+#include "programs/entry/request_exchange.h"
+
+namespace citronseam {
+
+backend_directory::backend_directory(std::string zone, const control_hub& hub, metrics& numbers)
+    : zone_(std::move(zone)), hub_(hub), metrics_(numbers) {}
+
+bool backend_directory::add(const std::shared_ptr<backend_server_link>& link) {
+    std::shared_ptr<backend_server_link> replaced;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        auto& known = links_[link->instance()];
+        if (known != nullptr && known->incarnation() > link->incarnation()) {
+            return false;
+        }
+        replaced = std::exchange(known, link);
+    }
+    if (replaced != nullptr && replaced->incarnation() < link->incarnation()) {
+        // A later life of the instance proves that the earlier one ended.
+        replaced->session()->close(close_reason::local);
+    }
+    log_event(log_level::info, "agent_connected",
+              {{"instance", link->instance()},
+               {"service", link->service()},
+               {"availability_zone", link->availability_zone()},
+               {"incarnation", link->incarnation()}});
+    publish(link->service());
+    return true;
+}
+
+void backend_directory::remove(const std::shared_ptr<backend_server_link>& link,
+                               close_reason reason) {
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const auto found = links_.find(link->instance());
+        if (found != links_.end() && found->second == link) {
+            links_.erase(found);
+        }
+    }
+    link->load().is_accepting.store(false, std::memory_order_relaxed);
+    log_event(log_level::info, "agent_lost",
+              {{"instance", link->instance()}, {"reason", name(reason)}});
+    publish(link->service());
+    for (const auto& [attempt, exchange] : link->take_all_exchanges()) {
+        exchange->handle_lost(attempt, reason);
+    }
+}
+
+void backend_directory::refresh_acceptance(backend_server_link& link) const {
+    const control_view view = hub_.view();
+    const agent_report report = link.report();
+    const bool is_in_service =
+        is_zone_in_service(*view, link.availability_zone(), std::chrono::steady_clock::now());
+    link.load().is_accepting.store(is_in_service && report.is_ready && !report.is_leaving,
+                                   std::memory_order_relaxed);
+}
+
+void backend_directory::take_report(const std::shared_ptr<backend_server_link>& link,
+                                    const wire::heartbeat& message) {
+    link->take_report(message);
+    refresh_acceptance(*link);
+    if (const auto dispatcher = find_dispatcher(link->service())) {
+        dispatcher->pump();
+    }
+}
+
+void backend_directory::take_control(const control_view& view) {
+    if (view->accepted == nullptr) {
+        return;
+    }
+    for (const auto& link : links()) {
+        refresh_acceptance(*link);
+    }
+    for (const auto& entry : view->accepted->content.services) {
+        bool is_new = false;
+        std::shared_ptr<service_dispatcher> dispatcher;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            auto& known = dispatchers_[entry.name];
+            is_new = known == nullptr;
+            if (is_new) {
+                known = std::make_shared<service_dispatcher>(entry.name);
+            }
+            dispatcher = known;
+        }
+        dispatcher->set_limits(entry.limits);
+        if (is_new) {
+            publish(entry.name);
+        }
+    }
+}
+
+void backend_directory::publish(const std::string& service) {
+    const std::lock_guard<std::mutex> publishing(publish_mutex_);
+    auto snapshot = std::make_shared<service_snapshot>();
+    for (const auto& link : links()) {
+        if (link->service() != service) {
+            continue;
+        }
+        const bool is_own = link->availability_zone() == zone_;
+        auto& group = is_own ? snapshot->pool.own_zone : snapshot->pool.other_zones;
+        group.push_back(&link->load());
+        snapshot->links[&link->load()] = link;
+    }
+    metrics_.set("citronseam_backend_servers", {{"service", service}},
+                 static_cast<double>(snapshot->links.size()));
+    if (const auto dispatcher = find_dispatcher(service)) {
+        dispatcher->set_snapshot(std::move(snapshot));
+    }
+}
+
+void backend_directory::tick(time_point now) {
+    std::map<std::string, std::shared_ptr<service_dispatcher>> dispatchers;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        dispatchers = dispatchers_;
+    }
+    for (const auto& [service, dispatcher] : dispatchers) {
+        dispatcher->tick(now);
+        metrics_.set("citronseam_waiting", {{"service", service}},
+                     static_cast<double>(dispatcher->waiting()));
+    }
+}
+
+std::shared_ptr<service_dispatcher>
+backend_directory::find_dispatcher(const std::string& service) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = dispatchers_.find(service);
+    return found == dispatchers_.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<backend_server_link>> backend_directory::links() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<std::shared_ptr<backend_server_link>> all;
+    for (const auto& [instance, link] : links_) {
+        all.push_back(link);
+    }
+    return all;
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/entry/backend_server_link.h
@@ -0,0 +1,88 @@
+/// @file
+/// An entry's side of the connection to one agent, and so to one backend server.
+#ifndef CITRONSEAM_PROGRAMS_ENTRY_BACKEND_SERVER_LINK_H
+#define CITRONSEAM_PROGRAMS_ENTRY_BACKEND_SERVER_LINK_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "citronseam/connection/peer_session.h"
+#include "citronseam/request/balancer.h"
+
+namespace citronseam {
+
+class request_exchange;
+
+/// What an agent said in its last heartbeat.
+struct agent_report {
+    std::uint64_t generation{0};
+    bool is_ready{false};
+    bool is_leaving{false};
+    std::uint32_t limit{0};
+    std::uint32_t running{0};
+    std::string model_version;
+    std::uint32_t chunks_held{0};
+    std::uint32_t chunks_total{0};
+    std::uint64_t origin_bytes{0};
+};
+
+/// Lives as long as its connection. A new connection of the same agent gets a new link, so a frame
+/// that comes late on the old one cannot reach a request of the new one.
+class backend_server_link {
+public:
+    /// @param session the connection
+    /// @param hello   what the agent said of itself
+    backend_server_link(std::shared_ptr<peer_session> session, const wire::hello& hello);
+
+    /// @return name of the agent's instance
+    const std::string& instance() const noexcept { return instance_; }
+    /// @return availability zone of the agent
+    const std::string& availability_zone() const noexcept { return availability_zone_; }
+    /// @return service of its backend server
+    const std::string& service() const noexcept { return service_; }
+    /// @return address at which other agents reach it
+    const std::string& peer_address() const noexcept { return peer_address_; }
+    /// @return number that tells this life of the agent's process from others
+    std::uint64_t incarnation() const noexcept { return incarnation_; }
+    /// @return the connection
+    const std::shared_ptr<peer_session>& session() const noexcept { return session_; }
+    /// @return what balancing reads; its address is stable
+    backend_server_load& load() noexcept { return load_; }
+
+    /// Takes a heartbeat.
+    void take_report(const wire::heartbeat& message);
+    /// @return the last report
+    agent_report report() const;
+
+    /// Sends a request; `exchange` hears of its answer.
+    /// @return false when the connection is closed; nothing was sent then
+    bool send_request(std::uint64_t number, const std::shared_ptr<request_exchange>& exchange,
+                      shared_frame frame);
+    /// @return the exchange a frame belongs to, or nullptr when the frame is late
+    std::shared_ptr<request_exchange> find_exchange(std::uint64_t number) const;
+    /// Takes an exchange off; frames that come for it later are dropped.
+    void forget_exchange(std::uint64_t number);
+    /// Takes all exchanges off, as when the connection closed.
+    std::map<std::uint64_t, std::shared_ptr<request_exchange>> take_all_exchanges();
+
+private:
+    std::shared_ptr<peer_session> session_;
+    std::string instance_;
+    std::string availability_zone_;
+    std::string service_;
+    std::string peer_address_;
+    std::uint64_t incarnation_;
+    backend_server_load load_;
+
+    mutable std::mutex mutex_;
+    agent_report report_;
+    bool is_closed_{false};
+    std::map<std::uint64_t, std::shared_ptr<request_exchange>> exchanges_;
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/programs/entry/crash_board.cpp
@@ -0,0 +1,91 @@
+#include "programs/entry/crash_board.h"
+
+#include "citronseam/process/log.h"
+
+namespace citronseam {
+namespace {
+
+shared_frame make_report(std::uint64_t fingerprint, const lost_server& loss, bool is_release) {
+    wire::crash_reportT report;
+    report.fingerprint = fingerprint;
+    report.instance = loss.instance;
+    report.incarnation = loss.incarnation;
+    report.is_release = is_release;
+    return make_frame(std::move(report));
+}
+
+} // namespace
+
+void crash_board::on_news(std::function<void(const shared_frame&)> pass_on) {
+    pass_on_ = std::move(pass_on);
+}
+
+void crash_board::take_report(const wire::crash_report& message) {
+    if (message.is_release()) {
+        release(message.fingerprint());
+        return;
+    }
+    const lost_server loss{std::string(view(message.instance())), message.incarnation()};
+    crash_standing standing{};
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const time_point now = std::chrono::steady_clock::now();
+        if (!note_loss(state_, message.fingerprint(), loss, now)) {
+            return;
+        }
+        standing = standing_of(state_, message.fingerprint(), now);
+    }
+    log_event(log_level::warning, "backend_server_lost",
+              {{"fingerprint", message.fingerprint()},
+               {"instance", loss.instance},
+               {"standing", name(standing)}});
+    pass_on_(make_report(message.fingerprint(), loss, false));
+}
+
+bool crash_board::release(std::uint64_t fingerprint) {
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!release_fingerprint(state_, fingerprint)) {
+            return false;
+        }
+    }
+    log_event(log_level::info, "quarantine_released", {{"fingerprint", fingerprint}});
+    pass_on_(make_report(fingerprint, {}, true));
+    return true;
+}
+
+crash_standing crash_board::standing(std::uint64_t fingerprint) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return standing_of(state_, fingerprint, std::chrono::steady_clock::now());
+}
+
+milliseconds crash_board::expires_in(std::uint64_t fingerprint) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return time_to_expiry(state_, fingerprint, std::chrono::steady_clock::now());
+}
+
+std::vector<crash_listing> crash_board::list() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const time_point now = std::chrono::steady_clock::now();
+    std::vector<crash_listing> listing;
+    for (const auto& [fingerprint, record] : state_.records) {
+        const crash_standing standing = standing_of(state_, fingerprint, now);
+        if (standing != crash_standing::clear) {
+            listing.push_back(
+                {fingerprint, standing, record.losses, time_to_expiry(state_, fingerprint, now)});
+        }
+    }
+    return listing;
+}
+
+std::vector<shared_frame> crash_board::reports() const {
+    std::vector<shared_frame> frames;
+    for (const auto& entry : list()) {
+        for (const auto& loss : entry.losses) {
+            frames.push_back(make_report(entry.fingerprint, loss, false));
+        }
+    }
+    return frames;
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/entry/entry.cpp
@@ -0,0 +1,522 @@
+#include "programs/entry/entry.h"
+
+#include <atomic>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "citronseam/connection/dialer.h"
+#include "citronseam/connection/http_client.h"
+#include "citronseam/connection/peer_listener.h"
+#include "citronseam/process/log.h"
+#include "programs/daemon/operator_server.h"
+#include "programs/daemon/shutdown_signal.h"
+#include "programs/entry/backend_directory.h"
+#include "programs/entry/caller_routes.h"
+#include "programs/entry/entry_mesh.h"
+#include "programs/entry/entry_operator.h"
+#include "programs/entry/head_watch.h"
+
+namespace citronseam {
+namespace {
+
+constexpr milliseconds dispatcher_tick{50};
+constexpr milliseconds store_timeout{900};
+constexpr milliseconds drain_poll{20};
+/// Callers keep an address this long, so a leaving entry goes on pointing elsewhere as long.
+constexpr seconds address_lifetime{5};
+constexpr milliseconds linger{300};
+constexpr std::size_t largest_instance_list = 16U * 1024 * 1024;
+/// Other entries that an entry connects to. Up to this many the mesh is full.
+constexpr std::size_t mesh_degree = 12;
+/// All entries together read the head row at most 1000 / this many times a second.
+constexpr milliseconds poll_share{20};
+
+class entry {
+public:
+    explicit entry(const settings& options)
+        : options_(options), incarnation_(wall_clock_ms()), control_(1),
+          traffic_(options.traffic_threads), hub_(control_, numbers_),
+          directory_(options.availability_zone, hub_, numbers_),
+          store_(platform_, options.platform.table_service, options.platform.object_store,
+                 store_timeout),
+          head_watch_(control_, store_, hub_, numbers_),
+          context_{
+              options_,
+              control_,
+              traffic_,
+              numbers_,
+              hub_,
+              crashes_,
+              traces_,
+              [this](const std::string& service) { return directory_.find_dispatcher(service); },
+              [this] { return other_entry(); },
+              [this] { return is_leaving_.load(); }} {}
+
+    int run() {
+        start();
+        const int signal = shutdown_signal::wait();
+        log_event(log_level::info, "leaving", {{"signal", signal}});
+        leave();
+        log_event(log_level::info, "stopped", {});
+        return 0;
+    }
+
+private:
+    using session_pointer = std::shared_ptr<peer_session>;
+
+    void start() {
+        hub_.on_change([this](const control_view& view) { directory_.take_control(view); });
+        crashes_.on_news([this](const shared_frame& frame) { mesh_.broadcast(frame); });
+        listener_ = std::make_shared<peer_listener>(
+            traffic_.context(), *parse_host_port(options_.peer_address),
+            [this](asio::ip::tcp::socket socket) { accept(std::move(socket)); });
+        peer_address_ = address_of(options_.peer_address, listener_->port());
+        server_options callers;
+        callers.address = *parse_host_port(options_.http_address);
+        callers.threads = static_cast<int>(options_.http_threads);
+        http_ = std::make_unique<http_server>(
+            callers, [this](server_request request, std::shared_ptr<http_responder> responder) {
+                handle_caller(std::move(request), std::move(responder));
+            });
+        http_address_ = address_of(options_.http_address, http_->port());
+        operator_ = start_operator_server(
+            *parse_host_port(options_.operator_address), numbers_,
+            {[this] { return readiness(); },
+             [this](const server_request& request,
+                    const std::shared_ptr<http_responder>& responder) {
+                 handle_entry_operator(make_operator_view(), request, *responder);
+             }});
+        dialer_ = std::make_shared<dialer>(
+            traffic_.context(), [this] { return make_hello(); }, timing(), make_observer());
+        listener_->start();
+        head_watch_.start([this] { return poll_interval(); });
+        control_.post([this] { read_instance_list(); });
+        repeat(control_, dispatcher_tick, [this] {
+            directory_.tick(std::chrono::steady_clock::now());
+            take_majority_evidence();
+        });
+        log_event(log_level::info, "listening",
+                  {{"role", "entry"},
+                   {"instance", options_.instance},
+                   {"http", http_address_},
+                   {"peer", peer_address_},
+                   {"operator", address_of(options_.operator_address, operator_->port())}});
+    }
+
+    static std::string address_of(const std::string& listen, std::uint16_t port) {
+        return parse_host_port(listen)->host + ":" + std::to_string(port);
+    }
+
+    session_timing timing() const {
+        return {options_.control.heartbeat_interval, options_.control.silence_timeout};
+    }
+
+    milliseconds poll_interval() const {
+        const auto entries = static_cast<std::int64_t>(known_entries_.load());
+        return std::max(options_.control.store_poll, poll_share * entries);
+    }
+
+    // Connections between processes.
+
+    shared_frame make_hello() const {
+        wire::helloT hello;
+        hello.protocol = wire_protocol_version;
+        hello.role = wire::role::entry;
+        hello.instance = options_.instance;
+        hello.incarnation = incarnation_;
+        hello.availability_zone = options_.availability_zone;
+        hello.peer_address = peer_address_;
+        hello.http_address = http_address_;
+        return make_frame(std::move(hello));
+    }
+
+    shared_frame make_heartbeat(std::uint64_t session) const {
+        wire::heartbeatT heartbeat;
+        hub_.fill_heartbeat(heartbeat, session);
+        heartbeat.leaving = is_leaving_;
+        heartbeat.ready = hub_.view()->accepted != nullptr;
+        heartbeat.running = running_;
+        return make_frame(std::move(heartbeat));
+    }
+
+    void accept(asio::ip::tcp::socket socket) {
+        std::make_shared<peer_session>(std::move(socket), make_hello(), timing(), make_observer())
+            ->start();
+    }
+
+    session_observer make_observer() {
+        session_observer observer;
+        observer.on_hello = [this](const session_pointer& session, const wire::hello& hello) {
+            handle_hello(session, hello);
+        };
+        observer.on_message = [this](const session_pointer& session,
+                                     const wire::envelope& message) {
+            handle_message(session, message);
+        };
+        observer.on_closed = [this](const session_pointer& session, close_reason reason) {
+            handle_closed(session, reason);
+        };
+        observer.make_heartbeat = [this](const session_pointer& session) {
+            return make_heartbeat(session->number());
+        };
+        return observer;
+    }
+
+    void handle_hello(const session_pointer& session, const wire::hello& hello) {
+        session->send(make_heartbeat(session->number()));
+        if (hello.role() == wire::role::entry) {
+            mesh_.add(session, hello);
+            for (const auto& frame : crashes_.reports()) {
+                session->send(frame);
+            }
+            return;
+        }
+        auto link = std::make_shared<backend_server_link>(session, hello);
+        if (!directory_.add(link)) {
+            session->close(close_reason::local);
+            return;
+        }
+        const std::lock_guard<std::mutex> lock(links_mutex_);
+        links_[session->number()] = link;
+    }
+
+    std::shared_ptr<backend_server_link> link_of(std::uint64_t session) const {
+        const std::lock_guard<std::mutex> lock(links_mutex_);
+        const auto found = links_.find(session);
+        return found == links_.end() ? nullptr : found->second;
+    }
+
+    void handle_message(const session_pointer& session, const wire::envelope& message) {
+        switch (message.body_type()) {
+        case wire::body::heartbeat:
+            handle_heartbeat(session, *message.body_as_heartbeat());
+            break;
+        case wire::body::configuration_request:
+            hub_.handle_request(session, *message.body_as_configuration_request());
+            break;
+        case wire::body::configuration_body:
+            hub_.handle_body(*message.body_as_configuration_body());
+            break;
+        case wire::body::crash_report:
+            crashes_.take_report(*message.body_as_crash_report());
+            break;
+        case wire::body::response_head:
+        case wire::body::response_data:
+        case wire::body::response_end:
+            handle_answer(session, message);
+            break;
+        default:
+            numbers_.count("citronseam_unexpected_messages_total");
+            break;
+        }
+    }
+
+    void handle_heartbeat(const session_pointer& session, const wire::heartbeat& message) {
+        hub_.handle_heartbeat(session, message);
+        if (const auto link = link_of(session->number())) {
+            directory_.take_report(link, message);
+        } else {
+            mesh_.take_report(session->number(), message);
+        }
+    }
+
+    void handle_answer(const session_pointer& session, const wire::envelope& message) {
+        const auto link = link_of(session->number());
+        if (link == nullptr) {
+            return;
+        }
+        if (const auto* head = message.body_as_response_head()) {
+            if (const auto exchange = find_exchange(*link, head->request())) {
+                exchange->handle_head(head->request(), *head);
+            }
+        } else if (const auto* data = message.body_as_response_data()) {
+            if (const auto exchange = find_exchange(*link, data->request())) {
+                exchange->handle_data(data->request(), *data);
+            }
+        } else if (const auto* end = message.body_as_response_end()) {
+            if (const auto exchange = find_exchange(*link, end->request())) {
+                exchange->handle_end(end->request(), *end);
+            }
+        }
+    }
+
+    std::shared_ptr<request_exchange> find_exchange(const backend_server_link& link,
+                                                    std::uint64_t attempt) {
+        auto exchange = link.find_exchange(attempt);
+        if (exchange == nullptr) {
+            numbers_.count("citronseam_late_frames_total");
+        }
+        return exchange;
+    }
+
+    void handle_closed(const session_pointer& session, close_reason reason) {
+        numbers_.count("citronseam_connections_closed_total",
+                       {{"reason", std::string(name(reason))}});
+        hub_.forget(session->number());
+        mesh_.remove(session->number());
+        std::shared_ptr<backend_server_link> link;
+        {
+            const std::lock_guard<std::mutex> lock(links_mutex_);
+            const auto found = links_.find(session->number());
+            if (found != links_.end()) {
+                link = found->second;
+                links_.erase(found);
+            }
+        }
+        if (link != nullptr) {
+            directory_.remove(link, reason);
+        }
+    }
+
+    // The other entries.
+
+    void read_instance_list() {
+        http_request request;
+        request.url = options_.platform.instance_list;
+        platform_.fetch(std::move(request), largest_instance_list, [this](http_answer answer) {
+            control_.post([this, answer = std::move(answer)] {
+                if (answer.outcome.is_complete && answer.outcome.status == 200) {
+                    take_instance_list(answer.body);
+                }
+                control_.post_after(options_.control.list_poll, [this] { read_instance_list(); });
+            });
+        });
+    }
+
+    void take_instance_list(const std::string& text) {
+        const auto list = parse_instance_list(text);
+        if (!list) {
+            return;
+        }
+        std::vector<listed_instance> others;
+        for (const auto& row : *list) {
+            if (row.role == process_role::entry && row.instance != options_.instance) {
+                others.push_back(row);
+            }
+        }
+        known_entries_ = others.size() + 1;
+        const bool is_full_mesh = others.size() <= mesh_degree;
+        dialer::target_map targets;
+        for (const auto& other :
+             choose_entries(options_.instance, options_.availability_zone, others, mesh_degree)) {
+            // In a full mesh one connection for a pair is enough: the smaller name dials.
+            if (!is_full_mesh || options_.instance < other.instance) {
+                targets.emplace(other.instance, other.peer_address);
+            }
+        }
+        dialer_->set_targets(std::move(targets));
+    }
+
+    /// While the table service is down, nothing can be accepted there; what can still change is
+    /// notices, and those reach the majority. See docs/DESIGN.md, "Evidence".
+    void take_majority_evidence() {
+        std::vector<time_point> heard;
+        for (const auto& other : mesh_.list()) {
+            heard.push_back(hub_.last_echo(other.session->number()));
+        }
+        const time_point moment =
+            majority_contact(std::move(heard), known_entries_, std::chrono::steady_clock::now());
+        if (moment != time_point{}) {
+            hub_.take_evidence_later(moment);
+        }
+    }
+
+    std::string other_entry() const {
+        for (const auto& other : mesh_.list()) {
+            if (!other.is_leaving) {
+                return other.address.http_address;
+            }
+        }
+        return {};
+    }
+
+    // Callers.
+
+    void handle_caller(server_request request, std::shared_ptr<http_responder> responder) {
+        if (request.path == "/v1/entries") {
+            answer_entries(request, *responder);
+            return;
+        }
+        if (request.path == "/healthz") {
+            responder->respond(200, {{"Content-Type", "text/plain"}}, "ok\n");
+            return;
+        }
+        if (is_leaving_) {
+            point_elsewhere(request, *responder);
+            return;
+        }
+        const control_view view = hub_.view();
+        if (view->accepted == nullptr) {
+            refuse(*responder, refusal::not_ready, "no configuration is in force yet");
+            return;
+        }
+        auto read = read_caller_request(view->accepted->content, std::move(request), next_id());
+        if (!read) {
+            const bool is_absent = read.error().code == error_code::not_found;
+            refuse_with(*responder, is_absent ? 404 : 400, is_absent ? "not_found" : "bad_request",
+                        read.error().message);
+            return;
+        }
+        auto dispatcher = directory_.find_dispatcher(read->service);
+        if (dispatcher == nullptr) {
+            refuse(*responder, refusal::unknown_service, "the service is not known here yet");
+            return;
+        }
+        ++running_;
+        auto exchange = std::shared_ptr<request_exchange>(
+            new request_exchange(context_, std::move(dispatcher), std::move(*read),
+                                 std::move(responder)),
+            [this](request_exchange* ended) {
+                delete ended;
+                --running_;
+            });
+        exchange->start();
+    }
+
+    std::string next_id() {
+        return options_.instance + "-" + std::to_string(incarnation_) + "-" +
+               std::to_string(++last_id_);
+    }
+
+    void answer_entries(const server_request& request, http_responder& responder) {
+        std::vector<entry_address> alive;
+        if (!is_leaving_) {
+            alive.push_back(
+                {options_.instance, options_.availability_zone, http_address_, running_});
+        }
+        for (const auto& other : mesh_.list()) {
+            if (!other.is_leaving) {
+                alive.push_back(other.address);
+            }
+        }
+        auto random = seeded_random_source();
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto& address :
+             order_for_caller(query_parameter(request, "zone"), std::move(alive), random)) {
+            list.push_back({{"instance", address.instance},
+                            {"availability_zone", address.availability_zone},
+                            {"address", address.http_address}});
+        }
+        const nlohmann::json body = {{"entries", list}, {"lifetime_s", address_lifetime.count()}};
+        respond_json(responder, 200, body.dump());
+    }
+
+    void point_elsewhere(const server_request& request, http_responder& responder) {
+        const std::string other = other_entry();
+        if (other.empty()) {
+            refuse(responder, refusal::leaving, "this entry is leaving and knows no other");
+            return;
+        }
+        const nlohmann::json body = {{"error",
+                                      {{"message", "this entry is leaving; ask " + other},
+                                       {"code", "leaving"},
+                                       {"verdict", "not_run"}}}};
+        responder.respond(307,
+                          {{"Location", "http://" + other + request.target},
+                           {"Content-Type", "application/json"},
+                           {"Retry-After", "1"},
+                           {"X-Run-Verdict", "not_run"},
+                           {"X-Refusal", "leaving"}},
+                          body.dump() + "\n");
+    }
+
+    void refuse(http_responder& responder, refusal reason, const std::string& message) {
+        refuse_with(responder, http_status(reason), std::string(name(reason)), message);
+    }
+
+    void refuse_with(http_responder& responder, int status, const std::string& code,
+                     const std::string& message) {
+        numbers_.count("citronseam_refused_requests_total", {{"code", code}});
+        const nlohmann::json body = {
+            {"error", {{"message", message}, {"code", code}, {"verdict", "not_run"}}}};
+        std::vector<http_header> headers{{"Content-Type", "application/json"},
+                                         {"X-Run-Verdict", "not_run"},
+                                         {"X-Refusal", code}};
+        if (status == 503) {
+            headers.push_back({"Retry-After", "1"});
+        }
+        responder.respond(status, headers,
+                          body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+                              "\n");
+    }
+
+    // Operators.
+
+    operator_view make_operator_view() {
+        return {options_.instance,
+                options_.availability_zone,
+                http_address_,
+                incarnation_,
+                hub_,
+                directory_,
+                mesh_,
+                crashes_,
+                traces_,
+                is_leaving_,
+                running_};
+    }
+
+    std::string readiness() const {
+        if (is_leaving_) {
+            return "leaving";
+        }
+        return hub_.view()->accepted == nullptr ? "no configuration yet" : "";
+    }
+
+    void leave() {
+        is_leaving_ = true;
+        for (const auto& other : mesh_.list()) {
+            other.session->send(make_heartbeat(other.session->number()));
+        }
+        const time_point first_end = std::chrono::steady_clock::now() + address_lifetime;
+        while (running_ > 0 || std::chrono::steady_clock::now() < first_end) {
+            std::this_thread::sleep_for(drain_poll);
+        }
+        std::this_thread::sleep_for(linger);
+        listener_->close();
+        dialer_->stop();
+        http_.reset();
+        operator_.reset();
+        control_.stop();
+        traffic_.stop();
+    }
+
+    const settings& options_;
+    std::uint64_t incarnation_;
+    metrics numbers_;
+    io_threads control_;
+    io_threads traffic_;
+    control_hub hub_;
+    crash_board crashes_;
+    trace_board traces_;
+    backend_directory directory_;
+    entry_mesh mesh_;
+    http_client platform_;
+    table_client store_;
+    head_watch head_watch_;
+    entry_context context_;
+
+    std::shared_ptr<peer_listener> listener_;
+    std::shared_ptr<dialer> dialer_;
+    std::unique_ptr<http_server> http_;
+    std::unique_ptr<http_server> operator_;
+    std::string peer_address_;
+    std::string http_address_;
+
+    mutable std::mutex links_mutex_;
+    std::map<std::uint64_t, std::shared_ptr<backend_server_link>> links_; ///< by session
+
+    std::atomic<bool> is_leaving_{false};
+    std::atomic<std::uint32_t> running_{0};
+    std::atomic<std::size_t> known_entries_{1};
+    std::atomic<std::uint64_t> last_id_{0};
+};
+
+} // namespace
+
+int run_entry(const settings& options) {
+    return entry(options).run();
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/entry/entry_context.h
@@ -0,0 +1,40 @@
+/// @file
+/// What the parts of an entry share.
+#ifndef CITRONSEAM_PROGRAMS_ENTRY_ENTRY_CONTEXT_H
+#define CITRONSEAM_PROGRAMS_ENTRY_ENTRY_CONTEXT_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "citronseam/connection/io_threads.h"
+#include "citronseam/process/metrics.h"
+#include "citronseam/process/settings.h"
+#include "programs/daemon/control_hub.h"
+#include "programs/entry/crash_board.h"
+#include "programs/entry/service_dispatcher.h"
+#include "programs/entry/trace_board.h"
+
+namespace citronseam {
+
+/// Lives as long as the process; every part holds a reference.
+struct entry_context {
+    const settings& options;
+    io_threads& control;
+    io_threads& traffic;
+    metrics& numbers;
+    control_hub& hub;
+    crash_board& crashes;
+    trace_board& traces;
+    /// @return the dispatcher of a service, or nullptr
+    std::function<std::shared_ptr<service_dispatcher>(const std::string& service)> find_dispatcher;
+    /// @return address of another entry that stays, empty when none is known
+    std::function<std::string()> other_entry;
+    /// @return whether this entry is on its way out
+    std::function<bool()> is_leaving;
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/programs/entry/entry_mesh.h
@@ -0,0 +1,50 @@
+/// @file
+/// The other entries: connections to them, and what is known of each.
+#ifndef CITRONSEAM_PROGRAMS_ENTRY_ENTRY_MESH_H
+#define CITRONSEAM_PROGRAMS_ENTRY_ENTRY_MESH_H
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "citronseam/connection/peer_session.h"
+#include "citronseam/process/membership.h"
+
+namespace citronseam {
+
+/// One other entry.
+struct known_entry {
+    std::shared_ptr<peer_session> session;
+    entry_address address;
+    std::uint64_t incarnation{0};
+    std::uint64_t generation{0};
+    bool is_leaving{false};
+};
+
+/// Keeps the other entries. All functions may be called from any thread.
+class entry_mesh {
+public:
+    /// Takes a connection to or from another entry. Both ends may have dialled; the latest of the
+    /// same life counts.
+    void add(const std::shared_ptr<peer_session>& session, const wire::hello& hello);
+    /// Takes a heartbeat.
+    void take_report(std::uint64_t session, const wire::heartbeat& message);
+    /// Takes a connection off.
+    void remove(std::uint64_t session);
+    /// Sends a frame to every other entry.
+    void broadcast(const shared_frame& frame) const;
+    /// @return the other entries that are connected
+    std::vector<known_entry> list() const;
+    /// @return whether the session belongs to an entry
+    bool is_known(std::uint64_t session) const;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::uint64_t, known_entry> by_session_;
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/programs/entry/entry_operator.cpp
@@ -0,0 +1,191 @@
+#include "programs/entry/entry_operator.h"
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+#include "programs/daemon/operator_server.h"
+
+namespace citronseam {
+namespace {
+
+constexpr std::string_view quarantine_base = "/v1/quarantine/";
+constexpr std::string_view trace_base = "/v1/traces/";
+constexpr milliseconds longest_notice{3600000};
+
+nlohmann::json agent_json(const backend_server_link& link, const agent_report& report) {
+    return {{"instance", link.instance()},
+            {"role", "agent"},
+            {"service", link.service()},
+            {"availability_zone", link.availability_zone()},
+            {"incarnation", link.incarnation()},
+            {"generation", report.generation},
+            {"ready", report.is_ready},
+            {"leaving", report.is_leaving},
+            {"limit", report.limit},
+            {"running", report.running},
+            {"version", report.model_version},
+            {"chunks_held", report.chunks_held},
+            {"chunks_total", report.chunks_total},
+            {"origin_bytes", report.origin_bytes}};
+}
+
+nlohmann::json status_json(const operator_view& entry) {
+    const control_view view = entry.hub.view();
+    const time_point now = std::chrono::steady_clock::now();
+    nlohmann::json entries = nlohmann::json::array();
+    entries.push_back({{"instance", entry.instance},
+                       {"availability_zone", entry.availability_zone},
+                       {"address", entry.http_address},
+                       {"generation", generation_of(*view)},
+                       {"leaving", entry.is_leaving.load()},
+                       {"running", entry.running.load()}});
+    for (const auto& other : entry.mesh.list()) {
+        entries.push_back({{"instance", other.address.instance},
+                           {"availability_zone", other.address.availability_zone},
+                           {"address", other.address.http_address},
+                           {"generation", other.generation},
+                           {"leaving", other.is_leaving},
+                           {"running", other.address.load}});
+    }
+    nlohmann::json agents = nlohmann::json::array();
+    for (const auto& link : entry.directory.links()) {
+        agents.push_back(agent_json(*link, link->report()));
+    }
+    nlohmann::json notices = nlohmann::json::array();
+    for (const auto& [zone, notice] : view->notices) {
+        notices.push_back({{"availability_zone", zone},
+                           {"out", notice.is_out},
+                           {"expires_in_ms", elapsed_ms(now, notice.expires)}});
+    }
+    return {{"asked", entry.instance},
+            {"generation", generation_of(*view)},
+            {"evidence_age_ms", view->has_evidence ? nlohmann::json(elapsed_ms(view->evidence, now))
+                                                   : nlohmann::json()},
+            {"entries", entries},
+            {"agents", agents},
+            {"notices", notices}};
+}
+
+nlohmann::json quarantine_json(const crash_board& crashes) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& entry : crashes.list()) {
+        nlohmann::json losses = nlohmann::json::array();
+        for (const auto& loss : entry.losses) {
+            losses.push_back({{"instance", loss.instance}, {"life", loss.incarnation}});
+        }
+        list.push_back({{"fingerprint", std::to_string(entry.fingerprint)},
+                        {"standing", name(entry.standing)},
+                        {"losses", losses},
+                        {"expires_in_ms", entry.expires_in.count()}});
+    }
+    return {{"requests", list}};
+}
+
+nlohmann::json trace_json(const trace_board& traces, const std::string& request_id) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& trace : traces.find(request_id)) {
+        nlohmann::json attempts = nlohmann::json::array();
+        for (const auto& attempt : trace.attempts) {
+            attempts.push_back({{"instance", attempt.instance},
+                                {"sent_ms", attempt.sent_ms},
+                                {"ended_ms", attempt.ended_ms},
+                                {"verdict", name(attempt.verdict)},
+                                {"refusal", name(attempt.reason)}});
+        }
+        list.push_back({{"request_id", trace.request_id},
+                        {"service", trace.service},
+                        {"workspace", trace.workspace},
+                        {"idempotent", trace.is_idempotent},
+                        {"fingerprint", std::to_string(trace.fingerprint)},
+                        {"arrived_at_ms", trace.arrived_at_ms},
+                        {"taken_ms", trace.taken_ms},
+                        {"result", trace.result},
+                        {"model_version", trace.model_version},
+                        {"attempts", attempts}});
+    }
+    return {{"traces", list}};
+}
+
+void take_configuration_from_tool(const operator_view& entry, const server_request& request,
+                                  http_responder& responder) {
+    const auto json = nlohmann::json::parse(request.body, nullptr, false);
+    if (!json.is_object()) {
+        respond_error(responder, 400, "expected a JSON object");
+        return;
+    }
+    wire::configuration_bodyT body;
+    body.generation = json.value("generation", std::uint64_t{0});
+    body.hash = json.value("hash", "");
+    body.attempt = json.value("attempt", "");
+    body.body = json.value("body", "");
+    const shared_frame frame = make_frame(std::move(body));
+    const auto* envelope = wire::Getenvelope(frame->data() + frame_header_size);
+    entry.hub.handle_body(*envelope->body_as_configuration_body());
+    respond_json(responder, 202, "{\"taken\":true}");
+}
+
+void take_notice_from_tool(const operator_view& entry, const server_request& request,
+                           http_responder& responder) {
+    const auto json = nlohmann::json::parse(request.body, nullptr, false);
+    if (!json.is_object() || !json.contains("availability_zone")) {
+        respond_error(responder, 400, "expected a JSON object with availability_zone");
+        return;
+    }
+    const control_view view = entry.hub.view();
+    zone_notice notice;
+    notice.availability_zone = json.value("availability_zone", "");
+    if (view->accepted == nullptr ||
+        find_zone(view->accepted->content, notice.availability_zone) == nullptr) {
+        respond_error(responder, 404,
+                      "there is no availability zone '" + notice.availability_zone + "'");
+        return;
+    }
+    const milliseconds lasts(json.value("expires_in_ms", std::int64_t{0}));
+    notice.stamp_ms = json.value("stamp_ms", wall_clock_ms());
+    notice.is_out = json.value("out", true);
+    notice.expires =
+        std::chrono::steady_clock::now() + std::clamp(lasts, milliseconds(0), longest_notice);
+    entry.hub.take_notice_later(std::move(notice));
+    respond_json(responder, 202, "{\"taken\":true}");
+}
+
+void release_from_quarantine(const operator_view& entry, const std::string& text,
+                             http_responder& responder) {
+    std::uint64_t fingerprint = 0;
+    const char* end = text.data() + text.size();
+    const auto [rest, problem] = std::from_chars(text.data(), end, fingerprint);
+    if (problem != std::errc{} || rest != end) {
+        respond_error(responder, 400, "expected a fingerprint, found '" + text + "'");
+    } else if (!entry.crashes.release(fingerprint)) {
+        respond_error(responder, 404, "there is no record of fingerprint " + text);
+    } else {
+        respond_json(responder, 200, "{\"released\":true}");
+    }
+}
+
+} // namespace
+
+void handle_entry_operator(const operator_view& entry, const server_request& request,
+                           http_responder& responder) {
+    const bool is_get = request.method == "GET";
+    const bool is_post = request.method == "POST";
+    if (is_get && request.path == "/v1/status") {
+        respond_json(responder, 200, status_json(entry).dump());
+    } else if (is_post && request.path == "/v1/configuration") {
+        take_configuration_from_tool(entry, request, responder);
+    } else if (is_post && request.path == "/v1/notices") {
+        take_notice_from_tool(entry, request, responder);
+    } else if (is_get && request.path == "/v1/quarantine") {
+        respond_json(responder, 200, quarantine_json(entry.crashes).dump());
+    } else if (is_get && request.path.rfind(trace_base, 0) == 0) {
+        respond_json(responder, 200,
+                     trace_json(entry.traces, request.path.substr(trace_base.size())).dump());
+    } else if (request.method == "DELETE" && request.path.rfind(quarantine_base, 0) == 0) {
+        release_from_quarantine(entry, request.path.substr(quarantine_base.size()), responder);
+    } else {
+        respond_error(responder, 404, "no such path: " + request.method + " " + request.path);
+    }
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/entry/entry_operator.h
@@ -0,0 +1,45 @@
+/// @file
+/// What an entry answers to operators.
+#ifndef CITRONSEAM_PROGRAMS_ENTRY_ENTRY_OPERATOR_H
+#define CITRONSEAM_PROGRAMS_ENTRY_ENTRY_OPERATOR_H
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+#include "citronseam/connection/http_server.h"
+#include "programs/daemon/control_hub.h"
+#include "programs/entry/backend_directory.h"
+#include "programs/entry/crash_board.h"
+#include "programs/entry/entry_mesh.h"
+#include "programs/entry/trace_board.h"
+
+namespace citronseam {
+
+/// The parts of an entry that operators see and steer.
+struct operator_view {
+    const std::string& instance;
+    const std::string& availability_zone;
+    const std::string& http_address;
+    std::uint64_t incarnation;
+    control_hub& hub;
+    const backend_directory& directory;
+    const entry_mesh& mesh;
+    crash_board& crashes;
+    const trace_board& traces;
+    const std::atomic<bool>& is_leaving;
+    const std::atomic<std::uint32_t>& running;
+};
+
+/// Handles an operator's request:
+///  - `GET /v1/status`: this entry, the others and the agents, with the generation in force on each
+///  - `POST /v1/configuration`: takes a configuration that the caller saw accepted
+///  - `POST /v1/notices`: takes an availability zone out of service, or back, at once
+///  - `GET /v1/quarantine`, `DELETE /v1/quarantine/FINGERPRINT`
+///  - `GET /v1/traces/REQUEST-ID`: what became of a recent request
+void handle_entry_operator(const operator_view& entry, const server_request& request,
+                           http_responder& responder);
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/programs/standin/standin_server.cpp
@@ -0,0 +1,117 @@
+#include "programs/standin/standin_server.h"
+
+#include <csignal>
+
+#include <pthread.h>
+
+#include "citronseam/process/log.h"
+
+namespace citronseam::standin {
+
+bool use_one(std::atomic<int>& counter) {
+    int left = counter.load();
+    while (left > 0) {
+        if (counter.compare_exchange_weak(left, left - 1)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void respond_json(http_responder& responder, int status, const nlohmann::json& body,
+                  std::vector<http_header> headers) {
+    headers.push_back({"Content-Type", "application/json"});
+    responder.respond(status, headers,
+                      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
+}
+
+standin_server::standin_server(std::string name, const std::string& address, handler handle)
+    : name_(std::move(name)), handle_(std::move(handle)) {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto parsed = parse_host_port(address);
+    if (!parsed) {
+        throw std::invalid_argument(parsed.error().message);
+    }
+    constexpr std::size_t largest_body = 256U * 1024 * 1024;
+    server_options options;
+    options.address = *parsed;
+    options.largest_body = largest_body;
+    server_ = std::make_unique<http_server>(
+        options, [this](const server_request& request, std::shared_ptr<http_responder> responder) {
+            handle_common(request, std::move(responder));
+        });
+    log_event(log_level::info, "listening",
+              {{"standin", name_}, {"http", parsed->host + ":" + std::to_string(server_->port())}});
+}
+
+int standin_server::run() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    int received = 0;
+    sigwait(&signals, &received);
+    server_.reset();
+    timers_.stop();
+    return 0;
+}
+
+void standin_server::record(nlohmann::json entry) {
+    const std::lock_guard<std::mutex> lock(record_mutex_);
+    entry["at_ms"] = wall_clock_ms();
+    record_.push_back(std::move(entry));
+}
+
+void standin_server::set_faults(const server_request& request, http_responder& responder) {
+    const auto json = nlohmann::json::parse(request.body, nullptr, false);
+    if (!json.is_object()) {
+        respond_json(responder, 400, {{"error", "expected a JSON object of fault switches"}});
+        return;
+    }
+    faults_.is_down = json.value("down", faults_.is_down.load());
+    faults_.is_hanging = json.value("hang", faults_.is_hanging.load());
+    faults_.delay_ms = json.value("delay_ms", faults_.delay_ms.load());
+    faults_.lost_answers = json.value("lose_answers", faults_.lost_answers.load());
+    faults_.corrupt_answers = json.value("corrupt", faults_.corrupt_answers.load());
+    faults_.failing_loads = json.value("fail_loads", faults_.failing_loads.load());
+    faults_.cut_streams = json.value("cut_streams", faults_.cut_streams.load());
+    faults_.is_cold = json.value("cold", faults_.is_cold.load());
+    faults_.rate = json.value("rate", faults_.rate.load());
+    respond_json(responder, 200, {{"ok", true}});
+}
+
+void standin_server::handle_common(const server_request& request,
+                                   std::shared_ptr<http_responder> responder) {
+    if (request.path == "/faults" && request.method == "POST") {
+        set_faults(request, *responder);
+        return;
+    }
+    if (request.path == "/record" && request.method == "GET") {
+        const std::lock_guard<std::mutex> lock(record_mutex_);
+        respond_json(*responder, 200, {{"record", record_}});
+        return;
+    }
+    if (faults_.is_hanging) {
+        // The responder waits as long as the process lives, so the caller hears nothing.
+        timers_.post_after(std::chrono::hours(1), [responder] {});
+        return;
+    }
+    if (faults_.is_down) {
+        respond_json(*responder, 503, {{"error", "down"}});
+        return;
+    }
+    const int delay = faults_.delay_ms;
+    if (delay > 0) {
+        timers_.post_after(milliseconds(delay),
+                           [this, request, responder] { handle_(request, responder); });
+        return;
+    }
+    handle_(request, std::move(responder));
+}
+
+} // namespace citronseam::standin
--- /dev/null
+++ b/src/programs/tool/status_commands.cpp
@@ -0,0 +1,241 @@
+#include <iostream>
+#include <memory>
+#include <sstream>
+
+#include "citronseam/request/key_record.h"
+#include "programs/tool/commands.h"
+#include "programs/tool/configuration_store.h"
+
+namespace citronseam::tool {
+namespace {
+
+/// Names a key as the caller did.
+struct key_options {
+    std::string service;
+    std::string workspace{"default"};
+    std::string key;
+    std::string note;
+};
+
+void write_row(std::ostringstream& text, const nlohmann::json& row, std::uint64_t newest) {
+    const std::uint64_t generation = row.at("generation");
+    text << "  " << row.at("instance").get<std::string>() << "\t"
+         << row.at("availability_zone").get<std::string>() << "\tgeneration " << generation
+         << (generation < newest ? " (lags)" : "")
+         << (row.at("leaving").get<bool>() ? " leaving" : "") << "\trunning " << row.at("running");
+}
+
+std::uint64_t newest_generation(const nlohmann::json& status) {
+    std::uint64_t newest = 0;
+    for (const auto* list : {"entries", "agents"}) {
+        for (const auto& row : status.at(list)) {
+            newest = std::max(newest, row.at("generation").get<std::uint64_t>());
+        }
+    }
+    return newest;
+}
+
+int show_status(tool_context& context) {
+    const auto status = context.ask_entry("GET", "/v1/status");
+    if (!status) {
+        return report(status.error());
+    }
+    const std::uint64_t newest = newest_generation(*status);
+    std::ostringstream text;
+    text << "entries, as " << status->at("asked").get<std::string>() << " sees them:\n";
+    for (const auto& row : status->at("entries")) {
+        write_row(text, row, newest);
+        text << "\n";
+    }
+    text << "agents:\n";
+    for (const auto& row : status->at("agents")) {
+        write_row(text, row, newest);
+        text << " of " << row.at("limit") << "\t" << row.at("service").get<std::string>() << "\t"
+             << (row.at("ready").get<bool>() ? "ready" : "not ready") << "\t"
+             << row.at("version").get<std::string>().substr(0, 12) << "\n";
+    }
+    for (const auto& row : status->at("notices")) {
+        text << "notice: " << row.at("availability_zone").get<std::string>()
+             << (row.at("out").get<bool>() ? " out" : " in") << " for "
+             << row.at("expires_in_ms").get<std::uint64_t>() / 1000 << " s more\n";
+    }
+    print(context, *status, text.str());
+    return succeeded;
+}
+
+int list_workspaces(tool_context& context) {
+    const auto present = read_head(context);
+    if (!present) {
+        return report(present.error());
+    }
+    const auto body = read_body(context, present->head);
+    if (!body) {
+        return report(body.error());
+    }
+    const auto parsed = parse_configuration(*body, "accepted configuration");
+    nlohmann::ordered_json list = nlohmann::ordered_json::array();
+    std::ostringstream text;
+    for (const auto& entry : parsed.value.workspaces) {
+        list.push_back(
+            {{"name", entry.name}, {"weight", entry.weight}, {"queue_limit", entry.queue_limit}});
+        text << entry.name << "\tweight " << entry.weight << "\tqueue_limit " << entry.queue_limit
+             << "\n";
+    }
+    print(context, list, text.str());
+    return succeeded;
+}
+
+/// Each entry knows only the requests it served, so all are asked.
+int trace(tool_context& context, const std::string& request_id) {
+    nlohmann::ordered_json found = nlohmann::ordered_json::array();
+    for (const auto& entry : context.options().entries) {
+        tool_options one = context.options();
+        one.entries = {entry};
+        tool_context asked(one);
+        const auto answer = asked.ask_entry("GET", "/v1/traces/" + request_id);
+        if (answer) {
+            for (const auto& row : answer->at("traces")) {
+                found.push_back(nlohmann::ordered_json(row));
+            }
+        }
+    }
+    if (found.empty()) {
+        return report({error_code::not_found, "no entry remembers request " + request_id});
+    }
+    std::ostringstream text;
+    for (const auto& row : found) {
+        text << request_id << " " << row["service"].get<std::string>() << " "
+             << row["result"].get<std::string>() << " after " << row["taken_ms"] << " ms\n";
+        for (const auto& attempt : row["attempts"]) {
+            text << "  " << attempt["sent_ms"] << " ms to " << attempt["ended_ms"]
+                 << " ms: " << attempt["instance"].get<std::string>() << " "
+                 << attempt["verdict"].get<std::string>() << " "
+                 << attempt["refusal"].get<std::string>() << "\n";
+        }
+    }
+    print(context, found, text.str());
+    return succeeded;
+}
+
+int list_quarantine(tool_context& context) {
+    const auto answer = context.ask_entry("GET", "/v1/quarantine");
+    if (!answer) {
+        return report(answer.error());
+    }
+    std::ostringstream text;
+    for (const auto& row : answer->at("requests")) {
+        text << row.at("fingerprint").get<std::string>() << "\t"
+             << row.at("standing").get<std::string>() << "\t" << row.at("losses").size()
+             << " lost\texpires in " << row.at("expires_in_ms").get<std::int64_t>() / 1000
+             << " s\n";
+    }
+    print(context, *answer, text.str());
+    return succeeded;
+}
+
+int release_quarantine(tool_context& context, const std::string& fingerprint) {
+    const auto answer = context.ask_entry("DELETE", "/v1/quarantine/" + fingerprint);
+    if (!answer) {
+        return report(answer.error());
+    }
+    print(context, *answer, "released " + fingerprint + "\n");
+    return succeeded;
+}
+
+result<table_row> read_key(tool_context& context, const key_options& options) {
+    return context.read(tables::keys,
+                        key_row_name(options.service, options.workspace, options.key));
+}
+
+int show_key(tool_context& context, const key_options& options) {
+    const auto row = read_key(context, options);
+    if (!row) {
+        return report(row.error());
+    }
+    const auto record = parse_key_record(row->value);
+    if (!record) {
+        return report(record.error());
+    }
+    print(context, nlohmann::ordered_json::parse(row->value),
+          std::string(name(record->state)) + " by " + record->agent + ", status " +
+              std::to_string(record->answer.status) + "\n");
+    return succeeded;
+}
+
+int settle_key(tool_context& context, const key_options& options) {
+    const auto row = read_key(context, options);
+    if (!row) {
+        return report(row.error());
+    }
+    auto record = parse_key_record(row->value);
+    if (!record) {
+        return report(record.error());
+    }
+    if (record->state != key_state::started) {
+        return report({error_code::invalid_argument,
+                       "the key is " + std::string(name(record->state)) + " already"});
+    }
+    record->state = key_state::settled;
+    record->note = options.note;
+    const auto written =
+        context.replace(tables::keys, key_row_name(options.service, options.workspace, options.key),
+                        row->tag, to_json(*record));
+    if (!written) {
+        return report(written.error());
+    }
+    print(context, {{"settled", true}}, "settled\n");
+    return succeeded;
+}
+
+void add_key_commands(CLI::App& app, const command_sink& choose) {
+    auto* key = app.add_subcommand("key", "keys of requests that may not be repeated");
+    key->require_subcommand(1);
+    auto options = std::make_shared<key_options>();
+    const auto add_names = [options](CLI::App* command) {
+        command->add_option("service", options->service, "service")->required();
+        command->add_option("key", options->key, "the caller's Idempotency-Key")->required();
+        command->add_option("--workspace", options->workspace, "the caller's workspace");
+    };
+    auto* show = key->add_subcommand("show", "what became of a key");
+    add_names(show);
+    show->callback(
+        [=] { choose([=](tool_context& context) { return show_key(context, *options); }); });
+    auto* settle = key->add_subcommand("settle", "close a key whose request may have run");
+    add_names(settle);
+    settle->add_option("--note", options->note, "how it ended; callers are told")->required();
+    settle->callback(
+        [=] { choose([=](tool_context& context) { return settle_key(context, *options); }); });
+}
+
+void add_quarantine_commands(CLI::App& app, const command_sink& choose) {
+    auto* quarantine = app.add_subcommand("quarantine", "requests that bring down backend servers");
+    quarantine->require_subcommand(1);
+    auto* list = quarantine->add_subcommand("list", "records and when they expire");
+    list->callback([=] { choose([](tool_context& context) { return list_quarantine(context); }); });
+    auto fingerprint = std::make_shared<std::string>();
+    auto* release = quarantine->add_subcommand("release", "let a request run again");
+    release->add_option("fingerprint", *fingerprint, "as 'quarantine list' prints it")->required();
+    release->callback([=] {
+        choose([=](tool_context& context) { return release_quarantine(context, *fingerprint); });
+    });
+}
+
+} // namespace
+
+void add_status_commands(CLI::App& app, const command_sink& choose) {
+    auto* status = app.add_subcommand("status", "processes and the generation in force on each");
+    status->callback([=] { choose([](tool_context& context) { return show_status(context); }); });
+    auto* workspaces = app.add_subcommand("workspace", "workspaces and their shares");
+    workspaces->require_subcommand(1);
+    auto* list = workspaces->add_subcommand("list", "workspaces of the accepted configuration");
+    list->callback([=] { choose([](tool_context& context) { return list_workspaces(context); }); });
+    auto request_id = std::make_shared<std::string>();
+    auto* trace_command = app.add_subcommand("trace", "what became of a recent request");
+    trace_command->add_option("request-id", *request_id, "X-Request-Id of the request")->required();
+    trace_command->callback(
+        [=] { choose([=](tool_context& context) { return trace(context, *request_id); }); });
+    add_quarantine_commands(app, choose);
+    add_key_commands(app, choose);
+}
+
+} // namespace citronseam::tool
--- /dev/null
+++ b/src/request/key_record.cpp
@@ -0,0 +1,106 @@
+#include "citronseam/request/key_record.h"
+
+#include <nlohmann/json.hpp>
+
+#include "citronseam/process/enum_names.h"
+#include "citronseam/version/sha256.h"
+
+namespace citronseam {
+namespace {
+
+constexpr std::array<enum_name<key_state>, 3> state_names{{
+    {key_state::started, "started"},
+    {key_state::finished, "finished"},
+    {key_state::settled, "settled"},
+}};
+
+nlohmann::json headers_to_json(const std::vector<http_header>& headers) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& header : headers) {
+        list.push_back({{"name", header.name}, {"value", header.value}});
+    }
+    return list;
+}
+
+std::vector<http_header> headers_from_json(const nlohmann::json& list) {
+    std::vector<http_header> headers;
+    for (const auto& entry : list) {
+        headers.push_back({entry.at("name"), entry.at("value")});
+    }
+    return headers;
+}
+
+} // namespace
+
+std::string_view name(key_state state) noexcept {
+    return find_name(state_names, state);
+}
+
+std::string key_row_name(std::string_view service, std::string_view workspace,
+                         std::string_view key) {
+    // Lengths keep ("a", "bc") and ("ab", "c") apart.
+    std::string text = std::to_string(service.size()) + ":" + std::string(service);
+    text += std::to_string(workspace.size()) + ":" + std::string(workspace);
+    text += key;
+    return sha256_hex(text);
+}
+
+std::string to_json(const key_record& record) {
+    // JSON text holds UTF-8 only. The agent puts bodies that are not UTF-8 into the object store.
+    nlohmann::json json = {
+        {"state", name(record.state)},
+        {"attempt", record.attempt},
+        {"agent", record.agent},
+        {"fingerprint", record.fingerprint},
+        {"expires_at_ms", record.expires_at_ms},
+        {"status", record.answer.status},
+        {"headers", headers_to_json(record.answer.headers)},
+        {"body", record.answer.body},
+        {"answer_object", record.answer_object},
+        {"note", record.note},
+    };
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+result<key_record> parse_key_record(const std::string& text) {
+    try {
+        const nlohmann::json json = nlohmann::json::parse(text);
+        key_record record;
+        const auto state = find_value(state_names, json.at("state").get<std::string>());
+        if (!state) {
+            return failure(error_code::corrupt, "a key row has an unknown state");
+        }
+        record.state = *state;
+        record.attempt = json.at("attempt");
+        record.agent = json.at("agent");
+        record.fingerprint = json.at("fingerprint");
+        record.expires_at_ms = json.at("expires_at_ms");
+        record.answer.status = json.at("status");
+        record.answer.headers = headers_from_json(json.at("headers"));
+        record.answer.body = json.at("body");
+        record.answer_object = json.at("answer_object");
+        record.note = json.at("note");
+        return record;
+    } catch (const nlohmann::json::exception& exception) {
+        return failure(error_code::corrupt,
+                       std::string("a key row cannot be read: ") + exception.what());
+    }
+}
+
+key_decision decide_on_key(const key_record& record, std::string_view attempt,
+                           std::uint64_t fingerprint) noexcept {
+    if (record.fingerprint != fingerprint) {
+        return key_decision::mismatch;
+    }
+    switch (record.state) {
+    case key_state::finished:
+        return key_decision::replay;
+    case key_state::settled:
+        return key_decision::settled;
+    case key_state::started:
+        break;
+    }
+    return record.attempt == attempt ? key_decision::run : key_decision::in_progress;
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/version/token_bucket.cpp
@@ -0,0 +1,42 @@
+#include "citronseam/version/token_bucket.h"
+
+#include <algorithm>
+
+namespace citronseam {
+namespace {
+
+void refill(token_bucket& bucket, time_point now) noexcept {
+    const double passed = std::chrono::duration<double>(now - bucket.filled_at).count();
+    const double gained = std::max(passed, 0.0) * static_cast<double>(bucket.rate);
+    bucket.level = std::min(bucket.level + gained, static_cast<double>(bucket.burst));
+    bucket.filled_at = now;
+}
+
+} // namespace
+
+token_bucket make_bucket(std::uint64_t rate, std::uint64_t burst, time_point now) noexcept {
+    return {rate, burst, static_cast<double>(burst), now};
+}
+
+microseconds wait_time(token_bucket& bucket, time_point now) noexcept {
+    if (bucket.rate == 0) {
+        return microseconds(0);
+    }
+    refill(bucket, now);
+    if (bucket.level > 0) {
+        return microseconds(0);
+    }
+    constexpr double microseconds_in_second = 1e6;
+    const double wait = (1 - bucket.level) / static_cast<double>(bucket.rate);
+    return microseconds(static_cast<std::int64_t>(wait * microseconds_in_second) + 1);
+}
+
+void take(token_bucket& bucket, std::uint64_t bytes, time_point now) noexcept {
+    if (bucket.rate == 0) {
+        return;
+    }
+    refill(bucket, now);
+    bucket.level -= static_cast<double>(bytes);
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/tests/process_path_test.cpp
@@ -0,0 +1,73 @@
+// The whole path through separate processes.
+#include <csignal>
+#include <future>
+
+#include <gtest/gtest.h>
+
+#include "support/deployment.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::testing;
+
+std::string completion(const std::string& prompt, int tokens, bool is_stream) {
+    return nlohmann::json{
+        {"model", "pool"}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", is_stream}}
+        .dump();
+}
+
+TEST(process_path, streams_a_completion_and_passes_a_plain_request) {
+    deployment system(small_plan());
+    system.start();
+    const auto entries = system.call(0, "GET", "/v1/entries?zone=zone-b");
+    ASSERT_EQ(entries.outcome.status, 200);
+    const auto list = nlohmann::json::parse(entries.body)["entries"];
+    ASSERT_EQ(list.size(), 2U);
+    EXPECT_EQ(list[0]["availability_zone"], "zone-b");
+
+    const auto streamed = system.call(0, "POST", "/v1/completions", completion("hello", 8, true));
+    EXPECT_TRUE(streamed.outcome.is_complete) << streamed.outcome.message;
+    EXPECT_EQ(streamed.outcome.status, 200) << streamed.body;
+    EXPECT_NE(streamed.body.find("[DONE]"), std::string::npos);
+    EXPECT_EQ(find_header(streamed.headers, "X-Run-Verdict"), "ran");
+    EXPECT_EQ(find_header(streamed.headers, "X-Model-Version").size(), 64U);
+
+    const auto plain = system.call(1, "POST", "/services/desk/bookings", "berth 7",
+                                   {{"Idempotency-Key", "key-1"}});
+    EXPECT_EQ(plain.outcome.status, 200) << plain.body;
+    EXPECT_NE(plain.body.find("berth 7"), std::string::npos);
+    EXPECT_EQ(system.count_runs("agent-d-server", "key", "key-1"), 1);
+}
+
+TEST(process_path, an_engine_killed_in_mid_stream_gives_an_aborted_transfer) {
+    auto plan = small_plan();
+    plan.backend_servers = {{"agent-a", "pool", "zone-a", true, {"--token-ms", "20"}}};
+    deployment system(plan);
+    system.start();
+    http_client client;
+    http_request request;
+    request.method = "POST";
+    request.url = "http://" + system.address("entry-0", "http") + "/v1/completions";
+    request.body = completion("long", 500, true);
+    std::string body;
+    std::promise<http_outcome> ended;
+    bool is_killed = false;
+    http_observer observer;
+    observer.on_data = [&](std::string_view data) {
+        body += data;
+        if (!is_killed) {
+            is_killed = true;
+            system.process("agent-a-server").send_signal(SIGKILL);
+        }
+        return true;
+    };
+    observer.on_done = [&](const http_outcome& outcome) { ended.set_value(outcome); };
+    client.send(request, observer);
+    auto future = ended.get_future();
+    ASSERT_EQ(future.wait_for(std::chrono::seconds(10)), std::future_status::ready);
+    EXPECT_FALSE(future.get().is_complete) << "a cut answer must not look whole";
+    EXPECT_EQ(body.find("[DONE]"), std::string::npos);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/support/child_process.cpp
@@ -0,0 +1,149 @@
+#include "support/child_process.h"
+
+#include <array>
+#include <csignal>
+#include <stdexcept>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace citronseam::testing {
+namespace {
+
+struct pipe_ends {
+    int reading{-1};
+    int writing{-1};
+};
+
+pipe_ends make_pipe() {
+    std::array<int, 2> ends{};
+    if (::pipe2(ends.data(), O_CLOEXEC) != 0) {
+        throw std::runtime_error("no pipe");
+    }
+    return {ends[0], ends[1]};
+}
+
+} // namespace
+
+child_process::child_process(std::vector<std::string> arguments) {
+    const pipe_ends out = make_pipe();
+    const pipe_ends err = make_pipe();
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, out.writing, STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, err.writing, STDERR_FILENO);
+    std::vector<char*> argv;
+    for (auto& argument : arguments) {
+        argv.push_back(argument.data());
+    }
+    argv.push_back(nullptr);
+    const int problem = posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    ::close(out.writing);
+    ::close(err.writing);
+    if (problem != 0) {
+        throw std::runtime_error("cannot start " + arguments.front());
+    }
+    output_reader_ = std::thread([this, out] { read_from(out.reading, output_); });
+    errors_reader_ = std::thread([this, err] { read_from(err.reading, errors_); });
+}
+
+child_process::~child_process() {
+    if (is_running()) {
+        ::kill(pid_, SIGKILL);
+        reap(true);
+    }
+    output_reader_.join();
+    errors_reader_.join();
+}
+
+void child_process::read_from(int descriptor, std::string& into) {
+    std::array<char, 4096> buffer{};
+    while (true) {
+        const ssize_t size = ::read(descriptor, buffer.data(), buffer.size());
+        if (size <= 0) {
+            break;
+        }
+        const std::lock_guard<std::mutex> lock(mutex_);
+        into.append(buffer.data(), static_cast<std::size_t>(size));
+        changed_.notify_all();
+    }
+    ::close(descriptor);
+    changed_.notify_all();
+}
+
+void child_process::send_signal(int signal) {
+    if (is_running()) {
+        ::kill(pid_, signal);
+    }
+}
+
+bool child_process::reap(bool is_blocking) {
+    if (is_ended_) {
+        return true;
+    }
+    int status = 0;
+    if (::waitpid(pid_, &status, is_blocking ? 0 : WNOHANG) != pid_) {
+        return false;
+    }
+    is_ended_ = true;
+    status_ = WIFSIGNALED(status) ? 128 + WTERMSIG(status) : WEXITSTATUS(status);
+    return true;
+}
+
+bool child_process::is_running() {
+    return !reap(false);
+}
+
+int child_process::wait(milliseconds bound) {
+    const auto end = std::chrono::steady_clock::now() + bound;
+    while (!reap(false)) {
+        if (std::chrono::steady_clock::now() > end) {
+            return -1;
+        }
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    return status_;
+}
+
+std::string child_process::wait_for_line(const std::string& text, milliseconds bound) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    const auto end = std::chrono::steady_clock::now() + bound;
+    while (true) {
+        const auto found = output_.find(text);
+        const auto stop = found == std::string::npos ? found : output_.find('\n', found);
+        if (stop != std::string::npos) {
+            const auto before = output_.rfind('\n', found);
+            const auto start = before == std::string::npos ? 0 : before + 1;
+            return output_.substr(start, stop - start);
+        }
+        if (changed_.wait_until(lock, end) == std::cv_status::timeout) {
+            return {};
+        }
+    }
+}
+
+std::string child_process::output() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return output_;
+}
+
+std::string child_process::errors() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return errors_;
+}
+
+std::string log_value(const std::string& line, const std::string& key) {
+    const auto start = line.find(" " + key + "=");
+    if (start == std::string::npos) {
+        return {};
+    }
+    const auto value = start + key.size() + 2;
+    return line.substr(value, line.find(' ', value) - value);
+}
+
+} // namespace citronseam::testing
