--- a/include/citronseam/connection/frame.h
+++ b/include/citronseam/connection/frame.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "citronseam/process/error.h"
+#include "citronseam/process/sizes.h"
 
 namespace citronseam {
 
@@ -19,7 +20,7 @@
 /// Bytes of the length before each frame.
 constexpr std::size_t frame_header_size = 4;
 /// Largest frame, in bytes. A larger length closes the connection.
-constexpr std::size_t largest_frame = 4U * 1024 * 1024;
+constexpr std::size_t largest_frame = 4 * mebibyte;
 
 /// Why a connection between processes was closed.
 enum class close_reason : std::uint8_t {
--- a/include/citronseam/connection/http_server.h
+++ b/include/citronseam/connection/http_server.h
@@ -11,6 +11,7 @@
 
 #include "citronseam/connection/http_responder.h"
 #include "citronseam/process/settings.h"
+#include "citronseam/process/sizes.h"
 #include "citronseam/request/key_record.h"
 
 namespace citronseam {
@@ -37,7 +38,7 @@
 struct server_options {
     host_port address;
     int threads{2};
-    std::size_t largest_body{8U * 1024 * 1024}; ///< a longer body is answered with 413
+    std::size_t largest_body{8 * mebibyte}; ///< a longer body is answered with 413
 };
 
 /// The server. It serves from construction to destruction.
--- a/include/citronseam/connection/peer_session.h
+++ b/include/citronseam/connection/peer_session.h
@@ -16,6 +16,7 @@
 #include "citronseam/connection/frame.h"
 #include "citronseam/connection/wire_message.h"
 #include "citronseam/process/clock.h"
+#include "citronseam/process/sizes.h"
 
 namespace citronseam {
 
@@ -92,7 +93,7 @@
     std::uint64_t number_;
 
     frame_decoder decoder_;
-    std::array<std::uint8_t, 64 * 1024> read_buffer_{};
+    std::array<std::uint8_t, 64 * kibibyte> read_buffer_{};
     bool has_hello_{false};
 
     std::mutex queue_mutex_;
--- a/include/citronseam/connection/request_guard.h
+++ b/include/citronseam/connection/request_guard.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <string_view>
 
+#include "citronseam/process/sizes.h"
+
 namespace citronseam {
 
 /// What the guard found.
@@ -32,7 +34,7 @@
 };
 
 /// Bytes a head may have.
-constexpr std::size_t largest_head = 32 * 1024;
+constexpr std::size_t largest_head = 32 * kibibyte;
 
 /// @param bytes        what came so far, from the first byte of the request
 /// @param largest_body bytes a body may have
--- a/include/citronseam/process/enum_names.h
+++ b/include/citronseam/process/enum_names.h
@@ -48,6 +48,7 @@
 template<typename Enum, std::size_t Size>
 std::vector<std::string> all_names(const std::array<enum_name<Enum>, Size>& table) {
     std::vector<std::string> names;
+    names.reserve(table.size());
     for (const auto& row : table) {
         names.emplace_back(row.text);
     }
--- a/include/citronseam/process/yaml_object.h
+++ b/include/citronseam/process/yaml_object.h
@@ -29,7 +29,7 @@
     /// @param file     name of the file, for messages
     /// @param path     path of this mapping inside the file, empty for the root
     /// @param problems collects what is wrong; must outlive this object
-    yaml_object(YAML::Node node, std::string file, std::string path,
+    yaml_object(const YAML::Node& node, std::string file, std::string path,
                 std::vector<file_problem>& problems);
 
     /// @return whether the key stands in the mapping
--- a/include/citronseam/version/manifest.h
+++ b/include/citronseam/version/manifest.h
@@ -10,13 +10,14 @@
 #include <vector>
 
 #include "citronseam/process/error.h"
+#include "citronseam/process/sizes.h"
 
 namespace citronseam {
 
 /// Bytes of a chunk, except the last one of a version.
-constexpr std::uint64_t default_chunk_size = 256 * 1024;
+constexpr std::uint64_t default_chunk_size = 256 * kibibyte;
 /// A chunk must fit into one frame between processes.
-constexpr std::uint64_t largest_chunk_size = 1024 * 1024;
+constexpr std::uint64_t largest_chunk_size = mebibyte;
 
 /// One piece of a model's weights.
 struct chunk {
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,4 +1,5 @@
 #include "citronseam/connection/http_client.h"
+#include "citronseam/process/sizes.h"
 
 #include <algorithm>
 #include <atomic>
@@ -17,7 +18,7 @@
 
 constexpr int poll_timeout_ms = 1000;
 constexpr long most_connections_kept = 64;
-constexpr long receive_buffer_size = 64 * 1024;
+constexpr long receive_buffer_size = 64 * kibibyte;
 
 bool is_same_name(std::string_view left, std::string_view right) {
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
--- a/src/connection/peer_session.cpp
+++ b/src/connection/peer_session.cpp
@@ -1,4 +1,5 @@
 #include "citronseam/connection/peer_session.h"
+#include "citronseam/process/sizes.h"
 
 #include "citronseam/process/log.h"
 
@@ -7,7 +8,7 @@
 
 /// A peer that leaves more than this unread is closed: memory stays bounded, and a connection that
 /// lost its way is found out before the silence timeout.
-constexpr std::size_t most_queued_bytes = 64U * 1024 * 1024;
+constexpr std::size_t most_queued_bytes = 64 * mebibyte;
 constexpr std::size_t most_frames_per_write = 64;
 
 std::uint64_t next_number() {
--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -68,17 +68,14 @@
 }
 
 void server_connection::on_closed(std::function<void()> callback) {
-    bool is_closed = false;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        is_closed = peer_ == nullptr;
-        if (!is_closed) {
+        if (peer_ != nullptr) {
             callback_ = std::move(callback);
+            return;
         }
     }
-    if (is_closed && callback) {
-        callback();
-    }
+    callback();
 }
 
 } // namespace citronseam
--- a/src/connection/table_client.cpp
+++ b/src/connection/table_client.cpp
@@ -1,4 +1,5 @@
 #include "citronseam/connection/table_client.h"
+#include "citronseam/process/sizes.h"
 
 #include <nlohmann/json.hpp>
 
@@ -7,9 +8,9 @@
 namespace citronseam {
 namespace {
 
-constexpr std::size_t largest_row = 1024 * 1024;
-constexpr std::size_t largest_list = 16U * 1024 * 1024;
-constexpr std::size_t largest_object = 64U * 1024 * 1024;
+constexpr std::size_t largest_row = mebibyte;
+constexpr std::size_t largest_list = 16 * mebibyte;
+constexpr std::size_t largest_object = 64 * mebibyte;
 
 enum class access : std::uint8_t { read, write };
 
--- a/src/process/yaml_edit.cpp
+++ b/src/process/yaml_edit.cpp
@@ -30,7 +30,8 @@
 YAML::Node find_item(const YAML::Node& root, const yaml_place& place) {
     const YAML::Node list = root[place.list];
     if (list && list.IsSequence()) {
-        for (const auto& item : list) {
+        for (std::size_t i = 0; i < list.size(); ++i) {
+            const YAML::Node item = list[i];
             if (item.IsMap() && item["name"] && item["name"].IsScalar() &&
                 item["name"].Scalar() == place.item) {
                 return item;
--- a/src/process/yaml_object.cpp
+++ b/src/process/yaml_object.cpp
@@ -1,4 +1,5 @@
 #include "citronseam/process/yaml_object.h"
+#include "citronseam/process/sizes.h"
 
 #include <algorithm>
 #include <charconv>
@@ -11,7 +12,7 @@
 
 constexpr std::size_t most_problems = 50;
 constexpr std::size_t deepest_nesting = 64;
-constexpr std::size_t largest_document_bytes = 4 * 1024 * 1024;
+constexpr std::size_t largest_document_bytes = 4 * mebibyte;
 
 std::string quoted_list(const std::vector<std::string>& words) {
     std::string text;
@@ -65,9 +66,9 @@
     return text;
 }
 
-yaml_object::yaml_object(YAML::Node node, std::string file, std::string path,
+yaml_object::yaml_object(const YAML::Node& node, std::string file, std::string path,
                          std::vector<file_problem>& problems)
-    : node_(std::move(node)), file_(std::move(file)), path_(std::move(path)), problems_(problems) {}
+    : node_(node), file_(std::move(file)), path_(std::move(path)), problems_(problems) {}
 
 bool yaml_object::has(const std::string& key) const {
     const YAML::Node& node = node_;
@@ -250,9 +251,9 @@
         report(key, "expected a list of mappings");
         return;
     }
-    std::size_t index = 0;
-    for (const auto& entry : list) {
-        const std::string path = path_of(key) + "[" + std::to_string(index++) + "]";
+    for (std::size_t index = 0; index < list.size(); ++index) {
+        const YAML::Node entry = list[index];
+        const std::string path = path_of(key) + "[" + std::to_string(index) + "]";
         if (!entry.IsMap()) {
             report(key, "expected a mapping at " + path);
             continue;
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -7,6 +7,7 @@
 #include "citronseam/connection/dialer.h"
 #include "citronseam/process/log.h"
 #include "citronseam/process/membership.h"
+#include "citronseam/process/sizes.h"
 #include "programs/agent/agent_request.h"
 #include "programs/agent/version_keeper.h"
 #include "programs/daemon/operator_server.h"
@@ -21,7 +22,7 @@
 constexpr milliseconds drain_poll{20};
 /// After the last request ended, answers may still be in the sockets' buffers.
 constexpr milliseconds linger{300};
-constexpr std::size_t largest_instance_list = 16U * 1024 * 1024;
+constexpr std::size_t largest_instance_list = 16 * mebibyte;
 
 /// The agent's parts and the traffic between them.
 class agent {
--- a/src/programs/agent/agent_request.cpp
+++ b/src/programs/agent/agent_request.cpp
@@ -1,6 +1,7 @@
 #include "programs/agent/agent_request.h"
 
 #include "citronseam/process/random.h"
+#include "citronseam/process/sizes.h"
 #include "citronseam/request/quarantine.h"
 
 namespace citronseam {
@@ -8,7 +9,7 @@
 
 /// Time after which a place is likely free again.
 constexpr milliseconds place_expected{200};
-constexpr std::size_t largest_part = 64 * 1024;
+constexpr std::size_t largest_part = 64 * kibibyte;
 constexpr int overloaded_status = 503;
 constexpr std::string_view overload_header = "X-Engine-Overloaded";
 
@@ -69,12 +70,11 @@
     claim_ = std::make_shared<key_claim>(
         context_, key_row_name(message_.service, message_.workspace, message_.key),
         unique_identifier(random), message_.fingerprint, retention);
-    claim_->start([self = shared_from_this()](claim_outcome outcome) {
-        self->handle_claim(std::move(outcome));
-    });
+    claim_->start(
+        [self = shared_from_this()](const claim_outcome& outcome) { self->handle_claim(outcome); });
 }
 
-void agent_request::handle_claim(claim_outcome outcome) {
+void agent_request::handle_claim(const claim_outcome& outcome) {
     if (outcome.is_replay) {
         context_.gate.leave(ticket_);
         has_place_ = false;
--- a/src/programs/agent/agent_request.h
+++ b/src/programs/agent/agent_request.h
@@ -40,7 +40,7 @@
 
 private:
     void claim_key();
-    void handle_claim(claim_outcome outcome);
+    void handle_claim(const claim_outcome& outcome);
     void dispatch();
     http_request build() const;
     void handle_head(int status, const std::vector<http_header>& headers);
--- a/src/programs/agent/engine_orders.cpp
+++ b/src/programs/agent/engine_orders.cpp
@@ -2,10 +2,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include "citronseam/process/sizes.h"
+
 namespace citronseam {
 namespace {
 
-constexpr std::size_t largest_status = 64 * 1024;
+constexpr std::size_t largest_status = 64 * kibibyte;
 constexpr milliseconds status_timeout{1000};
 constexpr milliseconds chunk_timeout{30000};
 
--- a/src/programs/agent/key_claim.cpp
+++ b/src/programs/agent/key_claim.cpp
@@ -1,13 +1,14 @@
 #include "programs/agent/key_claim.h"
 
 #include "citronseam/process/log.h"
+#include "citronseam/process/sizes.h"
 
 namespace citronseam {
 namespace {
 
 constexpr milliseconds retry_interval{250};
 /// A longer body goes to the object store.
-constexpr std::size_t largest_inline_body = 32 * 1024;
+constexpr std::size_t largest_inline_body = 32 * kibibyte;
 
 /// JSON rows hold text; bytes that are not UTF-8 go to the object store.
 bool is_ascii(const std::string& text) {
--- a/src/programs/daemon/control_hub.cpp
+++ b/src/programs/daemon/control_hub.cpp
@@ -98,7 +98,7 @@
         if (generation > generation_of(state_)) {
             wire::configuration_requestT request;
             request.after = generation_of(state_);
-            from->send(make_frame(std::move(request)));
+            from->send(make_frame(request));
         } else if (has_evidence) {
             // All that the other side had is known here, so its evidence holds here as well.
             take_evidence(state_, evidence);
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -9,6 +9,7 @@
 #include "citronseam/connection/http_client.h"
 #include "citronseam/connection/peer_listener.h"
 #include "citronseam/process/log.h"
+#include "citronseam/process/sizes.h"
 #include "programs/daemon/operator_server.h"
 #include "programs/daemon/shutdown_signal.h"
 #include "programs/entry/backend_directory.h"
@@ -26,7 +27,7 @@
 /// Callers keep an address this long, so a leaving entry goes on pointing elsewhere as long.
 constexpr seconds address_lifetime{5};
 constexpr milliseconds linger{300};
-constexpr std::size_t largest_instance_list = 16U * 1024 * 1024;
+constexpr std::size_t largest_instance_list = 16 * mebibyte;
 /// Other entries that an entry connects to. Up to this many the mesh is full.
 constexpr std::size_t mesh_degree = 12;
 /// All entries together read the head row at most 1000 / this many times a second.
--- a/src/programs/entry/entry_mesh.cpp
+++ b/src/programs/entry/entry_mesh.cpp
@@ -44,6 +44,7 @@
         }
     }
     std::vector<known_entry> entries;
+    entries.reserve(latest.size());
     for (auto& [instance, entry] : latest) {
         entries.push_back(std::move(entry));
     }
--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -6,13 +6,14 @@
 
 #include "citronseam/connection/http_client.h"
 #include "citronseam/process/log.h"
+#include "citronseam/process/sizes.h"
 
 namespace citronseam {
 namespace {
 
 /// An answer that is not a stream is held back until it is whole, up to this size, so that a loss
 /// in the middle can still be told as an error or be repaired by a retry.
-constexpr std::size_t largest_buffered = 1024 * 1024;
+constexpr std::size_t largest_buffered = mebibyte;
 /// Backend servers that refused a request without running it, before the request waits its turn.
 constexpr int most_refusals = 8;
 constexpr std::string_view stream_type = "text/event-stream";
@@ -398,7 +399,7 @@
 void request_exchange::cancel_attempt() {
     wire::request_cancelT message;
     message.request = attempt_.number;
-    attempt_.link->session()->send(make_frame(std::move(message)));
+    attempt_.link->session()->send(make_frame(message));
     release_attempt(false, run_verdict::may_have_run, refusal::cancelled);
 }
 
--- a/src/programs/standin/load.h
+++ b/src/programs/standin/load.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-namespace CLI {
+namespace CLI { // NOLINT(readability-identifier-naming): the library's name
 class App;
-}
+} // namespace CLI
 
 namespace citronseam::standin {
 
--- a/src/programs/standin/standin_server.cpp
+++ b/src/programs/standin/standin_server.cpp
@@ -5,6 +5,7 @@
 #include <pthread.h>
 
 #include "citronseam/process/log.h"
+#include "citronseam/process/sizes.h"
 
 namespace citronseam::standin {
 
@@ -37,7 +38,7 @@
     if (!parsed) {
         throw std::invalid_argument(parsed.error().message);
     }
-    constexpr std::size_t largest_body = 256U * 1024 * 1024;
+    constexpr std::size_t largest_body = 256 * mebibyte;
     server_options options;
     options.address = *parsed;
     options.largest_body = largest_body;
--- a/src/programs/tool/release_commands.cpp
+++ b/src/programs/tool/release_commands.cpp
@@ -43,7 +43,7 @@
 /// Uploads weights and their manifest.
 /// @return the version's identity
 result<std::string> publish(tool_context& context, const release_options& options) {
-    const auto content = read_file(options.file);
+    auto content = read_file(options.file);
     if (!content) {
         return content;
     }
@@ -58,7 +58,7 @@
     }
     const std::string text = to_json(list);
     const std::string identity = sha256_hex(text);
-    const auto stored = context.put_object(identity, text);
+    auto stored = context.put_object(identity, text);
     if (!stored) {
         return stored;
     }
@@ -105,7 +105,7 @@
     if (!present) {
         return tl::unexpected(present.error());
     }
-    const auto body = read_body(context, present->head);
+    auto body = read_body(context, present->head);
     if (!body) {
         return body;
     }
--- a/src/programs/tool/tool_context.cpp
+++ b/src/programs/tool/tool_context.cpp
@@ -5,12 +5,14 @@
 #include <iostream>
 #include <sstream>
 
+#include "citronseam/process/sizes.h"
+
 namespace citronseam::tool {
 namespace {
 
 constexpr milliseconds store_timeout{3000};
 constexpr milliseconds entry_timeout{2000};
-constexpr std::size_t largest_answer = 64U * 1024 * 1024;
+constexpr std::size_t largest_answer = 64 * mebibyte;
 constexpr std::size_t most_rows = 10000;
 
 /// Calls a function that takes a callback, and waits for what the callback is given.
@@ -80,7 +82,11 @@
     for (const auto& entry : options_.entries) {
         const http_answer answer = call(entry, method, path, body);
         if (!answer.outcome.is_complete) {
-            reasons += " " + entry + ": " + answer.outcome.message + ";";
+            reasons.append(" ")
+                .append(entry)
+                .append(": ")
+                .append(answer.outcome.message)
+                .append(";");
             continue;
         }
         auto json = nlohmann::json::parse(answer.body, nullptr, false);
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -9,8 +9,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace citronseam::testing {
 namespace {
 
@@ -37,6 +35,7 @@
     posix_spawn_file_actions_adddup2(&actions, out.writing, STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, err.writing, STDERR_FILENO);
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (auto& argument : arguments) {
         argv.push_back(argument.data());
     }
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -8,12 +8,14 @@
 #include <stdexcept>
 #include <thread>
 
+#include "citronseam/process/sizes.h"
+
 namespace citronseam::testing {
 namespace {
 
 constexpr milliseconds start_bound{10000};
-constexpr std::size_t largest_answer = 64U * 1024 * 1024;
-constexpr std::size_t small_model_size = 300 * 1024;
+constexpr std::size_t largest_answer = 64 * mebibyte;
+constexpr std::size_t small_model_size = 300 * kibibyte;
 constexpr const char* small_chunk = "65536";
 
 std::string program(const std::string& name) {
@@ -123,7 +125,7 @@
 }
 
 std::string deployment::write_file(const std::string& name, const std::string& content) {
-    const std::string path = folder_ + "/" + name;
+    std::string path = folder_ + "/" + name;
     std::ofstream(path, std::ios::binary) << content;
     return path;
 }
