--- a/src/programs/tool/release_commands.cpp
+++ b/src/programs/tool/release_commands.cpp
@@ -238,13 +238,14 @@
 
 void add_release_commands(CLI::App& app, const command_sink& choose) {
     auto options = std::make_shared<release_options>();
-    auto* command = app.add_subcommand("release", "put a model version in force for a service");
-    command->add_option("service", options->service, "service")->required();
-    command->add_option("version", options->version, "version published before");
-    command->add_option("--file", options->file, "weights of a new version");
-    command->add_option("--chunk-size", options->chunk_size, "bytes of a chunk")
+    auto* release_command =
+        app.add_subcommand("release", "put a model version in force for a service");
+    release_command->add_option("service", options->service, "service")->required();
+    release_command->add_option("version", options->version, "version published before");
+    release_command->add_option("--file", options->file, "weights of a new version");
+    release_command->add_option("--chunk-size", options->chunk_size, "bytes of a chunk")
         ->check(CLI::Range(std::uint64_t{1024}, largest_chunk_size));
-    command->callback([=] {
+    release_command->callback([=] {
         if (options->version.empty() == options->file.empty()) {
             throw CLI::ValidationError("release", "give either a version or --file");
         }
--- /dev/null
+++ b/tests/control_logic_test.cpp
@@ -0,0 +1,191 @@
+// Decision logic of control: configuration, notices, evidence, membership.
+#include <gtest/gtest.h>
+
+#include "citronseam/process/control_state.h"
+#include "citronseam/process/membership.h"
+#include "citronseam/process/yaml_edit.h"
+#include "citronseam/version/sha256.h"
+#include "support/deployment.h"
+
+namespace {
+
+using namespace citronseam;
+
+std::shared_ptr<const accepted_configuration> accepted(std::uint64_t generation,
+                                                       const std::string& body) {
+    const auto read = read_accepted(generation, sha256_hex(body), "attempt", body);
+    return read ? *read : nullptr;
+}
+
+TEST(control_state, a_generation_never_goes_back) {
+    control_state state;
+    const std::string body = harness::test_configuration();
+    EXPECT_TRUE(take_configuration(state, accepted(5, body)));
+    EXPECT_FALSE(take_configuration(state, accepted(4, body)));
+    EXPECT_FALSE(take_configuration(state, accepted(5, body)));
+    EXPECT_TRUE(take_configuration(state, accepted(6, body)));
+    EXPECT_EQ(generation_of(state), 6U);
+}
+
+TEST(control_state, a_body_that_does_not_match_its_hash_is_refused) {
+    const std::string body = harness::test_configuration();
+    EXPECT_FALSE(read_accepted(1, sha256_hex(body + " "), "attempt", body).has_value());
+}
+
+TEST(control_state, a_notice_takes_a_zone_out_and_ends_by_itself) {
+    control_state state;
+    const time_point now = time_point{} + seconds(100);
+    EXPECT_FALSE(is_zone_in_service(state, "zone-a", now)) << "nothing is known yet";
+    take_configuration(state, accepted(1, harness::test_configuration()));
+    EXPECT_TRUE(is_zone_in_service(state, "zone-a", now));
+    EXPECT_FALSE(is_zone_in_service(state, "zone-x", now));
+    EXPECT_TRUE(take_notice(state, {"zone-a", 10, true, now + seconds(5)}));
+    EXPECT_FALSE(take_notice(state, {"zone-a", 9, false, now + seconds(5)})) << "an earlier word";
+    EXPECT_FALSE(is_zone_in_service(state, "zone-a", now));
+    EXPECT_TRUE(is_zone_in_service(state, "zone-a", now + seconds(6)));
+    EXPECT_TRUE(take_notice(state, {"zone-a", 11, false, now + seconds(5)}));
+    EXPECT_TRUE(is_zone_in_service(state, "zone-a", now));
+}
+
+TEST(control_state, evidence_grows_stale_unless_the_policy_is_to_serve) {
+    control_state state;
+    const time_point now = time_point{} + seconds(100);
+    EXPECT_TRUE(is_evidence_stale(state, now));
+    take_configuration(state, accepted(1, harness::test_configuration()));
+    take_evidence(state, now);
+    take_evidence(state, now - seconds(50));
+    EXPECT_FALSE(is_evidence_stale(state, now + seconds(3)));
+    EXPECT_TRUE(is_evidence_stale(state, now + milliseconds(3001)));
+    take_configuration(state,
+                       accepted(2, harness::test_configuration(
+                                       {{"deployment: test\n", "deployment: test\nevidence:\n"
+                                                               "  when_isolated: serve\n"}})));
+    EXPECT_FALSE(is_evidence_stale(state, now + seconds(60)));
+}
+
+TEST(control_state, contact_with_a_majority_is_evidence) {
+    const time_point now = time_point{} + seconds(100);
+    EXPECT_EQ(majority_contact({}, 1, now), now) << "the only entry hears itself";
+    EXPECT_EQ(majority_contact({}, 3, now), time_point{});
+    EXPECT_EQ(majority_contact({now - seconds(1)}, 3, now), now - seconds(1));
+    EXPECT_EQ(majority_contact({now - seconds(9), now - seconds(1), now - seconds(2)}, 5, now),
+              now - seconds(2));
+}
+
+std::vector<listed_instance> many_entries(int zones, int per_zone) {
+    std::vector<listed_instance> entries;
+    for (int zone = 0; zone < zones; ++zone) {
+        for (int i = 0; i < per_zone; ++i) {
+            listed_instance entry;
+            entry.instance = "entry-" + std::to_string(zone) + "-" + std::to_string(i);
+            entry.availability_zone = "zone-" + std::to_string(zone);
+            entries.push_back(entry);
+        }
+    }
+    return entries;
+}
+
+TEST(membership, an_agent_reports_to_entries_of_several_zones_its_own_first) {
+    const auto chosen = choose_entries("agent-1", "zone-3", many_entries(17, 19), 4);
+    ASSERT_EQ(chosen.size(), 4U);
+    EXPECT_EQ(chosen[0].availability_zone, "zone-3");
+    std::set<std::string> zones;
+    for (const auto& entry : chosen) {
+        zones.insert(entry.availability_zone);
+    }
+    EXPECT_EQ(zones.size(), 4U);
+}
+
+TEST(membership, one_entry_less_changes_one_choice_at_most) {
+    auto entries = many_entries(3, 4);
+    const auto before = choose_entries("agent-1", "zone-0", entries, 6);
+    entries.erase(std::find_if(entries.begin(), entries.end(), [&](const auto& entry) {
+        return entry.instance == before[2].instance;
+    }));
+    const auto after = choose_entries("agent-1", "zone-0", entries, 6);
+    std::size_t kept = 0;
+    for (const auto& entry : after) {
+        kept += std::any_of(before.begin(), before.end(),
+                            [&](const auto& other) { return other.instance == entry.instance; });
+    }
+    EXPECT_GE(kept, 5U);
+}
+
+TEST(membership, reads_the_instance_list) {
+    const auto list = parse_instance_list(
+        R"({"instances":[{"instance":"e","role":"entry","availability_zone":"z",
+            "peer_address":"127.0.0.1:1","leaving":true}]})");
+    ASSERT_TRUE(list.has_value());
+    ASSERT_EQ(list->size(), 1U);
+    EXPECT_EQ(list->front().role, process_role::entry);
+    EXPECT_TRUE(list->front().is_leaving);
+    EXPECT_FALSE(parse_instance_list("{}").has_value());
+}
+
+TEST(membership, callers_are_sent_to_their_zone_first_and_spread) {
+    std::vector<entry_address> entries;
+    for (const auto* zone : {"a", "a", "b", "b"}) {
+        entries.push_back({"e" + std::to_string(entries.size()), zone, "", 0});
+    }
+    entries[0].load = 100;
+    std::map<std::string, int> first;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        random_source random(i);
+        ++first[order_for_caller("b", entries, random).front().instance];
+    }
+    EXPECT_EQ(first["e2"] + first["e3"], 100);
+    EXPECT_GE(first["e2"], 25);
+    random_source random(1);
+    EXPECT_EQ(order_for_caller("a", entries, random).front().instance, "e1") << "the idle one";
+}
+
+TEST(settings, problems_name_file_line_field_and_the_closest_key) {
+    const auto read = parse_settings("role: entri\ninstance: a\navailabilty_zone: z\n", "s.yaml");
+    const std::string text = describe(read.problems);
+    EXPECT_NE(text.find("s.yaml:1: role: expected one of entry, agent, found 'entri'"),
+              std::string::npos)
+        << text;
+    EXPECT_NE(text.find("s.yaml:3: availabilty_zone: unknown key; the closest is "
+                        "'availability_zone'"),
+              std::string::npos)
+        << text;
+}
+
+TEST(configuration, wrong_units_and_dangling_references_are_refused) {
+    const auto read = parse_configuration(
+        harness::test_configuration({{"region: region-b", "region: region-bb"},
+                                     {"request_timeout: 10s", "request_timeout: 10"}}),
+        "c.yaml");
+    const std::string text = describe(read.problems);
+    EXPECT_NE(text.find("there is no region 'region-bb'; the closest is 'region-b'"),
+              std::string::npos)
+        << text;
+    EXPECT_NE(text.find("services[0].limits.request_timeout: expected a duration with a unit "
+                        "(ms, s, m, h), found '10'"),
+              std::string::npos)
+        << text;
+}
+
+TEST(configuration, rules_decide_which_requests_are_idempotent) {
+    const auto read = parse_configuration(harness::test_configuration(), "c.yaml");
+    ASSERT_TRUE(read.is_valid()) << describe(read.problems);
+    const service& desk = *find_service(read.value, "desk");
+    EXPECT_TRUE(is_idempotent(desk, "GET", "/bookings/7"));
+    EXPECT_FALSE(is_idempotent(desk, "POST", "/bookings"));
+    EXPECT_TRUE(is_idempotent(desk, "POST", "/lookups?gate=3"));
+    EXPECT_FALSE(is_idempotent(desk, "POST", "/lookups2")) << "a prefix of a word is no path";
+    EXPECT_TRUE(is_idempotent(*find_service(read.value, "pool"), "POST", "/v1/completions"));
+}
+
+TEST(yaml_edit, changes_one_value_and_keeps_comments) {
+    const std::string text =
+        "# head\nzones:\n  - name: a # first\n    in: true # why\n  - name: b\n";
+    EXPECT_EQ(*set_yaml_value(text, {"zones", "a", "in"}, "false"),
+              "# head\nzones:\n  - name: a # first\n    in: false # why\n  - name: b\n");
+    EXPECT_EQ(*set_yaml_value(text, {"zones", "b", "in"}, "false"),
+              "# head\nzones:\n  - name: a # first\n    in: true # why\n  - name: b\n"
+              "    in: false\n");
+    EXPECT_FALSE(set_yaml_value(text, {"zones", "c", "in"}, "false").has_value());
+}
+
+} // namespace
--- /dev/null
+++ b/tests/demo.cpp
@@ -0,0 +1,44 @@
+// The demonstration: a whole deployment on the embedded stand-ins, one streamed answer and one
+// answer of a plain service.
+#include <iostream>
+
+#include "support/deployment.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+void show(const char* what, const http_answer& answer) {
+    std::cout << "\n== " << what << "\n"
+              << answer.body << "status " << answer.outcome.status << ", verdict "
+              << find_header(answer.headers, "X-Run-Verdict") << ", served by "
+              << find_header(answer.headers, "X-Served-By") << ", version "
+              << find_header(answer.headers, "X-Model-Version").substr(0, 12) << "\n";
+}
+
+} // namespace
+
+int main() {
+    try {
+        deployment system(small_plan());
+        std::cout << "starting stand-ins, two entries and three agents on loopback\n";
+        system.start();
+        const auto entries = system.call(0, "GET", "/v1/entries?zone=zone-a");
+        std::cout << "entries for zone-a: " << entries.body;
+        const auto streamed = system.call(
+            0, "POST", "/v1/completions",
+            R"({"model": "pool", "prompt": "a night-shift plan", "max_tokens": 6, "stream": true})");
+        show("streamed completion", streamed);
+        const auto booked = system.call(1, "POST", "/services/desk/bookings", "berth 7",
+                                        {{"Idempotency-Key", "demo-1"}});
+        show("booking at a plain service", booked);
+        const bool is_good = streamed.outcome.is_complete && streamed.outcome.status == 200 &&
+                             booked.outcome.is_complete && booked.outcome.status == 200;
+        std::cout << "\nending all processes by pid\n";
+        return is_good ? 0 : 1;
+    } catch (const std::exception& exception) {
+        std::cerr << "demo: " << exception.what() << "\n";
+        return 1;
+    }
+}
--- a/tests/process_path_test.cpp
+++ b/tests/process_path_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 using namespace citronseam;
-using namespace citronseam::testing;
+using namespace citronseam::harness;
 
 std::string completion(const std::string& prompt, int tokens, bool is_stream) {
     return nlohmann::json{
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -9,7 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-namespace citronseam::testing {
+namespace citronseam::harness {
 namespace {
 
 struct pipe_ends {
@@ -145,4 +145,4 @@
     return line.substr(value, line.find(' ', value) - value);
 }
 
-} // namespace citronseam::testing
+} // namespace citronseam::harness
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -12,7 +12,7 @@
 
 #include "citronseam/process/clock.h"
 
-namespace citronseam::testing {
+namespace citronseam::harness {
 
 /// Starts a program, reads what it prints, and ends it by pid on destruction.
 class child_process {
@@ -59,6 +59,6 @@
 /// @return the value of `key=` in a log line
 std::string log_value(const std::string& line, const std::string& key);
 
-} // namespace citronseam::testing
+} // namespace citronseam::harness
 
 #endif
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -10,7 +10,7 @@
 
 #include "citronseam/process/sizes.h"
 
-namespace citronseam::testing {
+namespace citronseam::harness {
 namespace {
 
 constexpr milliseconds start_bound{10000};
@@ -403,4 +403,4 @@
     return addresses_.at(name).at(purpose);
 }
 
-} // namespace citronseam::testing
+} // namespace citronseam::harness
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -15,7 +15,7 @@
 #include "citronseam/process/clock.h"
 #include "support/child_process.h"
 
-namespace citronseam::testing {
+namespace citronseam::harness {
 
 /// A backend server that the deployment starts, with its agent.
 struct backend_server_plan {
@@ -141,6 +141,6 @@
 /// @return whether it held within the bound
 bool wait_until(const std::function<bool()>& condition, milliseconds bound);
 
-} // namespace citronseam::testing
+} // namespace citronseam::harness
 
 #endif
