Prove at most one run of a keyed request under failures

Cause: the claim before the run was untested through real processes. Ten cases now kill, pause and cut: claim answer lost, two entries at once, agent killed in the run, agent and entry paused across a second sending, store down before and during the run, result written late, answer broken off. What ran is counted from the stand-in service's own record.

--- /dev/null
+++ b/tests/process_once_test.cpp
@@ -0,0 +1,201 @@
+// A request that may not be repeated runs at most once, whatever fails. What ran is read from the
+// record of the stand-in service, not from what the system says.
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+#include "support/requests.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+constexpr milliseconds bound{8000};
+
+deployment_plan desk_plan(int work_ms) {
+    deployment_plan plan = small_plan();
+    const std::vector<std::string> work{"--work-ms", std::to_string(work_ms)};
+    plan.backend_servers = {{"agent-d", "desk", "zone-a", false, work},
+                            {"agent-e", "desk", "zone-b", false, work}};
+    return plan;
+}
+
+/// Waits until a key has run at one of the servers.
+bool wait_for_run(deployment& system, const std::string& key) {
+    return wait_until([&] { return system.count_runs_of_service("desk", "key", key) > 0; }, bound);
+}
+
+int runs(deployment& system, const std::string& key) {
+    return system.count_runs_of_service("desk", "key", key);
+}
+
+/// Name of the agent whose server ran a key.
+std::string agent_that_ran(deployment& system, const std::string& key) {
+    return system.count_runs("agent-d-server", "key", key) > 0 ? "agent-d" : "agent-e";
+}
+
+TEST(process_once, a_key_sent_again_at_another_entry_replays_the_whole_answer) {
+    deployment system(desk_plan(5));
+    system.start();
+    const auto first = book(system, 0, "k");
+    ASSERT_EQ(first.outcome.status, 200) << first.body;
+    http_answer again;
+    ASSERT_TRUE(wait_until(
+        [&] {
+            again = book(system, 1, "k");
+            return again.outcome.status == 200;
+        },
+        bound))
+        << again.body;
+    EXPECT_EQ(again.body, first.body);
+    EXPECT_EQ(find_header(again.headers, "X-Replayed"), "true");
+    EXPECT_EQ(runs(system, "k"), 1);
+    const auto other = book(system, 0, "k", "another berth");
+    EXPECT_EQ(other.outcome.status, 422) << "a key belongs to one request";
+    EXPECT_EQ(runs(system, "k"), 1);
+}
+
+TEST(process_once, a_request_without_a_key_is_refused_as_not_run) {
+    deployment system(desk_plan(5));
+    system.start();
+    const auto answer = system.call(0, "POST", "/services/desk/bookings", "berth");
+    EXPECT_EQ(answer.outcome.status, 400);
+    EXPECT_EQ(verdict_of(answer), "not_run");
+    EXPECT_EQ(runs(system, ""), 0);
+}
+
+TEST(process_once, a_claim_whose_answer_was_lost_still_runs_once) {
+    deployment system(desk_plan(5));
+    system.start();
+    system.set_faults("store", {{"lose_answers", 1}});
+    const auto answer = book(system, 0, "k");
+    EXPECT_EQ(answer.outcome.status, 200) << answer.body;
+    EXPECT_EQ(runs(system, "k"), 1);
+}
+
+TEST(process_once, two_entries_at_once_run_it_once) {
+    deployment system(desk_plan(100));
+    system.start();
+    auto first = start_booking(system, 0, "k");
+    auto second = start_booking(system, 1, "k");
+    const auto one = first.get();
+    const auto two = second.get();
+    EXPECT_TRUE(one.outcome.status == 200 || two.outcome.status == 200);
+    for (const auto& answer : {one, two}) {
+        if (answer.outcome.status != 200) {
+            EXPECT_EQ(answer.outcome.status, 409) << answer.body;
+            EXPECT_EQ(verdict_of(answer), "may_have_run");
+            EXPECT_FALSE(find_header(answer.headers, "Retry-After").empty());
+        }
+    }
+    EXPECT_EQ(runs(system, "k"), 1);
+}
+
+TEST(process_once, an_agent_killed_during_the_run_leaves_may_have_run) {
+    deployment system(desk_plan(1500));
+    system.start();
+    auto call = start_booking(system, 0, "k");
+    ASSERT_TRUE(wait_for_run(system, "k"));
+    const std::string agent = agent_that_ran(system, "k");
+    system.process(agent).send_signal(SIGKILL);
+    const auto answer = call.get();
+    EXPECT_EQ(answer.outcome.status, 502) << answer.body;
+    EXPECT_EQ(verdict_of(answer), "may_have_run");
+    const auto again = book(system, 1, "k");
+    EXPECT_EQ(again.outcome.status, 409) << again.body;
+    EXPECT_EQ(verdict_of(again), "may_have_run");
+    EXPECT_EQ(runs(system, "k"), 1);
+    const auto settled = system.tool({"key", "settle", "desk", "k", "--note", "berth 7 is taken"});
+    EXPECT_EQ(settled.status, 0) << settled.errors;
+    const auto told = book(system, 1, "k");
+    EXPECT_NE(told.body.find("berth 7 is taken"), std::string::npos) << told.body;
+    EXPECT_EQ(runs(system, "k"), 1);
+}
+
+TEST(process_once, an_agent_paused_before_its_claim_does_not_run_what_ran_elsewhere) {
+    deployment system(desk_plan(5));
+    system.start();
+    system.process("agent-d").send_signal(SIGSTOP);
+    system.process("agent-e").send_signal(SIGSTOP);
+    auto paused = start_booking(system, 0, "k", milliseconds(1000));
+    paused.wait();
+    system.process("agent-e").send_signal(SIGCONT);
+    http_answer elsewhere;
+    ASSERT_TRUE(wait_until(
+        [&] {
+            elsewhere = book(system, 1, "k");
+            return elsewhere.outcome.status == 200;
+        },
+        bound))
+        << elsewhere.body;
+    system.process("agent-d").send_signal(SIGCONT);
+    ASSERT_TRUE(system.wait_until_ready());
+    EXPECT_EQ(runs(system, "k"), 1);
+}
+
+TEST(process_once, an_entry_that_wakes_after_the_caller_went_elsewhere_runs_nothing_twice) {
+    deployment system(desk_plan(5));
+    system.start();
+    system.process("entry-0").send_signal(SIGSTOP);
+    const auto lost = book(system, 0, "k", "berth 7", milliseconds(500));
+    EXPECT_FALSE(lost.outcome.is_complete);
+    const auto elsewhere = book(system, 1, "k");
+    EXPECT_EQ(elsewhere.outcome.status, 200) << elsewhere.body;
+    system.process("entry-0").send_signal(SIGCONT);
+    ASSERT_TRUE(system.wait_until_ready());
+    EXPECT_EQ(runs(system, "k"), 1);
+}
+
+TEST(process_once, without_the_store_it_is_refused_as_not_run_and_other_calls_flow) {
+    deployment system(desk_plan(5));
+    system.start();
+    system.set_faults("store", {{"down", true}});
+    const auto refused = book(system, 0, "k");
+    EXPECT_EQ(refused.outcome.status, 503) << refused.body;
+    EXPECT_EQ(verdict_of(refused), "not_run");
+    EXPECT_FALSE(find_header(refused.headers, "Retry-After").empty());
+    const auto lookup = system.call(0, "POST", "/services/desk/lookups", "gate 3");
+    EXPECT_EQ(lookup.outcome.status, 200) << lookup.body;
+    EXPECT_EQ(runs(system, "k"), 0) << "what was told to be not run was not run";
+    system.set_faults("store", {{"down", false}});
+    EXPECT_EQ(book(system, 0, "k").outcome.status, 200);
+    EXPECT_EQ(runs(system, "k"), 1);
+}
+
+TEST(process_once, a_result_that_could_not_be_written_is_kept_when_the_store_is_back) {
+    deployment system(desk_plan(700));
+    system.start();
+    auto call = start_booking(system, 0, "k");
+    ASSERT_TRUE(wait_for_run(system, "k"));
+    system.set_faults("store", {{"down", true}});
+    const auto answer = call.get();
+    EXPECT_EQ(answer.outcome.status, 200) << answer.body;
+    system.set_faults("store", {{"down", false}});
+    http_answer again;
+    EXPECT_TRUE(wait_until(
+        [&] {
+            again = book(system, 1, "k");
+            return again.outcome.status == 200;
+        },
+        bound))
+        << again.body;
+    EXPECT_EQ(again.body, answer.body);
+    EXPECT_EQ(runs(system, "k"), 1);
+}
+
+TEST(process_once, a_service_that_breaks_off_its_answer_leaves_may_have_run) {
+    deployment system(desk_plan(5));
+    system.start();
+    for (const auto* server : {"agent-d-server", "agent-e-server"}) {
+        system.set_faults(server, {{"cut_streams", 1}});
+    }
+    const auto answer = book(system, 0, "k");
+    EXPECT_EQ(answer.outcome.status, 502) << answer.body;
+    EXPECT_EQ(verdict_of(answer), "may_have_run");
+    EXPECT_EQ(runs(system, "k"), 1);
+    EXPECT_EQ(book(system, 1, "k").outcome.status, 409);
+    EXPECT_EQ(runs(system, "k"), 1);
+}
+
+} // namespace
--- a/tests/process_path_test.cpp
+++ b/tests/process_path_test.cpp
@@ -4,19 +4,13 @@
 
 #include <gtest/gtest.h>
 
-#include "support/deployment.h"
+#include "support/requests.h"
 
 namespace {
 
 using namespace citronseam;
 using namespace citronseam::harness;
 
-std::string completion(const std::string& prompt, int tokens, bool is_stream) {
-    return nlohmann::json{
-        {"model", "pool"}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", is_stream}}
-        .dump();
-}
-
 TEST(process_path, streams_a_completion_and_passes_a_plain_request) {
     deployment system(small_plan());
     system.start();
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -157,11 +157,16 @@
     }
 }
 
-std::string deployment::platform_settings() const {
-    return "platform:\n  table_service: http://" + address("store", "http") +
-           "\n  object_store: http://" + address("store", "http") + "\n  weight_store: http://" +
-           address("weights", "http") + "\n  instance_list: http://" +
-           address("instances", "http") + "/instances\n" +
+std::string deployment::platform_settings(const std::string& name) {
+    std::string table = address("store", "http");
+    if (plan_.has_relays) {
+        auto& store = relays_["store:" + name];
+        store = std::make_unique<relay>(table);
+        table = store->address();
+    }
+    return "platform:\n  table_service: http://" + table + "\n  object_store: http://" +
+           address("store", "http") + "\n  weight_store: http://" + address("weights", "http") +
+           "\n  instance_list: http://" + address("instances", "http") + "/instances\n" +
            "control:\n  heartbeat_interval: 250ms\n  silence_timeout: 1500ms\n"
            "  store_poll: 500ms\n  list_poll: 300ms\n";
 }
@@ -173,7 +178,7 @@
     const std::string text = "role: entry\ninstance: " + name + "\navailability_zone: " + zone +
                              "\nlisten:\n  http: 127.0.0.1:0\n  peer: 127.0.0.1:0\n"
                              "  operator: 127.0.0.1:0\n" +
-                             platform_settings();
+                             platform_settings(name);
     commands_[name] = {program("citronseamd"), "--settings", write_file(name + ".yaml", text)};
     restart(name);
     list_instance(name);
@@ -204,7 +209,8 @@
         "role: agent\ninstance: " + plan.name + "\navailability_zone: " + plan.availability_zone +
         "\nlisten:\n  peer: 127.0.0.1:0\n  operator: 127.0.0.1:0\nweight_memory: " +
         plan_.weight_memory + "\nbackend_server:\n  service: " + plan.service +
-        "\n  address: " + address(plan.name + "-server", "http") + "\n" + platform_settings();
+        "\n  address: " + address(plan.name + "-server", "http") + "\n" +
+        platform_settings(plan.name);
     commands_[plan.name] = {program("citronseamd"), "--settings",
                             write_file(plan.name + ".yaml", text)};
     restart(plan.name);
@@ -223,9 +229,18 @@
 
 void deployment::list_instance(const std::string& name, bool is_leaving) {
     const bool is_entry = name.rfind("entry-", 0) == 0;
+    std::string peer = addresses_[name]["peer"];
+    if (is_entry && plan_.has_relays) {
+        auto& before = relays_["peer:" + name];
+        if (before == nullptr) {
+            before = std::make_unique<relay>();
+        }
+        before->set_target(peer);
+        peer = before->address();
+    }
     nlohmann::json row = {{"role", is_entry ? "entry" : "agent"},
                           {"availability_zone", zones_.at(name)},
-                          {"peer_address", addresses_[name]["peer"]},
+                          {"peer_address", peer},
                           {"http_address", addresses_[name]["http"]},
                           {"leaving", is_leaving}};
     ask("PUT", "http://" + address("instances", "http") + "/instances/" + name, row.dump());
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -14,6 +14,7 @@
 #include "citronseam/connection/http_client.h"
 #include "citronseam/process/clock.h"
 #include "support/child_process.h"
+#include "support/relay.h"
 
 namespace citronseam::harness {
 
@@ -34,6 +35,8 @@
     int list_lag_ms{0};
     std::uint64_t origin_rate{0}; ///< bytes a second, 0 is unlimited
     std::string weight_memory{"256MiB"};
+    /// Puts a relay before each entry's peer address and each daemon's table service.
+    bool has_relays{false};
 };
 
 /// A plan with two zones in two regions, two engines and one plain service.
@@ -111,6 +114,8 @@
     tool_result release(const std::string& service, std::size_t size, std::uint64_t seed);
     /// Starts one more backend server with its agent.
     void add_backend_server(const backend_server_plan& plan);
+    /// Relays by name: "peer:entry-0", "store:agent-a".
+    relay& link(const std::string& name) { return *relays_.at(name); }
     /// Starts one more entry.
     void add_entry(const std::string& zone);
 
@@ -123,7 +128,7 @@
     void start_entry(std::size_t index);
     void start_backend_server(const backend_server_plan& plan);
     void start_agent(const backend_server_plan& plan);
-    std::string platform_settings() const;
+    std::string platform_settings(const std::string& name);
     std::string write_file(const std::string& name, const std::string& content);
     std::vector<std::string> tool_arguments() const;
 
@@ -132,9 +137,9 @@
     http_client http_;
     std::map<std::string, std::unique_ptr<child_process>> processes_;
     std::map<std::string, std::map<std::string, std::string>> addresses_;
+    std::map<std::string, std::unique_ptr<relay>> relays_;
     std::map<std::string, std::string> zones_;
     std::map<std::string, std::vector<std::string>> commands_;
-    std::map<std::string, std::string> configurations_;
 };
 
 /// Waits until a condition holds.
--- /dev/null
+++ b/tests/support/relay.h
@@ -0,0 +1,48 @@
+/// @file
+/// A link between two processes that a test can cut or make silent.
+#ifndef CITRONSEAM_TESTS_SUPPORT_RELAY_H
+#define CITRONSEAM_TESTS_SUPPORT_RELAY_H
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "citronseam/connection/io_threads.h"
+#include "citronseam/connection/peer_listener.h"
+
+namespace citronseam::harness {
+
+/// Carries TCP connections to a target on loopback.
+class relay {
+public:
+    /// @param target `host:port`; may be set later
+    explicit relay(std::string target = "");
+    ~relay();
+
+    /// @return `host:port` to connect to
+    std::string address() const;
+    /// Sets where new connections go.
+    void set_target(std::string target);
+    /// Stops carrying bytes on the connections that are open, without closing them. New
+    /// connections work: something between the two ends has lost track of the old ones.
+    void silence_open_connections();
+    /// Cuts all connections and refuses new ones until it is called with false.
+    void set_cut(bool is_cut);
+
+private:
+    struct carried_pair;
+    void carry(asio::ip::tcp::socket caller);
+    static void pump(const std::shared_ptr<carried_pair>& pair, bool is_forward);
+
+    mutable std::mutex mutex_;
+    std::string target_;
+    bool is_cut_{false};
+    std::vector<std::weak_ptr<carried_pair>> pairs_;
+    io_threads loop_{1};
+    std::shared_ptr<peer_listener> listener_;
+};
+
+} // namespace citronseam::harness
+
+#endif
--- /dev/null
+++ b/tests/support/requests.h
@@ -0,0 +1,46 @@
+/// @file
+/// Requests that tests send, and what they read out of answers.
+#ifndef CITRONSEAM_TESTS_SUPPORT_REQUESTS_H
+#define CITRONSEAM_TESTS_SUPPORT_REQUESTS_H
+
+#include <future>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "support/deployment.h"
+
+namespace citronseam::harness {
+
+/// @return body of a completion request
+inline std::string completion(const std::string& prompt, int tokens, bool is_stream) {
+    return nlohmann::json{
+        {"model", "pool"}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", is_stream}}
+        .dump();
+}
+
+/// Books with a key at the plain service.
+inline http_answer book(deployment& system, std::size_t entry, const std::string& key,
+                        const std::string& body = "berth 7",
+                        milliseconds timeout = milliseconds(10000)) {
+    return system.call(entry, "POST", "/services/desk/bookings", body, {{"Idempotency-Key", key}},
+                       timeout);
+}
+
+/// Books in the background.
+inline std::future<http_answer> start_booking(deployment& system, std::size_t entry,
+                                              const std::string& key,
+                                              milliseconds timeout = milliseconds(10000)) {
+    return std::async(std::launch::async, [&system, entry, key, timeout] {
+        return book(system, entry, key, "berth 7", timeout);
+    });
+}
+
+/// @return the verdict that an answer carries
+inline std::string verdict_of(const http_answer& answer) {
+    return find_header(answer.headers, "X-Run-Verdict");
+}
+
+} // namespace citronseam::harness
+
+#endif
