Keep waiting requests moving, and hold the place of a broken-off one

Cause: under a burst from three entries one server answered 205 of 600 and 123 callers timed out while the server stood idle. A trace showed the head of each entry's queue excluding the only server, which had refused it once, so nothing behind it moved; and after a refusal an entry waited for the next heartbeat although places fell free in between. The server also fell over: a cancelled request gave its place back before the server had noticed the hang-up.

Ruled out: the limit itself (the server never held more than its cold limit) and early shedding (it followed from the stalled rate).

Change: a request that waits forgets its exclusions; an agent that refused for want of room announces the next free place; a broken-off request keeps its place for 500 ms; any momentary refusal closes the server at that entry until its next heartbeat.

--- a/src/programs/agent/admission_gate.cpp
+++ b/src/programs/agent/admission_gate.cpp
@@ -1,5 +1,7 @@
 #include "programs/agent/admission_gate.h"
 
+#include <utility>
+
 #include "citronseam/process/log.h"
 
 namespace citronseam {
@@ -38,12 +40,18 @@
     }
     const std::lock_guard<std::mutex> lock(mutex_);
     if (!is_admissible(state_, is_isolated)) {
+        has_refused_ = true;
         return refusal::limit;
     }
     ticket = admit(state_, is_isolated);
     return refusal::none;
 }
 
+bool admission_gate::take_refused_mark() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return std::exchange(has_refused_, false);
+}
+
 void admission_gate::leave(const admission_ticket& ticket) {
     const std::lock_guard<std::mutex> lock(mutex_);
     release(state_, ticket);
--- a/src/programs/agent/admission_gate.h
+++ b/src/programs/agent/admission_gate.h
@@ -31,6 +31,9 @@
     /// @param is_isolated whether the request must run alone
     /// @param ticket      receives the place
     refusal enter(bool is_isolated, admission_ticket& ticket);
+    /// @return whether a request was refused for want of room since the last call; those who sent
+    /// it wait for word that there is room again
+    bool take_refused_mark();
     /// Gives a place back without evidence.
     void leave(const admission_ticket& ticket);
     /// Gives a place back after a whole answer.
@@ -71,6 +74,7 @@
     admission_state state_;
     bool is_ready_{false};
     bool is_leaving_{false};
+    bool has_refused_{false};
 };
 
 } // namespace citronseam
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -53,7 +53,11 @@
 
     void start() {
         context_.report_loss = [this](std::uint64_t fingerprint) { report_loss(fingerprint); };
-        context_.request_ended = [] {};
+        context_.request_ended = [this] {
+            if (gate_.take_refused_mark()) {
+                announce();
+            }
+        };
         gate_.on_change([this] { announce(); });
         hub_.on_change([this](const control_view&) { reconcile(); });
         dialer_ = std::make_shared<dialer>(
--- a/src/programs/agent/agent_request.cpp
+++ b/src/programs/agent/agent_request.cpp
@@ -9,6 +9,9 @@
 
 /// Time after which a place is likely free again.
 constexpr milliseconds place_expected{200};
+/// A backend server notices that a request was broken off when it next writes to the connection.
+/// Until then it still works on it, so the place stays taken this long.
+constexpr milliseconds break_off_time{500};
 constexpr std::size_t largest_part = 64 * kibibyte;
 constexpr int overloaded_status = 503;
 constexpr std::string_view overload_header = "X-Engine-Overloaded";
@@ -177,10 +180,17 @@
 void agent_request::handle_done(const http_outcome& outcome) {
     if (outcome.is_complete) {
         handle_answer(outcome);
+        context_.request_ended();
     } else {
         handle_broken(outcome);
     }
-    context_.request_ended();
+}
+
+void agent_request::leave_later() {
+    context_.control.post_after(break_off_time, [self = shared_from_this()] {
+        self->context_.gate.leave(self->ticket_);
+        self->context_.request_ended();
+    });
 }
 
 void agent_request::handle_answer(const http_outcome&) {
@@ -204,8 +214,9 @@
 }
 
 void agent_request::handle_broken(const http_outcome& outcome) {
-    context_.gate.leave(ticket_);
     if (outcome.verdict == run_verdict::not_run) {
+        context_.gate.leave(ticket_);
+        context_.request_ended();
         if (claim_ != nullptr) {
             claim_->give_back();
         }
@@ -214,6 +225,7 @@
                  place_expected);
         return;
     }
+    leave_later();
     if (outcome.is_cancelled) {
         send_end(run_verdict::may_have_run, refusal::cancelled, "the caller hung up");
         return;
--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -14,8 +14,6 @@
 /// An answer that is not a stream is held back until it is whole, up to this size, so that a loss
 /// in the middle can still be told as an error or be repaired by a retry.
 constexpr std::size_t largest_buffered = mebibyte;
-/// Backend servers that refused a request without running it, before the request waits its turn.
-constexpr int most_refusals = 8;
 constexpr std::string_view stream_type = "text/event-stream";
 
 std::uint64_t next_number() {
@@ -302,8 +300,9 @@
 
 void request_exchange::end_attempt(attempt_outcome outcome) {
     const backend_server_load* tried = &attempt_.link->load();
-    if (outcome.reason == refusal::limit) {
-        // Its agent says that there is no room: until the next heartbeat this is the newest word.
+    if (is_momentary(outcome.reason)) {
+        // Its agent says that it takes nothing now: until the next heartbeat this is the newest
+        // word.
         attempt_.link->load().limit.store(0, std::memory_order_relaxed);
     }
     release_attempt(false, outcome.verdict, outcome.reason);
@@ -341,11 +340,6 @@
     context_.numbers.count(
         "citronseam_retries_total",
         {{"service", request_.service}, {"reason", std::string(name(outcome.reason))}});
-    if (++refusals_ >= most_refusals) {
-        // All that were tried refused. What excluded them may have passed, so the request waits.
-        refusals_ = 0;
-        excluded_.clear();
-    }
     dispatcher_->submit(shared_from_this());
 }
 
--- a/src/programs/entry/request_exchange.h
+++ b/src/programs/entry/request_exchange.h
@@ -78,6 +78,9 @@
     time_point deadline() const noexcept { return deadline_; }
     /// @return backend servers that refused this request
     const std::vector<const backend_server_load*>& excluded() const noexcept { return excluded_; }
+    /// Allows all backend servers again. A request that waits would otherwise hold up those behind
+    /// it while the only server with room is one that refused it earlier.
+    void forget_exclusions() { excluded_.clear(); }
     /// @return whether no backend server was tried yet
     bool is_first_attempt() const noexcept { return attempts_ == 0; }
     /// @return the row for the queue
@@ -129,7 +132,6 @@
 
     std::vector<const backend_server_load*> excluded_;
     std::atomic<int> attempts_{0};
-    int refusals_{0};
     attempt_state attempt_;
     run_verdict verdict_{run_verdict::not_run};
     request_trace trace_;
--- a/src/programs/entry/service_dispatcher.cpp
+++ b/src/programs/entry/service_dispatcher.cpp
@@ -79,6 +79,7 @@
         refused.push_back({exchange, std::min(wait, longest_return)});
         return;
     }
+    exchange->forget_exclusions();
     waiting_[exchange->number()] = exchange;
     if (outcome.evicted) {
         const auto evicted = waiting_.find(outcome.evicted->id);
--- /dev/null
+++ b/tests/process_fault_test.cpp
@@ -0,0 +1,165 @@
+// Silent connections, late answers, cold starts and requests that crash their servers.
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+#include "support/requests.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+constexpr milliseconds bound{8000};
+/// Silence timeout of the test deployments, with room for the verdict to travel.
+constexpr milliseconds silence_bound{4000};
+
+TEST(process_fault, requests_on_a_connection_that_went_silent_get_their_verdict) {
+    auto plan = small_plan();
+    plan.entry_zones = {"zone-a"};
+    plan.has_relays = true;
+    plan.backend_servers = {{"agent-d", "desk", "zone-a", false, {"--work-ms", "30"}}};
+    deployment system(plan);
+    system.start();
+    system.link("peer:entry-0").silence_open_connections();
+    const auto began = std::chrono::steady_clock::now();
+    const auto booked = book(system, 0, "k");
+    EXPECT_EQ(verdict_of(booked), "may_have_run") << booked.body;
+    EXPECT_LT(elapsed_ms(began, std::chrono::steady_clock::now()), silence_bound.count());
+    // A new connection works, so the server is not given up.
+    http_answer lookup;
+    EXPECT_TRUE(wait_until(
+        [&] {
+            lookup = system.call(0, "POST", "/services/desk/lookups", "gate");
+            return lookup.outcome.status == 200;
+        },
+        bound))
+        << lookup.body;
+}
+
+TEST(process_fault, an_idempotent_request_moves_when_its_connection_goes_silent) {
+    auto plan = small_plan();
+    plan.entry_zones = {"zone-a"};
+    plan.has_relays = true;
+    plan.backend_servers = {{"agent-d", "desk", "zone-a", false, {"--work-ms", "200"}},
+                            {"agent-e", "desk", "zone-b", false, {"--work-ms", "200"}}};
+    deployment system(plan);
+    system.start();
+    auto lookup = std::async(std::launch::async, [&system] {
+        return system.call(0, "POST", "/services/desk/lookups", "gate");
+    });
+    std::this_thread::sleep_for(milliseconds(50));
+    system.link("peer:entry-0").silence_open_connections();
+    const auto answer = lookup.get();
+    EXPECT_EQ(answer.outcome.status, 200) << answer.body;
+}
+
+TEST(process_fault, an_agent_that_wakes_late_crosses_no_answers) {
+    auto plan = small_plan();
+    plan.backend_servers = {{"agent-a", "pool", "zone-a", true, {}},
+                            {"agent-b", "pool", "zone-b", true, {}}};
+    deployment system(plan);
+    system.start();
+    const auto load =
+        system.start_load({"--service", "pool", "--rate", "50", "--seconds", "6", "--tokens", "8"});
+    for (int i = 0; i < 2; ++i) {
+        std::this_thread::sleep_for(milliseconds(500));
+        system.process("agent-a").send_signal(SIGSTOP);
+        std::this_thread::sleep_for(milliseconds(2000));
+        system.process("agent-a").send_signal(SIGCONT);
+    }
+    const auto result = deployment::load_result(*load);
+    // The load tool knows each request's own answer and compares every token of it.
+    EXPECT_EQ(result["short_answers"], 0) << result.dump();
+    EXPECT_GT(result["answered"], 0);
+}
+
+TEST(process_fault, a_cold_server_never_holds_more_than_it_bears) {
+    auto plan = small_plan();
+    plan.entry_zones = {"zone-a", "zone-a", "zone-b"};
+    plan.backend_servers = {{"agent-a",
+                             "pool",
+                             "zone-a",
+                             true,
+                             {"--cold-capacity", "1", "--cold-requests", "1", "--warm-capacity",
+                              "8", "--falls-over", "1"}}};
+    deployment system(plan);
+    system.start();
+    const auto result = system.load({"--service", "pool", "--rate", "300", "--seconds", "2",
+                                     "--tokens", "8", "--timeout-ms", "9000"});
+    ASSERT_TRUE(system.process("agent-a-server").is_running())
+        << "it fell over: " << system.process("agent-a-server").output() << result.dump();
+    EXPECT_EQ(result["short_answers"], 0) << result.dump();
+    EXPECT_GE(result["answered"].get<int>(), 9 * result["sent"].get<int>() / 10) << result.dump();
+    const auto status =
+        system.ask("GET", "http://" + system.address("agent-a-server", "http") + "/admin/status");
+    EXPECT_LE(nlohmann::json::parse(status.body)["most_while_cold"], 1);
+}
+
+TEST(process_fault, a_warm_server_that_turns_cold_is_relieved_at_once) {
+    auto plan = small_plan();
+    plan.backend_servers = {
+        {"agent-a", "pool", "zone-a", true, {"--cold-requests", "2", "--warm-capacity", "8"}},
+        {"agent-b", "pool", "zone-b", true, {"--cold-requests", "2"}}};
+    deployment system(plan);
+    system.start();
+    const auto load = system.start_load({"--service", "pool", "--rate", "80", "--seconds", "4",
+                                         "--tokens", "8", "--timeout-ms", "9000"});
+    std::this_thread::sleep_for(seconds(2));
+    system.set_faults("agent-a-server", {{"cold", true}});
+    const auto result = deployment::load_result(*load);
+    EXPECT_EQ(result["answered"], result["sent"]) << result.dump();
+    // The sign is the first answer that says so: what was under way at that instant is all that a
+    // cold server was ever given beyond its limit.
+    int refused = 0;
+    for (const auto& event : system.record("agent-a-server")) {
+        refused += event.value("event", "") == "overloaded" ? 1 : 0;
+    }
+    EXPECT_LE(refused, 8);
+}
+
+TEST(process_fault, a_request_that_crashes_its_servers_is_quarantined_everywhere) {
+    auto plan = small_plan();
+    plan.backend_servers = {{"agent-a", "pool", "zone-a", true, {}},
+                            {"agent-b", "pool", "zone-b", true, {}},
+                            {"agent-c", "pool", "zone-b", true, {}}};
+    deployment system(plan);
+    system.start();
+    const std::string body = completion("crash-the-engine please", 4, true);
+    const auto first = system.call(0, "POST", "/v1/completions", body);
+    EXPECT_GE(first.outcome.status, 400) << first.body;
+    const auto runs = [&system] { return system.count_runs_of_service("pool", "event", "run"); };
+    int alive = 0;
+    for (const auto* name : {"agent-a", "agent-b", "agent-c"}) {
+        alive += system.process(std::string(name) + "-server").is_running() ? 1 : 0;
+    }
+    EXPECT_EQ(alive, 1) << "two servers are lost to one request, and no third";
+    http_answer again;
+    ASSERT_TRUE(wait_until(
+        [&] {
+            again = system.call(1, "POST", "/v1/completions", body);
+            return find_header(again.headers, "X-Refusal") == "quarantined";
+        },
+        bound))
+        << again.body;
+    EXPECT_EQ(again.outcome.status, 422);
+    EXPECT_EQ(verdict_of(again), "not_run");
+    EXPECT_EQ(runs(), 0) << "the server that lives never saw it";
+    const auto other = system.call(1, "POST", "/v1/completions", completion("harmless", 4, true));
+    EXPECT_EQ(other.outcome.status, 200) << other.body;
+
+    const auto listed = system.tool({"quarantine", "list"});
+    ASSERT_EQ(listed.status, 0) << listed.errors;
+    const auto requests = nlohmann::json::parse(listed.output)["requests"];
+    ASSERT_EQ(requests.size(), 1U) << listed.output;
+    const std::string fingerprint = requests[0]["fingerprint"];
+    EXPECT_EQ(system.tool({"quarantine", "release", fingerprint}).status, 0);
+    EXPECT_TRUE(wait_until(
+        [&] {
+            const auto left = system.tool({"quarantine", "list"});
+            return nlohmann::json::parse(left.output)["requests"].empty();
+        },
+        bound));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/process_zone_test.cpp
@@ -0,0 +1,156 @@
+// Availability zones and leaving: no new work after the bound, nothing in flight cut.
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+#include "support/requests.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+/// After this time a zone that was taken out, and a server that leaves, gets no new work.
+constexpr milliseconds out_bound{3000};
+
+deployment_plan pool_plan() {
+    auto plan = small_plan();
+    plan.backend_servers = {{"agent-a", "pool", "zone-a", true, {"--cold-requests", "1"}},
+                            {"agent-b", "pool", "zone-b", true, {"--cold-requests", "1"}}};
+    return plan;
+}
+
+/// Runs of a server that began later than a moment.
+int runs_after(deployment& system, const std::string& server, std::uint64_t moment_ms) {
+    int count = 0;
+    for (const auto& event : system.record(server)) {
+        const bool is_run = event.value("event", "") == "run";
+        count += is_run && event.value("at_ms", std::uint64_t{0}) > moment_ms ? 1 : 0;
+    }
+    return count;
+}
+
+std::vector<std::string> steady_load(const std::string& seconds, const std::string& rate = "40") {
+    return {"--service", "pool", "--rate", rate, "--seconds", seconds, "--tokens", "4"};
+}
+
+void expect_all_answered(const nlohmann::json& load) {
+    EXPECT_EQ(load["answered"], load["sent"]) << load.dump();
+    EXPECT_EQ(load["short_answers"], 0) << load.dump();
+}
+
+TEST(process_zone, a_zone_taken_out_gets_no_new_work_and_comes_back) {
+    deployment system(pool_plan());
+    system.start();
+    const auto load = system.start_load(steady_load("9"));
+    std::this_thread::sleep_for(seconds(1));
+    const auto out = system.tool({"zone", "out", "zone-a"});
+    ASSERT_EQ(out.status, 0) << out.errors;
+    const std::uint64_t moment = wall_clock_ms() + out_bound.count();
+    std::this_thread::sleep_for(seconds(5));
+    EXPECT_EQ(runs_after(system, "agent-a-server", moment), 0);
+    EXPECT_GT(runs_after(system, "agent-b-server", moment), 0);
+    const std::uint64_t back = wall_clock_ms();
+    ASSERT_EQ(system.tool({"zone", "in", "zone-a"}).status, 0);
+    expect_all_answered(deployment::load_result(*load));
+    EXPECT_GT(runs_after(system, "agent-a-server", back), 0);
+}
+
+TEST(process_zone, it_holds_while_the_table_service_is_down) {
+    deployment system(pool_plan());
+    system.start();
+    system.set_faults("store", {{"hang", true}});
+    const auto load = system.start_load(steady_load("7"));
+    const auto out = system.tool({"zone", "out", "zone-a"});
+    EXPECT_EQ(out.status, 3) << "the configuration could not be changed: " << out.errors;
+    const std::uint64_t moment = wall_clock_ms() + out_bound.count();
+    expect_all_answered(deployment::load_result(*load));
+    EXPECT_EQ(runs_after(system, "agent-a-server", moment), 0);
+    EXPECT_GT(runs_after(system, "agent-b-server", moment), 0);
+}
+
+TEST(process_zone, it_holds_while_an_entry_is_cut_off_with_its_agents) {
+    auto plan = pool_plan();
+    plan.entry_zones = {"zone-a", "zone-b", "zone-b"};
+    plan.has_relays = true;
+    deployment system(plan);
+    system.start();
+    // entry-0 hears neither the table service nor the other entries; the agents hear all entries.
+    system.link("store:entry-0").set_cut(true);
+    system.link("peer:entry-1").set_cut(true);
+    system.link("peer:entry-2").set_cut(true);
+    const auto out =
+        system.tool({"zone", "out", "zone-a", "--entry", system.address("entry-1", "operator")});
+    ASSERT_EQ(out.status, 0) << out.errors;
+    const std::uint64_t moment = wall_clock_ms() + out_bound.count();
+    const auto load =
+        system.start_load({"--service", "pool", "--rate", "20", "--seconds", "6", "--tokens", "4",
+                           "--target", "http://" + system.address("entry-0", "http")});
+    const auto result = deployment::load_result(*load);
+    EXPECT_EQ(result["short_answers"], 0);
+    EXPECT_EQ(runs_after(system, "agent-a-server", moment), 0) << result.dump();
+}
+
+TEST(process_zone, it_holds_for_an_agent_that_was_paused_and_wakes) {
+    deployment system(pool_plan());
+    system.start();
+    system.process("agent-a").send_signal(SIGSTOP);
+    // These requests wait in the paused agent's socket.
+    const auto load = system.start_load({"--service", "pool", "--rate", "40", "--seconds", "1",
+                                         "--tokens", "4", "--timeout-ms", "8000"});
+    deployment::load_result(*load);
+    ASSERT_EQ(system.tool({"zone", "out", "zone-a"}).status, 0);
+    const std::uint64_t moment = wall_clock_ms() + out_bound.count();
+    std::this_thread::sleep_for(out_bound + milliseconds(500));
+    system.process("agent-a").send_signal(SIGCONT);
+    std::this_thread::sleep_for(seconds(2));
+    EXPECT_EQ(runs_after(system, "agent-a-server", moment), 0);
+}
+
+TEST(process_zone, an_agent_that_leaves_finishes_what_it_has) {
+    auto plan = pool_plan();
+    for (auto& server : plan.backend_servers) {
+        server.arguments.insert(server.arguments.end(), {"--token-ms", "60"});
+    }
+    deployment system(plan);
+    system.start();
+    // Warm both servers, so that the load fits into what they admit.
+    system.load({"--service", "pool", "--rate", "6", "--seconds", "3", "--tokens", "2"});
+    const auto load =
+        system.start_load({"--service", "pool", "--rate", "3", "--seconds", "6", "--tokens", "20"});
+    std::this_thread::sleep_for(seconds(2));
+    system.process("agent-a").send_signal(SIGTERM);
+    const std::uint64_t moment = wall_clock_ms() + out_bound.count();
+    EXPECT_EQ(system.process("agent-a").wait(milliseconds(10000)), 0);
+    const auto result = deployment::load_result(*load);
+    EXPECT_EQ(result["aborted"], 0) << result.dump();
+    EXPECT_EQ(result["short_answers"], 0);
+    EXPECT_EQ(runs_after(system, "agent-a-server", moment), 0);
+}
+
+TEST(process_zone, an_entry_that_leaves_finishes_its_answers_and_points_elsewhere) {
+    auto plan = pool_plan();
+    plan.backend_servers[0].arguments.insert(plan.backend_servers[0].arguments.end(),
+                                             {"--token-ms", "100"});
+    deployment system(plan);
+    system.start();
+    auto running = std::async(std::launch::async, [&system] {
+        return system.call(0, "POST", "/v1/completions", completion("long", 40, true));
+    });
+    std::this_thread::sleep_for(milliseconds(500));
+    system.process("entry-0").send_signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(300));
+    const auto refused = system.call(0, "POST", "/v1/completions", completion("new", 4, true));
+    EXPECT_EQ(refused.outcome.status, 307);
+    EXPECT_EQ(verdict_of(refused), "not_run");
+    EXPECT_NE(find_header(refused.headers, "Location").find(system.address("entry-1", "http")),
+              std::string::npos);
+    const auto entries = system.call(1, "GET", "/v1/entries");
+    EXPECT_EQ(nlohmann::json::parse(entries.body)["entries"].size(), 1U) << entries.body;
+    const auto answer = running.get();
+    EXPECT_TRUE(answer.outcome.is_complete);
+    EXPECT_NE(answer.body.find("[DONE]"), std::string::npos);
+    EXPECT_EQ(system.process("entry-0").wait(milliseconds(15000)), 0);
+}
+
+} // namespace
