--- a/include/citronseam/process/configuration.h
+++ b/include/citronseam/process/configuration.h
@@ -36,6 +36,14 @@
 /// @return the name of a policy as written in configuration
 std::string_view name(isolation_policy policy) noexcept;
 
+/// Where agents get the chunks of a version from.
+enum class spread_policy : std::uint8_t {
+    peers, ///< from each other; each chunk leaves the origin about once
+    origin ///< each draws all of them from the origin: the baseline for measurements
+};
+/// @return the name of a policy as written in configuration
+std::string_view name(spread_policy policy) noexcept;
+
 /// A region: availability zones joined by fast links.
 struct region {
     std::string name;
@@ -75,6 +83,7 @@
 
 /// Bounds of putting a model version in force.
 struct rollout_limits {
+    spread_policy spread{spread_policy::peers};
     std::uint32_t parallel_per_zone{1}; ///< engines that may reload at once per zone
     std::uint64_t origin_rate{0};       ///< bytes a second drawn from the origin; 0 unlimited
     std::uint64_t peer_rate{0};         ///< bytes a second each agent sends; 0 unlimited
@@ -101,6 +110,7 @@
 struct configuration {
     std::string deployment;
     evidence_settings evidence;
+    std::string origin_region; ///< region in which the origin of weights stands
     std::vector<region> regions;
     std::vector<availability_zone> availability_zones;
     std::vector<workspace> workspaces;
--- a/include/citronseam/process/settings.h
+++ b/include/citronseam/process/settings.h
@@ -53,6 +53,7 @@
     std::string availability_zone;
     std::string http_address; ///< `host:port` for callers, entries only; port 0 picks a free one
     std::string peer_address; ///< `host:port` for other processes of the system
+    std::string advertised_peer_address; ///< what others dial, when it differs from peer_address
     std::string operator_address; ///< `host:port` for operators: health, metrics, status, control
     platform_settings platform;
     backend_server_settings backend_server; ///< agents only
--- /dev/null
+++ b/include/citronseam/version/chunk_plan.h
@@ -0,0 +1,90 @@
+/// @file
+/// Decides which chunk an agent fetches next, and from where.
+///
+/// Each chunk has, in each region, one agent that brings it in over the scarce link: from the
+/// origin inside the origin's region, from that region's agents elsewhere. Rendezvous hashing over
+/// the agents names it, so no process keeps track. All others wait for the chunk to spread between
+/// neighbours. Only when nothing new came for a while do agents of the next rank step in.
+#ifndef CITRONSEAM_VERSION_CHUNK_PLAN_H
+#define CITRONSEAM_VERSION_CHUNK_PLAN_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "citronseam/process/clock.h"
+#include "citronseam/process/random.h"
+
+namespace citronseam {
+
+/// An agent that takes part in spreading a service's versions.
+struct swarm_member {
+    std::string instance;
+    std::string peer_address;
+    std::string region;
+    bool is_ready{false}; ///< its backend server serves requests
+
+    bool operator==(const swarm_member&) const = default;
+};
+
+/// @return how many members of the region stand before `self` in bringing in a chunk; 0: it is the
+/// one that does
+std::uint32_t draw_rank(std::string_view version, std::size_t chunk, std::string_view self,
+                        std::string_view region, const std::vector<swarm_member>& members);
+
+/// Chooses the members that an agent keeps connections to: a bounded number in its own region, and
+/// when the region is not the origin's, a smaller number in the origin's region.
+std::vector<swarm_member> choose_neighbours(std::string_view self, std::string_view region,
+                                            std::string_view origin_region,
+                                            const std::vector<swarm_member>& members);
+
+/// What is known of one connected neighbour.
+struct neighbour_state {
+    std::vector<bool> held;     ///< by chunk
+    std::uint32_t requested{0}; ///< chunks asked for and not yet here
+    std::uint32_t faults{0};    ///< chunks with wrong content
+    std::uint32_t late{0};      ///< chunks that did not come in time since the last one that did
+    bool is_same_region{true};
+};
+
+/// A neighbour with this many faults is asked no more for this version.
+constexpr std::uint32_t most_faults = 3;
+/// A neighbour with this many late chunks is asked again only after it gave a sign of life.
+constexpr std::uint32_t most_late = 3;
+/// Chunks asked of one neighbour at once.
+constexpr std::uint32_t requests_per_neighbour = 4;
+
+/// State of fetching one version.
+struct fetch_state {
+    std::vector<bool> wanted;         ///< by chunk: neither held nor asked for
+    std::vector<std::uint32_t> ranks; ///< by chunk, see draw_rank()
+    std::vector<neighbour_state> neighbours;
+    std::uint32_t level{0};           ///< ranks up to this one may use the scarce link
+    bool is_origin_near{true};        ///< own region is the origin's, or no member is there
+    std::uint32_t origin_requests{0}; ///< chunks asked of the origin
+    std::uint32_t origin_parallel{2}; ///< chunks asked of the origin at once at most
+};
+
+/// One step to take.
+struct fetch_choice {
+    std::size_t chunk{0};
+    std::optional<std::size_t> neighbour; ///< nothing: from the origin
+};
+
+/// @return the rarest chunk that can be fetched now, or nothing
+std::optional<fetch_choice> choose_fetch(const fetch_state& state, random_source& random);
+
+/// @param idle          time since the last new chunk
+/// @param stall_timeout time after which the next rank steps in
+std::uint32_t draw_level(milliseconds idle, milliseconds stall_timeout) noexcept;
+
+/// Time after which a fetch or a drawer is taken to be stalled: several chunks' time on the link.
+/// @param chunk_size bytes
+/// @param rate       bytes a second of the slowest link on the way; 0 is unlimited
+milliseconds stall_timeout(std::uint64_t chunk_size, std::uint64_t rate) noexcept;
+
+} // namespace citronseam
+
+#endif
--- a/src/process/configuration.cpp
+++ b/src/process/configuration.cpp
@@ -23,6 +23,11 @@
     {isolation_policy::serve, "serve"},
 }};
 
+constexpr std::array<enum_name<spread_policy>, 2> spread_names{{
+    {spread_policy::peers, "peers"},
+    {spread_policy::origin, "origin"},
+}};
+
 constexpr std::uint64_t most_concurrency = 65536;
 constexpr std::uint64_t most_queued = 65536;
 constexpr std::uint64_t most_weight = 1000;
@@ -53,6 +58,8 @@
 void read_rollout(yaml_object& object, rollout_limits& rollout) {
     rollout.parallel_per_zone =
         small_number(object, "parallel_per_zone", rollout.parallel_per_zone, 1, most_concurrency);
+    const std::string spread = object.choice_or("spread", "peers", all_names(spread_names));
+    rollout.spread = find_value(spread_names, spread).value_or(spread_policy::peers);
     rollout.origin_rate = object.rate_or("origin_rate", rollout.origin_rate);
     rollout.peer_rate = object.rate_or("peer_rate", rollout.peer_rate);
 }
@@ -131,6 +138,15 @@
     });
 }
 
+void read_origin_region(yaml_object& root, configuration& config) {
+    const std::string first = config.regions.empty() ? "" : config.regions.front().name;
+    config.origin_region = root.text_or("origin_region", first);
+    const auto is_named = [&](const region& known) { return known.name == config.origin_region; };
+    if (!std::any_of(config.regions.begin(), config.regions.end(), is_named)) {
+        root.report("origin_region", "there is no region '" + config.origin_region + "'");
+    }
+}
+
 void read_root(yaml_object& root, configuration& config) {
     config.deployment = root.text("deployment");
     root.object("evidence", [&](yaml_object& object) {
@@ -141,6 +157,7 @@
             find_value(isolation_names, policy).value_or(isolation_policy::refuse);
     });
     read_zones(root, config);
+    read_origin_region(root, config);
     std::set<std::string> workspace_names;
     root.objects("workspaces", [&](yaml_object& object) {
         workspace value;
@@ -185,6 +202,9 @@
 std::string_view name(fencing_mode mode) noexcept {
     return find_name(fencing_names, mode);
 }
+std::string_view name(spread_policy policy) noexcept {
+    return find_name(spread_names, policy);
+}
 std::string_view name(isolation_policy policy) noexcept {
     return find_name(isolation_names, policy);
 }
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -68,6 +68,9 @@
     value.availability_zone = object.text("availability_zone");
     object.object("listen", [&](yaml_object& listen) {
         value.peer_address = read_address(listen, "peer");
+        if (listen.has("peer_advertised")) {
+            value.advertised_peer_address = read_address(listen, "peer_advertised");
+        }
         value.operator_address = read_address(listen, "operator");
         if (value.role == process_role::entry) {
             value.http_address = read_address(listen, "http");
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -16,8 +16,10 @@
 namespace citronseam {
 namespace {
 
-constexpr milliseconds reconcile_interval{200};
+constexpr milliseconds reconcile_interval{100};
 constexpr milliseconds status_interval{500};
+/// Time between questions to an entry for the other agents of the service.
+constexpr milliseconds neighbours_interval{500};
 constexpr milliseconds store_timeout{1500};
 constexpr milliseconds drain_poll{20};
 /// After the last request ended, answers may still be in the sockets' buffers.
@@ -35,7 +37,8 @@
                  store_timeout),
           context_{options_, incarnation_, control_, traffic_, numbers_, hub_, gate_,
                    backend_, platform_,    store_,   {1},      {},       {}},
-          keeper_(std::make_shared<version_keeper>(context_)) {}
+          swarm_(std::make_shared<chunk_swarm>(context_, [this] { return make_hello(); })),
+          keeper_(std::make_shared<version_keeper>(context_, swarm_)) {}
 
     int run() {
 
@@ -59,11 +62,14 @@
             }
         };
         gate_.on_change([this] { announce(); });
-        hub_.on_change([this](const control_view&) { reconcile(); });
         dialer_ = std::make_shared<dialer>(
             traffic_.context(), [this] { return make_hello(); },
             session_timing{options_.control.heartbeat_interval, options_.control.silence_timeout},
             make_observer());
+        swarm_->start();
+        peer_address_ = options_.advertised_peer_address.empty()
+                            ? address_of(options_.peer_address, swarm_->port())
+                            : options_.advertised_peer_address;
         operator_server_ =
             start_operator_server(*parse_host_port(options_.operator_address), numbers_,
                                   {[this] { return readiness(); },
@@ -74,10 +80,17 @@
         log_event(log_level::info, "listening",
                   {{"role", "agent"},
                    {"instance", options_.instance},
+                   {"peer", peer_address_},
+                   {"peer_port", swarm_->port()},
                    {"operator", address_of(options_.operator_address, operator_server_->port())}});
         control_.post([this] { read_instance_list(); });
         control_.post([this] { watch_backend(); });
-        repeat(control_, reconcile_interval, [this] { reconcile(); });
+        control_.post([this] { ask_neighbours(); });
+        repeat(control_, reconcile_interval, [this] {
+            reconcile();
+            const std::lock_guard<std::mutex> lock(progress_mutex_);
+            progress_ = keeper_->progress();
+        });
     }
 
     static std::string address_of(const std::string& listen, std::uint16_t port) {
@@ -163,7 +176,7 @@
         hello.incarnation = incarnation_;
         hello.availability_zone = options_.availability_zone;
         hello.service = options_.backend_server.service;
-        hello.peer_address = options_.peer_address;
+        hello.peer_address = peer_address_;
         return make_frame(std::move(hello));
     }
 
@@ -214,6 +227,9 @@
         case wire::body::request_start:
             start_request(session, *message.body_as_request_start());
             break;
+        case wire::body::neighbours_reply:
+            take_neighbours(*message.body_as_neighbours_reply());
+            break;
         case wire::body::request_cancel:
             cancel_request(session, message.body_as_request_cancel()->request());
             break;
@@ -223,6 +239,42 @@
         }
     }
 
+    /// Asks one of the entries who else serves this service. Entries know their agents first hand,
+    /// so the answer is fresher than the platform's list.
+    void ask_neighbours() {
+        const auto sessions = dialer_->sessions();
+        if (!sessions.empty() && is_engine()) {
+            auto chosen = sessions.begin();
+            std::advance(chosen, below(random_, sessions.size()));
+            wire::neighbours_requestT request;
+            request.service = options_.backend_server.service;
+            request.availability_zone = options_.availability_zone;
+            chosen->second->send(make_frame(std::move(request)));
+        }
+        control_.post_after(neighbours_interval, [this] { ask_neighbours(); });
+    }
+
+    void take_neighbours(const wire::neighbours_reply& message) {
+        const control_view view = hub_.view();
+        if (view->accepted == nullptr || message.neighbours() == nullptr) {
+            return;
+        }
+        const configuration& config = view->accepted->content;
+        std::vector<swarm_member> members;
+        for (const auto* row : *message.neighbours()) {
+            members.push_back(
+                {std::string(citronseam::view(row->instance())),
+                 std::string(citronseam::view(row->peer_address())),
+                 std::string(region_of(config, citronseam::view(row->availability_zone()))),
+                 row->is_ready()});
+        }
+        control_.post([this, members = std::move(members),
+                       region = std::string(region_of(config, options_.availability_zone)),
+                       origin = config.origin_region]() mutable {
+            swarm_->set_members(std::move(members), region, origin);
+        });
+    }
+
     void start_request(const session_pointer& session, const wire::request_start& message) {
         auto request = std::make_shared<agent_request>(context_, session, message);
         {
@@ -332,6 +384,7 @@
         }
         std::this_thread::sleep_for(linger);
         dialer_->stop();
+        swarm_->stop();
         operator_server_.reset();
         control_.stop();
         traffic_.stop();
@@ -348,13 +401,16 @@
     http_client platform_;
     table_client store_;
     agent_context context_;
+    std::shared_ptr<chunk_swarm> swarm_;
     std::shared_ptr<version_keeper> keeper_;
     std::shared_ptr<dialer> dialer_;
     std::unique_ptr<http_server> operator_server_;
+    std::string peer_address_;
 
     std::mutex requests_mutex_;
     std::map<std::uint64_t, request_map> requests_;
 
+    random_source random_{seeded_random_source()};
     mutable std::mutex progress_mutex_;
     version_progress progress_;
     std::atomic<bool> is_announcing_{false};
--- /dev/null
+++ b/src/programs/agent/chunk_swarm.cpp
@@ -0,0 +1,461 @@
+#include "programs/agent/chunk_swarm.h"
+
+#include "citronseam/process/log.h"
+
+namespace citronseam {
+namespace {
+
+constexpr milliseconds origin_timeout{30000};
+constexpr std::uint32_t origin_parallel = 2;
+/// Share of a second that a bucket may send at once after a pause.
+constexpr std::uint64_t burst_share = 20;
+
+std::string pack_bits(const std::vector<bool>& bits) {
+    std::string bytes((bits.size() + 7) / 8, '\0');
+    for (std::size_t i = 0; i < bits.size(); ++i) {
+        if (bits[i]) {
+            bytes[i / 8] =
+                static_cast<char>(static_cast<unsigned char>(bytes[i / 8]) | (1U << (i % 8)));
+        }
+    }
+    return bytes;
+}
+
+std::vector<bool> unpack_bits(const std::string& bytes, std::size_t count) {
+    std::vector<bool> bits(count, false);
+    for (std::size_t i = 0; i < count && i / 8 < bytes.size(); ++i) {
+        bits[i] = ((static_cast<unsigned char>(bytes[i / 8]) >> (i % 8)) & 1U) != 0;
+    }
+    return bits;
+}
+
+} // namespace
+
+chunk_swarm::chunk_swarm(agent_context& context, std::function<shared_frame()> hello)
+    : context_(context), hello_(std::move(hello)), random_(seeded_random_source()) {
+    chunks_.limit = context.options.weight_memory;
+    listener_ = std::make_shared<peer_listener>(
+        context.traffic.context(), *parse_host_port(context.options.peer_address),
+        [this](asio::ip::tcp::socket socket) {
+            const session_timing timing{context_.options.control.heartbeat_interval,
+                                        context_.options.control.silence_timeout};
+            std::make_shared<peer_session>(std::move(socket), hello_(), timing, make_observer())
+                ->start();
+        });
+}
+
+void chunk_swarm::start() {
+    dialer_ = std::make_shared<dialer>(context_.traffic.context(), hello_,
+                                       session_timing{context_.options.control.heartbeat_interval,
+                                                      context_.options.control.silence_timeout},
+                                       make_observer());
+    listener_->start();
+}
+
+void chunk_swarm::stop() {
+    listener_->close();
+    dialer_->stop();
+}
+
+std::uint16_t chunk_swarm::port() const {
+    return listener_->port();
+}
+
+session_observer chunk_swarm::make_observer() {
+    session_observer observer;
+    observer.on_hello = [this](const session_pointer& session, const wire::hello& hello) {
+        handle_hello(session, hello);
+    };
+    observer.on_message = [this](const session_pointer& session, const wire::envelope& message) {
+        handle_message(session, message);
+    };
+    observer.on_closed = [this](const session_pointer& session, close_reason) {
+        handle_closed(session);
+    };
+    observer.make_heartbeat = [](const session_pointer&) { return make_frame(wire::heartbeatT{}); };
+    return observer;
+}
+
+void chunk_swarm::handle_hello(const session_pointer& session, const wire::hello& hello) {
+    if (hello.role() != wire::role::agent ||
+        view(hello.service()) != context_.options.backend_server.service) {
+        session->close(close_reason::wrong_protocol);
+        return;
+    }
+    context_.control.post([this, session, instance = std::string(view(hello.instance()))] {
+        connected_agent agent;
+        agent.session = session;
+        agent.instance = instance;
+        agents_[session->number()] = std::move(agent);
+        send_inventory(agents_[session->number()], true);
+    });
+}
+
+void chunk_swarm::handle_message(const session_pointer& session, const wire::envelope& message) {
+    const std::uint64_t number = session->number();
+    if (const auto* inventory = message.body_as_inventory()) {
+        context_.control.post([this, number, version = std::string(view(inventory->manifest())),
+                               held = std::string(view(inventory->held())),
+                               is_question = inventory->is_question()] {
+            take_inventory(number, version, held, is_question);
+        });
+    } else if (const auto* request = message.body_as_chunk_request()) {
+        context_.control.post(
+            [this, number, version = std::string(view(request->manifest())),
+             chunk = std::size_t{request->index()}] { serve_request(number, version, chunk); });
+    } else if (const auto* reply = message.body_as_chunk_reply()) {
+        context_.control.post([this, number, version = std::string(view(reply->manifest())),
+                               chunk = std::size_t{reply->index()}, is_found = reply->found(),
+                               content = std::string(view(reply->data()))]() mutable {
+            take_chunk(number, version, chunk, is_found, std::move(content));
+        });
+    }
+}
+
+void chunk_swarm::handle_closed(const session_pointer& session) {
+    context_.control.post([this, number = session->number()] {
+        const auto found = agents_.find(number);
+        if (found == agents_.end()) {
+            return;
+        }
+        for (const auto& [chunk, moment] : found->second.asked) {
+            if (chunk < is_wanted_.size()) {
+                is_wanted_[chunk] = true;
+            }
+        }
+        agents_.erase(found);
+        ask_all();
+    });
+}
+
+void chunk_swarm::set_members(std::vector<swarm_member> members, const std::string& region,
+                              const std::string& origin_region) {
+    const bool is_same = members == members_ && region == region_;
+    members_ = std::move(members);
+    region_ = region;
+    origin_region_ = origin_region;
+    if (is_same) {
+        return;
+    }
+    dialer::target_map targets;
+    for (const auto& member :
+         choose_neighbours(context_.options.instance, region_, origin_region_, members_)) {
+        targets.emplace(member.instance, member.peer_address);
+    }
+    dialer_->set_targets(std::move(targets));
+    rank_chunks();
+}
+
+void chunk_swarm::set_rates(const swarm_rates& rates) {
+    if (rates.own_link != rates_.own_link || rates.region_link != rates_.region_link) {
+        const time_point now = std::chrono::steady_clock::now();
+        own_bucket_ = make_bucket(rates.own_link, rates.own_link / burst_share, now);
+        region_buckets_.clear();
+    }
+    const bool is_other_policy = rates.spread != rates_.spread;
+    rates_ = rates;
+    if (is_other_policy) {
+        rank_chunks();
+    }
+}
+
+bool chunk_swarm::is_alone() const noexcept {
+    return rates_.spread == spread_policy::origin;
+}
+
+void chunk_swarm::rank_chunks() {
+    ranks_.resize(manifest_.chunks.size());
+    for (std::size_t i = 0; i < ranks_.size(); ++i) {
+        ranks_[i] =
+            is_alone() ? 0 : draw_rank(version_, i, context_.options.instance, region_, members_);
+    }
+}
+
+void chunk_swarm::fetch(const std::string& version, const manifest& list,
+                        std::function<void()> on_whole) {
+    version_ = version;
+    manifest_ = list;
+    keep_only(chunks_, manifest_);
+    is_wanted_.assign(manifest_.chunks.size(), false);
+    for (std::size_t i = 0; i < is_wanted_.size(); ++i) {
+        is_wanted_[i] = find_chunk(chunks_, manifest_.chunks[i].hash) == nullptr;
+    }
+    rank_chunks();
+    for (auto& [number, agent] : agents_) {
+        agent.state = {};
+        agent.asked.clear();
+        agent.state.is_same_region = is_same_region(agent.instance);
+        send_inventory(agent, true);
+    }
+    origin_requests_ = 0;
+    on_whole_ = std::move(on_whole);
+    last_progress_ = std::chrono::steady_clock::now();
+    finish_if_whole();
+    ask_all();
+}
+
+void chunk_swarm::finish_if_whole() {
+    if (is_fetching() && count_held(chunks_, manifest_) == manifest_.chunks.size()) {
+        send_inventories();
+        const auto done = std::exchange(on_whole_, nullptr);
+        done();
+    }
+}
+
+void chunk_swarm::end_fetch() {
+    on_whole_ = nullptr;
+}
+
+std::string chunk_swarm::region_of_member(const std::string& instance) const {
+    const auto found = std::find_if(members_.begin(), members_.end(), [&](const auto& member) {
+        return member.instance == instance;
+    });
+    return found == members_.end() ? region_ : found->region;
+}
+
+bool chunk_swarm::is_same_region(const std::string& instance) const {
+    return region_of_member(instance) == region_;
+}
+
+milliseconds chunk_swarm::patience() const {
+    const std::uint64_t slowest = rates_.region_link > 0 && rates_.own_link > 0
+                                      ? std::min(rates_.region_link, rates_.own_link)
+                                      : std::max(rates_.region_link, rates_.own_link);
+    return stall_timeout(manifest_.chunk_size, slowest);
+}
+
+fetch_state chunk_swarm::make_state(std::vector<std::uint64_t>& sessions, time_point now) const {
+    fetch_state state;
+    state.wanted = is_wanted_;
+    state.ranks = ranks_;
+    for (const auto& [number, agent] : agents_) {
+        sessions.push_back(number);
+        state.neighbours.push_back(agent.state);
+    }
+    state.level = draw_level(milliseconds(elapsed_ms(last_progress_, now)), patience());
+    state.is_origin_near =
+        is_alone() || region_ == origin_region_ ||
+        std::none_of(members_.begin(), members_.end(),
+                     [this](const auto& member) { return member.region == origin_region_; });
+    state.origin_requests = origin_requests_;
+    state.origin_parallel = origin_parallel;
+    return state;
+}
+
+void chunk_swarm::ask_all() {
+    if (!is_fetching()) {
+        return;
+    }
+    std::vector<std::uint64_t> sessions;
+    fetch_state state = make_state(sessions, std::chrono::steady_clock::now());
+    while (const auto choice = choose_fetch(state, random_)) {
+        state.wanted[choice->chunk] = false;
+        is_wanted_[choice->chunk] = false;
+        if (choice->neighbour) {
+            ++state.neighbours[*choice->neighbour].requested;
+            ask_neighbour(choice->chunk, sessions[*choice->neighbour]);
+        } else {
+            ++state.origin_requests;
+            draw(choice->chunk);
+        }
+    }
+}
+
+void chunk_swarm::ask_neighbour(std::size_t chunk, std::uint64_t session) {
+    connected_agent& agent = agents_.at(session);
+    ++agent.state.requested;
+    agent.asked[chunk] = std::chrono::steady_clock::now();
+    wire::chunk_requestT request;
+    request.manifest = version_;
+    request.index = static_cast<std::uint32_t>(chunk);
+    agent.session->send(make_frame(std::move(request)));
+}
+
+void chunk_swarm::draw(std::size_t chunk) {
+    ++origin_requests_;
+    const std::uint64_t first = chunk_offset(manifest_, chunk);
+    const std::uint64_t last = first + manifest_.chunks[chunk].size - 1;
+    http_request request;
+    request.url = context_.options.platform.weight_store + "/weights/" + manifest_.source;
+    request.headers = {{"Range", "bytes=" + std::to_string(first) + "-" + std::to_string(last)}};
+    request.timeout = origin_timeout;
+    request.receive_rate = rates_.origin;
+    context_.platform.fetch(
+        std::move(request), largest_chunk_size,
+        [self = shared_from_this(), version = version_, chunk](http_answer answer) {
+            self->context_.control.post([self, version, chunk, answer = std::move(answer)] {
+                self->take_drawn(version, chunk, answer);
+            });
+        });
+}
+
+void chunk_swarm::take_drawn(const std::string& version, std::size_t chunk,
+                             const http_answer& answer) {
+    origin_bytes_ += answer.body.size();
+    if (version != version_) {
+        return;
+    }
+    origin_requests_ -= origin_requests_ > 0 ? 1 : 0;
+    if (answer.outcome.is_complete && is_chunk_valid(manifest_, chunk, answer.body)) {
+        add_valid(chunk, answer.body);
+        return;
+    }
+    if (answer.outcome.is_complete && answer.outcome.status < 300) {
+        context_.numbers.count("citronseam_chunks_rejected_total", {{"source", "origin"}});
+    }
+    // It is asked for again by the next tick, so that an origin that is down is not hammered.
+    is_wanted_[chunk] = find_chunk(chunks_, manifest_.chunks[chunk].hash) == nullptr;
+}
+
+void chunk_swarm::take_chunk(std::uint64_t session, const std::string& version, std::size_t chunk,
+                             bool is_found, std::string content) {
+    const auto found = agents_.find(session);
+    if (found == agents_.end() || version != version_ || chunk >= is_wanted_.size() ||
+        found->second.asked.erase(chunk) == 0) {
+        context_.numbers.count("citronseam_late_chunks_total");
+        return;
+    }
+    connected_agent& agent = found->second;
+    agent.state.requested -= agent.state.requested > 0 ? 1 : 0;
+    if (is_found && is_chunk_valid(manifest_, chunk, content)) {
+        agent.state.late = 0;
+        add_valid(chunk, std::move(content));
+        return;
+    }
+    is_wanted_[chunk] = true;
+    agent.state.held[chunk] = false;
+    if (is_found) {
+        ++agent.state.faults;
+        context_.numbers.count("citronseam_chunks_rejected_total", {{"source", "agent"}});
+        log_event(log_level::warning, "chunk_rejected",
+                  {{"from", agent.instance}, {"chunk", chunk}, {"faults", agent.state.faults}});
+    }
+    ask_all();
+}
+
+void chunk_swarm::add_valid(std::size_t chunk, std::string content) {
+    const std::string& hash = manifest_.chunks[chunk].hash;
+    const std::uint64_t size = content.size();
+    if (!add_chunk(chunks_, hash, std::make_shared<const std::string>(std::move(content)))) {
+        log_event(log_level::error, "weight_memory_full",
+                  {{"held", chunks_.used}, {"limit", chunks_.limit}, {"chunk", size}});
+        end_fetch();
+        return;
+    }
+    // The same content may stand at several places of a version.
+    for (std::size_t i = 0; i < is_wanted_.size(); ++i) {
+        is_wanted_[i] = is_wanted_[i] && manifest_.chunks[i].hash != hash;
+    }
+    last_progress_ = std::chrono::steady_clock::now();
+    has_news_ = true;
+    finish_if_whole();
+    ask_all();
+}
+
+void chunk_swarm::tick() {
+    give_up_late(std::chrono::steady_clock::now());
+    send_inventories();
+    ask_all();
+}
+
+void chunk_swarm::give_up_late(time_point now) {
+    const milliseconds longest = patience();
+    for (auto& [number, agent] : agents_) {
+        for (auto entry = agent.asked.begin(); entry != agent.asked.end();) {
+            if (now - entry->second <= longest) {
+                ++entry;
+                continue;
+            }
+            ++agent.state.late;
+            agent.state.requested -= agent.state.requested > 0 ? 1 : 0;
+            if (entry->first < is_wanted_.size()) {
+                is_wanted_[entry->first] = true;
+            }
+            context_.numbers.count("citronseam_chunks_late_total");
+            entry = agent.asked.erase(entry);
+        }
+    }
+}
+
+void chunk_swarm::send_inventories() {
+    if (!has_news_) {
+        return;
+    }
+    has_news_ = false;
+    for (auto& [number, agent] : agents_) {
+        send_inventory(agent, false);
+    }
+}
+
+void chunk_swarm::send_inventory(connected_agent& agent, bool is_question) const {
+    if (version_.empty() || is_alone()) {
+        return;
+    }
+    std::vector<bool> held(manifest_.chunks.size());
+    for (std::size_t i = 0; i < held.size(); ++i) {
+        held[i] = find_chunk(chunks_, manifest_.chunks[i].hash) != nullptr;
+    }
+    const std::string packed = pack_bits(held);
+    wire::inventoryT message;
+    message.manifest = version_;
+    message.held.assign(packed.begin(), packed.end());
+    message.is_question = is_question;
+    agent.session->send(make_frame(std::move(message)));
+}
+
+void chunk_swarm::take_inventory(std::uint64_t session, const std::string& version,
+                                 const std::string& held, bool is_question) {
+    const auto found = agents_.find(session);
+    if (found == agents_.end() || version != version_) {
+        return;
+    }
+    found->second.state.held = unpack_bits(held, manifest_.chunks.size());
+    if (is_question) {
+        send_inventory(found->second, false);
+    }
+    found->second.state.late = 0;
+    found->second.state.is_same_region = is_same_region(found->second.instance);
+    ask_all();
+}
+
+void chunk_swarm::serve_request(std::uint64_t session, const std::string& version,
+                                std::size_t chunk) {
+    const auto found = agents_.find(session);
+    if (found == agents_.end()) {
+        return;
+    }
+    wire::chunk_replyT reply;
+    reply.manifest = version;
+    reply.index = static_cast<std::uint32_t>(chunk);
+    if (version == version_ && chunk < manifest_.chunks.size()) {
+        if (const chunk_content content = find_chunk(chunks_, manifest_.chunks[chunk].hash)) {
+            reply.found = true;
+            reply.data.assign(content->begin(), content->end());
+        }
+    }
+    send_paced(found->second, make_frame(std::move(reply)));
+}
+
+void chunk_swarm::send_paced(const connected_agent& agent, shared_frame frame) {
+    const session_pointer session = agent.session;
+    const time_point now = std::chrono::steady_clock::now();
+    const std::string region = region_of_member(agent.instance);
+    const bool is_near = region == region_;
+    const std::uint64_t burst = rates_.region_link / burst_share;
+    token_bucket& bucket =
+        is_near ? own_bucket_
+                : region_buckets_.try_emplace(region, make_bucket(rates_.region_link, burst, now))
+                      .first->second;
+    context_.numbers.count("citronseam_weight_bytes_sent_total", {{"to_region", region}},
+                           static_cast<double>(frame->size()));
+    const microseconds wait = wait_time(bucket, now);
+    take(bucket, frame->size(), now);
+    if (wait.count() == 0) {
+        session->send(std::move(frame));
+        return;
+    }
+    context_.control.post_after(wait,
+                                [session, frame = std::move(frame)] { session->send(frame); });
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/agent/chunk_swarm.h
@@ -0,0 +1,133 @@
+/// @file
+/// Exchanges chunks with other agents of the service and draws from the origin.
+#ifndef CITRONSEAM_PROGRAMS_AGENT_CHUNK_SWARM_H
+#define CITRONSEAM_PROGRAMS_AGENT_CHUNK_SWARM_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "citronseam/connection/dialer.h"
+#include "citronseam/connection/peer_listener.h"
+#include "citronseam/version/chunk_plan.h"
+#include "citronseam/version/chunk_store.h"
+#include "citronseam/version/token_bucket.h"
+#include "programs/agent/agent_context.h"
+
+namespace citronseam {
+
+/// Bounds of the weight traffic of one agent; rates in bytes a second, 0 is unlimited.
+struct swarm_rates {
+    spread_policy spread{spread_policy::peers};
+    std::uint64_t own_link{0};    ///< to agents of the same region
+    std::uint64_t region_link{0}; ///< this agent's share of the link to each other region
+    std::uint64_t origin{0};      ///< drawn from the origin
+};
+
+/// Fetches the chunks of one version at a time and serves those it holds. State changes on the
+/// control thread only.
+class chunk_swarm : public std::enable_shared_from_this<chunk_swarm> {
+public:
+    /// @param context parts of the agent
+    /// @param hello   first frame of connections between agents
+    chunk_swarm(agent_context& context, std::function<shared_frame()> hello);
+
+    /// Begins to listen for other agents.
+    void start();
+    /// Closes all connections.
+    void stop();
+    /// @return port for other agents
+    std::uint16_t port() const;
+
+    /// Takes the agents of the service. Control thread.
+    void set_members(std::vector<swarm_member> members, const std::string& region,
+                     const std::string& origin_region);
+    /// Takes the rates. Control thread.
+    void set_rates(const swarm_rates& rates);
+
+    /// Fetches a version; chunks that are held already are kept. Control thread.
+    /// @param on_whole called once all chunks are held
+    void fetch(const std::string& version, const manifest& list, std::function<void()> on_whole);
+    /// Ends fetching; chunks that are held are still served. Control thread.
+    void end_fetch();
+    /// Takes the next steps. Call it again and again on the control thread.
+    void tick();
+
+    /// @return the chunks held. Control thread.
+    const chunk_store& chunks() const noexcept { return chunks_; }
+    /// @return bytes drawn from the origin since the process started
+    std::uint64_t origin_bytes() const noexcept { return origin_bytes_; }
+    /// @return members as last heard
+    const std::vector<swarm_member>& members() const noexcept { return members_; }
+
+private:
+    using session_pointer = std::shared_ptr<peer_session>;
+
+    /// A connected agent.
+    struct connected_agent {
+        session_pointer session;
+        std::string instance;
+        neighbour_state state;
+        std::map<std::size_t, time_point> asked; ///< chunks asked of it, and when
+    };
+    using agent_map = std::map<std::uint64_t, connected_agent>;
+
+    session_observer make_observer();
+    void handle_hello(const session_pointer& session, const wire::hello& hello);
+    void handle_message(const session_pointer& session, const wire::envelope& message);
+    void handle_closed(const session_pointer& session);
+    void take_inventory(std::uint64_t session, const std::string& version, const std::string& held,
+                        bool is_question);
+    void serve_request(std::uint64_t session, const std::string& version, std::size_t chunk);
+    void send_paced(const connected_agent& agent, shared_frame frame);
+    void take_chunk(std::uint64_t session, const std::string& version, std::size_t chunk,
+                    bool is_found, std::string content);
+    void take_drawn(const std::string& version, std::size_t chunk, const http_answer& answer);
+    void add_valid(std::size_t chunk, std::string content);
+    void ask_all();
+    void ask_neighbour(std::size_t chunk, std::uint64_t session);
+    void draw(std::size_t chunk);
+    void give_up_late(time_point now);
+    void send_inventories();
+    void send_inventory(connected_agent& agent, bool is_question) const;
+    void finish_if_whole();
+    void rank_chunks();
+    fetch_state make_state(std::vector<std::uint64_t>& sessions, time_point now) const;
+    milliseconds patience() const;
+    std::string region_of_member(const std::string& instance) const;
+    bool is_same_region(const std::string& instance) const;
+    bool is_alone() const noexcept;
+    bool is_fetching() const noexcept { return on_whole_ != nullptr; }
+
+    agent_context& context_;
+    std::function<shared_frame()> hello_;
+    std::shared_ptr<peer_listener> listener_;
+    std::shared_ptr<dialer> dialer_;
+    random_source random_;
+
+    std::vector<swarm_member> members_;
+    std::string region_;
+    std::string origin_region_;
+    swarm_rates rates_;
+    token_bucket own_bucket_;
+    std::map<std::string, token_bucket> region_buckets_; ///< by region that is sent to
+
+    std::string version_;
+    manifest manifest_;
+    chunk_store chunks_;
+    std::vector<bool> is_wanted_;
+    std::vector<std::uint32_t> ranks_;
+    std::function<void()> on_whole_;
+    time_point last_progress_;
+    bool has_news_{false};
+    agent_map agents_; ///< by session
+    std::uint32_t origin_requests_{0};
+    std::uint64_t origin_bytes_{0};
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/programs/agent/permit_holder.cpp
@@ -0,0 +1,131 @@
+#include "programs/agent/permit_holder.h"
+
+#include "citronseam/process/random.h"
+
+namespace citronseam {
+
+permit_holder::permit_holder(agent_context& context, std::string scope)
+    : context_(context), scope_(std::move(scope)) {}
+
+template<typename Function>
+auto permit_holder::on_control(Function function) {
+    return [self = shared_from_this(), function = std::move(function)](result<table_row> row) {
+        self->context_.control.post([self, function, row = std::move(row)] { function(row); });
+    };
+}
+
+std::string permit_holder::row_name() const {
+    return permit_row_name(context_.options.backend_server.service, scope_, slot_);
+}
+
+std::string permit_holder::next_record() {
+    permit_record record;
+    record.holder = context_.options.instance;
+    record.attempt = attempt_;
+    record.expires_at_ms = wall_clock_ms() + static_cast<std::uint64_t>(permit_lifetime.count());
+    return to_json(record);
+}
+
+void permit_holder::acquire(std::uint32_t slots, outcome_callback done) {
+    auto random = seeded_random_source();
+    attempt_ = unique_identifier(random);
+    tag_.clear();
+    try_slot(0, slots, std::move(done));
+}
+
+void permit_holder::try_slot(std::uint32_t slot, std::uint32_t slots, outcome_callback done) {
+    if (slot >= slots) {
+        done(false);
+        return;
+    }
+    slot_ = slot;
+    context_.store.insert(tables::permits, row_name(), next_record(),
+                          on_control([this, slot, slots, done](const result<table_row>& written) {
+                              if (written) {
+                                  tag_ = written->tag;
+                                  done(true);
+                              } else if (written.error().code == error_code::unavailable) {
+                                  done(false);
+                              } else {
+                                  handle_occupied(slot, slots, done);
+                              }
+                          }));
+}
+
+void permit_holder::handle_occupied(std::uint32_t slot, std::uint32_t slots,
+                                    outcome_callback done) {
+    context_.store.read(tables::permits, row_name(),
+                        on_control([this, slot, slots, done](const result<table_row>& row) {
+                            if (!row) {
+                                done(false);
+                                return;
+                            }
+                            const auto record = parse_permit(row->value);
+                            if (record && record->attempt == attempt_) {
+                                // The answer to the insert was lost, but it took effect.
+                                tag_ = row->tag;
+                                done(true);
+                            } else if (!record || is_permit_free(*record, wall_clock_ms())) {
+                                take_over(slot, slots, *row, done);
+                            } else {
+                                try_slot(slot + 1, slots, done);
+                            }
+                        }));
+}
+
+void permit_holder::take_over(std::uint32_t slot, std::uint32_t slots, const table_row& row,
+                              outcome_callback done) {
+    context_.store.replace(tables::permits, row_name(), row.tag, next_record(),
+                           on_control([this, slot, slots, done](const result<table_row>& written) {
+                               if (written) {
+                                   tag_ = written->tag;
+                                   done(true);
+                               } else {
+                                   try_slot(slot + 1, slots, done);
+                               }
+                           }));
+}
+
+void permit_holder::confirm(outcome_callback done) {
+    if (!is_held()) {
+        done(false);
+        return;
+    }
+    context_.store.read(
+        tables::permits, row_name(), on_control([this, done](const result<table_row>& row) {
+            const auto record =
+                row ? parse_permit(row->value) : result<permit_record>(tl::unexpected(row.error()));
+            if (!record || !may_act(*record, attempt_, wall_clock_ms())) {
+                done(false);
+                return;
+            }
+            tag_ = row->tag;
+            const auto half = static_cast<std::uint64_t>(permit_lifetime.count()) / 2;
+            if (wall_clock_ms() + half > record->expires_at_ms) {
+                renew(done);
+            } else {
+                done(true);
+            }
+        }));
+}
+
+void permit_holder::renew(outcome_callback done) {
+    context_.store.replace(tables::permits, row_name(), tag_, next_record(),
+                           on_control([this, done](const result<table_row>& written) {
+                               if (written) {
+                                   tag_ = written->tag;
+                               }
+                               done(written.has_value());
+                           }));
+}
+
+void permit_holder::give_back() {
+    if (!is_held()) {
+        return;
+    }
+    // A permit that cannot be given back expires by itself.
+    context_.store.remove(tables::permits, row_name(), tag_, [](const result<table_row>&) {});
+    tag_.clear();
+}
+
+} // namespace citronseam
--- a/src/programs/agent/version_keeper.cpp
+++ b/src/programs/agent/version_keeper.cpp
@@ -5,29 +5,35 @@
 namespace citronseam {
 namespace {
 
-constexpr std::size_t parallel_fetches = 4;
-constexpr milliseconds chunk_timeout{10000};
 constexpr milliseconds load_timeout{120000};
+/// Requests that run longer than this are not waited for: they end at their own deadline.
 constexpr milliseconds longest_drain{60000};
+/// Time between tries for a permit, for each agent of the service: together they ask the store no
+/// more often, however many they are.
+constexpr milliseconds permit_pause_per_member{10};
+constexpr milliseconds shortest_permit_pause{200};
+constexpr milliseconds pause_after_failure{1000};
+/// Share of a link between regions that weights may take; live requests have the rest.
+constexpr std::uint64_t region_share_percent = 80;
+constexpr std::uint64_t percent = 100;
 
 } // namespace
 
-version_keeper::version_keeper(agent_context& context) : context_(context) {
-    chunks_.limit = context.options.weight_memory;
-}
+version_keeper::version_keeper(agent_context& context, std::shared_ptr<chunk_swarm> swarm)
+    : context_(context), swarm_(std::move(swarm)),
+      zone_permit_(std::make_shared<permit_holder>(context, context.options.availability_zone)),
+      service_permit_(std::make_shared<permit_holder>(context, "all")) {}
 
 template<typename Function>
 auto version_keeper::on_control(Function function) {
-    return [self = shared_from_this(), function = std::move(function)](auto answer) mutable {
+    return [self = shared_from_this(), function = std::move(function)](auto answer) {
         self->context_.control.post(
-            [self, function = std::move(function), answer = std::move(answer)]() mutable {
-                function(std::move(answer));
-            });
+            [self, function, answer = std::move(answer)] { function(answer); });
     };
 }
 
-bool version_keeper::is_current(const std::string& version) const {
-    return version == wanted_;
+bool version_keeper::is_current(const std::string& version, step expected) const {
+    return version == wanted_ && step_ == expected;
 }
 
 void version_keeper::take_status(const result<engine_status>& status) {
@@ -36,16 +42,20 @@
         context_.gate.set_ready(false);
         return;
     }
-    if (status->boot != boot_) {
+    const bool is_new_process = status->boot != boot_;
+    const bool is_other_version = status->version != in_force_;
+    if (is_new_process) {
         boot_ = status->boot;
         ++context_.backend_life;
         context_.gate.turn_cold(cold_sign::started);
-        step_ = step::idle;
-    } else if (!status->is_warm && !context_.gate.is_cold() && status->version != in_force_) {
+        abandon();
+    } else if (is_other_version && step_ != step::load) {
         context_.gate.turn_cold(cold_sign::said_so);
     }
-    in_force_ = status->version;
-    context_.gate.set_ready(!in_force_.empty() && !is_draining_);
+    if (step_ != step::load) {
+        in_force_ = status->version;
+        context_.gate.set_ready(!in_force_.empty() && step_ != step::drain);
+    }
 }
 
 void version_keeper::reconcile() {
@@ -53,153 +63,176 @@
     if (view->accepted == nullptr || !is_reachable_) {
         return;
     }
-    const service* found =
-        find_service(view->accepted->content, context_.options.backend_server.service);
+    const configuration& config = view->accepted->content;
+    const service* found = find_service(config, context_.options.backend_server.service);
     if (found == nullptr) {
         return;
     }
     context_.gate.set_bounds({found->limits.cold_concurrency, found->limits.max_concurrency});
-    if (found->model_version.empty()) {
-        return;
-    }
-    if (found->model_version != wanted_) {
-        begin(found->model_version, view->accepted->generation);
-    }
+    take_rollout(config, *found);
     generation_ = view->accepted->generation;
-    if (in_force_ == wanted_) {
-        step_ = step::idle;
+    if (step_ != step::load && !found->model_version.empty() && found->model_version != wanted_) {
+        begin(found->model_version, generation_);
+    }
+    if (wanted_.empty() || std::chrono::steady_clock::now() < next_try_) {
         return;
     }
-    switch (step_) {
-    case step::idle:
-    case step::manifest:
+    if (step_ == step::idle && in_force_ != wanted_) {
         fetch_manifest();
-        break;
-    case step::chunks:
-        fetch_chunks();
-        break;
-    case step::drain:
+    } else if (step_ == step::chunks) {
+        swarm_->tick();
+    } else if (step_ == step::permit) {
+        ask_permits();
+    } else if (step_ == step::drain) {
         drain();
-        break;
-    case step::hand_over:
-    case step::load:
-        break;
     }
 }
 
+void version_keeper::take_rollout(const configuration& config, const service& wanted) {
+    zone_slots_ = wanted.rollout.parallel_per_zone;
+    const std::string_view own = region_of(config, context_.options.availability_zone);
+    std::uint64_t senders = 0;
+    for (const auto& member : swarm_->members()) {
+        senders += member.region == own ? 1 : 0;
+    }
+    std::uint64_t link = 0;
+    for (const auto& known : config.regions) {
+        link = known.name == own ? known.link_rate : link;
+    }
+    swarm_rates rates;
+    rates.spread = wanted.rollout.spread;
+    rates.own_link =
+        context_.options.peer_link > 0 ? context_.options.peer_link : wanted.rollout.peer_rate;
+    rates.region_link = link * region_share_percent / percent / std::max<std::uint64_t>(senders, 1);
+    rates.origin = wanted.rollout.origin_rate;
+    swarm_->set_rates(rates);
+}
+
 void version_keeper::begin(const std::string& version, std::uint64_t generation) {
     log_event(log_level::info, "version_wanted",
               {{"version", version}, {"generation", generation}, {"in_force", in_force_}});
+    abandon();
     wanted_ = version;
-    generation_ = generation;
-    step_ = step::idle;
-    requested_.clear();
     manifest_ = {};
-    is_draining_ = false;
+    next_try_ = {};
     context_.gate.set_ready(!in_force_.empty());
 }
 
+void version_keeper::abandon() {
+    swarm_->end_fetch();
+    zone_permit_->give_back();
+    service_permit_->give_back();
+    step_ = step::idle;
+}
+
 void version_keeper::fetch_manifest() {
     step_ = step::manifest;
     const std::string version = wanted_;
-    context_.store.get_object(version, on_control([this, version](result<std::string> text) {
-                                  if (!is_current(version) || step_ != step::manifest) {
-                                      return;
-                                  }
-                                  if (!text) {
-                                      return;
-                                  }
-                                  auto parsed = parse_manifest(*text, version);
-                                  if (!parsed || parsed->total_size > chunks_.limit) {
-                                      log_event(log_level::error, "version_refused",
-                                                {{"version", version},
-                                                 {"reason", parsed ? "larger than weight_memory"
-                                                                   : parsed.error().message}});
-                                      return;
-                                  }
-                                  manifest_ = std::move(*parsed);
-                                  manifest_text_ = std::move(*text);
-                                  keep_only(chunks_, manifest_);
-                                  step_ = step::chunks;
-                                  fetch_chunks();
+    context_.store.get_object(version, on_control([this, version](const result<std::string>& text) {
+                                  take_manifest(version, text);
                               }));
 }
 
-void version_keeper::fetch_chunks() {
-    for (std::size_t i = 0; i < manifest_.chunks.size(); ++i) {
-        if (requested_.size() >= parallel_fetches) {
-            return;
-        }
-        if (find_chunk(chunks_, manifest_.chunks[i].hash) == nullptr && requested_.count(i) == 0) {
-            fetch_from_origin(i);
-        }
-    }
-    if (requested_.empty()) {
-        hand_over();
+void version_keeper::take_manifest(const std::string& version, const result<std::string>& text) {
+    if (!is_current(version, step::manifest)) {
+        return;
     }
-}
-
-void version_keeper::fetch_from_origin(std::size_t index) {
-    const std::uint64_t first = chunk_offset(manifest_, index);
-    const std::uint64_t last = first + manifest_.chunks[index].size - 1;
-    http_request request;
-    request.url = context_.options.platform.weight_store + "/weights/" + manifest_.source;
-    request.headers = {{"Range", "bytes=" + std::to_string(first) + "-" + std::to_string(last)}};
-    request.timeout = chunk_timeout;
-    requested_.insert(index);
-    const std::string version = wanted_;
-    context_.platform.fetch(std::move(request), largest_chunk_size,
-                            on_control([this, version, index](const http_answer& answer) {
-                                handle_chunk(version, index, answer);
-                            }));
-}
-
-void version_keeper::handle_chunk(const std::string& version, std::size_t index,
-                                  const http_answer& answer) {
-    origin_bytes_ += answer.body.size();
-    if (!is_current(version) || step_ != step::chunks) {
+    step_ = step::idle;
+    next_try_ = std::chrono::steady_clock::now() + pause_after_failure;
+    if (!text) {
         return;
     }
-    requested_.erase(index);
-    if (answer.outcome.is_complete && is_chunk_valid(manifest_, index, answer.body)) {
-        add_chunk(chunks_, manifest_.chunks[index].hash,
-                  std::make_shared<const std::string>(answer.body));
-        fetch_chunks();
+    auto parsed = parse_manifest(*text, version);
+    if (!parsed || parsed->total_size > context_.options.weight_memory) {
+        const std::string reason = parsed ? "its " + std::to_string(parsed->total_size) +
+                                                " bytes do not fit into weight_memory of " +
+                                                std::to_string(context_.options.weight_memory)
+                                          : parsed.error().message;
+        log_event(log_level::error, "version_refused", {{"version", version}, {"reason", reason}});
         return;
     }
-    context_.numbers.count("citronseam_chunks_rejected_total", {{"source", "origin"}});
-}
-
-void version_keeper::hand_over() {
-    step_ = step::hand_over;
-    hand_over_next(0);
+    next_try_ = {};
+    manifest_ = std::move(*parsed);
+    manifest_text_ = *text;
+    step_ = step::chunks;
+    swarm_->fetch(version, manifest_, [this, version] {
+        if (is_current(version, step::chunks)) {
+            step_ = step::hand_over;
+            hand_over_next(0);
+        }
+    });
+    swarm_->tick();
 }
 
 void version_keeper::hand_over_next(std::size_t index) {
     if (index == manifest_.chunks.size()) {
-        step_ = step::drain;
-        step_began_ = std::chrono::steady_clock::now();
-        drain();
+        log_event(log_level::info, "version_whole", {{"version", wanted_}});
+        step_ = step::permit;
+        ask_permits();
         return;
     }
     const std::string version = wanted_;
-    const chunk_content content = find_chunk(chunks_, manifest_.chunks[index].hash);
+    const chunk_content content = find_chunk(swarm_->chunks(), manifest_.chunks[index].hash);
     send_chunk(context_.platform, context_.options.backend_server.address, version, index, *content,
                on_control([this, version, index](const result<bool>& sent) {
-                   if (!is_current(version) || step_ != step::hand_over) {
+                   if (!is_current(version, step::hand_over)) {
                        return;
                    }
                    if (!sent) {
-                       step_ = step::chunks;
+                       step_ = step::idle;
+                       next_try_ = std::chrono::steady_clock::now() + pause_after_failure;
                        return;
                    }
                    hand_over_next(index + 1);
                }));
 }
 
-void version_keeper::drain() {
-    is_draining_ = true;
+bool version_keeper::is_other_ready() const {
+    const auto& members = swarm_->members();
+    const bool is_alone = members.size() <= 1;
+    return is_alone || std::any_of(members.begin(), members.end(), [this](const auto& member) {
+               return member.is_ready && member.instance != context_.options.instance;
+           });
+}
+
+void version_keeper::ask_permits() {
+    if (in_force_.empty()) {
+        begin_drain();
+        return;
+    }
+    next_try_ = std::chrono::steady_clock::now() +
+                std::max(shortest_permit_pause,
+                         permit_pause_per_member * static_cast<int>(swarm_->members().size()));
+    if (!is_other_ready()) {
+        return;
+    }
+    const std::string version = wanted_;
+    zone_permit_->acquire(zone_slots_, [this, version](bool has_zone) {
+        if (!has_zone || !is_current(version, step::permit)) {
+            zone_permit_->give_back();
+            return;
+        }
+        const std::uint32_t slots = service_slots(swarm_->members().size());
+        service_permit_->acquire(slots, [this, version](bool has_service) {
+            if (!has_service || !is_current(version, step::permit)) {
+                service_permit_->give_back();
+                zone_permit_->give_back();
+                return;
+            }
+            begin_drain();
+        });
+    });
+}
+
+void version_keeper::begin_drain() {
+    next_try_ = {};
+    step_ = step::drain;
+    step_began_ = std::chrono::steady_clock::now();
     context_.gate.set_ready(false);
+    drain();
+}
+
+void version_keeper::drain() {
     const bool is_over = std::chrono::steady_clock::now() - step_began_ > longest_drain;
     if (context_.gate.running() == 0 || is_over) {
         load();
@@ -209,20 +242,38 @@
 void version_keeper::load() {
     step_ = step::load;
     const std::string version = wanted_;
-    const load_order order{version, manifest_text_, generation_};
-    order_load(context_.platform, context_.options.backend_server.address, order, load_timeout,
+    if (in_force_.empty()) {
+        order(version);
+        return;
+    }
+    // The process may have been paused since it got its permits.
+    zone_permit_->confirm([this, version](bool has_zone) {
+        service_permit_->confirm([this, version, has_zone](bool has_service) {
+            if (has_zone && has_service) {
+                order(version);
+                return;
+            }
+            handle_loaded(version, failure(error_code::precondition_failed,
+                                           "the permit to reload could not be confirmed"));
+        });
+    });
+}
+
+void version_keeper::order(const std::string& version) {
+    const load_order wanted{version, manifest_text_, generation_};
+    order_load(context_.platform, context_.options.backend_server.address, wanted, load_timeout,
                on_control([this, version](const result<bool>& outcome) {
                    handle_loaded(version, outcome);
                }));
 }
 
 void version_keeper::handle_loaded(const std::string& version, const result<bool>& outcome) {
-    is_draining_ = false;
-    step_ = step::idle;
+    abandon();
     if (!outcome) {
         context_.numbers.count("citronseam_loads_failed_total");
         log_event(log_level::error, "load_failed",
                   {{"version", version}, {"reason", outcome.error().message}});
+        next_try_ = std::chrono::steady_clock::now() + pause_after_failure;
         context_.gate.set_ready(!in_force_.empty());
         return;
     }
@@ -237,8 +288,8 @@
     report.in_force = in_force_;
     report.wanted = wanted_;
     report.total = static_cast<std::uint32_t>(manifest_.chunks.size());
-    report.held = count_held(chunks_, manifest_);
-    report.origin_bytes = origin_bytes_;
+    report.held = count_held(swarm_->chunks(), manifest_);
+    report.origin_bytes = swarm_->origin_bytes();
     return report;
 }
 
--- a/src/programs/agent/version_keeper.h
+++ b/src/programs/agent/version_keeper.h
@@ -6,13 +6,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 
-#include "citronseam/version/chunk_store.h"
 #include "citronseam/version/manifest.h"
 #include "programs/agent/agent_context.h"
+#include "programs/agent/chunk_swarm.h"
 #include "programs/agent/engine_orders.h"
+#include "programs/agent/permit_holder.h"
 
 namespace citronseam {
 
@@ -27,13 +27,14 @@
 
 /// Reconciles the engine. Everything runs on the control thread.
 ///
-/// Steps: manifest, chunks, hand-over to the engine, drain, order to load. Each step is repeated by
-/// the next call of reconcile() when it failed, and dropped when a newer generation asks for
-/// another version.
+/// Steps: manifest, chunks, hand-over to the engine, permits, drain, order to load. A step that
+/// failed is repeated by a later call of reconcile(), and dropped when a newer generation asks for
+/// another version. An engine without any version needs no permit: it has no work to lose.
 class version_keeper : public std::enable_shared_from_this<version_keeper> {
 public:
     /// @param context parts of the agent
-    explicit version_keeper(agent_context& context);
+    /// @param swarm   fetches chunks
+    version_keeper(agent_context& context, std::shared_ptr<chunk_swarm> swarm);
 
     /// Compares what is with what is wanted, and takes the next step. Call it again and again.
     void reconcile();
@@ -43,36 +44,48 @@
     version_progress progress() const;
 
 private:
-    enum class step : std::uint8_t { idle, manifest, chunks, hand_over, drain, load };
+    enum class step : std::uint8_t {
+        idle,      ///< nothing to do, or about to begin
+        manifest,  ///< waits for the manifest
+        chunks,    ///< fetches chunks
+        hand_over, ///< gives chunks to the engine
+        permit,    ///< waits for permits
+        drain,     ///< waits for running requests to end
+        load       ///< the engine loads
+    };
 
     void begin(const std::string& version, std::uint64_t generation);
+    void take_rollout(const configuration& config, const service& wanted);
     void fetch_manifest();
-    void fetch_chunks();
-    void fetch_from_origin(std::size_t index);
-    void handle_chunk(const std::string& version, std::size_t index, const http_answer& answer);
-    void hand_over();
+    void take_manifest(const std::string& version, const result<std::string>& text);
     void hand_over_next(std::size_t index);
+    void ask_permits();
+    bool is_other_ready() const;
+    void begin_drain();
     void drain();
     void load();
+    void order(const std::string& version);
     void handle_loaded(const std::string& version, const result<bool>& outcome);
-    bool is_current(const std::string& version) const;
+    void abandon();
+    bool is_current(const std::string& version, step expected) const;
     template<typename Function>
     auto on_control(Function function);
 
     agent_context& context_;
+    std::shared_ptr<chunk_swarm> swarm_;
+    std::shared_ptr<permit_holder> zone_permit_;
+    std::shared_ptr<permit_holder> service_permit_;
     step step_{step::idle};
     std::string wanted_;
     std::uint64_t generation_{0};
+    std::uint32_t zone_slots_{1};
     std::string manifest_text_;
     manifest manifest_;
-    chunk_store chunks_;
-    std::set<std::size_t> requested_;
-    std::uint64_t origin_bytes_{0};
     std::string in_force_;
     std::string boot_;
     bool is_reachable_{false};
-    bool is_draining_{false};
     time_point step_began_;
+    time_point next_try_;
 };
 
 } // namespace citronseam
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -199,6 +199,9 @@
         case wire::body::configuration_body:
             hub_.handle_body(*message.body_as_configuration_body());
             break;
+        case wire::body::neighbours_request:
+            answer_neighbours(session, *message.body_as_neighbours_request());
+            break;
         case wire::body::crash_report:
             crashes_.take_report(*message.body_as_crash_report());
             break;
@@ -213,6 +216,23 @@
         }
     }
 
+    void answer_neighbours(const session_pointer& session,
+                           const wire::neighbours_request& message) const {
+        wire::neighbours_replyT reply;
+        for (const auto& link : directory_.links()) {
+            if (link->service() != view(message.service())) {
+                continue;
+            }
+            auto row = std::make_unique<wire::neighbourT>();
+            row->instance = link->instance();
+            row->peer_address = link->peer_address();
+            row->availability_zone = link->availability_zone();
+            row->is_ready = link->load().is_accepting;
+            reply.neighbours.push_back(std::move(row));
+        }
+        session->send(make_frame(std::move(reply)));
+    }
+
     void handle_heartbeat(const session_pointer& session, const wire::heartbeat& message) {
         hub_.handle_heartbeat(session, message);
         if (const auto link = link_of(session->number())) {
--- a/src/programs/standin/load.cpp
+++ b/src/programs/standin/load.cpp
@@ -155,7 +155,23 @@
             }
             position += token.size();
         }
-        return !options_.is_stream || state.body.find("[DONE]", position) != std::string::npos;
+        return is_of_one_version(state.body) &&
+               (!options_.is_stream || state.body.find("[DONE]", position) != std::string::npos);
+    }
+
+    /// Every event of an answer names the version that gave it.
+    static bool is_of_one_version(const std::string& body) {
+        constexpr std::string_view mark = "\"model\":\"";
+        constexpr std::size_t shown = 12;
+        const auto first = body.find(mark);
+        auto next = first;
+        while (next != std::string::npos) {
+            if (body.compare(next + mark.size(), shown, body, first + mark.size(), shown) != 0) {
+                return false;
+            }
+            next = body.find(mark, next + mark.size());
+        }
+        return true;
     }
 
     void finish(exchange_state& state, const http_outcome& outcome, std::uint64_t number) {
--- /dev/null
+++ b/src/version/chunk_plan.cpp
@@ -0,0 +1,140 @@
+#include "citronseam/version/chunk_plan.h"
+
+#include <algorithm>
+
+namespace citronseam {
+namespace {
+
+constexpr std::size_t near_neighbours = 6;
+constexpr std::size_t far_neighbours = 3;
+/// Ranks that must have failed before an agent far from the origin draws from it.
+constexpr std::uint32_t far_origin_delay = 2;
+constexpr std::uint64_t chunks_until_stalled = 64;
+constexpr milliseconds shortest_stall{2000};
+
+std::string chunk_key(std::string_view version, std::size_t chunk) {
+    return std::string(version) + ":" + std::to_string(chunk);
+}
+
+std::vector<swarm_member> closest(std::string_view self, std::vector<swarm_member> candidates,
+                                  std::size_t count) {
+    std::sort(candidates.begin(), candidates.end(), [self](const auto& left, const auto& right) {
+        return rendezvous_weight(self, left.instance) > rendezvous_weight(self, right.instance);
+    });
+    candidates.resize(std::min(candidates.size(), count));
+    return candidates;
+}
+
+bool may_ask(const neighbour_state& neighbour) noexcept {
+    return neighbour.faults < most_faults && neighbour.late < most_late &&
+           neighbour.requested < requests_per_neighbour;
+}
+
+bool is_from_near(const fetch_state& state, std::size_t chunk, const neighbour_state& neighbour) {
+    return neighbour.is_same_region || state.ranks[chunk] <= state.level;
+}
+
+bool may_draw(const fetch_state& state, std::size_t chunk) noexcept {
+    const std::uint32_t delay = state.is_origin_near ? 0 : far_origin_delay;
+    return state.origin_requests < state.origin_parallel &&
+           state.ranks[chunk] + delay <= state.level;
+}
+
+struct holder_count {
+    std::uint32_t holders{0};
+    std::optional<std::size_t> best; ///< the least asked neighbour that has the chunk
+};
+
+holder_count count_holders(const fetch_state& state, std::size_t chunk) {
+    holder_count count;
+    for (std::size_t i = 0; i < state.neighbours.size(); ++i) {
+        const neighbour_state& neighbour = state.neighbours[i];
+        if (chunk >= neighbour.held.size() || !neighbour.held[chunk]) {
+            continue;
+        }
+        ++count.holders;
+        if (!may_ask(neighbour) || !is_from_near(state, chunk, neighbour)) {
+            continue;
+        }
+        if (!count.best || neighbour.requested < state.neighbours[*count.best].requested) {
+            count.best = i;
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+std::uint32_t draw_rank(std::string_view version, std::size_t chunk, std::string_view self,
+                        std::string_view region, const std::vector<swarm_member>& members) {
+    const std::string key = chunk_key(version, chunk);
+    const std::uint64_t own = rendezvous_weight(key, self);
+    return static_cast<std::uint32_t>(
+        std::count_if(members.begin(), members.end(), [&](const swarm_member& member) {
+            return member.region == region && member.instance != self &&
+                   rendezvous_weight(key, member.instance) > own;
+        }));
+}
+
+std::vector<swarm_member> choose_neighbours(std::string_view self, std::string_view region,
+                                            std::string_view origin_region,
+                                            const std::vector<swarm_member>& members) {
+    std::vector<swarm_member> near;
+    std::vector<swarm_member> far;
+    for (const auto& member : members) {
+        if (member.instance == self) {
+            continue;
+        }
+        if (member.region == region) {
+            near.push_back(member);
+        } else if (member.region == origin_region) {
+            far.push_back(member);
+        }
+    }
+    std::vector<swarm_member> chosen = closest(self, std::move(near), near_neighbours);
+    const auto importers = closest(self, std::move(far), far_neighbours);
+    chosen.insert(chosen.end(), importers.begin(), importers.end());
+    return chosen;
+}
+
+std::optional<fetch_choice> choose_fetch(const fetch_state& state, random_source& random) {
+    std::optional<fetch_choice> choice;
+    std::uint32_t fewest = 0;
+    const std::size_t total = state.wanted.size();
+    // A random start keeps neighbours from asking for the same chunks in the same order.
+    const std::size_t start = below(random, total);
+    for (std::size_t step = 0; step < total; ++step) {
+        const std::size_t chunk = (start + step) % total;
+        if (!state.wanted[chunk]) {
+            continue;
+        }
+        const holder_count count = count_holders(state, chunk);
+        const bool is_drawn = count.holders == 0 && may_draw(state, chunk);
+        if (!count.best && !is_drawn) {
+            continue;
+        }
+        if (!choice || count.holders < fewest) {
+            choice = fetch_choice{chunk, count.best};
+            fewest = count.holders;
+        }
+        if (fewest == 0) {
+            break;
+        }
+    }
+    return choice;
+}
+
+std::uint32_t draw_level(milliseconds idle, milliseconds timeout) noexcept {
+    return static_cast<std::uint32_t>(idle / timeout);
+}
+
+milliseconds stall_timeout(std::uint64_t chunk_size, std::uint64_t rate) noexcept {
+    if (rate == 0) {
+        return shortest_stall;
+    }
+    constexpr std::uint64_t in_ms = 1000;
+    const auto scaled = milliseconds(chunks_until_stalled * chunk_size * in_ms / rate);
+    return std::max(scaled, shortest_stall);
+}
+
+} // namespace citronseam
--- a/tests/process_zone_test.cpp
+++ b/tests/process_zone_test.cpp
@@ -95,15 +95,17 @@
     deployment system(pool_plan());
     system.start();
     system.process("agent-a").send_signal(SIGSTOP);
-    // These requests wait in the paused agent's socket.
+    // These requests wait in the paused agent's socket, and their callers go on waiting.
     const auto load = system.start_load({"--service", "pool", "--rate", "40", "--seconds", "1",
-                                         "--tokens", "4", "--timeout-ms", "8000"});
-    deployment::load_result(*load);
+                                         "--tokens", "4", "--timeout-ms", "20000"});
+    std::this_thread::sleep_for(milliseconds(500));
     ASSERT_EQ(system.tool({"zone", "out", "zone-a"}).status, 0);
     const std::uint64_t moment = wall_clock_ms() + out_bound.count();
     std::this_thread::sleep_for(out_bound + milliseconds(500));
     system.process("agent-a").send_signal(SIGCONT);
     std::this_thread::sleep_for(seconds(2));
+    const auto result = deployment::load_result(*load);
+    EXPECT_EQ(result["short_answers"], 0) << result.dump();
     EXPECT_EQ(runs_after(system, "agent-a-server", moment), 0);
 }
 
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -138,6 +138,10 @@
         throw std::runtime_error(name + " did not start: " + processes_[name]->output() +
                                  processes_[name]->errors());
     }
+    const auto swarm = relays_.find("swarm:" + name);
+    if (swarm != relays_.end()) {
+        swarm->second->set_target("127.0.0.1:" + log_value(line, "peer_port"));
+    }
     for (const auto* purpose : {"http", "peer", "operator"}) {
         const std::string value = log_value(line, purpose);
         if (!value.empty()) {
@@ -205,12 +209,19 @@
 
 void deployment::start_agent(const backend_server_plan& plan) {
     zones_[plan.name] = plan.availability_zone;
-    const std::string text =
-        "role: agent\ninstance: " + plan.name + "\navailability_zone: " + plan.availability_zone +
-        "\nlisten:\n  peer: 127.0.0.1:0\n  operator: 127.0.0.1:0\nweight_memory: " +
-        plan_.weight_memory + "\nbackend_server:\n  service: " + plan.service +
-        "\n  address: " + address(plan.name + "-server", "http") + "\n" +
-        platform_settings(plan.name);
+    std::string advertised;
+    if (plan_.has_relays) {
+        auto& swarm = relays_["swarm:" + plan.name];
+        swarm = std::make_unique<relay>();
+        advertised = "\n  peer_advertised: " + swarm->address();
+    }
+    const std::string text = "role: agent\ninstance: " + plan.name +
+                             "\navailability_zone: " + plan.availability_zone +
+                             "\nlisten:\n  peer: 127.0.0.1:0\n  operator: 127.0.0.1:0" +
+                             advertised + "\nweight_memory: " + plan_.weight_memory +
+                             "\nbackend_server:\n  service: " + plan.service +
+                             "\n  address: " + address(plan.name + "-server", "http") + "\n" +
+                             platform_settings(plan.name);
     commands_[plan.name] = {program("citronseamd"), "--settings",
                             write_file(plan.name + ".yaml", text)};
     restart(plan.name);
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -76,26 +76,31 @@
     auto& from = is_forward ? pair->caller : pair->target;
     auto& to = is_forward ? pair->target : pair->caller;
     auto& buffer = is_forward ? pair->forward : pair->backward;
-    from.async_read_some(
-        asio::buffer(buffer),
-        [pair, is_forward, &to, &buffer](const asio::error_code& problem, std::size_t size) {
-            if (pair->is_silent) {
-                pair->self = pair;
-                return;
-            }
-            if (problem) {
-                pair->close();
-                return;
-            }
-            asio::async_write(to, asio::buffer(buffer.data(), size),
-                              [pair, is_forward](const asio::error_code& failed, std::size_t) {
-                                  if (failed) {
-                                      pair->close();
-                                      return;
-                                  }
-                                  pump(pair, is_forward);
-                              });
-        });
+    from.async_read_some(asio::buffer(buffer), [this, pair, is_forward, &to,
+                                                &buffer](const asio::error_code& problem,
+                                                         std::size_t size) {
+        if (pair->is_silent) {
+            pair->self = pair;
+            return;
+        }
+        if (problem) {
+            pair->close();
+            return;
+        }
+        constexpr std::size_t larger_block = 16 * kibibyte;
+        if (size > larger_block && corrupt_left_ > 0) {
+            --corrupt_left_;
+            buffer[size / 2] = static_cast<char>(buffer[size / 2] ^ 1);
+        }
+        asio::async_write(to, asio::buffer(buffer.data(), size),
+                          [this, pair, is_forward](const asio::error_code& failed, std::size_t) {
+                              if (failed) {
+                                  pair->close();
+                                  return;
+                              }
+                              pump(pair, is_forward);
+                          });
+    });
 }
 
 void relay::silence_open_connections() {
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -3,6 +3,7 @@
 #ifndef CITRONSEAM_TESTS_SUPPORT_RELAY_H
 #define CITRONSEAM_TESTS_SUPPORT_RELAY_H
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -27,17 +28,20 @@
     /// Stops carrying bytes on the connections that are open, without closing them. New
     /// connections work: something between the two ends has lost track of the old ones.
     void silence_open_connections();
+    /// Changes one byte in each of that many larger blocks on their way to the target.
+    void corrupt_blocks(int count) { corrupt_left_ = count; }
     /// Cuts all connections and refuses new ones until it is called with false.
     void set_cut(bool is_cut);
 
 private:
     struct carried_pair;
     void carry(asio::ip::tcp::socket caller);
-    static void pump(const std::shared_ptr<carried_pair>& pair, bool is_forward);
+    void pump(const std::shared_ptr<carried_pair>& pair, bool is_forward);
 
     mutable std::mutex mutex_;
     std::string target_;
     bool is_cut_{false};
+    std::atomic<int> corrupt_left_{0};
     std::vector<std::weak_ptr<carried_pair>> pairs_;
     io_threads loop_{1};
     std::shared_ptr<peer_listener> listener_;
--- /dev/null
+++ b/tests/version_logic_test.cpp
@@ -0,0 +1,204 @@
+// Decision logic of versions: manifests, who fetches what from where, pacing, permits.
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "citronseam/version/chunk_plan.h"
+#include "citronseam/version/chunk_store.h"
+#include "citronseam/version/permit.h"
+#include "citronseam/version/sha256.h"
+#include "citronseam/version/token_bucket.h"
+
+namespace {
+
+using namespace citronseam;
+
+constexpr std::uint64_t seed = 20261203;
+
+std::vector<swarm_member> members_of(const std::string& region, int count) {
+    std::vector<swarm_member> members;
+    for (int i = 0; i < count; ++i) {
+        members.push_back({region + "-" + std::to_string(i), "", region, true});
+    }
+    return members;
+}
+
+TEST(manifest, its_identity_covers_every_chunk) {
+    const std::string weights(100000, 'w');
+    const manifest list = make_manifest("name", weights, 30000);
+    ASSERT_EQ(list.chunks.size(), 4U);
+    EXPECT_EQ(list.chunks.back().size, 10000U);
+    const std::string text = to_json(list);
+    EXPECT_TRUE(parse_manifest(text, sha256_hex(text)).has_value());
+    EXPECT_FALSE(parse_manifest(text, sha256_hex("other")).has_value());
+    EXPECT_TRUE(is_chunk_valid(list, 3, std::string(10000, 'w')));
+    EXPECT_FALSE(is_chunk_valid(list, 3, std::string(9999, 'w') + "x"));
+    EXPECT_FALSE(is_chunk_valid(list, 4, ""));
+}
+
+TEST(manifest, sizes_that_do_not_add_up_are_refused) {
+    manifest list = make_manifest("name", std::string(1000, 'w'), 300);
+    list.total_size = 999;
+    const std::string text = to_json(list);
+    EXPECT_FALSE(parse_manifest(text, sha256_hex(text)).has_value());
+}
+
+TEST(chunk_store, keeps_within_its_memory_and_shares_chunks_between_versions) {
+    chunk_store store;
+    store.limit = 10;
+    EXPECT_TRUE(add_chunk(store, "a", std::make_shared<const std::string>("12345")));
+    EXPECT_TRUE(add_chunk(store, "a", std::make_shared<const std::string>("12345")));
+    EXPECT_EQ(store.used, 5U);
+    EXPECT_FALSE(add_chunk(store, "b", std::make_shared<const std::string>("123456")));
+    manifest next;
+    next.chunks = {{"a", 5}, {"c", 5}};
+    keep_only(store, next);
+    EXPECT_EQ(count_held(store, next), 1U);
+    next.chunks = {{"c", 5}};
+    keep_only(store, next);
+    EXPECT_EQ(store.used, 0U);
+}
+
+TEST(chunk_plan, exactly_one_agent_of_a_region_brings_a_chunk_in) {
+    const auto members = members_of("r", 20);
+    std::map<std::string, int> drawn;
+    for (std::size_t chunk = 0; chunk < 400; ++chunk) {
+        std::set<std::uint32_t> ranks;
+        for (const auto& member : members) {
+            const auto rank = draw_rank("version", chunk, member.instance, "r", members);
+            ranks.insert(rank);
+            drawn[member.instance] += rank == 0 ? 1 : 0;
+        }
+        EXPECT_EQ(ranks.size(), members.size()) << "every rank stands once";
+    }
+    for (const auto& [instance, count] : drawn) {
+        EXPECT_GT(count, 5) << instance << " has too small a share of 400 / 20";
+    }
+}
+
+TEST(chunk_plan, neighbours_are_bounded_and_reach_into_the_origin_region) {
+    auto members = members_of("far", 100);
+    const auto near_origin = members_of("origin", 100);
+    members.insert(members.end(), near_origin.begin(), near_origin.end());
+    const auto chosen = choose_neighbours("far-3", "far", "origin", members);
+    EXPECT_LE(chosen.size(), 12U);
+    EXPECT_TRUE(std::any_of(chosen.begin(), chosen.end(),
+                            [](const auto& member) { return member.region == "origin"; }));
+    for (const auto& member : choose_neighbours("origin-3", "origin", "origin", members)) {
+        EXPECT_EQ(member.region, "origin");
+    }
+}
+
+/// The graph of neighbours must be connected, or a chunk would not reach every agent.
+TEST(chunk_plan, neighbours_join_all_agents_of_a_region) {
+    for (const int count : {2, 8, 64, 200}) {
+        const auto members = members_of("r", count);
+        std::map<std::string, std::set<std::string>> links;
+        for (const auto& member : members) {
+            for (const auto& other : choose_neighbours(member.instance, "r", "r", members)) {
+                links[member.instance].insert(other.instance);
+                links[other.instance].insert(member.instance);
+            }
+        }
+        std::set<std::string> reached{members.front().instance};
+        std::vector<std::string> open{members.front().instance};
+        while (!open.empty()) {
+            const std::string next = open.back();
+            open.pop_back();
+            for (const auto& other : links[next]) {
+                if (reached.insert(other).second) {
+                    open.push_back(other);
+                }
+            }
+        }
+        EXPECT_EQ(reached.size(), members.size());
+    }
+}
+
+fetch_state state_of(std::size_t chunks, std::size_t neighbours) {
+    fetch_state state;
+    state.wanted.assign(chunks, true);
+    state.ranks.assign(chunks, 1);
+    state.neighbours.resize(neighbours);
+    for (auto& neighbour : state.neighbours) {
+        neighbour.held.assign(chunks, false);
+    }
+    return state;
+}
+
+TEST(chunk_plan, fetches_the_rarest_chunk_first) {
+    random_source random(seed);
+    fetch_state state = state_of(3, 3);
+    state.neighbours[0].held = {true, true, true};
+    state.neighbours[1].held = {true, false, true};
+    state.neighbours[2].held = {true, false, true};
+    const auto choice = choose_fetch(state, random);
+    ASSERT_TRUE(choice.has_value());
+    EXPECT_EQ(choice->chunk, 1U);
+    EXPECT_EQ(choice->neighbour, std::optional<std::size_t>(0));
+}
+
+TEST(chunk_plan, draws_only_what_is_its_own_until_progress_stalls) {
+    random_source random(seed);
+    fetch_state state = state_of(2, 0);
+    EXPECT_FALSE(choose_fetch(state, random).has_value());
+    state.level = draw_level(milliseconds(2500), milliseconds(2000));
+    EXPECT_TRUE(choose_fetch(state, random).has_value()) << "the next rank steps in";
+    state.origin_requests = state.origin_parallel;
+    EXPECT_FALSE(choose_fetch(state, random).has_value());
+}
+
+TEST(chunk_plan, a_region_link_is_crossed_by_the_importer_alone) {
+    random_source random(seed);
+    fetch_state state = state_of(1, 1);
+    state.is_origin_near = false;
+    state.neighbours[0].is_same_region = false;
+    state.neighbours[0].held = {true};
+    EXPECT_FALSE(choose_fetch(state, random).has_value());
+    state.ranks[0] = 0;
+    EXPECT_TRUE(choose_fetch(state, random).has_value());
+}
+
+TEST(chunk_plan, a_neighbour_that_sends_wrong_chunks_is_asked_no_more) {
+    random_source random(seed);
+    fetch_state state = state_of(1, 1);
+    state.neighbours[0].held = {true};
+    state.neighbours[0].faults = most_faults;
+    EXPECT_FALSE(choose_fetch(state, random).has_value());
+}
+
+TEST(token_bucket, keeps_its_rate_over_any_pieces) {
+    time_point now{};
+    token_bucket bucket = make_bucket(1000, 100, now);
+    std::uint64_t sent = 0;
+    while (now < time_point{} + seconds(10)) {
+        if (wait_time(bucket, now).count() == 0) {
+            take(bucket, 37, now);
+            sent += 37;
+        }
+        now += milliseconds(1);
+    }
+    EXPECT_LE(sent, 1000U * 10 + 100 + 37);
+    EXPECT_GE(sent, 1000U * 10 * 98 / 100);
+}
+
+TEST(permit, a_holder_stops_before_others_may_take_over) {
+    const permit_record record{"agent-a", "mine", 100000};
+    EXPECT_TRUE(may_act(record, "mine", 90000));
+    EXPECT_FALSE(may_act(record, "mine", 98500));
+    EXPECT_FALSE(may_act(record, "other", 90000));
+    for (std::uint64_t now = 90000; now < 110000; now += 100) {
+        EXPECT_FALSE(may_act(record, "mine", now) && is_permit_free(record, now)) << now;
+    }
+    EXPECT_FALSE(is_permit_free(record, 101000));
+    EXPECT_TRUE(is_permit_free(record, 102001));
+}
+
+TEST(permit, a_rollout_never_takes_the_last_warm_engine) {
+    for (std::size_t members = 2; members < 600; ++members) {
+        EXPECT_LT(service_slots(members), members);
+    }
+    EXPECT_EQ(service_slots(1), 1U);
+}
+
+} // namespace
