Add measurements through real processes

Cause: no figures stood beside the targets. Change: benchmark targets for the choice of a backend server, one entry under load, a zone that leaves and returns, overload, rollouts and control slopes; round robin and drawing from the origin are kept as baselines behind configuration keys.

--- /dev/null
+++ b/benchmark/capacity_measurement.cpp
@@ -0,0 +1,120 @@
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include <unistd.h>
+
+#include "measurements.h"
+#include "support/requests.h"
+
+namespace citronseam::measurement {
+namespace {
+
+using namespace citronseam::harness;
+
+constexpr seconds observed{10};
+
+/// What one process used.
+struct usage {
+    double processor_s{0};
+    double memory_mib{0};
+};
+
+usage read_usage(int pid) {
+    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+    std::string text;
+    std::getline(stat, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string skipped;
+    constexpr int fields_before_times = 11;
+    for (int i = 0; i < fields_before_times; ++i) {
+        fields >> skipped;
+    }
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    usage used;
+    used.processor_s = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    for (std::string line; std::getline(status, line);) {
+        if (line.rfind("VmRSS:", 0) == 0) {
+            used.memory_mib = std::stod(line.substr(6)) / 1024;
+        }
+    }
+    return used;
+}
+
+double counter(deployment& system, const std::string& process, const std::string& name) {
+    const auto text =
+        system.ask("GET", "http://" + system.address(process, "operator") + "/metrics").body;
+    double sum = 0;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.rfind(name, 0) == 0 && line.find(' ') != std::string::npos) {
+            sum += std::stod(line.substr(line.rfind(' ')));
+        }
+    }
+    return sum;
+}
+
+struct sample {
+    usage used;
+    double sent{0};
+    double received{0};
+};
+
+sample take_sample(deployment& system, const std::string& process) {
+    sample taken;
+    taken.used = read_usage(system.process(process).pid());
+    taken.sent = counter(system, process, "citronseam_wire_bytes_total{direction=\"sent\"}");
+    taken.received =
+        counter(system, process, "citronseam_wire_bytes_total{direction=\"received\"}");
+    return taken;
+}
+
+void print_row(int entries, int agents, const std::string& role, const sample& before,
+               const sample& after) {
+    const double time = observed.count();
+    std::cout << "| " << entries << " | " << agents << " | " << role << " | "
+              << 100 * (after.used.processor_s - before.used.processor_s) / time << " | "
+              << after.used.memory_mib << " | " << (after.sent - before.sent) / time << " | "
+              << (after.received - before.received) / time << " |" << std::endl;
+}
+
+void measure_idle(int entries, int agents) {
+    deployment_plan plan = small_plan();
+    plan.entry_zones.clear();
+    for (int i = 0; i < entries; ++i) {
+        plan.entry_zones.push_back(i % 2 == 0 ? "zone-a" : "zone-b");
+    }
+    plan.backend_servers.clear();
+    for (int i = 0; i < agents; ++i) {
+        plan.backend_servers.push_back(
+            {"agent-" + std::to_string(i), "desk", i % 2 == 0 ? "zone-a" : "zone-b", false, {}});
+    }
+    plan.control = "control:\n  heartbeat_interval: 500ms\n  silence_timeout: 2s\n";
+    deployment system(plan);
+    system.start();
+    const sample entry = take_sample(system, "entry-0");
+    const sample agent = take_sample(system, "agent-0");
+    std::this_thread::sleep_for(observed);
+    print_row(entries, agents, "entry", entry, take_sample(system, "entry-0"));
+    print_row(entries, agents, "agent", agent, take_sample(system, "agent-0"));
+}
+
+} // namespace
+
+void measure_capacity() {
+    std::cout
+        << "\n### Control without load, heartbeats every 500 ms\n\n| entries | agents | role | "
+           "processor, % of a core | memory MiB | sent B/s | received B/s |\n"
+           "|---|---|---|---|---|---|---|\n";
+    measure_idle(2, 4);
+    measure_idle(2, 16);
+    measure_idle(2, 48);
+    measure_idle(8, 16);
+    measure_idle(16, 16);
+}
+
+} // namespace citronseam::measurement
--- /dev/null
+++ b/benchmark/measurements.h
@@ -0,0 +1,24 @@
+/// @file
+/// Measurements through real processes on loopback. Each prints a table in Markdown.
+#ifndef CITRONSEAM_BENCHMARK_MEASUREMENTS_H
+#define CITRONSEAM_BENCHMARK_MEASUREMENTS_H
+
+namespace citronseam::measurement {
+
+/// One entry under the two-year peak, against the stand-ins called directly.
+void measure_entry();
+/// An availability zone leaves and returns under steady load, against round robin.
+void measure_zone();
+/// Twice the load that the servers bear.
+void measure_overload();
+/// Time to N whole replicas and origin bytes, against drawing everything from the origin.
+/// @param largest largest N
+void measure_rollout(int largest);
+/// Live requests while a version spreads, against the same load without.
+void measure_rollout_load();
+/// Slopes for docs/CAPACITY.md: processor time, memory and bytes of control by size.
+void measure_capacity();
+
+} // namespace citronseam::measurement
+
+#endif
--- /dev/null
+++ b/benchmark/rollout_measurement.cpp
@@ -0,0 +1,155 @@
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+#include "measurements.h"
+#include "support/requests.h"
+
+namespace citronseam::measurement {
+namespace {
+
+using namespace citronseam::harness;
+
+constexpr std::size_t model_size = 8 * 1024 * 1024;
+/// The origin's link carries about four copies in the time in which a machine's link carries two.
+constexpr std::uint64_t origin_rate = 10 * 1000 * 1000;
+constexpr double machine_rate = 5 * 1000 * 1000;
+constexpr double region_rate = 2.5 * 1000 * 1000;
+constexpr milliseconds longest_rollout{120000};
+
+struct rollout_outcome {
+    bool is_whole{false};
+    double whole_s{0};    ///< until every agent holds all chunks
+    double in_force_s{0}; ///< until every engine serves the version
+    double origin_copies{0};
+    double region_copies{0}; ///< largest over the links between regions
+};
+
+deployment_plan rollout_plan(int agents, bool is_baseline) {
+    deployment_plan plan = small_plan();
+    std::string rollout = "    rollout:\n      peer_rate: 40Mbit/s\n";
+    rollout += is_baseline ? "      spread: origin\n" : "";
+    plan.configuration = test_configuration({{"    rollout:\n", rollout}});
+    plan.origin_rate = origin_rate;
+    plan.backend_servers.clear();
+    for (int i = 0; i < agents; ++i) {
+        plan.backend_servers.push_back({"agent-" + std::to_string(i),
+                                        "pool",
+                                        i % 2 == 0 ? "zone-a" : "zone-b",
+                                        true,
+                                        {"--cold-requests", "1"}});
+    }
+    return plan;
+}
+
+/// Bytes sent to another region, summed over all agents.
+double bytes_between_regions(deployment& system, const std::vector<std::string>& agents) {
+    double sum = 0;
+    for (const auto& agent : agents) {
+        const auto text =
+            system.ask("GET", "http://" + system.address(agent, "operator") + "/metrics").body;
+        const bool is_in_a = (std::stoi(agent.substr(6)) % 2) == 0;
+        const std::string mark = std::string("citronseam_weight_bytes_sent_total{to_region=\"") +
+                                 (is_in_a ? "region-b" : "region-a") + "\"} ";
+        const auto found = text.find(mark);
+        sum += found == std::string::npos ? 0 : std::stod(text.substr(found + mark.size()));
+    }
+    return sum;
+}
+
+rollout_outcome run_rollout(int agents, bool is_baseline, int killed) {
+    deployment system(rollout_plan(agents, is_baseline));
+    system.start_processes();
+    system.apply(rollout_plan(agents, is_baseline).configuration);
+    std::vector<std::string> names;
+    for (int i = 0; i < agents; ++i) {
+        names.push_back("agent-" + std::to_string(i));
+    }
+    wait_until([&] { return system.status()["agents"].size() == names.size(); }, longest_rollout);
+    const auto began = std::chrono::steady_clock::now();
+    const auto passed = [&began] {
+        return std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+    };
+    system.release("pool", model_size, 7);
+    if (killed > 0) {
+        std::this_thread::sleep_for(milliseconds(1500));
+        for (int i = 0; i < killed; ++i) {
+            system.process(names.back()).send_signal(SIGKILL);
+            names.pop_back();
+        }
+    }
+    rollout_outcome outcome;
+    outcome.is_whole = wait_until(
+        [&] {
+            const auto status = system.status();
+            std::size_t whole = 0;
+            std::size_t in_force = 0;
+            for (const auto& agent : status["agents"]) {
+                const bool is_counted =
+                    std::find(names.begin(), names.end(), agent["instance"]) != names.end();
+                const int total = agent["chunks_total"];
+                whole += is_counted && total > 0 && agent["chunks_held"] == total ? 1 : 0;
+                in_force += is_counted && agent["version"] != "" ? 1 : 0;
+            }
+            if (whole == names.size() && outcome.whole_s == 0) {
+                outcome.whole_s = passed();
+            }
+            return in_force == names.size();
+        },
+        longest_rollout);
+    outcome.in_force_s = passed();
+    const auto counts =
+        system.ask("GET", "http://" + system.address("weights", "http") + "/counts");
+    outcome.origin_copies = nlohmann::json::parse(counts.body)["bytes"].get<double>() / model_size;
+    outcome.region_copies = bytes_between_regions(system, names) / model_size;
+    return outcome;
+}
+
+void print_outcome(int agents, const std::string& what, const rollout_outcome& outcome) {
+    const double bound = std::max(
+        {model_size / machine_rate, model_size / double{origin_rate}, model_size / region_rate});
+    std::cout << "| " << agents << " | " << what << " | " << (outcome.is_whole ? "yes" : "no")
+              << " | " << outcome.whole_s << " | " << outcome.in_force_s << " | "
+              << outcome.in_force_s / bound << " | " << outcome.origin_copies << " | "
+              << outcome.region_copies << " |" << std::endl;
+}
+
+} // namespace
+
+void measure_rollout(int largest) {
+    std::cout
+        << "\n### Time to N whole replicas\n\n8 MiB, two regions, origin 10 MB/s, machine "
+           "5 MB/s, link between regions 2.5 MB/s\n\n"
+           "| N | spread | all whole | chunks s | in force s | ratio to bound | origin copies | "
+           "copies between regions |\n|---|---|---|---|---|---|---|---|\n";
+    for (int agents = 8; agents <= largest; agents *= 2) {
+        print_outcome(agents, "from the origin (baseline)", run_rollout(agents, true, 0));
+        print_outcome(agents, "from each other", run_rollout(agents, false, 0));
+    }
+    print_outcome(30, "a tenth killed midway", run_rollout(30, false, 3));
+}
+
+void measure_rollout_load() {
+    std::cout
+        << "\n### Live requests while a version spreads\n\n| when | sent | answered | p50 ms | "
+           "p95 ms |\n|---|---|---|---|---|\n";
+    auto plan = rollout_plan(8, false);
+    deployment system(plan);
+    system.start();
+    const std::vector<std::string> load{"--service", "pool",     "--rate", "100",      "--seconds",
+                                        "8",         "--tokens", "10",     "--stream", "0"};
+    const auto print = [](const char* when, const nlohmann::json& result) {
+        std::cout << "| " << when << " | " << result["sent"] << " | " << result["answered"] << " | "
+                  << result["total_ms"]["p50"] << " | " << result["total_ms"]["p95"] << " |"
+                  << std::endl;
+    };
+    system.load(load);
+    print("without", system.load(load));
+    const auto run = system.start_load(load);
+    system.release("pool", model_size, 9);
+    print("with", deployment::load_result(*run));
+}
+
+} // namespace citronseam::measurement
--- a/include/citronseam/connection/peer_session.h
+++ b/include/citronseam/connection/peer_session.h
@@ -69,6 +69,11 @@
     /// thread.
     std::size_t queued_bytes() const noexcept { return queued_bytes_.load(); }
 
+    /// @return bytes of frames sent since the last call, their headers included
+    std::uint64_t take_sent_bytes() noexcept { return sent_bytes_.exchange(0); }
+    /// @return bytes received since the last call
+    std::uint64_t take_received_bytes() noexcept { return received_bytes_.exchange(0); }
+
     /// @return the time the last frame came
     time_point last_received() const noexcept { return last_received_.load(); }
 
@@ -103,6 +108,8 @@
 
     std::atomic<bool> is_open_{true};
     std::atomic<std::size_t> queued_bytes_{0};
+    std::atomic<std::uint64_t> sent_bytes_{0};
+    std::atomic<std::uint64_t> received_bytes_{0};
     std::atomic<time_point> last_received_;
 };
 
--- a/include/citronseam/process/configuration.h
+++ b/include/citronseam/process/configuration.h
@@ -36,6 +36,14 @@
 /// @return the name of a policy as written in configuration
 std::string_view name(isolation_policy policy) noexcept;
 
+/// How an entry spreads requests over the backend servers of a service.
+enum class balancing_policy : std::uint8_t {
+    two_choices, ///< the less loaded of two random servers, own zone first
+    round_robin  ///< in turn, blind to load: the baseline for measurements
+};
+/// @return the name of a policy as written in configuration
+std::string_view name(balancing_policy policy) noexcept;
+
 /// Where agents get the chunks of a version from.
 enum class spread_policy : std::uint8_t {
     peers, ///< from each other; each chunk leaves the origin about once
@@ -95,6 +103,7 @@
     service_kind kind{service_kind::engine};
     std::string model_version; ///< hash of the manifest in force; empty for none
     fencing_mode fencing{fencing_mode::enforced};
+    balancing_policy balancing{balancing_policy::two_choices};
     service_limits limits;
     rollout_limits rollout;
     std::vector<idempotency_rule> rules;
--- a/src/connection/peer_session.cpp
+++ b/src/connection/peer_session.cpp
@@ -76,6 +76,7 @@
 }
 
 void peer_session::handle_bytes(std::size_t size) {
+    received_bytes_ += size;
     last_received_ = std::chrono::steady_clock::now();
     decoder_.feed(read_buffer_.data(), size);
     std::basic_string_view<std::uint8_t> payload;
@@ -133,6 +134,7 @@
         socket_, buffers,
         [self = shared_from_this()](const asio::error_code& problem, std::size_t size) {
             self->in_flight_.clear();
+            self->sent_bytes_ += size;
             self->queued_bytes_ -= std::min(size, self->queued_bytes_.load());
             {
                 const std::lock_guard<std::mutex> lock(self->queue_mutex_);
--- a/src/process/configuration.cpp
+++ b/src/process/configuration.cpp
@@ -23,6 +23,10 @@
     {isolation_policy::serve, "serve"},
 }};
 
+constexpr std::array<enum_name<balancing_policy>, 2> balancing_names{{
+    {balancing_policy::two_choices, "two_choices"},
+    {balancing_policy::round_robin, "round_robin"},
+}};
 constexpr std::array<enum_name<spread_policy>, 2> spread_names{{
     {spread_policy::peers, "peers"},
     {spread_policy::origin, "origin"},
@@ -87,6 +91,10 @@
     }
     const std::string fencing = object.choice_or("fencing", "enforced", all_names(fencing_names));
     value.fencing = find_value(fencing_names, fencing).value_or(fencing_mode::enforced);
+    const std::string balancing =
+        object.choice_or("balancing", "two_choices", all_names(balancing_names));
+    value.balancing =
+        find_value(balancing_names, balancing).value_or(balancing_policy::two_choices);
     object.object("limits", [&](yaml_object& limits) { read_limits(limits, value.limits); });
     object.object("rollout", [&](yaml_object& rollout) { read_rollout(rollout, value.rollout); });
     object.objects("idempotency", [&](yaml_object& rule) {
@@ -202,6 +210,9 @@
 std::string_view name(fencing_mode mode) noexcept {
     return find_name(fencing_names, mode);
 }
+std::string_view name(balancing_policy policy) noexcept {
+    return find_name(balancing_names, policy);
+}
 std::string_view name(spread_policy policy) noexcept {
     return find_name(spread_names, policy);
 }
--- a/src/programs/agent/chunk_swarm.cpp
+++ b/src/programs/agent/chunk_swarm.cpp
@@ -72,7 +72,10 @@
     observer.on_closed = [this](const session_pointer& session, close_reason) {
         handle_closed(session);
     };
-    observer.make_heartbeat = [](const session_pointer&) { return make_frame(wire::heartbeatT{}); };
+    observer.make_heartbeat = [this](const session_pointer& session) {
+        context_.hub.count_bytes(*session);
+        return make_frame(wire::heartbeatT{});
+    };
     return observer;
 }
 
--- a/src/programs/daemon/control_hub.cpp
+++ b/src/programs/daemon/control_hub.cpp
@@ -67,6 +67,13 @@
     }
 }
 
+void control_hub::count_bytes(peer_session& session) const {
+    metrics_.count("citronseam_wire_bytes_total", {{"direction", "sent"}},
+                   static_cast<double>(session.take_sent_bytes()));
+    metrics_.count("citronseam_wire_bytes_total", {{"direction", "received"}},
+                   static_cast<double>(session.take_received_bytes()));
+}
+
 void control_hub::handle_heartbeat(const std::shared_ptr<peer_session>& from,
                                    const wire::heartbeat& message) {
     const time_point now = std::chrono::steady_clock::now();
--- a/src/programs/daemon/control_hub.h
+++ b/src/programs/daemon/control_hub.h
@@ -38,6 +38,10 @@
     /// @param peer number of the session the heartbeat goes to
     void fill_heartbeat(wire::heartbeatT& heartbeat, std::uint64_t peer) const;
 
+    /// Adds the bytes of a session since the last call to the metrics. May be called from any
+    /// thread.
+    void count_bytes(peer_session& session) const;
+
     /// Takes what a heartbeat says. May be called from any thread.
     void handle_heartbeat(const std::shared_ptr<peer_session>& from,
                           const wire::heartbeat& message);
--- a/src/programs/entry/backend_directory.cpp
+++ b/src/programs/entry/backend_directory.cpp
@@ -86,7 +86,7 @@
             }
             dispatcher = known;
         }
-        dispatcher->set_limits(entry.limits);
+        dispatcher->set_limits(entry);
         if (is_new) {
             publish(entry.name);
         }
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -159,6 +159,7 @@
             handle_closed(session, reason);
         };
         observer.make_heartbeat = [this](const session_pointer& session) {
+            hub_.count_bytes(*session);
             return make_heartbeat(session->number());
         };
         return observer;
--- a/src/programs/entry/service_dispatcher.cpp
+++ b/src/programs/entry/service_dispatcher.cpp
@@ -18,12 +18,14 @@
     : name_(std::move(name)), snapshot_(std::make_shared<service_snapshot>()),
       random_(seeded_random_source()), last_tick_(std::chrono::steady_clock::now()) {}
 
-void service_dispatcher::set_limits(const service_limits& limits) {
+void service_dispatcher::set_limits(const service& wanted) {
+    const service_limits& limits = wanted.limits;
     const std::lock_guard<std::mutex> lock(mutex_);
     if (limits.retry_percent != limits_.retry_percent || budget_.most == 0) {
         budget_ = make_retry_budget(limits.retry_percent);
     }
     limits_ = limits;
+    balancing_ = wanted.balancing;
     queue_.limit = limits.queue_limit;
 }
 
@@ -45,8 +47,11 @@
 }
 
 std::shared_ptr<backend_server_link> service_dispatcher::choose(const request_exchange& exchange) {
-    backend_server_load* chosen = choose_backend_server(
-        snapshot_->pool, preferred_for(exchange.prefix()), exchange.excluded(), random_);
+    backend_server_load* chosen =
+        balancing_ == balancing_policy::round_robin
+            ? choose_round_robin(snapshot_->pool, cursor_)
+            : choose_backend_server(snapshot_->pool, preferred_for(exchange.prefix()),
+                                    exchange.excluded(), random_);
     if (chosen == nullptr) {
         return nullptr;
     }
--- a/src/programs/entry/service_dispatcher.h
+++ b/src/programs/entry/service_dispatcher.h
@@ -25,20 +25,14 @@
     std::unordered_map<const backend_server_load*, std::shared_ptr<backend_server_link>> links;
 };
 
-/// How requests are spread.
-enum class balancing_policy : std::uint8_t {
-    two_choices, ///< the policy of the product
-    round_robin  ///< the baseline for measurements
-};
-
 /// One service at one entry. All functions may be called from any thread.
 class service_dispatcher {
 public:
     /// @param name name of the service
     explicit service_dispatcher(std::string name);
 
-    /// Takes the bounds of the service.
-    void set_limits(const service_limits& limits);
+    /// Takes the bounds and the policy of the service.
+    void set_limits(const service& wanted);
     /// Takes the backend servers.
     void set_snapshot(std::shared_ptr<const service_snapshot> snapshot);
 
@@ -81,6 +75,8 @@
     mutable std::mutex mutex_;
     std::shared_ptr<const service_snapshot> snapshot_;
     service_limits limits_;
+    balancing_policy balancing_{balancing_policy::two_choices};
+    std::uint64_t cursor_{0}; ///< for round robin
     fair_queue queue_;
     std::unordered_map<std::uint64_t, exchange_pointer> waiting_;
     retry_budget budget_;
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -171,8 +171,7 @@
     return "platform:\n  table_service: http://" + table + "\n  object_store: http://" +
            address("store", "http") + "\n  weight_store: http://" + address("weights", "http") +
            "\n  instance_list: http://" + address("instances", "http") + "/instances\n" +
-           "control:\n  heartbeat_interval: 250ms\n  silence_timeout: 1500ms\n"
-           "  store_poll: 500ms\n  list_poll: 300ms\n";
+           plan_.control;
 }
 
 void deployment::start_entry(std::size_t index) {
@@ -271,13 +270,16 @@
     }
 }
 
-void deployment::start() {
-    start_processes();
-    const std::string path = write_file("configuration.yaml", plan_.configuration);
-    const auto applied = tool({"config", "apply", path});
+void deployment::apply(const std::string& configuration) {
+    const auto applied = tool({"config", "apply", write_file("configuration.yaml", configuration)});
     if (applied.status != 0) {
         throw std::runtime_error("the configuration was not applied: " + applied.errors);
     }
+}
+
+void deployment::start() {
+    start_processes();
+    apply(plan_.configuration);
     std::map<std::string, bool> services;
     for (const auto& plan : plan_.backend_servers) {
         services[plan.service] = plan.is_engine;
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -35,6 +35,9 @@
     int list_lag_ms{0};
     std::uint64_t origin_rate{0}; ///< bytes a second, 0 is unlimited
     std::string weight_memory{"256MiB"};
+    /// Timing of the control connections, as settings.
+    std::string control{"control:\n  heartbeat_interval: 250ms\n  silence_timeout: 1500ms\n"
+                        "  store_poll: 500ms\n  list_poll: 300ms\n"};
     /// Puts a relay before each entry's peer address and each daemon's table service.
     bool has_relays{false};
 };
@@ -61,6 +64,8 @@
     void start();
     /// Starts stand-ins and daemons without applying anything.
     void start_processes();
+    /// Applies a configuration.
+    void apply(const std::string& configuration);
     /// Waits until every agent is ready at every entry.
     /// @return whether that came within the bound
     bool wait_until_ready(milliseconds bound = milliseconds(20000));
