Write answers through a descriptor of their own

Cause: at 1,500 streams a second the entry ended with 'could not find write data', exit code 134, after 56 of 4,500 answers. Pistache 0.0.5 registers a socket for writing when it is full; when a later queue entry drains it first, the pending event finds no data and throws. Ruled out: descriptor limits (20,000), ports, our own threads (a trace named the library's transport).

Change: each connection duplicates its descriptor and writes on our own loop, several parts at once; Pistache only reads. Two other hazards go with it: writes queued by descriptor number, which another caller may get, and unbounded queues. A head that the parser neither takes nor refuses is answered with 400 now; it got silence before (http_server_test, red first).

Also: versions cross a link between regions through four senders that all agents of a region know.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PRESET ?= default
 BUILD = build/$(PRESET)
 
-.PHONY: setup build test demo bench matrix format lint fuzz clean
+.PHONY: setup build test demo bench matrix format lint fuzz sanitize clean
 
 setup:
 	.ci/setup
@@ -28,3 +28,19 @@
 
 clean:
 	rm -rf build
+
+matrix: build
+	tests/run_matrix $(BUILD)
+
+fuzz: setup
+	cmake --preset fuzz > /dev/null
+	cmake --build build/fuzz --target fuzz_configuration fuzz_settings fuzz_frame
+	fuzz/run build/fuzz
+
+sanitize: setup
+	cmake --preset address > /dev/null
+	cmake --build build/address
+	ctest --test-dir build/address --output-on-failure -R '_logic_test|wire_test|http_server_test|process_path_test|process_once_test'
+	cmake --preset thread > /dev/null
+	cmake --build build/thread --target wire_test http_server_test
+	ctest --test-dir build/thread --output-on-failure -R 'wire_test|http_server_test'
--- a/benchmark/load_measurement.cpp
+++ b/benchmark/load_measurement.cpp
@@ -24,6 +24,7 @@
 
 void print_row(const std::string& name, const nlohmann::json& load) {
     std::cout << "| " << name << " | " << load["sent"] << " | " << load["answered"] << " | "
+              << load["refused"] << " | " << load["aborted"] << " | "
               << number(load, "first_byte_ms", "p50") << " | "
               << number(load, "first_byte_ms", "p95") << " | " << number(load, "gap_ms", "p50")
               << " | " << number(load, "gap_ms", "p95") << " | " << load["seconds"] << " |\n";
@@ -31,8 +32,8 @@
 
 void print_head(const std::string& title) {
     std::cout << "\n### " << title
-              << "\n\n| what | sent | answered | first byte p50 ms | p95 ms | gap p50 ms | p95 ms "
-                 "| s |\n|---|---|---|---|---|---|---|---|\n";
+              << "\n\n| what | sent | answered | refused | aborted | first byte p50 ms | p95 ms | gap p50 ms | p95 ms "
+                 "| s |\n|---|---|---|---|---|---|---|---|---|---|\n";
 }
 
 /// Brings all servers to their full limit.
--- a/include/citronseam/version/chunk_plan.h
+++ b/include/citronseam/version/chunk_plan.h
@@ -34,8 +34,12 @@
 std::uint32_t draw_rank(std::string_view version, std::size_t chunk, std::string_view self,
                         std::string_view region, const std::vector<swarm_member>& members);
 
+/// Agents of a region that send chunks to each other region. They share the link evenly, so the
+/// fewer they are, the less a busy one waits while another's share lies idle.
+constexpr std::size_t senders_per_link = 4;
+
 /// Chooses the members that an agent keeps connections to: a bounded number in its own region, and
-/// when the region is not the origin's, a smaller number in the origin's region.
+/// when the region is not the origin's, the agents of the origin's region that send to it.
 std::vector<swarm_member> choose_neighbours(std::string_view self, std::string_view region,
                                             std::string_view origin_region,
                                             const std::vector<swarm_member>& members);
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -4,9 +4,10 @@
 
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
-#include <pistache/transport.h>
+#include <pistache/peer.h>
 
 #include "citronseam/connection/http_client.h"
+#include "citronseam/connection/io_threads.h"
 #include "citronseam/connection/request_guard.h"
 #include "connection/server_connection.h"
 
@@ -62,8 +63,8 @@
     HTTP_PROTOTYPE(guarding_handler)
 
 public:
-    guarding_handler(request_handler handler, std::size_t largest_body)
-        : handler_(std::move(handler)), largest_body_(largest_body) {}
+    guarding_handler(asio::io_context& writers, request_handler handler, std::size_t largest_body)
+        : writers_(writers), handler_(std::move(handler)), largest_body_(largest_body) {}
 
     /// The library calls this from its own input function, which onInput() replaces.
     void onRequest(const http::Request&, http::ResponseWriter) override {}
@@ -72,7 +73,7 @@
         peer->putData(ParserData,
                       std::make_shared<http::RequestParser>(largest_body_ + largest_head));
         auto input = std::make_shared<connection_input>();
-        input->connection = std::make_shared<server_connection>(peer);
+        input->connection = std::make_shared<server_connection>(writers_, peer->fd());
         peer->putData(connection_key, input);
     }
 
@@ -82,8 +83,6 @@
             return;
         }
         input->connection->mark_closed();
-        // Writes queued for this descriptor must leave the queue before its number is given free.
-        transport()->flush();
     }
 
 private:
@@ -143,6 +142,10 @@
                 input.is_in_body = false;
                 hand_over(parser->request, input);
                 parser->reset();
+            } else if (!input.is_chunked && input.body_remaining == 0) {
+                // All that was announced is here, and the library still waits for more.
+                refuse(http_status(guard_finding::bad_length), "the request cannot be parsed",
+                       input);
             }
         } catch (const std::exception&) {
             refuse(http_status(guard_finding::bad_length), "the request cannot be parsed", input);
@@ -173,6 +176,7 @@
                           body);
     }
 
+    asio::io_context& writers_;
     request_handler handler_;
     std::size_t largest_body_;
 };
@@ -182,7 +186,8 @@
 class http_server::implementation {
 public:
     implementation(const server_options& options, request_handler handler)
-        : endpoint_(Pistache::Address(Pistache::Ipv4::any(), Pistache::Port(0))) {
+        : writers_(static_cast<std::size_t>(options.threads)),
+          endpoint_(Pistache::Address(Pistache::Ipv4::any(), Pistache::Port(0))) {
         const Pistache::Address address(options.address.host, Pistache::Port(options.address.port));
         auto settings =
             http::Endpoint::options()
@@ -194,13 +199,16 @@
                 .bodyTimeout(library_timeout)
                 .keepaliveTimeout(library_timeout);
         endpoint_.init(settings);
-        endpoint_.setHandler(
-            std::make_shared<guarding_handler>(std::move(handler), options.largest_body));
+        endpoint_.setHandler(std::make_shared<guarding_handler>(
+            writers_.context(), std::move(handler), options.largest_body));
         endpoint_.bind(address);
         endpoint_.serveThreaded();
     }
 
-    ~implementation() { endpoint_.shutdown(); }
+    ~implementation() {
+        endpoint_.shutdown();
+        writers_.stop();
+    }
 
     implementation(const implementation&) = delete;
     implementation& operator=(const implementation&) = delete;
@@ -208,6 +216,7 @@
     std::uint16_t port() const { return endpoint_.getPort(); }
 
 private:
+    io_threads writers_;
     http::Endpoint endpoint_;
 };
 
--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -1,27 +1,101 @@
 #include "connection/server_connection.h"
 
-#include <sys/socket.h>
+#include <algorithm>
+
+#include <unistd.h>
+
+#include "citronseam/process/sizes.h"
 
 namespace citronseam {
+namespace {
+
+/// A caller that leaves more than this unread is cut: memory stays bounded.
+constexpr std::size_t most_queued_bytes = 32 * mebibyte;
+constexpr std::size_t most_parts_per_write = 64;
 
-server_connection::server_connection(const std::shared_ptr<Pistache::Tcp::Peer>& peer)
-    : peer_(peer) {}
+} // namespace
+
+server_connection::server_connection(asio::io_context& loop, int descriptor)
+    : socket_(asio::make_strand(loop)) {
+    asio::error_code problem;
+    socket_.assign(asio::ip::tcp::v4(), ::dup(descriptor), problem);
+    is_open_ = !problem;
+}
 
 bool server_connection::send(std::string bytes) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (peer_ == nullptr) {
-        return false;
+    bool is_first = false;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (!is_open_ || is_ending_) {
+            return false;
+        }
+        queued_bytes_ += bytes.size();
+        queue_.push_back(std::move(bytes));
+        is_first = !is_writing_;
+        is_writing_ = true;
+    }
+    if (is_first) {
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->write_queued(); });
     }
-    const std::size_t size = bytes.size();
-    peer_->send(Pistache::RawBuffer(std::move(bytes), size), MSG_NOSIGNAL);
     return true;
 }
 
-void server_connection::cut() {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (peer_ != nullptr) {
-        ::shutdown(peer_->fd(), SHUT_RDWR);
+void server_connection::write_queued() {
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        const std::size_t count = std::min(queue_.size(), most_parts_per_write);
+        for (std::size_t i = 0; i < count; ++i) {
+            queued_bytes_ -= queue_.front().size();
+            in_flight_.push_back(std::move(queue_.front()));
+            queue_.pop_front();
+        }
+        is_writing_ = !in_flight_.empty();
+    }
+    if (in_flight_.empty()) {
+        return;
+    }
+    std::vector<asio::const_buffer> buffers;
+    buffers.reserve(in_flight_.size());
+    for (const auto& part : in_flight_) {
+        buffers.emplace_back(part.data(), part.size());
     }
+    asio::async_write(socket_, buffers,
+                      [self = shared_from_this()](const asio::error_code& problem, std::size_t) {
+                          self->handle_written(problem);
+                      });
+}
+
+void server_connection::handle_written(const asio::error_code& problem) {
+    in_flight_.clear();
+    bool is_too_slow = false;
+    bool is_done = false;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        is_too_slow = queued_bytes_ > most_queued_bytes;
+        is_done = is_ending_ && queue_.empty();
+    }
+    if (problem || is_too_slow || is_done) {
+        close_socket();
+        return;
+    }
+    write_queued();
+}
+
+void server_connection::close_socket() {
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        is_open_ = false;
+        is_writing_ = false;
+        queue_.clear();
+    }
+    // The library's descriptor is shut down with this one and closes itself.
+    asio::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+}
+
+void server_connection::cut() {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close_socket(); });
 }
 
 bool server_connection::begin_request() {
@@ -40,13 +114,16 @@
 }
 
 void server_connection::end_answer() {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    is_answering_ = false;
-    callback_ = nullptr;
-    if (is_last_answer_ && peer_ != nullptr) {
-        // The answer is still in the library's queue; closing the reading side alone lets it go
-        // out.
-        ::shutdown(peer_->fd(), SHUT_RD);
+    bool is_written = false;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        is_answering_ = false;
+        callback_ = nullptr;
+        is_ending_ = is_last_answer_;
+        is_written = is_ending_ && !is_writing_;
+    }
+    if (is_written) {
+        cut();
     }
 }
 
@@ -54,9 +131,10 @@
     std::function<void()> callback;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        peer_.reset();
+        is_open_ = false;
         callback.swap(callback_);
     }
+    cut();
     if (callback) {
         callback();
     }
@@ -64,13 +142,13 @@
 
 bool server_connection::is_open() const {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return peer_ != nullptr;
+    return is_open_;
 }
 
 void server_connection::on_closed(std::function<void()> callback) {
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        if (peer_ != nullptr) {
+        if (is_open_) {
             callback_ = std::move(callback);
             return;
         }
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -1,39 +1,46 @@
 /// @file
-/// One caller's connection to the HTTP server.
+/// One caller's connection to the HTTP server: its writing side.
 #ifndef CITRONSEAM_CONNECTION_SERVER_CONNECTION_H
 #define CITRONSEAM_CONNECTION_SERVER_CONNECTION_H
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
-#include <pistache/peer.h>
+#include <asio.hpp>
 
 namespace citronseam {
 
-/// Guards the socket of a caller against use after it was closed.
+/// Writes to a caller's socket through a descriptor of its own.
 ///
-/// Pistache queues writes by descriptor number. Were a write queued after the connection closed, it
-/// could reach another caller whose connection got the same number. The mutex makes queueing and
-/// closing exclude each other, and the server flushes the queue before the number is given free.
-class server_connection {
+/// Pistache 0.0.5 reads the requests, but its write queue cannot be used from other threads: it
+/// ends the process ("could not find write data") when a caller reads slowly while further parts
+/// are queued, and it names sockets by descriptor numbers, which another caller may get. A
+/// duplicate descriptor belongs to this object alone, so that neither can happen. The object keeps
+/// itself alive while a write is pending.
+class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
-    /// @param peer the library's connection
-    explicit server_connection(const std::shared_ptr<Pistache::Tcp::Peer>& peer);
+    /// @param loop       carries the writes
+    /// @param descriptor the library's socket; it is duplicated
+    server_connection(asio::io_context& loop, int descriptor);
 
-    /// Queues bytes. @return false when the connection is closed
+    /// Queues bytes. May be called from any thread.
+    /// @return false when the connection is closed
     bool send(std::string bytes);
     /// Cuts the connection at once.
     void cut();
-    /// Notes that an answer ended; cuts the connection when another request came too early.
-    void end_answer();
     /// Notes that a request came. @return false when an answer is still under way
     bool begin_request();
+    /// Notes that an answer ended; closes the connection after it when another request came too
+    /// early.
+    void end_answer();
     /// Notes that the caller sent more than one request at once: after the present answer the
     /// connection is closed, so that no request is left without an answer or a closed connection.
     void close_after_answer();
-    /// Notes that the socket is closed. Called by the server before the descriptor is given free.
+    /// Notes that the caller closed the connection.
     void mark_closed();
 
     /// @return whether the caller is connected
@@ -42,11 +49,21 @@
     void on_closed(std::function<void()> callback);
 
 private:
+    void write_queued();
+    void handle_written(const asio::error_code& problem);
+    void close_socket();
+
+    asio::ip::tcp::socket socket_;
     mutable std::mutex mutex_;
-    std::shared_ptr<Pistache::Tcp::Peer> peer_;
+    std::deque<std::string> queue_;
+    std::vector<std::string> in_flight_;
+    std::size_t queued_bytes_{0};
     std::function<void()> callback_;
+    bool is_open_{true};
+    bool is_writing_{false};
     bool is_answering_{false};
     bool is_last_answer_{false};
+    bool is_ending_{false};
 };
 
 } // namespace citronseam
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -189,6 +189,7 @@
         heartbeat.running = gate_.running();
         const std::lock_guard<std::mutex> lock(progress_mutex_);
         heartbeat.model_version = progress_.in_force;
+        heartbeat.version_since_ms = progress_.in_force_since_ms;
         heartbeat.chunks_held = progress_.held;
         heartbeat.chunks_total = progress_.total;
         heartbeat.origin_bytes = progress_.origin_bytes;
--- a/src/programs/agent/version_keeper.cpp
+++ b/src/programs/agent/version_keeper.cpp
@@ -1,5 +1,7 @@
 #include "programs/agent/version_keeper.h"
 
+#include <algorithm>
+
 #include "citronseam/process/log.h"
 
 namespace citronseam {
@@ -14,7 +16,7 @@
 constexpr milliseconds shortest_permit_pause{200};
 constexpr milliseconds pause_after_failure{1000};
 /// Share of a link between regions that weights may take; live requests have the rest.
-constexpr std::uint64_t region_share_percent = 80;
+constexpr std::uint64_t region_share_percent = 90;
 constexpr std::uint64_t percent = 100;
 
 } // namespace
@@ -53,6 +55,7 @@
         context_.gate.turn_cold(cold_sign::said_so);
     }
     if (step_ != step::load) {
+        in_force_since_ms_ = is_other_version ? wall_clock_ms() : in_force_since_ms_;
         in_force_ = status->version;
         context_.gate.set_ready(!in_force_.empty() && step_ != step::drain);
     }
@@ -103,7 +106,8 @@
     rates.spread = wanted.rollout.spread;
     rates.own_link =
         context_.options.peer_link > 0 ? context_.options.peer_link : wanted.rollout.peer_rate;
-    rates.region_link = link * region_share_percent / percent / std::max<std::uint64_t>(senders, 1);
+    senders = std::clamp<std::uint64_t>(senders, 1, senders_per_link);
+    rates.region_link = link * region_share_percent / percent / senders;
     rates.origin = wanted.rollout.origin_rate;
     swarm_->set_rates(rates);
 }
@@ -278,6 +282,7 @@
         return;
     }
     in_force_ = version;
+    in_force_since_ms_ = wall_clock_ms();
     log_event(log_level::info, "version_in_force", {{"version", version}});
     context_.gate.turn_cold(cold_sign::reloaded);
     context_.gate.set_ready(true);
@@ -286,6 +291,7 @@
 version_progress version_keeper::progress() const {
     version_progress report;
     report.in_force = in_force_;
+    report.in_force_since_ms = in_force_since_ms_;
     report.wanted = wanted_;
     report.total = static_cast<std::uint32_t>(manifest_.chunks.size());
     report.held = count_held(swarm_->chunks(), manifest_);
--- a/src/programs/agent/version_keeper.h
+++ b/src/programs/agent/version_keeper.h
@@ -18,11 +18,12 @@
 
 /// What an agent tells of its version work.
 struct version_progress {
-    std::string in_force;          ///< version that the engine serves
-    std::string wanted;            ///< version that the configuration asks for
-    std::uint32_t held{0};         ///< chunks of the wanted version
-    std::uint32_t total{0};        ///< all its chunks, 0 while the manifest is unknown
-    std::uint64_t origin_bytes{0}; ///< drawn from the origin since the process started
+    std::string in_force;               ///< version that the engine serves
+    std::uint64_t in_force_since_ms{0}; ///< Unix time in milliseconds
+    std::string wanted;                 ///< version that the configuration asks for
+    std::uint32_t held{0};              ///< chunks of the wanted version
+    std::uint32_t total{0};             ///< all its chunks, 0 while the manifest is unknown
+    std::uint64_t origin_bytes{0};      ///< drawn from the origin since the process started
 };
 
 /// Reconciles the engine. Everything runs on the control thread.
@@ -82,6 +83,7 @@
     std::string manifest_text_;
     manifest manifest_;
     std::string in_force_;
+    std::uint64_t in_force_since_ms_{0};
     std::string boot_;
     bool is_reachable_{false};
     time_point step_began_;
--- a/src/programs/entry/backend_server_link.cpp
+++ b/src/programs/entry/backend_server_link.cpp
@@ -20,6 +20,7 @@
     report_.limit = message.limit();
     report_.running = message.running();
     report_.model_version = view(message.model_version());
+    report_.version_since_ms = message.version_since_ms();
     report_.chunks_held = message.chunks_held();
     report_.chunks_total = message.chunks_total();
     report_.origin_bytes = message.origin_bytes();
--- a/src/programs/entry/backend_server_link.h
+++ b/src/programs/entry/backend_server_link.h
@@ -24,6 +24,7 @@
     std::uint32_t limit{0};
     std::uint32_t running{0};
     std::string model_version;
+    std::uint64_t version_since_ms{0}; ///< Unix time in milliseconds
     std::uint32_t chunks_held{0};
     std::uint32_t chunks_total{0};
     std::uint64_t origin_bytes{0};
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -50,6 +50,7 @@
               hub_,
               crashes_,
               traces_,
+              latencies_,
               [this](const std::string& service) { return directory_.find_dispatcher(service); },
               [this] { return other_entry(); },
               [this] { return is_leaving_.load(); }} {}
@@ -475,6 +476,7 @@
                 mesh_,
                 crashes_,
                 traces_,
+                latencies_,
                 is_leaving_,
                 running_};
     }
@@ -512,6 +514,7 @@
     control_hub hub_;
     crash_board crashes_;
     trace_board traces_;
+    latency_board latencies_;
     backend_directory directory_;
     entry_mesh mesh_;
     http_client platform_;
--- a/src/programs/entry/entry_context.h
+++ b/src/programs/entry/entry_context.h
@@ -13,6 +13,7 @@
 #include "citronseam/process/settings.h"
 #include "programs/daemon/control_hub.h"
 #include "programs/entry/crash_board.h"
+#include "programs/entry/latency_board.h"
 #include "programs/entry/service_dispatcher.h"
 #include "programs/entry/trace_board.h"
 
@@ -27,6 +28,7 @@
     control_hub& hub;
     crash_board& crashes;
     trace_board& traces;
+    latency_board& latencies;
     /// @return the dispatcher of a service, or nullptr
     std::function<std::shared_ptr<service_dispatcher>(const std::string& service)> find_dispatcher;
     /// @return address of another entry that stays, empty when none is known
--- a/src/programs/entry/entry_operator.cpp
+++ b/src/programs/entry/entry_operator.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::string_view quarantine_base = "/v1/quarantine/";
 constexpr std::string_view trace_base = "/v1/traces/";
+constexpr std::string_view latency_base = "/v1/latencies/";
 constexpr milliseconds longest_notice{3600000};
 
 nlohmann::json agent_json(const backend_server_link& link, const agent_report& report) {
@@ -25,6 +26,7 @@
             {"limit", report.limit},
             {"running", report.running},
             {"version", report.model_version},
+            {"version_since_ms", report.version_since_ms},
             {"chunks_held", report.chunks_held},
             {"chunks_total", report.chunks_total},
             {"origin_bytes", report.origin_bytes}};
@@ -107,6 +109,18 @@
     return {{"traces", list}};
 }
 
+std::uint64_t number_parameter(const server_request& request, std::string_view name) {
+    const std::string text = query_parameter(request, name);
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+nlohmann::json latency_json(const latency_summary& summary) {
+    return {
+        {"answered", summary.answered}, {"failed", summary.failed}, {"buckets", summary.buckets}};
+}
+
 void take_configuration_from_tool(const operator_view& entry, const server_request& request,
                                   http_responder& responder) {
     const auto json = nlohmann::json::parse(request.body, nullptr, false);
@@ -181,6 +195,11 @@
     } else if (is_get && request.path.rfind(trace_base, 0) == 0) {
         respond_json(responder, 200,
                      trace_json(entry.traces, request.path.substr(trace_base.size())).dump());
+    } else if (is_get && request.path.rfind(latency_base, 0) == 0) {
+        const auto summary = entry.latencies.summary(request.path.substr(latency_base.size()),
+                                                     number_parameter(request, "from_ms"),
+                                                     number_parameter(request, "to_ms"));
+        respond_json(responder, 200, latency_json(summary).dump());
     } else if (request.method == "DELETE" && request.path.rfind(quarantine_base, 0) == 0) {
         release_from_quarantine(entry, request.path.substr(quarantine_base.size()), responder);
     } else {
--- a/src/programs/entry/entry_operator.h
+++ b/src/programs/entry/entry_operator.h
@@ -12,6 +12,7 @@
 #include "programs/entry/backend_directory.h"
 #include "programs/entry/crash_board.h"
 #include "programs/entry/entry_mesh.h"
+#include "programs/entry/latency_board.h"
 #include "programs/entry/trace_board.h"
 
 namespace citronseam {
@@ -27,6 +28,7 @@
     const entry_mesh& mesh;
     crash_board& crashes;
     const trace_board& traces;
+    const latency_board& latencies;
     const std::atomic<bool>& is_leaving;
     const std::atomic<std::uint32_t>& running;
 };
@@ -36,6 +38,7 @@
 ///  - `POST /v1/configuration`: takes a configuration that the caller saw accepted
 ///  - `POST /v1/notices`: takes an availability zone out of service, or back, at once
 ///  - `GET /v1/quarantine`, `DELETE /v1/quarantine/FINGERPRINT`
+///  - `GET /v1/latencies/SERVICE?from_ms=N&to_ms=N`: requests that ended in that time
 ///  - `GET /v1/traces/REQUEST-ID`: what became of a recent request
 void handle_entry_operator(const operator_view& entry, const server_request& request,
                            http_responder& responder);
--- /dev/null
+++ b/src/programs/entry/latency_board.h
@@ -0,0 +1,30 @@
+/// @file
+/// Recent latencies of each service at this entry.
+#ifndef CITRONSEAM_PROGRAMS_ENTRY_LATENCY_BOARD_H
+#define CITRONSEAM_PROGRAMS_ENTRY_LATENCY_BOARD_H
+
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "citronseam/request/latency_windows.h"
+
+namespace citronseam {
+
+/// Guards the windows. All functions may be called from any thread.
+class latency_board {
+public:
+    /// Adds a request that ended now.
+    void add(const std::string& service, std::uint32_t taken_ms, bool is_answered);
+    /// Sums a service's requests that ended between two Unix times in milliseconds.
+    latency_summary summary(const std::string& service, std::uint64_t from_ms,
+                            std::uint64_t to_ms) const;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::string, latency_windows> services_;
+};
+
+} // namespace citronseam
+
+#endif
--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -409,6 +409,9 @@
                              std::chrono::duration<double>(taken).count());
     trace_.taken_ms = elapsed_ms(arrived_, std::chrono::steady_clock::now());
     trace_.result = result;
+    if (result != "hung_up") {
+        context_.latencies.add(request_.service, trace_.taken_ms, result == "answered");
+    }
     context_.traces.add(std::move(trace_));
 }
 
--- a/src/programs/tool/commands.h
+++ b/src/programs/tool/commands.h
@@ -22,8 +22,10 @@
 void add_config_commands(CLI::App& app, const command_sink& choose);
 /// `zone out|in|list`
 void add_zone_commands(CLI::App& app, const command_sink& choose);
-/// `release`, `rollout watch|status`, `report`
+/// `release`, `rollout watch|status`
 void add_release_commands(CLI::App& app, const command_sink& choose);
+/// `report`
+void add_report_command(CLI::App& app, const command_sink& choose);
 /// `status`, `workspace list`, `trace`, `quarantine list|release`, `key show|settle`
 void add_status_commands(CLI::App& app, const command_sink& choose);
 
--- a/src/programs/tool/main.cpp
+++ b/src/programs/tool/main.cpp
@@ -65,6 +65,7 @@
     add_config_commands(app, choose);
     add_zone_commands(app, choose);
     add_release_commands(app, choose);
+    add_report_command(app, choose);
     add_status_commands(app, choose);
     app.add_subcommand("completion", "print a completion script for bash")->callback([&] {
         chosen = [&](tool_context&) { return print_completion(app); };
--- a/src/version/chunk_plan.cpp
+++ b/src/version/chunk_plan.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr std::size_t near_neighbours = 6;
-constexpr std::size_t far_neighbours = 3;
 /// Ranks that must have failed before an agent far from the origin draws from it.
 constexpr std::uint32_t far_origin_delay = 2;
 constexpr std::uint64_t chunks_until_stalled = 64;
@@ -16,10 +15,10 @@
     return std::string(version) + ":" + std::to_string(chunk);
 }
 
-std::vector<swarm_member> closest(std::string_view self, std::vector<swarm_member> candidates,
+std::vector<swarm_member> closest(std::string_view key, std::vector<swarm_member> candidates,
                                   std::size_t count) {
-    std::sort(candidates.begin(), candidates.end(), [self](const auto& left, const auto& right) {
-        return rendezvous_weight(self, left.instance) > rendezvous_weight(self, right.instance);
+    std::sort(candidates.begin(), candidates.end(), [key](const auto& left, const auto& right) {
+        return rendezvous_weight(key, left.instance) > rendezvous_weight(key, right.instance);
     });
     candidates.resize(std::min(candidates.size(), count));
     return candidates;
@@ -92,8 +91,9 @@
         }
     }
     std::vector<swarm_member> chosen = closest(self, std::move(near), near_neighbours);
-    const auto importers = closest(self, std::move(far), far_neighbours);
-    chosen.insert(chosen.end(), importers.begin(), importers.end());
+    // All agents of a region choose the same senders: the key is the region, not the agent.
+    const auto senders = closest(region, std::move(far), senders_per_link);
+    chosen.insert(chosen.end(), senders.begin(), senders.end());
     return chosen;
 }
 
--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,117 @@
+// The HTTP server under callers that read slowly, send badly or send too much at once.
+#include <atomic>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "citronseam/connection/http_client.h"
+#include "citronseam/connection/http_server.h"
+#include "citronseam/connection/io_threads.h"
+#include "citronseam/process/sizes.h"
+
+namespace {
+
+using namespace citronseam;
+
+constexpr std::size_t part_size = kibibyte;
+constexpr std::size_t part_count = 16384;
+constexpr std::size_t burst = 256;
+constexpr std::size_t caller_count = 8;
+
+/// Streams many parts from a thread that is not the library's.
+class streaming_server {
+public:
+    streaming_server()
+        : server_({{"127.0.0.1", 0}, 1, mebibyte},
+                  [this](const server_request& request,
+                         const std::shared_ptr<http_responder>& responder) {
+                      if (request.path == "/stream") {
+                          writer_.post([responder] { stream(*responder); });
+                      } else {
+                          responder->respond(200, {}, request.method + " " + request.body);
+                      }
+                  }) {}
+
+    asio::ip::tcp::socket connect() {
+        asio::ip::tcp::socket socket(client_);
+        socket.connect({asio::ip::make_address("127.0.0.1"), server_.port()});
+        return socket;
+    }
+
+    /// Sends bytes on a new connection and reads until the server closes it.
+    std::string exchange(const std::string& bytes) {
+        auto socket = connect();
+        asio::write(socket, asio::buffer(bytes));
+        std::string answer;
+        asio::error_code ended;
+        asio::read(socket, asio::dynamic_buffer(answer), ended);
+        return answer;
+    }
+
+private:
+    static void stream(http_responder& responder) {
+        responder.begin(200, {});
+        for (std::size_t i = 0; i < part_count; ++i) {
+            responder.write(std::string(part_size, static_cast<char>('a' + i % 26)));
+            if (i % burst == 0) {
+                // The reader drains the socket in between, while parts are still queued.
+                std::this_thread::sleep_for(std::chrono::microseconds(300));
+            }
+        }
+        responder.finish();
+    }
+
+    asio::io_context client_;
+    io_threads writer_{caller_count};
+    http_server server_;
+};
+
+/// @return whether the last chunk came
+bool read_slowly(streaming_server& server) {
+    auto slow = server.connect();
+    asio::write(slow, asio::buffer(std::string("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    std::string answer;
+    std::string chunk(64 * kibibyte, '\0');
+    asio::error_code ended;
+    while (!ended && answer.find("\r\n0\r\n\r\n") == std::string::npos) {
+        const std::size_t size = slow.read_some(asio::buffer(chunk), ended);
+        answer.append(chunk, 0, size);
+        answer.erase(0, answer.size() > 64 * kibibyte ? answer.size() - 64 * kibibyte : 0);
+    }
+    return !ended;
+}
+
+TEST(http_server, a_caller_that_reads_slowly_gets_its_whole_answer) {
+    streaming_server server;
+    std::vector<std::thread> callers;
+    std::atomic<std::size_t> whole{0};
+    for (std::size_t i = 0; i < caller_count; ++i) {
+        callers.emplace_back([&] { whole += read_slowly(server) ? 1 : 0; });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(whole, caller_count);
+}
+
+TEST(http_server, bad_requests_get_a_clear_answer) {
+    streaming_server server;
+    const auto post = [&](const std::string& headers) {
+        return server.exchange("POST / HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n\r\n");
+    };
+    EXPECT_EQ(post("Content-Length: 99999999").substr(0, 12), "HTTP/1.1 413");
+    EXPECT_EQ(post("Content-Length: -5").substr(0, 12), "HTTP/1.1 400");
+    EXPECT_EQ(post("Content-Length: 1\r\nContent-Length: 2").substr(0, 12), "HTTP/1.1 400");
+    EXPECT_EQ(server.exchange("NONSENSE\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
+}
+
+TEST(http_server, a_pipelined_request_sees_an_answer_or_a_closed_connection) {
+    streaming_server server;
+    const std::string one = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
+    const std::string answer = server.exchange(one + one);
+    EXPECT_NE(answer.find("POST abc"), std::string::npos);
+    EXPECT_EQ(answer.find("POST abc"), answer.rfind("POST abc")) << "one answer, then the end";
+}
+
+} // namespace
--- a/tests/process_fault_test.cpp
+++ b/tests/process_fault_test.cpp
@@ -162,4 +162,30 @@
         bound));
 }
 
+// Thousands of parts are written while callers fall behind; the HTTP library's own write queue
+// ended the process then.
+TEST(process_fault, an_entry_survives_more_than_its_callers_can_read) {
+    auto plan = small_plan();
+    plan.entry_zones = {"zone-a"};
+    plan.configuration = test_configuration({{"max_concurrency: 8", "max_concurrency: 500"},
+                                             {"queue_limit: 256", "queue_limit: 2000"}});
+    plan.backend_servers.clear();
+    for (const auto* name : {"agent-a", "agent-b", "agent-c"}) {
+        plan.backend_servers.push_back(
+            {name,
+             "pool",
+             "zone-a",
+             true,
+             {"--token-ms", "10", "--warm-capacity", "500", "--cold-requests", "1"}});
+    }
+    deployment system(plan);
+    system.start();
+    system.load({"--service", "pool", "--rate", "150", "--seconds", "3", "--tokens", "4"});
+    const auto result =
+        system.load({"--service", "pool", "--rate", "1500", "--seconds", "2", "--tokens", "40"});
+    EXPECT_TRUE(system.process("entry-0").is_running()) << system.process("entry-0").errors();
+    EXPECT_EQ(result["short_answers"], 0) << result.dump();
+    EXPECT_GT(result["answered"], 0) << result.dump();
+}
+
 } // namespace
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -84,6 +84,15 @@
     EXPECT_LE(chosen.size(), 12U);
     EXPECT_TRUE(std::any_of(chosen.begin(), chosen.end(),
                             [](const auto& member) { return member.region == "origin"; }));
+    std::set<std::string> senders;
+    for (const auto& member : members) {
+        for (const auto& other : choose_neighbours(member.instance, "far", "origin", members)) {
+            if (member.region == "far" && other.region == "origin") {
+                senders.insert(other.instance);
+            }
+        }
+    }
+    EXPECT_EQ(senders.size(), senders_per_link) << "all agents of a region know the same senders";
     for (const auto& member : choose_neighbours("origin-3", "origin", "origin", members)) {
         EXPECT_EQ(member.region, "origin");
     }
