--- a/benchmark/load_measurement.cpp
+++ b/benchmark/load_measurement.cpp
@@ -32,7 +32,8 @@
 
 void print_head(const std::string& title) {
     std::cout << "\n### " << title
-              << "\n\n| what | sent | answered | refused | aborted | first byte p50 ms | p95 ms | gap p50 ms | p95 ms "
+              << "\n\n| what | sent | answered | refused | aborted | first byte p50 ms | p95 ms | "
+                 "gap p50 ms | p95 ms "
                  "| s |\n|---|---|---|---|---|---|---|---|---|---|\n";
 }
 
--- a/include/citronseam/request/key_record.h
+++ b/include/citronseam/request/key_record.h
@@ -62,6 +62,9 @@
 /// @return the record, or an error when the text is not one
 result<key_record> parse_key_record(const std::string& text);
 
+/// @return whether the row may be deleted
+bool is_key_expired(const key_record& record, std::uint64_t now_ms) noexcept;
+
 /// What to do with a request whose key has a row already.
 enum class key_decision : std::uint8_t {
     run,         ///< the row is this attempt's own claim
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -7,9 +7,10 @@
 #include "citronseam/connection/dialer.h"
 #include "citronseam/process/log.h"
 #include "citronseam/process/membership.h"
-#include "citronseam/process/sizes.h"
 #include "programs/agent/agent_request.h"
+#include "programs/agent/key_sweeper.h"
 #include "programs/agent/version_keeper.h"
+#include "programs/daemon/instance_watch.h"
 #include "programs/daemon/operator_server.h"
 #include "programs/daemon/shutdown_signal.h"
 
@@ -22,9 +23,11 @@
 constexpr milliseconds neighbours_interval{500};
 constexpr milliseconds store_timeout{1500};
 constexpr milliseconds drain_poll{20};
+/// A leaving agent gives the store this long to take the results it still holds.
+constexpr milliseconds longest_result_wait{30000};
+constexpr milliseconds sweep_interval{10000};
 /// After the last request ended, answers may still be in the sockets' buffers.
 constexpr milliseconds linger{300};
-constexpr std::size_t largest_instance_list = 16 * mebibyte;
 
 /// The agent's parts and the traffic between them.
 class agent {
@@ -36,7 +39,7 @@
           store_(platform_, options.platform.table_service, options.platform.object_store,
                  store_timeout),
           context_{options_, incarnation_, control_, traffic_, numbers_, hub_, gate_,
-                   backend_, platform_,    store_,   {1},      {},       {}},
+                   backend_, platform_,    store_,   {1},      {0},      {},   {}},
           swarm_(std::make_shared<chunk_swarm>(context_, [this] { return make_hello(); })),
           keeper_(std::make_shared<version_keeper>(context_, swarm_)) {}
 
@@ -83,9 +86,11 @@
                    {"peer", peer_address_},
                    {"peer_port", swarm_->port()},
                    {"operator", address_of(options_.operator_address, operator_server_->port())}});
-        control_.post([this] { read_instance_list(); });
+        instances_.start(
+            [this](const std::vector<listed_instance>& list) { take_instance_list(list); });
         control_.post([this] { watch_backend(); });
         control_.post([this] { ask_neighbours(); });
+        repeat(control_, sweep_interval, [this] { sweeper_.sweep(); });
         repeat(control_, reconcile_interval, [this] {
             reconcile();
             const std::lock_guard<std::mutex> lock(progress_mutex_);
@@ -133,26 +138,9 @@
                    });
     }
 
-    void read_instance_list() {
-        http_request request;
-        request.url = options_.platform.instance_list;
-        platform_.fetch(std::move(request), largest_instance_list, [this](http_answer answer) {
-            control_.post([this, answer = std::move(answer)] {
-                if (answer.outcome.is_complete && answer.outcome.status == 200) {
-                    take_instance_list(answer.body);
-                }
-                control_.post_after(options_.control.list_poll, [this] { read_instance_list(); });
-            });
-        });
-    }
-
-    void take_instance_list(const std::string& text) {
-        const auto list = parse_instance_list(text);
-        if (!list) {
-            return;
-        }
+    void take_instance_list(const std::vector<listed_instance>& list) {
         std::vector<listed_instance> entries;
-        for (const auto& row : *list) {
+        for (const auto& row : list) {
             if (row.role == process_role::entry && !row.is_leaving) {
                 entries.push_back(row);
             }
@@ -384,6 +372,10 @@
         while (gate_.running() > 0) {
             std::this_thread::sleep_for(drain_poll);
         }
+        const time_point longest = std::chrono::steady_clock::now() + longest_result_wait;
+        while (context_.unwritten_results > 0 && std::chrono::steady_clock::now() < longest) {
+            std::this_thread::sleep_for(drain_poll);
+        }
         std::this_thread::sleep_for(linger);
         dialer_->stop();
         swarm_->stop();
@@ -403,6 +395,9 @@
     http_client platform_;
     table_client store_;
     agent_context context_;
+    instance_watch instances_{control_, platform_, options_.platform.instance_list,
+                              options_.control.list_poll};
+    key_sweeper sweeper_{context_};
     std::shared_ptr<chunk_swarm> swarm_;
     std::shared_ptr<version_keeper> keeper_;
     std::shared_ptr<dialer> dialer_;
--- a/src/programs/agent/agent_context.h
+++ b/src/programs/agent/agent_context.h
@@ -32,6 +32,9 @@
     table_client& store;
     /// Counts the lives of the backend server's process as this agent saw them.
     std::atomic<std::uint64_t> backend_life{1};
+    /// Results of keyed requests that are not written yet; the process waits for them when it
+    /// leaves.
+    std::atomic<std::uint32_t> unwritten_results{0};
     /// Tells the entries that the backend server was lost while it ran these requests.
     std::function<void(std::uint64_t fingerprint)> report_loss;
     /// Says that a running request ended, so that a process on its way out can see if it is done.
--- a/src/programs/agent/key_claim.cpp
+++ b/src/programs/agent/key_claim.cpp
@@ -175,8 +175,13 @@
 }
 
 void key_claim::keep(whole_answer answer) {
+    ++context_.unwritten_results;
     record_.state = key_state::finished;
     record_.answer = std::move(answer);
+    store_result();
+}
+
+void key_claim::store_result() {
     if (record_.answer.body.size() <= largest_inline_body && is_ascii(record_.answer.body)) {
         write_result(to_json(record_));
         return;
@@ -185,7 +190,7 @@
     context_.store.put_object(record_.answer_object, record_.answer.body,
                               [self = shared_from_this()](const result<std::string>& written) {
                                   if (!written) {
-                                      self->try_later([self] { self->keep(self->record_.answer); });
+                                      self->try_later([self] { self->store_result(); });
                                       return;
                                   }
                                   key_record row = self->record_;
@@ -198,15 +203,14 @@
     context_.store.replace(
         tables::keys, row_, tag_, text,
         [self = shared_from_this(), text](const result<table_row>& written) {
-            if (written) {
-                self->context_.numbers.count("citronseam_key_results_total", {{"outcome", "kept"}});
-                return;
-            }
             // A precondition that fails means that an earlier try took effect after all, or that
             // an operator settled the key; either way the row is final.
-            if (written.error().code != error_code::precondition_failed) {
-                self->try_later([self, text] { self->write_result(text); });
+            if (written || written.error().code == error_code::precondition_failed) {
+                --self->context_.unwritten_results;
+                self->context_.numbers.count("citronseam_key_results_total", {{"outcome", "kept"}});
+                return;
             }
+            self->try_later([self, text] { self->write_result(text); });
         });
 }
 
--- a/src/programs/agent/key_claim.h
+++ b/src/programs/agent/key_claim.h
@@ -50,6 +50,7 @@
     void replay(const key_record& found);
     void finish(claim_outcome outcome);
     void remove_own_row();
+    void store_result();
     void write_result(const std::string& text);
     void try_later(std::function<void()> work);
 
--- /dev/null
+++ b/src/programs/agent/key_sweeper.cpp
@@ -0,0 +1,47 @@
+#include "programs/agent/key_sweeper.h"
+
+#include <array>
+#include <cstdio>
+
+#include "citronseam/request/key_record.h"
+
+namespace citronseam {
+namespace {
+
+/// Row names begin with hexadecimal digits of a hash; two of them name one part in 256.
+constexpr std::uint64_t part_count = 256;
+constexpr std::size_t rows_per_sweep = 200;
+
+std::string part_prefix(std::uint64_t part) {
+    std::array<char, 4> text{};
+    std::snprintf(text.data(), text.size(), "%02x", static_cast<unsigned>(part % part_count));
+    return text.data();
+}
+
+} // namespace
+
+key_sweeper::key_sweeper(agent_context& context)
+    : context_(context), random_(seeded_random_source()) {}
+
+void key_sweeper::sweep() {
+    context_.store.list(tables::keys, part_prefix(below(random_, part_count)), rows_per_sweep,
+                        [this](const result<std::vector<table_row>>& rows) {
+                            if (rows) {
+                                remove_expired(*rows);
+                            }
+                        });
+}
+
+void key_sweeper::remove_expired(const std::vector<table_row>& rows) {
+    const std::uint64_t now = wall_clock_ms();
+    for (const auto& row : rows) {
+        const auto record = parse_key_record(row.value);
+        if (!record || !is_key_expired(*record, now)) {
+            continue;
+        }
+        context_.numbers.count("citronseam_keys_expired_total");
+        context_.store.remove(tables::keys, row.key, row.tag, [](const result<table_row>&) {});
+    }
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/entry/caller_front.cpp
@@ -0,0 +1,139 @@
+#include "programs/entry/caller_front.h"
+
+#include <nlohmann/json.hpp>
+
+#include "programs/daemon/operator_server.h"
+#include "programs/entry/caller_routes.h"
+
+namespace citronseam {
+
+caller_front::caller_front(entry_context& context, const entry_mesh& mesh,
+                           std::uint64_t incarnation)
+    : context_(context), mesh_(mesh), incarnation_(incarnation) {}
+
+void caller_front::set_address(std::string address) {
+    address_ = std::move(address);
+}
+
+std::string caller_front::other_entry() const {
+    for (const auto& other : mesh_.list()) {
+        if (!other.is_leaving) {
+            return other.address.http_address;
+        }
+    }
+    return {};
+}
+
+void caller_front::handle(server_request request, std::shared_ptr<http_responder> responder) {
+    if (request.path == "/v1/entries") {
+        answer_entries(request, *responder);
+        return;
+    }
+    if (request.path == "/healthz") {
+        responder->respond(200, {{"Content-Type", "text/plain"}}, "ok\n");
+        return;
+    }
+    if (is_leaving_) {
+        point_elsewhere(request, *responder);
+        return;
+    }
+    const control_view view = context_.hub.view();
+    if (view->accepted == nullptr) {
+        refuse(*responder, refusal::not_ready, "no configuration is in force yet");
+        return;
+    }
+    auto read = read_caller_request(view->accepted->content, std::move(request), next_id());
+    if (!read) {
+        const bool is_absent = read.error().code == error_code::not_found;
+        refuse_with(*responder, is_absent ? 404 : 400, is_absent ? "not_found" : "bad_request",
+                    read.error().message);
+        return;
+    }
+    start_exchange(std::move(*read), std::move(responder));
+}
+
+void caller_front::start_exchange(caller_request request,
+                                  std::shared_ptr<http_responder> responder) {
+    auto dispatcher = context_.find_dispatcher(request.service);
+    if (dispatcher == nullptr) {
+        refuse(*responder, refusal::unknown_service, "the service is not known here yet");
+        return;
+    }
+    ++running_;
+    auto exchange = std::shared_ptr<request_exchange>(
+        new request_exchange(context_, std::move(dispatcher), std::move(request),
+                             std::move(responder)),
+        [this](request_exchange* ended) {
+            delete ended;
+            --running_;
+        });
+    exchange->start();
+}
+
+std::string caller_front::next_id() {
+    return context_.options.instance + "-" + std::to_string(incarnation_) + "-" +
+           std::to_string(++last_id_);
+}
+
+void caller_front::answer_entries(const server_request& request, http_responder& responder) const {
+    std::vector<entry_address> alive;
+    if (!is_leaving_) {
+        alive.push_back(
+            {context_.options.instance, context_.options.availability_zone, address_, running_});
+    }
+    for (const auto& other : mesh_.list()) {
+        if (!other.is_leaving) {
+            alive.push_back(other.address);
+        }
+    }
+    auto random = seeded_random_source();
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& address :
+         order_for_caller(query_parameter(request, "zone"), std::move(alive), random)) {
+        list.push_back({{"instance", address.instance},
+                        {"availability_zone", address.availability_zone},
+                        {"address", address.http_address}});
+    }
+    const nlohmann::json body = {{"entries", list}, {"lifetime_s", address_lifetime.count()}};
+    respond_json(responder, 200, body.dump());
+}
+
+void caller_front::point_elsewhere(const server_request& request, http_responder& responder) const {
+    const std::string other = other_entry();
+    if (other.empty()) {
+        refuse(responder, refusal::leaving, "this entry is leaving and knows no other");
+        return;
+    }
+    const nlohmann::json body = {{"error",
+                                  {{"message", "this entry is leaving; ask " + other},
+                                   {"code", "leaving"},
+                                   {"verdict", "not_run"}}}};
+    responder.respond(307,
+                      {{"Location", "http://" + other + request.target},
+                       {"Content-Type", "application/json"},
+                       {"Retry-After", "1"},
+                       {"X-Run-Verdict", "not_run"},
+                       {"X-Refusal", "leaving"}},
+                      body.dump() + "\n");
+}
+
+void caller_front::refuse(http_responder& responder, refusal reason,
+                          const std::string& message) const {
+    refuse_with(responder, http_status(reason), std::string(name(reason)), message);
+}
+
+void caller_front::refuse_with(http_responder& responder, int status, const std::string& code,
+                               const std::string& message) const {
+    context_.numbers.count("citronseam_refused_requests_total", {{"code", code}});
+    const nlohmann::json body = {
+        {"error", {{"message", message}, {"code", code}, {"verdict", "not_run"}}}};
+    std::vector<http_header> headers{
+        {"Content-Type", "application/json"}, {"X-Run-Verdict", "not_run"}, {"X-Refusal", code}};
+    if (status == 503) {
+        headers.push_back({"Retry-After", "1"});
+    }
+    responder.respond(status, headers,
+                      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
+}
+
+} // namespace citronseam
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -9,11 +9,11 @@
 #include "citronseam/connection/http_client.h"
 #include "citronseam/connection/peer_listener.h"
 #include "citronseam/process/log.h"
-#include "citronseam/process/sizes.h"
+#include "programs/daemon/instance_watch.h"
 #include "programs/daemon/operator_server.h"
 #include "programs/daemon/shutdown_signal.h"
 #include "programs/entry/backend_directory.h"
-#include "programs/entry/caller_routes.h"
+#include "programs/entry/caller_front.h"
 #include "programs/entry/entry_mesh.h"
 #include "programs/entry/entry_operator.h"
 #include "programs/entry/head_watch.h"
@@ -24,10 +24,7 @@
 constexpr milliseconds dispatcher_tick{50};
 constexpr milliseconds store_timeout{900};
 constexpr milliseconds drain_poll{20};
-/// Callers keep an address this long, so a leaving entry goes on pointing elsewhere as long.
-constexpr seconds address_lifetime{5};
 constexpr milliseconds linger{300};
-constexpr std::size_t largest_instance_list = 16 * mebibyte;
 /// Other entries that an entry connects to. Up to this many the mesh is full.
 constexpr std::size_t mesh_degree = 12;
 /// All entries together read the head row at most 1000 / this many times a second.
@@ -41,19 +38,19 @@
           directory_(options.availability_zone, hub_, numbers_),
           store_(platform_, options.platform.table_service, options.platform.object_store,
                  store_timeout),
-          head_watch_(control_, store_, hub_, numbers_),
-          context_{
-              options_,
-              control_,
-              traffic_,
-              numbers_,
-              hub_,
-              crashes_,
-              traces_,
-              latencies_,
-              [this](const std::string& service) { return directory_.find_dispatcher(service); },
-              [this] { return other_entry(); },
-              [this] { return is_leaving_.load(); }} {}
+          head_watch_(control_, store_, hub_, numbers_), context_{
+                                                             options_,
+                                                             control_,
+                                                             traffic_,
+                                                             numbers_,
+                                                             hub_,
+                                                             crashes_,
+                                                             traces_,
+                                                             latencies_,
+                                                             [this](const std::string& service) {
+                                                                 return directory_.find_dispatcher(
+                                                                     service);
+                                                             }} {}
 
     int run() {
         start();
@@ -79,9 +76,9 @@
         callers.threads = static_cast<int>(options_.http_threads);
         http_ = std::make_unique<http_server>(
             callers, [this](server_request request, std::shared_ptr<http_responder> responder) {
-                handle_caller(std::move(request), std::move(responder));
+                front_.handle(std::move(request), std::move(responder));
             });
-        http_address_ = address_of(options_.http_address, http_->port());
+        front_.set_address(address_of(options_.http_address, http_->port()));
         operator_ = start_operator_server(
             *parse_host_port(options_.operator_address), numbers_,
             {[this] { return readiness(); },
@@ -93,7 +90,8 @@
             traffic_.context(), [this] { return make_hello(); }, timing(), make_observer());
         listener_->start();
         head_watch_.start([this] { return poll_interval(); });
-        control_.post([this] { read_instance_list(); });
+        instances_.start(
+            [this](const std::vector<listed_instance>& list) { take_instance_list(list); });
         repeat(control_, dispatcher_tick, [this] {
             directory_.tick(std::chrono::steady_clock::now());
             take_majority_evidence();
@@ -101,7 +99,7 @@
         log_event(log_level::info, "listening",
                   {{"role", "entry"},
                    {"instance", options_.instance},
-                   {"http", http_address_},
+                   {"http", front_.address()},
                    {"peer", peer_address_},
                    {"operator", address_of(options_.operator_address, operator_->port())}});
     }
@@ -129,16 +127,16 @@
         hello.incarnation = incarnation_;
         hello.availability_zone = options_.availability_zone;
         hello.peer_address = peer_address_;
-        hello.http_address = http_address_;
+        hello.http_address = front_.address();
         return make_frame(std::move(hello));
     }
 
     shared_frame make_heartbeat(std::uint64_t session) const {
         wire::heartbeatT heartbeat;
         hub_.fill_heartbeat(heartbeat, session);
-        heartbeat.leaving = is_leaving_;
+        heartbeat.leaving = front_.is_leaving();
         heartbeat.ready = hub_.view()->accepted != nullptr;
-        heartbeat.running = running_;
+        heartbeat.running = front_.running();
         return make_frame(std::move(heartbeat));
     }
 
@@ -294,26 +292,9 @@
 
     // The other entries.
 
-    void read_instance_list() {
-        http_request request;
-        request.url = options_.platform.instance_list;
-        platform_.fetch(std::move(request), largest_instance_list, [this](http_answer answer) {
-            control_.post([this, answer = std::move(answer)] {
-                if (answer.outcome.is_complete && answer.outcome.status == 200) {
-                    take_instance_list(answer.body);
-                }
-                control_.post_after(options_.control.list_poll, [this] { read_instance_list(); });
-            });
-        });
-    }
-
-    void take_instance_list(const std::string& text) {
-        const auto list = parse_instance_list(text);
-        if (!list) {
-            return;
-        }
+    void take_instance_list(const std::vector<listed_instance>& list) {
         std::vector<listed_instance> others;
-        for (const auto& row : *list) {
+        for (const auto& row : list) {
             if (row.role == process_role::entry && row.instance != options_.instance) {
                 others.push_back(row);
             }
@@ -345,156 +326,31 @@
         }
     }
 
-    std::string other_entry() const {
-        for (const auto& other : mesh_.list()) {
-            if (!other.is_leaving) {
-                return other.address.http_address;
-            }
-        }
-        return {};
-    }
-
-    // Callers.
-
-    void handle_caller(server_request request, std::shared_ptr<http_responder> responder) {
-        if (request.path == "/v1/entries") {
-            answer_entries(request, *responder);
-            return;
-        }
-        if (request.path == "/healthz") {
-            responder->respond(200, {{"Content-Type", "text/plain"}}, "ok\n");
-            return;
-        }
-        if (is_leaving_) {
-            point_elsewhere(request, *responder);
-            return;
-        }
-        const control_view view = hub_.view();
-        if (view->accepted == nullptr) {
-            refuse(*responder, refusal::not_ready, "no configuration is in force yet");
-            return;
-        }
-        auto read = read_caller_request(view->accepted->content, std::move(request), next_id());
-        if (!read) {
-            const bool is_absent = read.error().code == error_code::not_found;
-            refuse_with(*responder, is_absent ? 404 : 400, is_absent ? "not_found" : "bad_request",
-                        read.error().message);
-            return;
-        }
-        auto dispatcher = directory_.find_dispatcher(read->service);
-        if (dispatcher == nullptr) {
-            refuse(*responder, refusal::unknown_service, "the service is not known here yet");
-            return;
-        }
-        ++running_;
-        auto exchange = std::shared_ptr<request_exchange>(
-            new request_exchange(context_, std::move(dispatcher), std::move(*read),
-                                 std::move(responder)),
-            [this](request_exchange* ended) {
-                delete ended;
-                --running_;
-            });
-        exchange->start();
-    }
-
-    std::string next_id() {
-        return options_.instance + "-" + std::to_string(incarnation_) + "-" +
-               std::to_string(++last_id_);
-    }
-
-    void answer_entries(const server_request& request, http_responder& responder) {
-        std::vector<entry_address> alive;
-        if (!is_leaving_) {
-            alive.push_back(
-                {options_.instance, options_.availability_zone, http_address_, running_});
-        }
-        for (const auto& other : mesh_.list()) {
-            if (!other.is_leaving) {
-                alive.push_back(other.address);
-            }
-        }
-        auto random = seeded_random_source();
-        nlohmann::json list = nlohmann::json::array();
-        for (const auto& address :
-             order_for_caller(query_parameter(request, "zone"), std::move(alive), random)) {
-            list.push_back({{"instance", address.instance},
-                            {"availability_zone", address.availability_zone},
-                            {"address", address.http_address}});
-        }
-        const nlohmann::json body = {{"entries", list}, {"lifetime_s", address_lifetime.count()}};
-        respond_json(responder, 200, body.dump());
-    }
-
-    void point_elsewhere(const server_request& request, http_responder& responder) {
-        const std::string other = other_entry();
-        if (other.empty()) {
-            refuse(responder, refusal::leaving, "this entry is leaving and knows no other");
-            return;
-        }
-        const nlohmann::json body = {{"error",
-                                      {{"message", "this entry is leaving; ask " + other},
-                                       {"code", "leaving"},
-                                       {"verdict", "not_run"}}}};
-        responder.respond(307,
-                          {{"Location", "http://" + other + request.target},
-                           {"Content-Type", "application/json"},
-                           {"Retry-After", "1"},
-                           {"X-Run-Verdict", "not_run"},
-                           {"X-Refusal", "leaving"}},
-                          body.dump() + "\n");
-    }
-
-    void refuse(http_responder& responder, refusal reason, const std::string& message) {
-        refuse_with(responder, http_status(reason), std::string(name(reason)), message);
-    }
-
-    void refuse_with(http_responder& responder, int status, const std::string& code,
-                     const std::string& message) {
-        numbers_.count("citronseam_refused_requests_total", {{"code", code}});
-        const nlohmann::json body = {
-            {"error", {{"message", message}, {"code", code}, {"verdict", "not_run"}}}};
-        std::vector<http_header> headers{{"Content-Type", "application/json"},
-                                         {"X-Run-Verdict", "not_run"},
-                                         {"X-Refusal", code}};
-        if (status == 503) {
-            headers.push_back({"Retry-After", "1"});
-        }
-        responder.respond(status, headers,
-                          body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
-                              "\n");
-    }
-
     // Operators.
 
     operator_view make_operator_view() {
-        return {options_.instance,
-                options_.availability_zone,
-                http_address_,
-                incarnation_,
-                hub_,
-                directory_,
-                mesh_,
-                crashes_,
-                traces_,
-                latencies_,
-                is_leaving_,
-                running_};
+        return {options_.instance, options_.availability_zone,
+                front_.address(),  hub_,
+                directory_,        mesh_,
+                crashes_,          traces_,
+                latencies_,        front_.is_leaving(),
+                front_.running()};
     }
 
     std::string readiness() const {
-        if (is_leaving_) {
+        if (front_.is_leaving()) {
             return "leaving";
         }
         return hub_.view()->accepted == nullptr ? "no configuration yet" : "";
     }
 
     void leave() {
-        is_leaving_ = true;
+        front_.set_leaving();
         for (const auto& other : mesh_.list()) {
             other.session->send(make_heartbeat(other.session->number()));
         }
         const time_point first_end = std::chrono::steady_clock::now() + address_lifetime;
-        while (running_ > 0 || std::chrono::steady_clock::now() < first_end) {
+        while (front_.running() > 0 || std::chrono::steady_clock::now() < first_end) {
             std::this_thread::sleep_for(drain_poll);
         }
         std::this_thread::sleep_for(linger);
@@ -520,22 +376,21 @@
     http_client platform_;
     table_client store_;
     head_watch head_watch_;
+    instance_watch instances_{control_, platform_, options_.platform.instance_list,
+                              options_.control.list_poll};
     entry_context context_;
+    caller_front front_{context_, mesh_, incarnation_};
 
     std::shared_ptr<peer_listener> listener_;
     std::shared_ptr<dialer> dialer_;
     std::unique_ptr<http_server> http_;
     std::unique_ptr<http_server> operator_;
     std::string peer_address_;
-    std::string http_address_;
 
     mutable std::mutex links_mutex_;
     std::map<std::uint64_t, std::shared_ptr<backend_server_link>> links_; ///< by session
 
-    std::atomic<bool> is_leaving_{false};
-    std::atomic<std::uint32_t> running_{0};
     std::atomic<std::size_t> known_entries_{1};
-    std::atomic<std::uint64_t> last_id_{0};
 };
 
 } // namespace
--- a/src/programs/entry/entry_context.h
+++ b/src/programs/entry/entry_context.h
@@ -31,10 +31,6 @@
     latency_board& latencies;
     /// @return the dispatcher of a service, or nullptr
     std::function<std::shared_ptr<service_dispatcher>(const std::string& service)> find_dispatcher;
-    /// @return address of another entry that stays, empty when none is known
-    std::function<std::string()> other_entry;
-    /// @return whether this entry is on its way out
-    std::function<bool()> is_leaving;
 };
 
 } // namespace citronseam
--- a/src/programs/entry/entry_operator.h
+++ b/src/programs/entry/entry_operator.h
@@ -22,7 +22,6 @@
     const std::string& instance;
     const std::string& availability_zone;
     const std::string& http_address;
-    std::uint64_t incarnation;
     control_hub& hub;
     const backend_directory& directory;
     const entry_mesh& mesh;
--- a/src/programs/tool/config_commands.cpp
+++ b/src/programs/tool/config_commands.cpp
@@ -35,15 +35,11 @@
 }
 
 int show(tool_context& context) {
-    const auto present = read_head(context);
-    if (!present) {
-        return report(present.error());
+    const auto accepted = read_accepted_text(context);
+    if (!accepted) {
+        return report(accepted.error());
     }
-    const auto body = read_body(context, present->head);
-    if (!body) {
-        return report(body.error());
-    }
-    std::cout << *body;
+    std::cout << accepted->body;
     return succeeded;
 }
 
@@ -90,22 +86,18 @@
     if (!wanted) {
         return report(wanted.error());
     }
-    const auto present = read_head(context);
-    if (!present) {
-        return report(present.error());
-    }
-    const auto body = read_body(context, present->head);
-    if (!body) {
-        return report(body.error());
+    const auto accepted = read_accepted_text(context);
+    if (!accepted) {
+        return report(accepted.error());
     }
-    const std::string difference = line_difference(*body, *wanted);
+    const std::string difference = line_difference(accepted->body, *wanted);
     print(context,
-          {{"generation", present->head.generation},
+          {{"generation", accepted->present.head.generation},
            {"same", difference.empty()},
            {"difference", difference}},
-          difference.empty()
-              ? "no difference to generation " + std::to_string(present->head.generation) + "\n"
-              : difference);
+          difference.empty() ? "no difference to generation " +
+                                   std::to_string(accepted->present.head.generation) + "\n"
+                             : difference);
     return succeeded;
 }
 
@@ -171,15 +163,11 @@
 int change_configuration(tool_context& context,
                          const std::function<result<std::string>(const std::string&)>& change) {
     for (int i = 0; i < most_rebases; ++i) {
-        const auto present = read_head(context);
-        if (!present) {
-            return report(present.error());
-        }
-        const auto body = read_body(context, present->head);
-        if (!body) {
-            return report(body.error());
+        const auto accepted = read_accepted_text(context);
+        if (!accepted) {
+            return report(accepted.error());
         }
-        const auto changed = change(*body);
+        const auto changed = change(accepted->body);
         if (!changed) {
             return report(changed.error());
         }
@@ -187,11 +175,12 @@
         if (!parsed.is_valid()) {
             return report({error_code::invalid_file, describe(parsed.problems)});
         }
-        if (*changed == *body) {
-            print_accepted(context, present->head, spread(context, present->head, *body));
+        if (*changed == accepted->body) {
+            print_accepted(context, accepted->present.head,
+                           spread(context, accepted->present.head, accepted->body));
             return succeeded;
         }
-        const auto head = move_head(context, *changed, *present);
+        const auto head = move_head(context, *changed, accepted->present);
         if (head) {
             print_accepted(context, *head, spread(context, *head, *changed));
             return succeeded;
--- a/src/programs/tool/configuration_store.cpp
+++ b/src/programs/tool/configuration_store.cpp
@@ -110,6 +110,30 @@
     return context.get_object(head.hash);
 }
 
+result<accepted_text> read_accepted_text(tool_context& context) {
+    const auto present = read_head(context);
+    if (!present) {
+        return tl::unexpected(present.error());
+    }
+    const auto body = read_body(context, present->head);
+    if (!body) {
+        return tl::unexpected(body.error());
+    }
+    return accepted_text{*present, *body};
+}
+
+result<configuration> read_accepted_configuration(tool_context& context) {
+    const auto accepted = read_accepted_text(context);
+    if (!accepted) {
+        return tl::unexpected(accepted.error());
+    }
+    auto parsed = parse_configuration(accepted->body, "accepted configuration");
+    if (!parsed.is_valid()) {
+        return failure(error_code::invalid_file, describe(parsed.problems));
+    }
+    return std::move(parsed.value);
+}
+
 result<configuration_head> move_head(tool_context& context, const std::string& body,
                                      const present_head& parent) {
     const configuration_head wanted = next_head(body, parent.head, context.options().author);
--- a/src/programs/tool/configuration_store.h
+++ b/src/programs/tool/configuration_store.h
@@ -24,6 +24,17 @@
 /// @return empty text when nothing was accepted yet
 result<std::string> read_body(tool_context& context, const configuration_head& head);
 
+/// What is accepted now.
+struct accepted_text {
+    present_head present;
+    std::string body; ///< empty when nothing was accepted yet
+};
+
+/// Reads the head and its body.
+result<accepted_text> read_accepted_text(tool_context& context);
+/// Reads the accepted configuration.
+result<configuration> read_accepted_configuration(tool_context& context);
+
 /// Makes a configuration the accepted one, by one conditional write of the head row.
 ///
 /// A lost answer is settled by reading the head back and walking its chain of parents: the write
--- a/src/programs/tool/release_commands.cpp
+++ b/src/programs/tool/release_commands.cpp
@@ -101,16 +101,11 @@
 };
 
 result<std::string> wanted_version(tool_context& context, const std::string& name) {
-    const auto present = read_head(context);
-    if (!present) {
-        return tl::unexpected(present.error());
+    const auto accepted = read_accepted_configuration(context);
+    if (!accepted) {
+        return tl::unexpected(accepted.error());
     }
-    auto body = read_body(context, present->head);
-    if (!body) {
-        return body;
-    }
-    const auto parsed = parse_configuration(*body, "accepted configuration");
-    const service* found = find_service(parsed.value, name);
+    const service* found = find_service(*accepted, name);
     if (found == nullptr) {
         return failure(error_code::not_found, "there is no service '" + name + "'");
     }
--- a/src/programs/tool/status_commands.cpp
+++ b/src/programs/tool/status_commands.cpp
@@ -64,18 +64,13 @@
 }
 
 int list_workspaces(tool_context& context) {
-    const auto present = read_head(context);
-    if (!present) {
-        return report(present.error());
+    const auto accepted = read_accepted_configuration(context);
+    if (!accepted) {
+        return report(accepted.error());
     }
-    const auto body = read_body(context, present->head);
-    if (!body) {
-        return report(body.error());
-    }
-    const auto parsed = parse_configuration(*body, "accepted configuration");
     nlohmann::ordered_json list = nlohmann::ordered_json::array();
     std::ostringstream text;
-    for (const auto& entry : parsed.value.workspaces) {
+    for (const auto& entry : accepted->workspaces) {
         list.push_back(
             {{"name", entry.name}, {"weight", entry.weight}, {"queue_limit", entry.queue_limit}});
         text << entry.name << "\tweight " << entry.weight << "\tqueue_limit " << entry.queue_limit
--- a/src/programs/tool/zone_commands.cpp
+++ b/src/programs/tool/zone_commands.cpp
@@ -38,18 +38,13 @@
 }
 
 int list_zones(tool_context& context) {
-    const auto present = read_head(context);
-    if (!present) {
-        return report(present.error());
+    const auto accepted = read_accepted_configuration(context);
+    if (!accepted) {
+        return report(accepted.error());
     }
-    const auto body = read_body(context, present->head);
-    if (!body) {
-        return report(body.error());
-    }
-    const auto parsed = parse_configuration(*body, "accepted configuration");
     nlohmann::ordered_json list = nlohmann::ordered_json::array();
     std::ostringstream text;
-    for (const auto& zone : parsed.value.availability_zones) {
+    for (const auto& zone : accepted->availability_zones) {
         list.push_back(
             {{"name", zone.name}, {"region", zone.region}, {"in_service", zone.in_service}});
         text << zone.name << "\t" << zone.region << "\t" << (zone.in_service ? "in" : "out")
--- a/src/request/key_record.cpp
+++ b/src/request/key_record.cpp
@@ -87,6 +87,10 @@
     }
 }
 
+bool is_key_expired(const key_record& record, std::uint64_t now_ms) noexcept {
+    return now_ms > record.expires_at_ms;
+}
+
 key_decision decide_on_key(const key_record& record, std::string_view attempt,
                            std::uint64_t fingerprint) noexcept {
     if (record.fingerprint != fingerprint) {
--- a/tests/request_logic_test.cpp
+++ b/tests/request_logic_test.cpp
@@ -318,6 +318,13 @@
     EXPECT_EQ(decide_on_key(record, "other", 5), key_decision::settled);
 }
 
+TEST(key_record, a_row_is_kept_until_its_time_is_over) {
+    key_record record;
+    record.expires_at_ms = 1000;
+    EXPECT_FALSE(is_key_expired(record, 1000));
+    EXPECT_TRUE(is_key_expired(record, 1001));
+}
+
 TEST(key_record, rows_of_different_callers_do_not_collide) {
     EXPECT_NE(key_row_name("a", "bc", "k"), key_row_name("ab", "c", "k"));
     EXPECT_NE(key_row_name("a", "b", "k"), key_row_name("a", "b", "l"));
