Announce new chunks within 10 ms (a try)

The guess was that inventories, which go out with the 100 ms tick, cost a hop each. Change: announce 10 ms after the first new chunk.

--- a/src/programs/agent/chunk_swarm.cpp
+++ b/src/programs/agent/chunk_swarm.cpp
@@ -7,6 +7,8 @@
 
 constexpr milliseconds origin_timeout{30000};
 constexpr std::uint32_t origin_parallel = 2;
+/// Chunks that come within this time are announced to the neighbours together.
+constexpr milliseconds announce_delay{10};
 /// Share of a second that a bucket may send at once after a pause.
 constexpr std::uint64_t burst_share = 20;
 
@@ -350,14 +352,21 @@
         is_wanted_[i] = is_wanted_[i] && manifest_.chunks[i].hash != hash;
     }
     last_progress_ = std::chrono::steady_clock::now();
-    has_news_ = true;
+    announce_soon();
     finish_if_whole();
     ask_all();
 }
 
+void chunk_swarm::announce_soon() {
+    if (std::exchange(has_news_, true)) {
+        return;
+    }
+    context_.control.post_after(announce_delay,
+                                [self = shared_from_this()] { self->send_inventories(); });
+}
+
 void chunk_swarm::tick() {
     give_up_late(std::chrono::steady_clock::now());
-    send_inventories();
     ask_all();
 }
 
