--- a/src/programs/agent/chunk_swarm.cpp
+++ b/src/programs/agent/chunk_swarm.cpp
@@ -7,8 +7,6 @@
 
 constexpr milliseconds origin_timeout{30000};
 constexpr std::uint32_t origin_parallel = 2;
-/// Chunks that come within this time are announced to the neighbours together.
-constexpr milliseconds announce_delay{10};
 /// Share of a second that a bucket may send at once after a pause.
 constexpr std::uint64_t burst_share = 20;
 
@@ -352,21 +350,14 @@
         is_wanted_[i] = is_wanted_[i] && manifest_.chunks[i].hash != hash;
     }
     last_progress_ = std::chrono::steady_clock::now();
-    announce_soon();
+    has_news_ = true;
     finish_if_whole();
     ask_all();
 }
 
-void chunk_swarm::announce_soon() {
-    if (std::exchange(has_news_, true)) {
-        return;
-    }
-    context_.control.post_after(announce_delay,
-                                [self = shared_from_this()] { self->send_inventories(); });
-}
-
 void chunk_swarm::tick() {
     give_up_late(std::chrono::steady_clock::now());
+    send_inventories();
     ask_all();
 }
 
--- a/src/programs/agent/chunk_swarm.h
+++ b/src/programs/agent/chunk_swarm.h
@@ -91,7 +91,6 @@
     void ask_neighbour(std::size_t chunk, std::uint64_t session);
     void draw(std::size_t chunk);
     void give_up_late(time_point now);
-    void announce_soon();
     void send_inventories();
     void send_inventory(connected_agent& agent, bool is_question) const;
     void finish_if_whole();
