--- a/benchmark/load_measurement.cpp
+++ b/benchmark/load_measurement.cpp
@@ -11,6 +11,7 @@
 
 std::vector<backend_server_plan> engines(int count, const std::vector<std::string>& arguments) {
     std::vector<backend_server_plan> plans;
+    plans.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         plans.push_back({"agent-" + std::to_string(i), "pool", i % 2 == 0 ? "zone-a" : "zone-b",
                          true, arguments});
--- a/benchmark/rollout_measurement.cpp
+++ b/benchmark/rollout_measurement.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <thread>
 
+#include "citronseam/process/sizes.h"
 #include "measurements.h"
 #include "support/requests.h"
 
@@ -12,9 +13,9 @@
 
 using namespace citronseam::harness;
 
-constexpr std::size_t model_size = 8 * 1024 * 1024;
+constexpr std::size_t model_size = 8 * mebibyte;
 /// The origin's link carries about four copies in the time in which a machine's link carries two.
-constexpr std::uint64_t origin_rate = 10 * 1000 * 1000;
+constexpr std::uint64_t origin_rate = 10000000;
 constexpr double machine_rate = 5 * 1000 * 1000;
 constexpr double region_rate = 2.5 * 1000 * 1000;
 constexpr milliseconds longest_rollout{120000};
@@ -34,6 +35,7 @@
     plan.configuration = test_configuration({{"    rollout:\n", rollout}});
     plan.origin_rate = origin_rate;
     plan.backend_servers.clear();
+    plan.backend_servers.reserve(static_cast<std::size_t>(agents));
     for (int i = 0; i < agents; ++i) {
         plan.backend_servers.push_back({"agent-" + std::to_string(i),
                                         "pool",
@@ -64,6 +66,7 @@
     system.start_processes();
     system.apply(rollout_plan(agents, is_baseline).configuration);
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(agents));
     for (int i = 0; i < agents; ++i) {
         names.push_back("agent-" + std::to_string(i));
     }
@@ -91,7 +94,7 @@
                     std::find(names.begin(), names.end(), agent["instance"]) != names.end();
                 const int total = agent["chunks_total"];
                 whole += is_counted && total > 0 && agent["chunks_held"] == total ? 1 : 0;
-                in_force += is_counted && agent["version"] != "" ? 1 : 0;
+                in_force += is_counted && !agent["version"].get<std::string>().empty() ? 1 : 0;
             }
             if (whole == names.size() && outcome.whole_s == 0) {
                 outcome.whole_s = passed();
--- a/src/process/yaml_edit.cpp
+++ b/src/process/yaml_edit.cpp
@@ -30,8 +30,8 @@
 YAML::Node find_item(const YAML::Node& root, const yaml_place& place) {
     const YAML::Node list = root[place.list];
     if (list && list.IsSequence()) {
-        for (std::size_t i = 0; i < list.size(); ++i) {
-            const YAML::Node item = list[i];
+        for (const auto& entry : list) {
+            const YAML::Node item(static_cast<const YAML::Node&>(entry));
             if (item.IsMap() && item["name"] && item["name"].IsScalar() &&
                 item["name"].Scalar() == place.item) {
                 return item;
--- a/src/programs/agent/permit_holder.cpp
+++ b/src/programs/agent/permit_holder.cpp
@@ -26,14 +26,15 @@
     return to_json(record);
 }
 
-void permit_holder::acquire(std::uint32_t slots, outcome_callback done) {
+void permit_holder::acquire(std::uint32_t slots, const outcome_callback& done) {
     auto random = seeded_random_source();
     attempt_ = unique_identifier(random);
     tag_.clear();
-    try_slot(0, slots, std::move(done));
+    try_slot(0, slots, done);
 }
 
-void permit_holder::try_slot(std::uint32_t slot, std::uint32_t slots, outcome_callback done) {
+void permit_holder::try_slot(std::uint32_t slot, std::uint32_t slots,
+                             const outcome_callback& done) {
     if (slot >= slots) {
         done(false);
         return;
@@ -53,7 +54,7 @@
 }
 
 void permit_holder::handle_occupied(std::uint32_t slot, std::uint32_t slots,
-                                    outcome_callback done) {
+                                    const outcome_callback& done) {
     context_.store.read(tables::permits, row_name(),
                         on_control([this, slot, slots, done](const result<table_row>& row) {
                             if (!row) {
@@ -74,7 +75,7 @@
 }
 
 void permit_holder::take_over(std::uint32_t slot, std::uint32_t slots, const table_row& row,
-                              outcome_callback done) {
+                              const outcome_callback& done) {
     context_.store.replace(tables::permits, row_name(), row.tag, next_record(),
                            on_control([this, slot, slots, done](const result<table_row>& written) {
                                if (written) {
@@ -86,7 +87,7 @@
                            }));
 }
 
-void permit_holder::confirm(outcome_callback done) {
+void permit_holder::confirm(const outcome_callback& done) {
     if (!is_held()) {
         done(false);
         return;
@@ -109,7 +110,7 @@
         }));
 }
 
-void permit_holder::renew(outcome_callback done) {
+void permit_holder::renew(const outcome_callback& done) {
     context_.store.replace(tables::permits, row_name(), tag_, next_record(),
                            on_control([this, done](const result<table_row>& written) {
                                if (written) {
--- a/src/programs/agent/permit_holder.h
+++ b/src/programs/agent/permit_holder.h
@@ -24,21 +24,21 @@
     permit_holder(agent_context& context, std::string scope);
 
     /// Tries to get one of the slots. `done(false)` when none is free or the store does not answer.
-    void acquire(std::uint32_t slots, outcome_callback done);
+    void acquire(std::uint32_t slots, const outcome_callback& done);
     /// Reads the permit again, and renews it when half its time is over. Call it just before the
     /// act it allows. `done(false)` when it is no longer held for certain.
-    void confirm(outcome_callback done);
+    void confirm(const outcome_callback& done);
     /// Gives the permit back, if it is held.
     void give_back();
     /// @return whether the permit was got and not given back
     bool is_held() const noexcept { return !tag_.empty(); }
 
 private:
-    void try_slot(std::uint32_t slot, std::uint32_t slots, outcome_callback done);
-    void handle_occupied(std::uint32_t slot, std::uint32_t slots, outcome_callback done);
+    void try_slot(std::uint32_t slot, std::uint32_t slots, const outcome_callback& done);
+    void handle_occupied(std::uint32_t slot, std::uint32_t slots, const outcome_callback& done);
     void take_over(std::uint32_t slot, std::uint32_t slots, const table_row& row,
-                   outcome_callback done);
-    void renew(outcome_callback done);
+                   const outcome_callback& done);
+    void renew(const outcome_callback& done);
     std::string next_record();
     std::string row_name() const;
     template<typename Function>
