Show histograms per workspace and class on agents too

Cause: entries had them, agents only counters. Change: the request carries its priority and the workspace's label; the agent observes the time at its backend server. process_path_test asks both processes for the series.

--- a/src/programs/agent/agent_request.cpp
+++ b/src/programs/agent/agent_request.cpp
@@ -193,7 +193,18 @@
     });
 }
 
+void agent_request::count_run(const std::string& result) {
+    const auto taken = std::chrono::steady_clock::now() - dispatched_;
+    context_.numbers.observe("citronseam_backend_server_seconds",
+                             {{"service", message_.service},
+                              {"workspace", message_.workspace_label},
+                              {"class", message_.priority},
+                              {"result", result}},
+                             std::chrono::duration<double>(taken).count());
+}
+
 void agent_request::handle_answer(const http_outcome&) {
+    count_run(is_overloaded_ ? "overloaded" : "answered");
     if (is_overloaded_) {
         context_.gate.leave(ticket_);
         context_.gate.turn_cold(cold_sign::overloaded);
@@ -214,6 +225,7 @@
 }
 
 void agent_request::handle_broken(const http_outcome& outcome) {
+    count_run("broken");
     if (outcome.verdict == run_verdict::not_run) {
         context_.gate.leave(ticket_);
         context_.request_ended();
--- a/src/programs/agent/agent_request.h
+++ b/src/programs/agent/agent_request.h
@@ -49,6 +49,7 @@
     void handle_answer(const http_outcome& outcome);
     void handle_broken(const http_outcome& outcome);
     void leave_later();
+    void count_run(const std::string& result);
     void send_answer(const whole_answer& answer, bool is_replay);
     void send_head(int status, const std::vector<http_header>& headers, bool is_replay);
     void send_data(std::string_view data);
--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -181,6 +181,8 @@
     message.fingerprint = request_.fingerprint;
     message.isolated = is_suspected_;
     message.generation = generation_of(*context_.hub.view());
+    message.priority = name(request_.priority);
+    message.workspace_label = request_.workspace_label;
     return make_frame(std::move(message));
 }
 
--- a/tests/process_path_test.cpp
+++ b/tests/process_path_test.cpp
@@ -32,6 +32,15 @@
     EXPECT_EQ(plain.outcome.status, 200) << plain.body;
     EXPECT_NE(plain.body.find("berth 7"), std::string::npos);
     EXPECT_EQ(system.count_runs("agent-d-server", "key", "key-1"), 1);
+
+    for (const auto* process : {"entry-1", "agent-d"}) {
+        const auto shown =
+            system.ask("GET", "http://" + system.address(process, "operator") + "/metrics");
+        EXPECT_NE(shown.body.find("seconds_bucket{class=\"normal\",result=\"answered\",service="
+                                  "\"desk\",workspace=\"other\""),
+                  std::string::npos)
+            << process;
+    }
 }
 
 TEST(process_path, an_engine_killed_in_mid_stream_gives_an_aborted_transfer) {
