--- a/src/programs/tool/tool_context.cpp
+++ b/src/programs/tool/tool_context.cpp
@@ -91,11 +91,12 @@
         }
         auto json = nlohmann::json::parse(answer.body, nullptr, false);
         if (answer.outcome.status >= 400) {
-            const std::string text =
-                json.is_object() && json.contains("error") ? json["error"].dump() : answer.body;
+            const bool has_error = json.is_object() && json.contains("error");
+            std::string text = entry;
+            text.append(" answered ").append(has_error ? json["error"].dump() : answer.body);
             return failure(answer.outcome.status == 404 ? error_code::not_found
                                                         : error_code::invalid_argument,
-                           entry + " answered " + text);
+                           std::move(text));
         }
         return json;
     }
