--- a/tests/scenario/scenario.cpp
+++ b/tests/scenario/scenario.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "citronseam/process/closest_word.h"
+#include "citronseam/process/sizes.h"
 #include "citronseam/process/units.h"
 #include "support/requests.h"
 
@@ -16,7 +17,7 @@
 using namespace citronseam::harness;
 
 constexpr milliseconds call_timeout{9000};
-constexpr std::size_t weights_size = 512 * 1024;
+constexpr std::size_t weights_size = 512 * kibibyte;
 
 /// Thrown inside a step and caught by run(): the word that is wrong, and why.
 struct step_failure {
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -17,6 +17,7 @@
 
 std::vector<swarm_member> members_of(const std::string& region, int count) {
     std::vector<swarm_member> members;
+    members.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         members.push_back({region + "-" + std::to_string(i), "", region, true});
     }
