Order a reload only while the engine and the generation are as known

Two faults, each with a test that failed first.

While an agent waited for the store to confirm its permits, reconcile() went on taking newer generations and gave their number to the order that was under way. An agent paused in the middle of its drain and replaced by a second process woke with permits that were still valid and brought version 2 back after version 3, on an engine that ignores numbers.

Now, just before the act, the agent asks the engine whether it is as last seen, needs evidence later than any change it did not make itself, and reads version and number from one view.

The window from the last check to the engine's own socket stays open for engines that ignore numbers.

--- a/include/citronseam/process/control_state.h
+++ b/include/citronseam/process/control_state.h
@@ -83,6 +83,9 @@
 /// @return whether the zone is in service by configuration and notices; an unknown zone is not
 bool is_zone_in_service(const control_state& state, std::string_view zone, time_point now);
 
+/// @return whether the state was known to be the newest within the configured bound
+bool has_recent_evidence(const control_state& state, time_point now) noexcept;
+
 /// @return whether evidence is older than the configured bound and the policy is to refuse
 bool is_evidence_stale(const control_state& state, time_point now) noexcept;
 
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -98,12 +98,17 @@
     return !is_noticed || !notice->second.is_out;
 }
 
+bool has_recent_evidence(const control_state& state, time_point now) noexcept {
+    return state.accepted != nullptr && state.has_evidence &&
+           now - state.evidence <= state.accepted->content.evidence.bound;
+}
+
 bool is_evidence_stale(const control_state& state, time_point now) noexcept {
     if (state.accepted == nullptr || !state.has_evidence) {
         return true;
     }
-    const evidence_settings& rule = state.accepted->content.evidence;
-    return rule.when_isolated == isolation_policy::refuse && now - state.evidence > rule.bound;
+    const isolation_policy policy = state.accepted->content.evidence.when_isolated;
+    return policy == isolation_policy::refuse && !has_recent_evidence(state, now);
 }
 
 time_point majority_contact(std::vector<time_point> last_heard, std::size_t known_total,
--- a/src/programs/agent/engine_orders.cpp
+++ b/src/programs/agent/engine_orders.cpp
@@ -14,13 +14,32 @@
 result<engine_status> parse_status(const std::string& text) {
     try {
         const auto json = nlohmann::json::parse(text);
-        return engine_status{json.at("version"), json.at("boot"), json.at("warm")};
+        return engine_status{json.at("version"), json.at("boot"), json.at("warm"),
+                             json.value("loading", false)};
     } catch (const nlohmann::json::exception& exception) {
         return failure(error_code::protocol,
                        std::string("the engine's status cannot be read: ") + exception.what());
     }
 }
 
+result<std::vector<cache_event>> parse_cache_events(const std::string& text) {
+    try {
+        const auto json = nlohmann::json::parse(text);
+        const auto& rows = json.at("events");
+        std::vector<cache_event> events;
+        events.reserve(rows.size());
+        for (const auto& row : rows) {
+            events.push_back({row.at("number"), std::stoull(row.at("key").get<std::string>()),
+                              row.at("event") == "stored"});
+        }
+        return events;
+    } catch (const std::exception& exception) {
+        return failure(error_code::protocol,
+                       std::string("the engine's cache events cannot be read: ") +
+                           exception.what());
+    }
+}
+
 result<bool> read_acknowledgement(const http_answer& answer) {
     if (!answer.outcome.is_complete) {
         const bool is_sent = answer.outcome.verdict != run_verdict::not_run;
@@ -58,6 +77,22 @@
                });
 }
 
+void ask_cache_events(http_client& http, const std::string& address, std::uint64_t after,
+                      std::function<void(result<std::vector<cache_event>>)> done) {
+    http_request request;
+    request.url = "http://" + address + "/admin/cache/events?after=" + std::to_string(after);
+    request.timeout = status_timeout;
+    http.fetch(std::move(request), largest_status,
+               [done = std::move(done)](const http_answer& answer) {
+                   if (!answer.outcome.is_complete || answer.outcome.status != 200) {
+                       done(failure(error_code::unavailable,
+                                    "no cache events from the engine: " + answer.outcome.message));
+                       return;
+                   }
+                   done(parse_cache_events(answer.body));
+               });
+}
+
 void send_chunk(http_client& http, const std::string& address, const std::string& version,
                 std::size_t index, std::string content, std::function<void(result<bool>)> done) {
     http_request request;
--- a/src/programs/agent/engine_orders.h
+++ b/src/programs/agent/engine_orders.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "citronseam/connection/http_client.h"
 #include "citronseam/process/error.h"
@@ -17,6 +18,7 @@
     std::string version; ///< identity of the version in force, empty for none
     std::string boot;    ///< changes when the engine's process starts anew
     bool is_warm{false};
+    bool is_loading{false}; ///< an order is being carried out
 };
 
 /// An order to put a version in force.
@@ -26,6 +28,20 @@
     std::uint64_t fencing{0}; ///< generation of the configuration that asks for it
 };
 
+/// One event of an engine's prefix cache.
+struct cache_event {
+    std::uint64_t number{0}; ///< counts from 1 in each life of the engine's process
+    std::uint64_t key{0};    ///< hash of the prompt's beginning, as the request named it
+    bool is_stored{false};   ///< stored or evicted
+};
+
+/// Asks an engine for its cache events after a number. Engines publish late and leave some out.
+///
+/// Errors: `unavailable`, no answer; `protocol`, an answer that cannot be read.
+/// @param address `host:port` of the engine
+void ask_cache_events(http_client& http, const std::string& address, std::uint64_t after,
+                      std::function<void(result<std::vector<cache_event>>)> done);
+
 /// Asks an engine for its status.
 /// @param address `host:port` of the engine
 void ask_status(http_client& http, const std::string& address,
--- a/src/programs/agent/version_keeper.cpp
+++ b/src/programs/agent/version_keeper.cpp
@@ -46,6 +46,9 @@
     }
     const bool is_new_process = status->boot != boot_;
     const bool is_other_version = status->version != in_force_;
+    if (step_ != step::load && (is_new_process || is_other_version)) {
+        changed_by_other_ = std::chrono::steady_clock::now();
+    }
     if (is_new_process) {
         boot_ = status->boot;
         ++context_.backend_life;
@@ -53,6 +56,7 @@
         abandon();
     } else if (is_other_version && step_ != step::load) {
         context_.gate.turn_cold(cold_sign::said_so);
+        abandon();
     }
     if (step_ != step::load) {
         in_force_since_ms_ = is_other_version ? wall_clock_ms() : in_force_since_ms_;
@@ -73,9 +77,8 @@
     }
     context_.gate.set_bounds({found->limits.cold_concurrency, found->limits.max_concurrency});
     take_rollout(config, *found);
-    generation_ = view->accepted->generation;
     if (step_ != step::load && !found->model_version.empty() && found->model_version != wanted_) {
-        begin(found->model_version, generation_);
+        begin(found->model_version, view->accepted->generation);
     }
     if (wanted_.empty() || std::chrono::steady_clock::now() < next_try_) {
         return;
@@ -247,14 +250,14 @@
     step_ = step::load;
     const std::string version = wanted_;
     if (in_force_.empty()) {
-        order(version);
+        check_engine(version);
         return;
     }
     // The process may have been paused since it got its permits.
     zone_permit_->confirm([this, version](bool has_zone) {
         service_permit_->confirm([this, version, has_zone](bool has_service) {
             if (has_zone && has_service) {
-                order(version);
+                check_engine(version);
                 return;
             }
             handle_loaded(version, failure(error_code::precondition_failed,
@@ -263,8 +266,48 @@
     });
 }
 
+std::string version_keeper::reason_not_to_order(const std::string& version) const {
+    const control_view view = context_.hub.view();
+    const time_point now = std::chrono::steady_clock::now();
+    // An engine that serves nothing may be loaded without contact when operators chose to serve on.
+    const bool is_proved =
+        in_force_.empty() ? !is_evidence_stale(*view, now)
+                          : has_recent_evidence(*view, now) && view->evidence > changed_by_other_;
+    const std::string generation = "generation " + std::to_string(generation_of(*view));
+    if (!is_proved) {
+        return "there is no evidence that " + generation + " is still the newest";
+    }
+    const service* found =
+        find_service(view->accepted->content, context_.options.backend_server.service);
+    if (found == nullptr || found->model_version != version) {
+        return generation + " asks for another version";
+    }
+    return "";
+}
+
+void version_keeper::check_engine(const std::string& version) {
+    ask_status(context_.platform, context_.options.backend_server.address,
+               on_control([this, version](const result<engine_status>& status) {
+                   const bool is_as_known = status && status->version == in_force_ &&
+                                            status->boot == boot_ && !status->is_loading;
+                   if (is_as_known) {
+                       order(version);
+                       return;
+                   }
+                   handle_loaded(version, failure(error_code::precondition_failed,
+                                                  "the engine is not as it was last seen"));
+               }));
+}
+
 void version_keeper::order(const std::string& version) {
-    const load_order wanted{version, manifest_text_, generation_};
+    // Waiting for requests to end and for the store took time, perhaps because the process was
+    // paused: an order must not be older than what another agent of this engine may have ordered.
+    const std::string reason = reason_not_to_order(version);
+    if (!reason.empty()) {
+        handle_loaded(version, failure(error_code::precondition_failed, reason));
+        return;
+    }
+    const load_order wanted{version, manifest_text_, generation_of(*context_.hub.view())};
     order_load(context_.platform, context_.options.backend_server.address, wanted, load_timeout,
                on_control([this, version](const result<bool>& outcome) {
                    handle_loaded(version, outcome);
--- a/src/programs/agent/version_keeper.h
+++ b/src/programs/agent/version_keeper.h
@@ -65,7 +65,9 @@
     void begin_drain();
     void drain();
     void load();
+    void check_engine(const std::string& version);
     void order(const std::string& version);
+    std::string reason_not_to_order(const std::string& version) const;
     void handle_loaded(const std::string& version, const result<bool>& outcome);
     void abandon();
     bool is_current(const std::string& version, step expected) const;
@@ -78,7 +80,6 @@
     std::shared_ptr<permit_holder> service_permit_;
     step step_{step::idle};
     std::string wanted_;
-    std::uint64_t generation_{0};
     std::uint32_t zone_slots_{1};
     std::string manifest_text_;
     manifest manifest_;
@@ -86,6 +87,9 @@
     std::uint64_t in_force_since_ms_{0};
     std::string boot_;
     bool is_reachable_{false};
+    /// When the engine was last seen changed by something else than an order of this agent. An
+    /// order needs evidence that is later, since another agent may know a newer generation.
+    time_point changed_by_other_;
     time_point step_began_;
     time_point next_try_;
 };
--- /dev/null
+++ b/tests/process_orders_test.cpp
@@ -0,0 +1,110 @@
+// Orders to engines: an agent that was held up or replaced must not order what is overtaken.
+#include <csignal>
+#include <future>
+
+#include <gtest/gtest.h>
+
+#include "support/requests.h"
+#include "support/rollout.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+constexpr std::uint64_t next_seed = 2;
+constexpr milliseconds bound{30000};
+/// An answer that lasts about five seconds, so that a reload waits for its end.
+constexpr int long_answer = 250;
+
+/// One agent in zone-a, which the first entry prefers, and the others in zone-b.
+deployment_plan orders_plan(int agents, bool is_fencing) {
+    deployment_plan plan = rollout_plan(agents, {{"parallel_per_zone: 1", "parallel_per_zone: 2"}});
+    for (int i = 0; i < agents; ++i) {
+        auto& server = plan.backend_servers[static_cast<std::size_t>(i)];
+        server.availability_zone = i == 0 ? "zone-a" : "zone-b";
+        server.arguments.insert(server.arguments.end(),
+                                {"--token-ms", "20", "--fencing", is_fencing ? "true" : "false"});
+    }
+    return plan;
+}
+
+std::future<http_answer> start_long_answer(deployment& system) {
+    return std::async(std::launch::async, [&system] {
+        return system.call(0, "POST", "/v1/completions", completion("on", long_answer, true));
+    });
+}
+
+bool wait_for_own(deployment& system, const std::string& process, const std::string& field,
+                  const nlohmann::json& value) {
+    return wait_until(
+        [&] {
+            const auto status = own_status(system, process);
+            return status.is_object() && status[field] == value;
+        },
+        bound);
+}
+
+/// @return versions put in force by the first engine, oldest first
+std::vector<std::string> versions_of_first_engine(deployment& system) {
+    std::vector<std::string> versions;
+    for (const auto& event : system.record("agent-0-server")) {
+        if (event.value("event", "") == "version") {
+            versions.push_back(event["version"]);
+        }
+    }
+    return versions;
+}
+
+TEST(process_orders, a_reload_held_up_by_the_store_is_not_ordered_with_a_newer_number) {
+    auto plan = orders_plan(2, true);
+    plan.has_relays = true;
+    deployment system(plan);
+    system.start();
+    const std::string old = wanted(system);
+    auto answer = start_long_answer(system);
+    ASSERT_EQ(system.release("pool", model_size, next_seed).status, 0);
+    const std::string overtaken = wanted(system);
+    ASSERT_FALSE(system.process("agent-0").wait_for_line("ready=false", bound).empty());
+    relay& store = system.link("store:agent-0");
+    store.set_held(true);
+    EXPECT_EQ(answer.get().outcome.status, 200);
+    ASSERT_TRUE(wait_until([&] { return store.held_blocks() > 0; }, bound));
+    ASSERT_EQ(system.tool({"release", "pool", old}).status, 0);
+    const std::uint64_t newest = system.status()["generation"];
+    ASSERT_TRUE(wait_for_own(system, "agent-0", "generation", newest));
+    store.set_held(false);
+    const std::string given_up = system.process("agent-0").wait_for_line("load_failed", bound);
+    EXPECT_NE(given_up.find("asks for another version"), std::string::npos) << given_up;
+    for (const auto& event : system.record("agent-0-server")) {
+        const bool is_order = event.value("event", "") == "order";
+        EXPECT_FALSE(is_order && event["version"] == overtaken && event["fencing"] >= newest)
+            << event.dump();
+    }
+}
+
+TEST(process_orders, an_agent_that_was_replaced_while_paused_does_not_bring_an_old_version_back) {
+    deployment system(orders_plan(4, false));
+    system.start();
+    auto answer = start_long_answer(system);
+    ASSERT_EQ(system.release("pool", model_size, next_seed).status, 0);
+    ASSERT_FALSE(system.process("agent-0").wait_for_line("ready=false", bound).empty());
+    system.process("agent-0").send_signal(SIGSTOP);
+    system.start_second("agent-0", "agent-0-second");
+    ASSERT_EQ(system.release("pool", model_size, next_seed + 1).status, 0);
+    const std::string newest = wanted(system);
+    ASSERT_TRUE(wait_until([&] { return version_in_force(system, 0) == newest; }, bound));
+    system.process("agent-0").send_signal(SIGCONT);
+    // It wakes in the middle of its reload and either gives up or orders the old version.
+    ASSERT_TRUE(wait_until(
+        [&] {
+            const bool has_given_up =
+                system.process("agent-0").output().find("load_failed") != std::string::npos;
+            return has_given_up || versions_of_first_engine(system).back() != newest;
+        },
+        bound));
+    EXPECT_EQ(versions_of_first_engine(system).back(), newest);
+    EXPECT_NE(answer.get().outcome.status, 0);
+}
+
+} // namespace
--- a/tests/process_rollout_test.cpp
+++ b/tests/process_rollout_test.cpp
@@ -4,56 +4,19 @@
 #include <gtest/gtest.h>
 
 #include "support/requests.h"
+#include "support/rollout.h"
 
 namespace {
 
 using namespace citronseam;
 using namespace citronseam::harness;
 
-constexpr std::size_t model_size = 2 * 1024 * 1024;
 constexpr std::uint64_t next_seed = 2;
 constexpr milliseconds bound{30000};
 /// Paced so that a transfer takes about two seconds, time enough for a fault in its middle.
 const std::map<std::string, std::string> paced{
     {"    rollout:\n", "    rollout:\n      peer_rate: 16Mbit/s\n"}};
 
-deployment_plan rollout_plan(int agents, const std::map<std::string, std::string>& changes = {}) {
-    deployment_plan plan = small_plan();
-    plan.configuration = test_configuration(changes);
-    plan.backend_servers.clear();
-    for (int i = 0; i < agents; ++i) {
-        plan.backend_servers.push_back({"agent-" + std::to_string(i),
-                                        "pool",
-                                        i % 2 == 0 ? "zone-a" : "zone-b",
-                                        true,
-                                        {"--cold-requests", "1"}});
-    }
-    return plan;
-}
-
-std::string version_in_force(deployment& system, int agent) {
-    const auto status = system.ask(
-        "GET", "http://" + system.address("agent-" + std::to_string(agent) + "-server", "http") +
-                   "/admin/status");
-    const auto json = nlohmann::json::parse(status.body, nullptr, false);
-    return json.is_object() ? json["version"] : "";
-}
-
-bool is_everywhere(deployment& system, int agents, const std::string& version) {
-    for (int i = 0; i < agents; ++i) {
-        if (version_in_force(system, i) != version) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/// Version that the accepted configuration asks for.
-std::string wanted(deployment& system) {
-    const auto status = system.tool({"rollout", "status", "pool"});
-    return nlohmann::json::parse(status.output)["version"];
-}
-
 std::uint64_t origin_bytes(deployment& system) {
     const auto counts =
         system.ask("GET", "http://" + system.address("weights", "http") + "/counts");
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -150,6 +150,12 @@
     }
 }
 
+void deployment::start_second(const std::string& name, const std::string& second) {
+    commands_[second] = commands_.at(name);
+    zones_[second] = zones_.at(name);
+    restart(second);
+}
+
 void deployment::start_platform() {
     commands_["store"] = {program("citronseam-standin"), "store"};
     commands_["weights"] = {program("citronseam-standin"), "weights", "--rate",
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -107,6 +107,9 @@
     child_process& process(const std::string& name);
     /// Starts a process again with the same settings.
     void restart(const std::string& name);
+    /// Starts another process with the settings of one that still runs.
+    /// @param second name of the new process
+    void start_second(const std::string& name, const std::string& second);
     /// Starts a backend server again at the address it had.
     void restart_backend_server(const std::string& name);
     /// @return `host:port` of a process for that purpose: "http", "peer", "operator"
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -1,6 +1,7 @@
 #include "support/relay.h"
 
 #include <atomic>
+#include <utility>
 
 #include "citronseam/process/sizes.h"
 
@@ -74,32 +75,55 @@
 
 void relay::pump(const std::shared_ptr<carried_pair>& pair, bool is_forward) {
     auto& from = is_forward ? pair->caller : pair->target;
-    auto& to = is_forward ? pair->target : pair->caller;
     auto& buffer = is_forward ? pair->forward : pair->backward;
-    from.async_read_some(asio::buffer(buffer), [this, pair, is_forward, &to,
-                                                &buffer](const asio::error_code& problem,
-                                                         std::size_t size) {
-        if (pair->is_silent) {
-            pair->self = pair;
-            return;
-        }
-        if (problem) {
-            pair->close();
-            return;
-        }
-        constexpr std::size_t larger_block = 16 * kibibyte;
-        if (size > larger_block && corrupt_left_ > 0) {
-            --corrupt_left_;
-            buffer[size / 2] = static_cast<char>(buffer[size / 2] ^ 1);
+    from.async_read_some(
+        asio::buffer(buffer),
+        [this, pair, is_forward, &buffer](const asio::error_code& problem, std::size_t size) {
+            if (pair->is_silent) {
+                pair->self = pair;
+                return;
+            }
+            if (problem) {
+                pair->close();
+                return;
+            }
+            constexpr std::size_t larger_block = 16 * kibibyte;
+            if (size > larger_block && corrupt_left_ > 0) {
+                --corrupt_left_;
+                buffer[size / 2] = static_cast<char>(buffer[size / 2] ^ 1);
+            }
+            if (is_forward && is_held_) {
+                ++held_blocks_;
+                held_.push_back([this, pair, size] { pass_on(pair, true, size); });
+                return;
+            }
+            pass_on(pair, is_forward, size);
+        });
+}
+
+void relay::pass_on(const std::shared_ptr<carried_pair>& pair, bool is_forward, std::size_t size) {
+    auto& to = is_forward ? pair->target : pair->caller;
+    const auto& buffer = is_forward ? pair->forward : pair->backward;
+    asio::async_write(to, asio::buffer(buffer.data(), size),
+                      [this, pair, is_forward](const asio::error_code& failed, std::size_t) {
+                          if (failed) {
+                              pair->close();
+                              return;
+                          }
+                          pump(pair, is_forward);
+                      });
+}
+
+void relay::set_held(bool is_held) {
+    is_held_ = is_held;
+    if (is_held) {
+        return;
+    }
+    loop_.post([this] {
+        held_blocks_ = 0;
+        for (const auto& pass : std::exchange(held_, {})) {
+            pass();
         }
-        asio::async_write(to, asio::buffer(buffer.data(), size),
-                          [this, pair, is_forward](const asio::error_code& failed, std::size_t) {
-                              if (failed) {
-                                  pair->close();
-                                  return;
-                              }
-                              pump(pair, is_forward);
-                          });
     });
 }
 
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -4,6 +4,7 @@
 #define CITRONSEAM_TESTS_SUPPORT_RELAY_H
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -30,6 +31,10 @@
     void silence_open_connections();
     /// Changes one byte in each of that many larger blocks on their way to the target.
     void corrupt_blocks(int count) { corrupt_left_ = count; }
+    /// Holds back what callers send, without loss, until it is called with false.
+    void set_held(bool is_held);
+    /// @return blocks that are held back now
+    int held_blocks() const { return held_blocks_; }
     /// Cuts all connections and refuses new ones until it is called with false.
     void set_cut(bool is_cut);
 
@@ -37,11 +42,15 @@
     struct carried_pair;
     void carry(asio::ip::tcp::socket caller);
     void pump(const std::shared_ptr<carried_pair>& pair, bool is_forward);
+    void pass_on(const std::shared_ptr<carried_pair>& pair, bool is_forward, std::size_t size);
 
     mutable std::mutex mutex_;
     std::string target_;
     bool is_cut_{false};
     std::atomic<int> corrupt_left_{0};
+    std::atomic<bool> is_held_{false};
+    std::atomic<int> held_blocks_{0};
+    std::vector<std::function<void()>> held_; ///< loop thread only
     std::vector<std::weak_ptr<carried_pair>> pairs_;
     io_threads loop_{1};
     std::shared_ptr<peer_listener> listener_;
--- /dev/null
+++ b/tests/support/rollout.h
@@ -0,0 +1,66 @@
+/// @file
+/// Plans and questions of tests that release versions.
+#ifndef CITRONSEAM_TESTS_SUPPORT_ROLLOUT_H
+#define CITRONSEAM_TESTS_SUPPORT_ROLLOUT_H
+
+#include <map>
+#include <string>
+
+#include "citronseam/process/sizes.h"
+#include "support/deployment.h"
+
+namespace citronseam::harness {
+
+constexpr std::size_t model_size = 2 * mebibyte;
+
+/// @return a plan with engines of the service `pool`, in turn in both zones
+inline deployment_plan rollout_plan(int agents,
+                                    const std::map<std::string, std::string>& changes = {}) {
+    deployment_plan plan = small_plan();
+    plan.configuration = test_configuration(changes);
+    plan.backend_servers.clear();
+    for (int i = 0; i < agents; ++i) {
+        plan.backend_servers.push_back({"agent-" + std::to_string(i),
+                                        "pool",
+                                        i % 2 == 0 ? "zone-a" : "zone-b",
+                                        true,
+                                        {"--cold-requests", "1"}});
+    }
+    return plan;
+}
+
+/// @return the version that an agent's engine serves, asked of the engine itself
+inline std::string version_in_force(deployment& system, int agent) {
+    const auto status = system.ask(
+        "GET", "http://" + system.address("agent-" + std::to_string(agent) + "-server", "http") +
+                   "/admin/status");
+    const auto json = nlohmann::json::parse(status.body, nullptr, false);
+    return json.is_object() ? json["version"] : "";
+}
+
+/// @return whether the engines of the first agents all serve a version
+inline bool is_everywhere(deployment& system, int agents, const std::string& version) {
+    for (int i = 0; i < agents; ++i) {
+        if (version_in_force(system, i) != version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// @return the version that the accepted configuration asks for
+inline std::string wanted(deployment& system) {
+    const auto status = system.tool({"rollout", "status", "pool"});
+    return nlohmann::json::parse(status.output)["version"];
+}
+
+/// @return what a process says of itself
+inline nlohmann::json own_status(deployment& system, const std::string& process) {
+    const auto answer =
+        system.ask("GET", "http://" + system.address(process, "operator") + "/v1/status");
+    return nlohmann::json::parse(answer.body, nullptr, false);
+}
+
+} // namespace citronseam::harness
+
+#endif
