Read the engines' cache events for prefix affinity

An entry knew only where it had sent a prompt's beginning itself, so another entry, or one that was replaced, started over and the prefix was computed again. Weighed: emptying the table at a gap; a hint that is wrong costs one computation, a hint that was dropped costs the same, so gaps are only counted.

--- /dev/null
+++ b/src/connection/transfer_loop.h
@@ -0,0 +1,65 @@
+/// @file
+/// Drives libcurl transfers by socket events.
+///
+/// libcurl says which sockets it waits for; asio tells when one is ready, and only the transfer on
+/// that socket is touched. `curl_multi_perform` would walk all transfers at each event instead.
+#ifndef CITRONSEAM_CONNECTION_TRANSFER_LOOP_H
+#define CITRONSEAM_CONNECTION_TRANSFER_LOOP_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <thread>
+
+#include <asio.hpp>
+#include <curl/curl.h>
+
+namespace citronseam {
+
+/// One thread with its transfers. All functions but post() run on that thread.
+class transfer_loop {
+public:
+    using done_handler = std::function<void(CURL*, CURLcode)>;
+
+    /// @param handle_done called for each transfer that ended; it takes the transfer off
+    explicit transfer_loop(done_handler handle_done);
+    ~transfer_loop();
+    transfer_loop(const transfer_loop&) = delete;
+    transfer_loop& operator=(const transfer_loop&) = delete;
+
+    /// Runs a function on the thread. May be called from any thread.
+    void post(std::function<void()> work);
+    /// Ends the thread. Transfers stay as they are.
+    void stop();
+
+    /// Starts a transfer.
+    void add(CURL* easy);
+    /// Takes a transfer off.
+    void remove(CURL* easy);
+
+private:
+    struct watched_socket;
+    using watched_pointer = std::shared_ptr<watched_socket>;
+
+    static int handle_socket(CURL* easy, curl_socket_t socket, int wanted, void* loop, void* state);
+    static int handle_timer(CURLM* multi, long timeout_ms, void* loop);
+
+    void watch(curl_socket_t socket, int wanted);
+    void unwatch(curl_socket_t socket);
+    void wait_readable(const watched_pointer& watched);
+    void wait_writable(const watched_pointer& watched);
+    void act(curl_socket_t socket, int events);
+    void finish_done();
+
+    asio::io_context context_{1};
+    asio::executor_work_guard<asio::io_context::executor_type> guard_{context_.get_executor()};
+    asio::steady_timer timer_{context_};
+    CURLM* multi_;
+    done_handler handle_done_;
+    std::map<curl_socket_t, watched_pointer> sockets_;
+    std::thread thread_;
+};
+
+} // namespace citronseam
+
+#endif
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -8,6 +8,7 @@
 #include "citronseam/process/log.h"
 #include "citronseam/process/membership.h"
 #include "programs/agent/agent_request.h"
+#include "programs/agent/cache_watch.h"
 #include "programs/agent/key_sweeper.h"
 #include "programs/agent/version_keeper.h"
 #include "programs/daemon/instance_watch.h"
@@ -132,6 +133,9 @@
                    [this](result<engine_status> status) {
                        control_.post([this, status = std::move(status)] {
                            keeper_->take_status(status);
+                           if (status) {
+                               cache_watch_.read(status->boot);
+                           }
                            keeper_->reconcile();
                            control_.post_after(status_interval, [this] { watch_backend(); });
                        });
@@ -400,6 +404,7 @@
     key_sweeper sweeper_{context_};
     std::shared_ptr<chunk_swarm> swarm_;
     std::shared_ptr<version_keeper> keeper_;
+    cache_watch cache_watch_{context_, [this](const shared_frame& frame) { broadcast(frame); }};
     std::shared_ptr<dialer> dialer_;
     std::unique_ptr<http_server> operator_server_;
     std::string peer_address_;
--- a/src/programs/agent/agent_request.cpp
+++ b/src/programs/agent/agent_request.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t largest_part = 64 * kibibyte;
 constexpr int overloaded_status = 503;
 constexpr std::string_view overload_header = "X-Engine-Overloaded";
+/// Names the prompt's beginning to the engine, whose cache events name it back.
+constexpr std::string_view cache_key_header = "X-Cache-Key";
 
 /// Headers that belong to one connection and are not passed on.
 bool is_connection_header(const std::string& name) {
@@ -113,6 +115,9 @@
             request.headers.push_back({header->name, header->value});
         }
     }
+    if (message_.prefix != 0) {
+        request.headers.push_back({std::string(cache_key_header), std::to_string(message_.prefix)});
+    }
     request.body.assign(message_.body.begin(), message_.body.end());
     request.timeout = std::max(time_left(), milliseconds(1));
     request.may_reuse_connection = message_.idempotent;
--- a/src/programs/entry/backend_directory.cpp
+++ b/src/programs/entry/backend_directory.cpp
@@ -44,6 +44,9 @@
     log_event(log_level::info, "agent_lost",
               {{"instance", link->instance()}, {"reason", name(reason)}});
     publish(link->service());
+    if (const auto dispatcher = find_dispatcher(link->service())) {
+        dispatcher->forget_prefixes(*link);
+    }
     for (const auto& [attempt, exchange] : link->take_all_exchanges()) {
         exchange->handle_lost(attempt, reason);
     }
@@ -67,6 +70,13 @@
     }
 }
 
+void backend_directory::take_cache_report(const backend_server_link& link,
+                                          const wire::cache_report& message) const {
+    if (const auto dispatcher = find_dispatcher(link.service())) {
+        dispatcher->take_cache_report(link, message);
+    }
+}
+
 void backend_directory::take_control(const control_view& view) {
     if (view->accepted == nullptr) {
         return;
@@ -104,6 +114,7 @@
         auto& group = is_own ? snapshot->pool.own_zone : snapshot->pool.other_zones;
         group.push_back(&link->load());
         snapshot->links[&link->load()] = link;
+        snapshot->by_number[link->session()->number()] = &link->load();
     }
     metrics_.set("citronseam_backend_servers", {{"service", service}},
                  static_cast<double>(snapshot->links.size()));
@@ -113,12 +124,7 @@
 }
 
 void backend_directory::tick(time_point now) {
-    std::map<std::string, std::shared_ptr<service_dispatcher>> dispatchers;
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        dispatchers = dispatchers_;
-    }
-    for (const auto& [service, dispatcher] : dispatchers) {
+    for (const auto& [service, dispatcher] : dispatchers()) {
         dispatcher->tick(now);
         metrics_.set("citronseam_waiting", {{"service", service}},
                      static_cast<double>(dispatcher->waiting()));
@@ -132,6 +138,11 @@
     return found == dispatchers_.end() ? nullptr : found->second;
 }
 
+std::map<std::string, std::shared_ptr<service_dispatcher>> backend_directory::dispatchers() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return dispatchers_;
+}
+
 std::vector<std::shared_ptr<backend_server_link>> backend_directory::links() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     std::vector<std::shared_ptr<backend_server_link>> all;
--- a/src/programs/entry/backend_directory.h
+++ b/src/programs/entry/backend_directory.h
@@ -33,6 +33,9 @@
     /// Takes a heartbeat of a link.
     void take_report(const std::shared_ptr<backend_server_link>& link,
                      const wire::heartbeat& message);
+    /// Takes what an engine says of its cache.
+    void take_cache_report(const backend_server_link& link,
+                           const wire::cache_report& message) const;
     /// Takes services and zones from the control state.
     void take_control(const control_view& view);
     /// Passes time on to the dispatchers.
@@ -40,6 +43,8 @@
 
     /// @return the dispatcher of a service, or nullptr
     std::shared_ptr<service_dispatcher> find_dispatcher(const std::string& service) const;
+    /// @return the dispatchers of all services, by name
+    std::map<std::string, std::shared_ptr<service_dispatcher>> dispatchers() const;
     /// @return all links
     std::vector<std::shared_ptr<backend_server_link>> links() const;
 
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -205,6 +205,11 @@
         case wire::body::crash_report:
             crashes_.take_report(*message.body_as_crash_report());
             break;
+        case wire::body::cache_report:
+            if (const auto link = link_of(session->number())) {
+                directory_.take_cache_report(*link, *message.body_as_cache_report());
+            }
+            break;
         case wire::body::response_head:
         case wire::body::response_data:
         case wire::body::response_end:
--- a/src/programs/entry/entry_operator.cpp
+++ b/src/programs/entry/entry_operator.cpp
@@ -54,6 +54,10 @@
     for (const auto& link : entry.directory.links()) {
         agents.push_back(agent_json(*link, link->report()));
     }
+    nlohmann::json prefixes = nlohmann::json::object();
+    for (const auto& [service, dispatcher] : entry.directory.dispatchers()) {
+        prefixes[service] = dispatcher->known_prefixes();
+    }
     nlohmann::json notices = nlohmann::json::array();
     for (const auto& [zone, notice] : view->notices) {
         notices.push_back({{"availability_zone", zone},
@@ -66,6 +70,7 @@
                                                    : nlohmann::json()},
             {"entries", entries},
             {"agents", agents},
+            {"known_prefixes", prefixes},
             {"notices", notices}};
 }
 
--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -183,6 +183,7 @@
     message.generation = generation_of(*context_.hub.view());
     message.priority = name(request_.priority);
     message.workspace_label = request_.workspace_label;
+    message.prefix = request_.prefix;
     return make_frame(std::move(message));
 }
 
@@ -282,7 +283,7 @@
         context_.crashes.release(request_.fingerprint);
     }
     if (request_.prefix != 0) {
-        dispatcher_->note_prefix(request_.prefix, attempt_.link);
+        dispatcher_->note_prefix(request_.prefix, *attempt_.link);
     }
     trace_.model_version = attempt_.model_version;
     release_attempt(true, run_verdict::ran, refusal::none);
--- a/src/programs/entry/service_dispatcher.cpp
+++ b/src/programs/entry/service_dispatcher.cpp
@@ -7,7 +7,6 @@
 namespace citronseam {
 namespace {
 
-constexpr std::size_t most_prefixes = 16384;
 constexpr double rate_weight = 0.2;
 constexpr milliseconds return_without_rate{500};
 constexpr milliseconds longest_return{10000};
@@ -38,12 +37,12 @@
 }
 
 backend_server_load* service_dispatcher::preferred_for(std::uint64_t prefix) const {
-    const auto found = prefixes_.find(prefix);
-    if (prefix == 0 || found == prefixes_.end()) {
+    const auto holder = prefix == 0 ? std::nullopt : holder_of(prefixes_, prefix);
+    if (!holder) {
         return nullptr;
     }
-    const auto link = found->second.lock();
-    return link != nullptr && snapshot_->links.count(&link->load()) > 0 ? &link->load() : nullptr;
+    const auto found = snapshot_->by_number.find(*holder);
+    return found == snapshot_->by_number.end() ? nullptr : found->second;
 }
 
 std::shared_ptr<backend_server_link> service_dispatcher::choose(const request_exchange& exchange) {
@@ -183,14 +182,34 @@
     return spend(budget_);
 }
 
-void service_dispatcher::note_prefix(std::uint64_t prefix,
-                                     const std::shared_ptr<backend_server_link>& link) {
+void service_dispatcher::note_prefix(std::uint64_t prefix, const backend_server_link& link) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (prefixes_.size() >= most_prefixes) {
-        // The table holds hints only: starting over costs some cache misses.
-        prefixes_.clear();
+    note_answered(prefixes_, prefix, link.session()->number(), std::chrono::steady_clock::now());
+}
+
+void service_dispatcher::take_cache_report(const backend_server_link& link,
+                                           const wire::cache_report& message) {
+    const std::uint64_t server = link.session()->number();
+    const time_point now = std::chrono::steady_clock::now();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (message.is_reset()) {
+        forget_server(prefixes_, server);
+    }
+    if (message.evicted() != nullptr) {
+        for (const std::uint64_t prefix : *message.evicted()) {
+            note_evicted(prefixes_, prefix, server, now);
+        }
+    }
+    if (message.stored() != nullptr) {
+        for (const std::uint64_t prefix : *message.stored()) {
+            note_stored(prefixes_, prefix, server, now);
+        }
     }
-    prefixes_[prefix] = link;
+}
+
+void service_dispatcher::forget_prefixes(const backend_server_link& link) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    forget_server(prefixes_, link.session()->number());
 }
 
 milliseconds service_dispatcher::time_to_return() {
@@ -199,6 +218,11 @@
     return std::min(retry_after(wait, random_), longest_return);
 }
 
+std::size_t service_dispatcher::known_prefixes() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return prefixes_.recent.size() + prefixes_.previous.size();
+}
+
 std::size_t service_dispatcher::waiting() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return queue_.size;
--- a/src/programs/entry/service_dispatcher.h
+++ b/src/programs/entry/service_dispatcher.h
@@ -12,6 +12,7 @@
 #include "citronseam/process/configuration.h"
 #include "citronseam/request/balancer.h"
 #include "citronseam/request/fair_queue.h"
+#include "citronseam/request/prefix_table.h"
 #include "citronseam/request/retry_budget.h"
 #include "programs/entry/backend_server_link.h"
 
@@ -23,6 +24,7 @@
 struct service_snapshot {
     service_pool pool;
     std::unordered_map<const backend_server_load*, std::shared_ptr<backend_server_link>> links;
+    std::unordered_map<std::uint64_t, backend_server_load*> by_number; ///< by connection
 };
 
 /// One service at one entry. All functions may be called from any thread.
@@ -51,10 +53,16 @@
     /// @return whether a retry is within the budget; it is spent then
     bool spend_retry();
     /// Remembers which backend server got a prompt, so that its prefix cache can be used again.
-    void note_prefix(std::uint64_t prefix, const std::shared_ptr<backend_server_link>& link);
+    void note_prefix(std::uint64_t prefix, const backend_server_link& link);
+    /// Takes what an engine says of its cache.
+    void take_cache_report(const backend_server_link& link, const wire::cache_report& message);
+    /// Drops the hints to a backend server whose connection closed.
+    void forget_prefixes(const backend_server_link& link);
 
     /// @return time until a refused caller should come back
     milliseconds time_to_return();
+    /// @return number of prompt beginnings whose holder this entry knows
+    std::size_t known_prefixes() const;
     /// @return number of waiting requests
     std::size_t waiting() const;
 
@@ -81,7 +89,7 @@
     std::unordered_map<std::uint64_t, exchange_pointer> waiting_;
     retry_budget budget_;
     random_source random_;
-    std::unordered_map<std::uint64_t, std::weak_ptr<backend_server_link>> prefixes_;
+    prefix_table prefixes_;
     std::uint64_t finished_{0}; ///< since the last tick
     double rate_{0};            ///< answers a second, moving average
     time_point last_tick_;
--- a/src/programs/standin/engine.cpp
+++ b/src/programs/standin/engine.cpp
@@ -1,4 +1,5 @@
 // A model engine: completions with server-sent events, a cold start, weights and fenced orders.
+#include <deque>
 #include <map>
 
 #include <unistd.h>
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::size_t shown_version_length = 12;
+/// Versions whose weights stay at hand, so that an order for an overtaken one could be carried out.
+constexpr std::size_t most_staged = 4;
 /// A prompt with this word brings the engine down, as some requests do.
 constexpr std::string_view crash_word = "crash-the-engine";
 
@@ -30,7 +33,7 @@
 
 class engine {
 public:
-    explicit engine(const engine_options& options) : options_(options) {
+    explicit engine(const engine_options& options) : options_(options), cache_(options.cache) {
         auto random = seeded_random_source();
         boot_ = unique_identifier(random);
     }
@@ -44,6 +47,9 @@
             start_completion(request, responder);
         } else if (request.path == "/admin/status") {
             respond_json(*responder, 200, status());
+        } else if (request.path == "/admin/cache/events") {
+            const std::uint64_t after = std::stoull("0" + query_parameter(request, "after"));
+            respond_json(*responder, 200, cache_.events(after, std::chrono::steady_clock::now()));
         } else if (request.path.rfind("/admin/weights/", 0) == 0) {
             chunks_[request.path.substr(std::string_view("/admin/weights/").size())] = request.body;
             respond_json(*responder, 200, {{"ok", true}});
@@ -63,7 +69,9 @@
                 {"fencing", fencing_},
                 {"served", answers_},
                 {"most_while_cold", most_while_cold_},
-                {"loading", is_loading_}};
+                {"loading", is_loading_},
+                {"cache_hits", cache_hits_},
+                {"cache_misses", cache_misses_}};
     }
 
     bool is_warm() const { return answers_since_cold_ >= options_.cold_requests; }
@@ -123,7 +131,19 @@
         current->total = json.value("max_tokens", 16);
         current->is_stream = json.value("stream", false);
         current->is_to_be_cut = use_one(server_->faults().cut_streams);
-        schedule(current, options_.first_token_ms);
+        schedule(current,
+                 options_.first_token_ms * (use_cache(request) ? 1 : options_.miss_factor));
+    }
+
+    /// @return whether the prompt's beginning was in the cache
+    bool use_cache(const server_request& request) {
+        const std::string key = find_header(request.headers, "X-Cache-Key");
+        if (key.empty()) {
+            return false;
+        }
+        const bool is_hit = cache_.use(key, std::chrono::steady_clock::now());
+        ++(is_hit ? cache_hits_ : cache_misses_);
+        return is_hit;
     }
 
     void schedule(const std::shared_ptr<completion>& current, int delay_ms) {
@@ -199,6 +219,7 @@
         }
         const std::string version = json.value("version", "");
         const std::uint64_t fencing = json.value("fencing", std::uint64_t{0});
+        server_->record({{"event", "order"}, {"version", version}, {"fencing", fencing}});
         if (options_.is_fencing && fencing < fencing_) {
             server_->record({{"event", "order_refused"}, {"fencing", fencing}});
             respond_json(*responder, 409, {{"error", "an order with a later number was taken"}});
@@ -232,8 +253,14 @@
         is_loading_ = false;
         version_ = version;
         answers_since_cold_ = 0;
-        std::erase_if(chunks_,
-                      [&](const auto& entry) { return entry.first.rfind(version + "/", 0) != 0; });
+        cache_.clear(std::chrono::steady_clock::now());
+        staged_.push_back(version);
+        if (staged_.size() > most_staged) {
+            std::erase_if(chunks_, [&](const auto& entry) {
+                return entry.first.rfind(staged_.front() + "/", 0) == 0;
+            });
+            staged_.pop_front();
+        }
         server_->record({{"event", "version"}, {"version", version}, {"running", running_}});
     }
 
@@ -247,7 +274,11 @@
     int answers_{0};
     int answers_since_cold_{0};
     int most_while_cold_{0};
+    prefix_cache cache_;
+    int cache_hits_{0};
+    int cache_misses_{0};
     std::map<std::string, std::string> chunks_;
+    std::deque<std::string> staged_;
     standin_server* server_{nullptr};
 };
 
--- a/src/programs/standin/main.cpp
+++ b/src/programs/standin/main.cpp
@@ -33,6 +33,14 @@
     engine->add_option("--warm-capacity", options.warm_capacity, "requests borne while warm");
     engine->add_option("--load-ms", options.load_ms, "time to load a version");
     engine->add_option("--fencing", options.is_fencing, "whether older orders are refused");
+    engine->add_option("--miss-factor", options.miss_factor,
+                       "how many times longer the first token takes without the prefix");
+    engine->add_option("--cache-size", options.cache.size, "prefixes in the cache")
+        ->check(CLI::PositiveNumber);
+    engine->add_option("--cache-event-lag-ms", options.cache.event_lag_ms,
+                       "age of cache events when they are published");
+    engine->add_option("--cache-event-gap", options.cache.gap_each,
+                       "leaves out each event whose number is a multiple; 0 for none");
     engine->add_option("--falls-over", options.falls_over, "whether overload ends the process");
 }
 
--- a/src/programs/standin/standin_server.h
+++ b/src/programs/standin/standin_server.h
@@ -14,6 +14,7 @@
 
 #include "citronseam/connection/http_server.h"
 #include "citronseam/connection/io_threads.h"
+#include "programs/standin/prefix_cache.h"
 
 namespace citronseam::standin {
 
@@ -89,6 +90,8 @@
     int load_ms{20};        ///< time to load a version
     bool is_fencing{true};  ///< whether it refuses an older fencing number
     bool falls_over{false}; ///< whether it ends when it gets more than it bears
+    int miss_factor{1};     ///< how many times longer the first token takes without the prefix
+    cache_options cache;
 };
 int run_engine(const engine_options& options);
 
--- a/tests/request_logic_test.cpp
+++ b/tests/request_logic_test.cpp
@@ -7,6 +7,7 @@
 #include "citronseam/request/balancer.h"
 #include "citronseam/request/fair_queue.h"
 #include "citronseam/request/key_record.h"
+#include "citronseam/request/prefix_table.h"
 #include "citronseam/request/quarantine.h"
 #include "citronseam/request/retry_budget.h"
 #include "citronseam/request/verdict.h"
@@ -175,6 +176,7 @@
     push(queue, waiting(1000, "small"));
     push(queue, waiting(1001, "small"));
     std::vector<std::uint64_t> first;
+    first.reserve(4);
     for (int i = 0; i < 4; ++i) {
         first.push_back(pop(queue)->id);
     }
@@ -343,4 +345,45 @@
     EXPECT_FALSE(is_whole(received, sent)) << "same length, other content";
 }
 
+TEST(prefix_table, a_late_eviction_does_not_undo_a_later_use) {
+    prefix_table table;
+    const time_point start{};
+    note_answered(table, 7, 1, start);
+    note_evicted(table, 7, 1, start + table.event_lag / 2);
+    EXPECT_EQ(holder_of(table, 7), 1U) << "it may have happened before the use";
+    note_evicted(table, 7, 2, start + 2 * table.event_lag);
+    EXPECT_EQ(holder_of(table, 7), 1U) << "another server lost it";
+    note_evicted(table, 7, 1, start + 2 * table.event_lag);
+    EXPECT_EQ(holder_of(table, 7), std::nullopt);
+}
+
+TEST(prefix_table, an_event_does_not_replace_what_is_known_first_hand) {
+    prefix_table table;
+    note_answered(table, 7, 1, time_point{});
+    note_stored(table, 7, 2, time_point{});
+    EXPECT_EQ(holder_of(table, 7), 1U);
+    forget_server(table, 1);
+    note_stored(table, 7, 2, time_point{});
+    EXPECT_EQ(holder_of(table, 7), 2U);
+}
+
+TEST(prefix_table, it_stays_bounded_and_keeps_the_newest) {
+    prefix_table table;
+    table.generation_limit = 10;
+    for (std::uint64_t prefix = 1; prefix <= 1000; ++prefix) {
+        note_answered(table, prefix, 1, time_point{});
+    }
+    EXPECT_LE(table.recent.size() + table.previous.size(), 20U);
+    EXPECT_EQ(holder_of(table, 1000), 1U);
+    EXPECT_EQ(holder_of(table, 1), std::nullopt);
+}
+
+TEST(event_sequence, it_counts_gaps_and_drops_repetitions) {
+    event_sequence sequence;
+    EXPECT_EQ(take_event_number(sequence, 1), 0U);
+    EXPECT_EQ(take_event_number(sequence, 4), 2U);
+    EXPECT_EQ(take_event_number(sequence, 4), std::nullopt);
+    EXPECT_EQ(take_event_number(sequence, 2), std::nullopt);
+}
+
 } // namespace
