Give each sender of a region link every n-th chunk

Cause of the missed time at N = 32 and 64: four agents send to a region at a quarter of the link each, but importers chose among them one by one, so the busiest sent 0.29, 0.32 and 0.32 of the bytes at N = 16, 32 and 64. It went on alone while the others' shares lay idle. Ruled out before: later announcements of new chunks (no gain); now: the machine's load, since 64 took no longer than 32. Chunk i is the turn of sender i modulo their number; another steps in when that one is gone, late, or nothing new comes. The benchmark prints the busiest sender's share.

--- a/benchmark/rollout_measurement.cpp
+++ b/benchmark/rollout_measurement.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <numeric>
 #include <thread>
 
 #include "citronseam/process/sizes.h"
@@ -25,7 +26,8 @@
     double whole_s{0};    ///< until every agent holds all chunks
     double in_force_s{0}; ///< until every engine serves the version
     double origin_copies{0};
-    double region_copies{0}; ///< largest over the links between regions
+    double region_copies{0}; ///< over the link between the regions
+    double busiest_share{0}; ///< of that, what the busiest sender sent
 };
 
 deployment_plan rollout_plan(int agents, bool is_baseline) {
@@ -46,9 +48,11 @@
     return plan;
 }
 
-/// Bytes sent to another region, summed over all agents.
-double bytes_between_regions(deployment& system, const std::vector<std::string>& agents) {
-    double sum = 0;
+/// Bytes that agents sent to the other region.
+std::vector<double> bytes_between_regions(deployment& system,
+                                          const std::vector<std::string>& agents) {
+    std::vector<double> sent;
+    sent.reserve(agents.size());
     for (const auto& agent : agents) {
         const auto text =
             system.ask("GET", "http://" + system.address(agent, "operator") + "/metrics").body;
@@ -56,9 +60,10 @@
         const std::string mark = std::string("citronseam_weight_bytes_sent_total{to_region=\"") +
                                  (is_in_a ? "region-b" : "region-a") + "\"} ";
         const auto found = text.find(mark);
-        sum += found == std::string::npos ? 0 : std::stod(text.substr(found + mark.size()));
+        sent.push_back(found == std::string::npos ? 0
+                                                  : std::stod(text.substr(found + mark.size())));
     }
-    return sum;
+    return sent;
 }
 
 rollout_outcome run_rollout(int agents, bool is_baseline, int killed) {
@@ -106,7 +111,10 @@
     const auto counts =
         system.ask("GET", "http://" + system.address("weights", "http") + "/counts");
     outcome.origin_copies = nlohmann::json::parse(counts.body)["bytes"].get<double>() / model_size;
-    outcome.region_copies = bytes_between_regions(system, names) / model_size;
+    const std::vector<double> sent = bytes_between_regions(system, names);
+    const double total = std::accumulate(sent.begin(), sent.end(), 0.0);
+    outcome.region_copies = total / model_size;
+    outcome.busiest_share = total > 0 ? *std::max_element(sent.begin(), sent.end()) / total : 0;
     return outcome;
 }
 
@@ -116,7 +124,7 @@
     std::cout << "| " << agents << " | " << what << " | " << (outcome.is_whole ? "yes" : "no")
               << " | " << outcome.whole_s << " | " << outcome.in_force_s << " | "
               << outcome.in_force_s / bound << " | " << outcome.origin_copies << " | "
-              << outcome.region_copies << " |" << std::endl;
+              << outcome.region_copies << " | " << outcome.busiest_share << " |" << std::endl;
 }
 
 void print_head() {
@@ -124,7 +132,8 @@
         << "\n### Time to N whole replicas\n\n8 MiB, two regions, origin 10 MB/s, machine "
            "5 MB/s, link between regions 2.5 MB/s\n\n"
            "| N | spread | all whole | chunks s | in force s | ratio to bound | origin copies | "
-           "copies between regions |\n|---|---|---|---|---|---|---|---|\n";
+           "copies between regions | busiest sender's share "
+           "|\n|---|---|---|---|---|---|---|---|---|\n";
 }
 
 } // namespace
--- a/include/citronseam/version/chunk_plan.h
+++ b/include/citronseam/version/chunk_plan.h
@@ -38,6 +38,11 @@
 /// fewer they are, the less a busy one waits while another's share lies idle.
 constexpr std::size_t senders_per_link = 4;
 
+/// @return the agents of the origin's region that send to another region, in the order that all
+/// agents of that region agree on
+std::vector<swarm_member> region_senders(std::string_view region, std::string_view origin_region,
+                                         const std::vector<swarm_member>& members);
+
 /// Chooses the members that an agent keeps connections to: a bounded number in its own region, and
 /// when the region is not the origin's, the agents of the origin's region that send to it.
 std::vector<swarm_member> choose_neighbours(std::string_view self, std::string_view region,
@@ -51,6 +56,7 @@
     std::uint32_t faults{0};    ///< chunks with wrong content
     std::uint32_t late{0};      ///< chunks that did not come in time since the last one that did
     bool is_same_region{true};
+    std::optional<std::size_t> sender; ///< its place among the senders to the own region
 };
 
 /// A neighbour with this many faults is asked no more for this version.
@@ -65,6 +71,7 @@
     std::vector<bool> wanted;         ///< by chunk: neither held nor asked for
     std::vector<std::uint32_t> ranks; ///< by chunk, see draw_rank()
     std::vector<neighbour_state> neighbours;
+    std::size_t senders{0};           ///< to the own region; each sends every n-th chunk
     std::uint32_t level{0};           ///< ranks up to this one may use the scarce link
     bool is_origin_near{true};        ///< own region is the origin's, or no member is there
     std::uint32_t origin_requests{0}; ///< chunks asked of the origin
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -211,7 +211,7 @@
             const auto found = running_.find(number);
             if (found != running_.end()) {
                 found->second->is_stopped = true;
-                finish(found->second, CURLE_ABORTED_BY_CALLBACK);
+                finish(number, CURLE_ABORTED_BY_CALLBACK);
             }
         });
     }
@@ -222,16 +222,17 @@
     void handle_done(CURL* easy, CURLcode code) {
         exchange* current = nullptr;
         curl_easy_getinfo(easy, CURLINFO_PRIVATE, &current);
-        finish(running_.at(current->number), code);
+        finish(current->number, code);
     }
 
-    void finish(std::shared_ptr<exchange> current, CURLcode code) {
+    void finish(std::uint64_t number, CURLcode code) {
+        const std::shared_ptr<exchange> current = running_.at(number);
         if (code == CURLE_OK) {
             announce_head(*current);
         }
         const http_outcome outcome = describe_outcome(*current, code);
         loop_.remove(current->easy);
-        running_.erase(current->number);
+        running_.erase(number);
         --size_;
         if (current->observer.on_done) {
             current->observer.on_done(outcome);
--- a/src/programs/agent/chunk_swarm.cpp
+++ b/src/programs/agent/chunk_swarm.cpp
@@ -146,6 +146,10 @@
         targets.emplace(member.instance, member.peer_address);
     }
     dialer_->set_targets(std::move(targets));
+    senders_ = region_senders(region_, origin_region_, members_);
+    for (auto& [number, agent] : agents_) {
+        place(agent);
+    }
     rank_chunks();
 }
 
@@ -187,7 +191,7 @@
     for (auto& [number, agent] : agents_) {
         agent.state = {};
         agent.asked.clear();
-        agent.state.is_same_region = is_same_region(agent.instance);
+        place(agent);
         send_inventory(agent, true);
     }
     origin_requests_ = 0;
@@ -216,8 +220,15 @@
     return found == members_.end() ? region_ : found->region;
 }
 
-bool chunk_swarm::is_same_region(const std::string& instance) const {
-    return region_of_member(instance) == region_;
+/// Notes where an agent stands as seen from here.
+void chunk_swarm::place(connected_agent& agent) const {
+    agent.state.is_same_region = region_of_member(agent.instance) == region_;
+    agent.state.sender.reset();
+    for (std::size_t i = 0; i < senders_.size(); ++i) {
+        if (senders_[i].instance == agent.instance) {
+            agent.state.sender = i;
+        }
+    }
 }
 
 milliseconds chunk_swarm::patience() const {
@@ -235,6 +246,7 @@
         sessions.push_back(number);
         state.neighbours.push_back(agent.state);
     }
+    state.senders = senders_.size();
     state.level = draw_level(milliseconds(elapsed_ms(last_progress_, now)), patience());
     state.is_origin_near =
         is_alone() || region_ == origin_region_ ||
@@ -417,7 +429,7 @@
         send_inventory(found->second, false);
     }
     found->second.state.late = 0;
-    found->second.state.is_same_region = is_same_region(found->second.instance);
+    place(found->second);
     ask_all();
 }
 
--- a/src/programs/agent/chunk_swarm.h
+++ b/src/programs/agent/chunk_swarm.h
@@ -98,7 +98,7 @@
     fetch_state make_state(std::vector<std::uint64_t>& sessions, time_point now) const;
     milliseconds patience() const;
     std::string region_of_member(const std::string& instance) const;
-    bool is_same_region(const std::string& instance) const;
+    void place(connected_agent& agent) const;
     bool is_alone() const noexcept;
     bool is_fetching() const noexcept { return on_whole_ != nullptr; }
 
@@ -111,6 +111,7 @@
     std::vector<swarm_member> members_;
     std::string region_;
     std::string origin_region_;
+    std::vector<swarm_member> senders_; ///< to this region, in their order
     swarm_rates rates_;
     token_bucket own_bucket_;
     std::map<std::string, token_bucket> region_buckets_; ///< by region that is sent to
--- a/src/version/chunk_plan.cpp
+++ b/src/version/chunk_plan.cpp
@@ -29,8 +29,30 @@
            neighbour.requested < requests_per_neighbour;
 }
 
+/// Whether the sender whose turn the chunk is can be asked, now or when it is less busy.
+bool is_sender_alive(const fetch_state& state, std::size_t sender) {
+    return std::any_of(state.neighbours.begin(), state.neighbours.end(),
+                       [sender](const neighbour_state& neighbour) {
+                           return neighbour.sender == sender && neighbour.faults < most_faults &&
+                                  neighbour.late < most_late;
+                       });
+}
+
+/// Senders share the link evenly by rate, so each must send as many chunks as the others: the one
+/// with more would go on while the others' shares lie idle.
+bool is_its_turn(const fetch_state& state, std::size_t chunk, const neighbour_state& neighbour) {
+    if (state.senders == 0 || state.level > 0) {
+        return true;
+    }
+    const std::size_t sender = chunk % state.senders;
+    return neighbour.sender == sender || !is_sender_alive(state, sender);
+}
+
 bool is_from_near(const fetch_state& state, std::size_t chunk, const neighbour_state& neighbour) {
-    return neighbour.is_same_region || state.ranks[chunk] <= state.level;
+    if (neighbour.is_same_region) {
+        return true;
+    }
+    return state.ranks[chunk] <= state.level && is_its_turn(state, chunk, neighbour);
 }
 
 bool may_draw(const fetch_state& state, std::size_t chunk) noexcept {
@@ -75,24 +97,32 @@
         }));
 }
 
+std::vector<swarm_member> region_senders(std::string_view region, std::string_view origin_region,
+                                         const std::vector<swarm_member>& members) {
+    if (region == origin_region) {
+        return {};
+    }
+    std::vector<swarm_member> far;
+    for (const auto& member : members) {
+        if (member.region == origin_region) {
+            far.push_back(member);
+        }
+    }
+    // All agents of a region choose the same senders: the key is the region, not the agent.
+    return closest(region, std::move(far), senders_per_link);
+}
+
 std::vector<swarm_member> choose_neighbours(std::string_view self, std::string_view region,
                                             std::string_view origin_region,
                                             const std::vector<swarm_member>& members) {
     std::vector<swarm_member> near;
-    std::vector<swarm_member> far;
     for (const auto& member : members) {
-        if (member.instance == self) {
-            continue;
-        }
-        if (member.region == region) {
+        if (member.instance != self && member.region == region) {
             near.push_back(member);
-        } else if (member.region == origin_region) {
-            far.push_back(member);
         }
     }
     std::vector<swarm_member> chosen = closest(self, std::move(near), near_neighbours);
-    // All agents of a region choose the same senders: the key is the region, not the agent.
-    const auto senders = closest(region, std::move(far), senders_per_link);
+    const auto senders = region_senders(region, origin_region, members);
     chosen.insert(chosen.end(), senders.begin(), senders.end());
     return chosen;
 }
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -169,6 +169,47 @@
     EXPECT_TRUE(choose_fetch(state, random).has_value());
 }
 
+TEST(chunk_plan, senders_to_a_region_share_its_chunks_evenly) {
+    constexpr std::size_t chunks = 128;
+    random_source random(seed);
+    fetch_state state = state_of(chunks, senders_per_link);
+    state.is_origin_near = false;
+    state.ranks.assign(chunks, 0);
+    state.senders = senders_per_link;
+    for (std::size_t i = 0; i < senders_per_link; ++i) {
+        state.neighbours[i].is_same_region = false;
+        state.neighbours[i].sender = i;
+        state.neighbours[i].held.assign(chunks, true);
+    }
+    std::vector<std::size_t> sent(senders_per_link);
+    // Each importer fetches one chunk and knows nothing of the others.
+    for (std::size_t chunk = 0; chunk < chunks; ++chunk) {
+        state.wanted.assign(chunks, false);
+        state.wanted[chunk] = true;
+        ++sent[*choose_fetch(state, random)->neighbour];
+    }
+    EXPECT_EQ(sent, std::vector<std::size_t>(senders_per_link, chunks / senders_per_link));
+}
+
+TEST(chunk_plan, another_sender_steps_in_for_one_that_is_late) {
+    random_source random(seed);
+    fetch_state state = state_of(1, 2);
+    state.is_origin_near = false;
+    state.ranks[0] = 0;
+    state.senders = 2;
+    for (std::size_t i = 0; i < 2; ++i) {
+        state.neighbours[i].is_same_region = false;
+        state.neighbours[i].sender = i;
+    }
+    state.neighbours[1].held = {true};
+    EXPECT_FALSE(choose_fetch(state, random).has_value()) << "it is the first sender's chunk";
+    state.neighbours[0].late = most_late;
+    EXPECT_TRUE(choose_fetch(state, random).has_value());
+    state.neighbours[0].late = 0;
+    state.neighbours[0].sender.reset();
+    EXPECT_TRUE(choose_fetch(state, random).has_value()) << "nobody is in its place";
+}
+
 TEST(chunk_plan, a_neighbour_that_sends_wrong_chunks_is_asked_no_more) {
     random_source random(seed);
     fetch_state state = state_of(1, 1);
