Announce a newer configuration out of turn

An entry told its agents and the other entries of a newer generation with the next heartbeat only, so each hop cost up to an interval.

--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -65,7 +65,10 @@
     using session_pointer = std::shared_ptr<peer_session>;
 
     void start() {
-        hub_.on_change([this](const control_view& view) { directory_.take_control(view); });
+        hub_.on_change([this](const control_view& view) {
+            directory_.take_control(view);
+            announce_generation(generation_of(*view));
+        });
         crashes_.on_news([this](const shared_frame& frame) { mesh_.broadcast(frame); });
         listener_ = std::make_shared<peer_listener>(
             traffic_.context(), *parse_host_port(options_.peer_address),
@@ -117,6 +120,21 @@
         return std::max(options_.control.store_poll, poll_share * entries);
     }
 
+    /// Sends heartbeats out of turn when a newer configuration came into force here. Runs on the
+    /// control thread.
+    void announce_generation(std::uint64_t generation) {
+        if (generation <= announced_generation_) {
+            return;
+        }
+        announced_generation_ = generation;
+        for (const auto& other : mesh_.list()) {
+            other.session->send(make_heartbeat(other.session->number()));
+        }
+        for (const auto& link : directory_.links()) {
+            link->session()->send(make_heartbeat(link->session()->number()));
+        }
+    }
+
     // Connections between processes.
 
     shared_frame make_hello() const {
@@ -396,6 +414,7 @@
     std::map<std::uint64_t, std::shared_ptr<backend_server_link>> links_; ///< by session
 
     std::atomic<std::size_t> known_entries_{1};
+    std::uint64_t announced_generation_{0}; ///< control thread only
 };
 
 } // namespace
