Cut a whole region off, and keep affinity inside the zone

No test cut a region from the platform and all other regions at once. The harness now gives each region its own list of instances with a second relay before the other regions' entries.

Affinity now stays inside the own zone while that has room; a logic test holds it.

--- a/benchmark/choice_benchmark.cpp
+++ b/benchmark/choice_benchmark.cpp
@@ -33,7 +33,7 @@
     random_source random(2);
     const std::vector<const backend_server_load*> excluded;
     for (auto step : state) {
-        benchmark::DoNotOptimize(choose_backend_server(all.pool, nullptr, excluded, random));
+        benchmark::DoNotOptimize(choose_backend_server(all.pool, {}, excluded, random));
     }
 }
 BENCHMARK(choose_by_two_choices)->Arg(12)->Arg(120)->Arg(2100);
--- a/include/citronseam/request/balancer.h
+++ b/include/citronseam/request/balancer.h
@@ -27,19 +27,27 @@
     std::vector<backend_server_load*> other_zones;
 };
 
+/// A server that likely holds the prompt's prefix, and where it stands.
+struct preferred_server {
+    backend_server_load* load{nullptr}; ///< nullptr for none
+    bool is_own_zone{false};
+};
+
 /// @return the number of requests that the server still takes, as far as this entry knows
 std::uint32_t free_places(const backend_server_load& load) noexcept;
 
 /// Picks a backend server with a free place.
 ///
 /// The preferred server is taken while it is not busier than the better of two random choices by
-/// more than a bound, so that affinity cannot overload it.
+/// more than a bound, so that affinity cannot overload it. It never draws a request out of the own
+/// availability zone while there is room: links between regions are scarcer than prefixes.
 /// @param pool      candidates
-/// @param preferred server that likely holds the prompt's prefix; nullptr for none
+/// @param preferred server that likely holds the prompt's prefix
 /// @param excluded  servers that refused this request already
 /// @param random    source of randomness
 /// @return the server, or nullptr when none of those tried has a free place
-backend_server_load* choose_backend_server(const service_pool& pool, backend_server_load* preferred,
+backend_server_load* choose_backend_server(const service_pool& pool,
+                                           const preferred_server& preferred,
                                            const std::vector<const backend_server_load*>& excluded,
                                            random_source& random) noexcept;
 
--- a/src/programs/entry/backend_directory.cpp
+++ b/src/programs/entry/backend_directory.cpp
@@ -114,7 +114,7 @@
         auto& group = is_own ? snapshot->pool.own_zone : snapshot->pool.other_zones;
         group.push_back(&link->load());
         snapshot->links[&link->load()] = link;
-        snapshot->by_number[link->session()->number()] = &link->load();
+        snapshot->by_number[link->session()->number()] = {&link->load(), is_own};
     }
     metrics_.set("citronseam_backend_servers", {{"service", service}},
                  static_cast<double>(snapshot->links.size()));
--- a/src/programs/entry/service_dispatcher.cpp
+++ b/src/programs/entry/service_dispatcher.cpp
@@ -36,13 +36,13 @@
     pump();
 }
 
-backend_server_load* service_dispatcher::preferred_for(std::uint64_t prefix) const {
+preferred_server service_dispatcher::preferred_for(std::uint64_t prefix) const {
     const auto holder = prefix == 0 ? std::nullopt : holder_of(prefixes_, prefix);
     if (!holder) {
-        return nullptr;
+        return {};
     }
     const auto found = snapshot_->by_number.find(*holder);
-    return found == snapshot_->by_number.end() ? nullptr : found->second;
+    return found == snapshot_->by_number.end() ? preferred_server{} : found->second;
 }
 
 std::shared_ptr<backend_server_link> service_dispatcher::choose(const request_exchange& exchange) {
--- a/src/programs/entry/service_dispatcher.h
+++ b/src/programs/entry/service_dispatcher.h
@@ -24,7 +24,7 @@
 struct service_snapshot {
     service_pool pool;
     std::unordered_map<const backend_server_load*, std::shared_ptr<backend_server_link>> links;
-    std::unordered_map<std::uint64_t, backend_server_load*> by_number; ///< by connection
+    std::unordered_map<std::uint64_t, preferred_server> by_number; ///< by connection
 };
 
 /// One service at one entry. All functions may be called from any thread.
@@ -74,7 +74,7 @@
     };
 
     std::shared_ptr<backend_server_link> choose(const request_exchange& exchange);
-    backend_server_load* preferred_for(std::uint64_t prefix) const;
+    preferred_server preferred_for(std::uint64_t prefix) const;
     bool is_hopeless(const request_exchange& exchange, time_point now) const;
     milliseconds expected_wait() const;
     void enqueue(const exchange_pointer& exchange, std::vector<refused_request>& refused);
--- a/src/request/balancer.cpp
+++ b/src/request/balancer.cpp
@@ -93,16 +93,20 @@
     return work < limit ? limit - work : 0;
 }
 
-backend_server_load* choose_backend_server(const service_pool& pool, backend_server_load* preferred,
+backend_server_load* choose_backend_server(const service_pool& pool,
+                                           const preferred_server& preferred,
                                            const excluded_list& excluded,
                                            random_source& random) noexcept {
     backend_server_load* chosen = choose_in_group(pool.own_zone, excluded, random);
-    if (chosen == nullptr) {
+
+    const bool has_own_room = chosen != nullptr;
+    if (!has_own_room) {
         chosen = choose_in_group(pool.other_zones, excluded, random);
     }
-    if (preferred != nullptr && has_room(preferred, excluded) &&
-        is_affinity_affordable(*preferred, chosen)) {
-        return preferred;
+    const bool is_near_enough = preferred.is_own_zone || !has_own_room;
+    if (preferred.load != nullptr && is_near_enough && has_room(preferred.load, excluded) &&
+        is_affinity_affordable(*preferred.load, chosen)) {
+        return preferred.load;
     }
     return chosen;
 }
--- a/tests/process_rollout_test.cpp
+++ b/tests/process_rollout_test.cpp
@@ -17,12 +17,6 @@
 const std::map<std::string, std::string> paced{
     {"    rollout:\n", "    rollout:\n      peer_rate: 16Mbit/s\n"}};
 
-std::uint64_t origin_bytes(deployment& system) {
-    const auto counts =
-        system.ask("GET", "http://" + system.address("weights", "http") + "/counts");
-    return nlohmann::json::parse(counts.body)["bytes"];
-}
-
 TEST(process_rollout, a_release_reaches_all_while_requests_flow) {
     deployment system(rollout_plan(4));
     system.start();
--- a/tests/process_zone_test.cpp
+++ b/tests/process_zone_test.cpp
@@ -20,16 +20,6 @@
     return plan;
 }
 
-/// Runs of a server that began later than a moment.
-int runs_after(deployment& system, const std::string& server, std::uint64_t moment_ms) {
-    int count = 0;
-    for (const auto& event : system.record(server)) {
-        const bool is_run = event.value("event", "") == "run";
-        count += is_run && event.value("at_ms", std::uint64_t{0}) > moment_ms ? 1 : 0;
-    }
-    return count;
-}
-
 std::vector<std::string> steady_load(const std::string& seconds, const std::string& rate = "40") {
     return {"--service", "pool", "--rate", rate, "--seconds", seconds, "--tokens", "4"};
 }
--- a/tests/request_logic_test.cpp
+++ b/tests/request_logic_test.cpp
@@ -103,12 +103,12 @@
     pool_fixture servers(2, 2, 1);
     random_source random(seed);
     for (int i = 0; i < 2; ++i) {
-        auto* chosen = choose_backend_server(servers.pool, nullptr, {}, random);
+        auto* chosen = choose_backend_server(servers.pool, {}, {}, random);
         ASSERT_NE(chosen, nullptr);
         EXPECT_TRUE(chosen == servers.loads[0].get() || chosen == servers.loads[1].get());
         ++chosen->outstanding;
     }
-    auto* third = choose_backend_server(servers.pool, nullptr, {}, random);
+    auto* third = choose_backend_server(servers.pool, {}, {}, random);
     EXPECT_TRUE(third == servers.loads[2].get() || third == servers.loads[3].get());
 }
 
@@ -118,15 +118,15 @@
     servers.loads[0]->is_accepting = false;
     servers.loads[1]->outstanding = 1;
     const auto* last = servers.loads[2].get();
-    EXPECT_EQ(choose_backend_server(servers.pool, nullptr, {}, random), last);
-    EXPECT_EQ(choose_backend_server(servers.pool, nullptr, {last}, random), nullptr);
+    EXPECT_EQ(choose_backend_server(servers.pool, {}, {}, random), last);
+    EXPECT_EQ(choose_backend_server(servers.pool, {}, {last}, random), nullptr);
 }
 
 TEST(balancer, two_choices_spread_better_than_one) {
     pool_fixture servers(50, 0, 1000);
     random_source random(seed);
     for (int i = 0; i < 5000; ++i) {
-        ++choose_backend_server(servers.pool, nullptr, {}, random)->outstanding;
+        ++choose_backend_server(servers.pool, {}, {}, random)->outstanding;
     }
     std::uint32_t most = 0;
     for (const auto& load : servers.loads) {
@@ -142,9 +142,9 @@
     random_source random(seed);
     auto* preferred = servers.loads[0].get();
     preferred->outstanding = 2;
-    EXPECT_EQ(choose_backend_server(servers.pool, preferred, {}, random), preferred);
+    EXPECT_EQ(choose_backend_server(servers.pool, {preferred, true}, {}, random), preferred);
     preferred->outstanding = 50;
-    EXPECT_NE(choose_backend_server(servers.pool, preferred, {}, random), preferred);
+    EXPECT_NE(choose_backend_server(servers.pool, {preferred, true}, {}, random), preferred);
 }
 
 TEST(balancer, work_of_other_entries_counts) {
@@ -168,6 +168,18 @@
     return request;
 }
 
+TEST(balancer, affinity_does_not_draw_a_request_out_of_its_zone) {
+    random_source random(seed);
+    pool_fixture servers(2, 2, 4);
+    backend_server_load* far = servers.loads[3].get();
+    EXPECT_NE(choose_backend_server(servers.pool, {far, false}, {}, random), far);
+    for (std::size_t i = 0; i < 2; ++i) {
+        servers.loads[i]->outstanding = servers.loads[i]->limit.load();
+    }
+    EXPECT_EQ(choose_backend_server(servers.pool, {far, false}, {}, random), far)
+        << "its own zone has no room";
+}
+
 TEST(fair_queue, a_large_workspace_cannot_starve_a_small_one) {
     fair_queue queue;
     for (std::uint64_t i = 0; i < 200; ++i) {
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -9,23 +9,15 @@
 #include <thread>
 
 #include "citronseam/process/sizes.h"
+#include "support/program.h"
 
 namespace citronseam::harness {
 namespace {
 
 constexpr milliseconds start_bound{10000};
-constexpr std::size_t largest_answer = 64 * mebibyte;
 constexpr std::size_t small_model_size = 300 * kibibyte;
 constexpr const char* small_chunk = "65536";
 
-std::string program(const std::string& name) {
-    return std::string(CITRONSEAM_BIN_DIR) + "/" + name;
-}
-
-std::string entry_name(std::size_t index) {
-    return "entry-" + std::to_string(index);
-}
-
 } // namespace
 
 bool wait_until(const std::function<bool()>& condition, milliseconds bound) {
@@ -162,22 +154,64 @@
                             std::to_string(plan_.origin_rate)};
     commands_["instances"] = {program("citronseam-standin"), "instances", "--lag-ms",
                               std::to_string(plan_.list_lag_ms)};
-    for (const auto* name : {"store", "weights", "instances"}) {
+    for (const auto* name : {"store", "weights"}) {
         restart(name);
     }
+    for (const auto& list : list_names()) {
+        commands_[list] = commands_["instances"];
+        restart(list);
+    }
+}
+
+std::string deployment::relayed(const std::string& link, const std::string& target) {
+    auto& before = relays_[link];
+    if (before == nullptr) {
+        before = std::make_unique<relay>();
+    }
+    before->set_target(target);
+    return before->address();
+}
+
+std::string deployment::list_name(const std::string& zone) const {
+    return plan_.has_region_links ? "instances-" + zone : "instances";
+}
+
+std::vector<std::string> deployment::list_names() const {
+    if (!plan_.has_region_links) {
+        return {"instances"};
+    }
+    // Each zone of the test configuration is a region of its own.
+    return {list_name("zone-a"), list_name("zone-b")};
 }
 
 std::string deployment::platform_settings(const std::string& name) {
     std::string table = address("store", "http");
+    std::string objects = table;
+    std::string weights = address("weights", "http");
     if (plan_.has_relays) {
-        auto& store = relays_["store:" + name];
-        store = std::make_unique<relay>(table);
-        table = store->address();
+        table = relayed("store:" + name, table);
+    }
+    if (plan_.has_region_links) {
+        objects = relayed("objects:" + name, objects);
+        weights = relayed("weights:" + name, weights);
+    }
+    return "platform:\n  table_service: http://" + table + "\n  object_store: http://" + objects +
+           "\n  weight_store: http://" + weights + "\n  instance_list: http://" +
+           address(list_name(zones_.at(name)), "http") + "/instances\n" + plan_.control;
+}
+
+void deployment::cut_region(const std::string& zone, bool is_cut) {
+    for (auto& [link, before] : relays_) {
+        const auto colon = link.find(':');
+        const std::string kind = link.substr(0, colon);
+        const bool is_inside = zones_.at(link.substr(colon + 1)) == zone;
+        const bool is_platform = kind == "store" || kind == "objects" || kind == "weights";
+        const bool is_cut_here =
+            kind == "far" || (is_platform && is_inside) || (kind == "swarm" && !is_inside);
+        if (is_cut_here) {
+            before->set_cut(is_cut);
+        }
     }
-    return "platform:\n  table_service: http://" + table + "\n  object_store: http://" +
-           address("store", "http") + "\n  weight_store: http://" + address("weights", "http") +
-           "\n  instance_list: http://" + address("instances", "http") + "/instances\n" +
-           plan_.control;
 }
 
 void deployment::start_entry(std::size_t index) {
@@ -243,27 +277,33 @@
     start_entry(plan_.entry_zones.size() - 1);
 }
 
+std::string deployment::entry_address_for(const std::string& entry, const std::string& list) {
+    const std::string peer = addresses_[entry]["peer"];
+    if (!plan_.has_relays) {
+        return peer;
+    }
+    const bool is_far = plan_.has_region_links && list != list_name(zones_.at(entry));
+    return relayed((is_far ? "far:" : "peer:") + entry, peer);
+}
+
 void deployment::list_instance(const std::string& name, bool is_leaving) {
     const bool is_entry = name.rfind("entry-", 0) == 0;
-    std::string peer = addresses_[name]["peer"];
-    if (is_entry && plan_.has_relays) {
-        auto& before = relays_["peer:" + name];
-        if (before == nullptr) {
-            before = std::make_unique<relay>();
-        }
-        before->set_target(peer);
-        peer = before->address();
+    for (const auto& list : list_names()) {
+        const std::string peer =
+            is_entry ? entry_address_for(name, list) : addresses_[name]["peer"];
+        const nlohmann::json row = {{"role", is_entry ? "entry" : "agent"},
+                                    {"availability_zone", zones_.at(name)},
+                                    {"peer_address", peer},
+                                    {"http_address", addresses_[name]["http"]},
+                                    {"leaving", is_leaving}};
+        ask("PUT", "http://" + address(list, "http") + "/instances/" + name, row.dump());
     }
-    nlohmann::json row = {{"role", is_entry ? "entry" : "agent"},
-                          {"availability_zone", zones_.at(name)},
-                          {"peer_address", peer},
-                          {"http_address", addresses_[name]["http"]},
-                          {"leaving", is_leaving}};
-    ask("PUT", "http://" + address("instances", "http") + "/instances/" + name, row.dump());
 }
 
 void deployment::unlist_instance(const std::string& name) {
-    ask("DELETE", "http://" + address("instances", "http") + "/instances/" + name);
+    for (const auto& list : list_names()) {
+        ask("DELETE", "http://" + address(list, "http") + "/instances/" + name);
+    }
 }
 
 void deployment::start_processes() {
@@ -326,109 +366,6 @@
     return tool({"release", service, "--file", path, "--chunk-size", small_chunk});
 }
 
-std::vector<std::string> deployment::tool_arguments() const {
-    std::vector<std::string> arguments{"--store",   "http://" + address("store", "http"),
-                                       "--weights", "http://" + address("weights", "http"),
-                                       "--output",  "json"};
-    for (std::size_t i = 0; i < entry_count(); ++i) {
-        arguments.insert(arguments.end(), {"--entry", address(entry_name(i), "operator")});
-    }
-    return arguments;
-}
-
-deployment::tool_result deployment::tool(std::vector<std::string> arguments) {
-    std::vector<std::string> command{program("citronseam")};
-    const auto common = tool_arguments();
-    command.insert(command.end(), common.begin(), common.end());
-    command.insert(command.end(), arguments.begin(), arguments.end());
-    child_process run(command);
-    constexpr milliseconds longest_run{60000};
-    tool_result ended;
-    ended.status = run.wait(longest_run);
-    // The pipes are drained a moment after the process ended.
-    std::this_thread::sleep_for(milliseconds(20));
-    ended.output = run.output();
-    ended.errors = run.errors();
-    return ended;
-}
-
-std::unique_ptr<child_process> deployment::start_load(std::vector<std::string> arguments) {
-    std::vector<std::string> command{program("citronseam-standin"), "load"};
-    command.insert(command.end(), arguments.begin(), arguments.end());
-    const bool has_target =
-        std::find(arguments.begin(), arguments.end(), "--target") != arguments.end();
-    for (std::size_t i = 0; !has_target && i < entry_count(); ++i) {
-        command.insert(command.end(), {"--target", "http://" + address(entry_name(i), "http")});
-    }
-    return std::make_unique<child_process>(command);
-}
-
-nlohmann::json deployment::load_result(child_process& load) {
-    constexpr milliseconds longest_load{120000};
-    const std::string line = load.wait_for_line("\"sent\"", longest_load);
-    return nlohmann::json::parse(line, nullptr, false);
-}
-
-nlohmann::json deployment::load(std::vector<std::string> arguments) {
-    const auto run = start_load(std::move(arguments));
-    return load_result(*run);
-}
-
-http_answer deployment::ask(const std::string& method, const std::string& url,
-                            const std::string& body, std::vector<http_header> headers,
-                            milliseconds timeout) {
-    http_request request;
-    request.method = method;
-    request.url = url;
-    request.body = body;
-    request.headers = std::move(headers);
-    request.timeout = timeout;
-    return fetch_and_wait(http_, std::move(request), largest_answer);
-}
-
-http_answer deployment::call(std::size_t entry, const std::string& method, const std::string& path,
-                             const std::string& body, std::vector<http_header> headers,
-                             milliseconds timeout) {
-    return ask(method, "http://" + address(entry_name(entry), "http") + path, body,
-               std::move(headers), timeout);
-}
-
-void deployment::set_faults(const std::string& standin, const nlohmann::json& switches) {
-    ask("POST", "http://" + address(standin, "http") + "/faults", switches.dump());
-}
-
-nlohmann::json deployment::record(const std::string& standin) {
-    const auto answer = ask("GET", "http://" + address(standin, "http") + "/record");
-    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
-    return json.is_object() ? json["record"] : nlohmann::json::array();
-}
-
-int deployment::count_runs(const std::string& standin, const std::string& field,
-                           const std::string& value) {
-    int count = 0;
-    for (const auto& event : record(standin)) {
-        count += event.value("event", "") == "run" && event.value(field, "") == value ? 1 : 0;
-    }
-    return count;
-}
-
-int deployment::count_runs_of_service(const std::string& service, const std::string& field,
-                                      const std::string& value) {
-    int count = 0;
-    for (const auto& plan : plan_.backend_servers) {
-        if (plan.service == service) {
-            count += count_runs(plan.name + "-server", field, value);
-        }
-    }
-    return count;
-}
-
-nlohmann::json deployment::status(std::size_t entry) {
-    const auto answer =
-        ask("GET", "http://" + address(entry_name(entry), "operator") + "/v1/status");
-    return nlohmann::json::parse(answer.body, nullptr, false);
-}
-
 child_process& deployment::process(const std::string& name) {
     return *processes_.at(name);
 }
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
                         "  store_poll: 500ms\n  list_poll: 300ms\n"};
     /// Puts a relay before each entry's peer address and each daemon's table service.
     bool has_relays{false};
+    /// Gives each region its own list of instances, in which entries of other regions stand with
+    /// the address of a second relay, and puts relays before the object and weight stores.
+    bool has_region_links{false};
 };
 
 /// A plan with two zones in two regions, two engines and one plain service.
@@ -124,6 +128,11 @@
     void add_backend_server(const backend_server_plan& plan);
     /// Relays by name: "peer:entry-0", "store:agent-a".
     relay& link(const std::string& name) { return *relays_.at(name); }
+    /// Cuts a region off from the platform and from all other regions, or joins it again. Needs
+    /// `has_region_links`; weights are cut where the other regions' agents send them.
+    void cut_region(const std::string& zone, bool is_cut);
+    /// Lets the operators' tool reach one entry only.
+    void use_one_entry(std::size_t entry) { tool_entry_ = entry; }
     /// Starts one more entry.
     void add_entry(const std::string& zone);
 
@@ -137,6 +146,10 @@
     void start_backend_server(const backend_server_plan& plan);
     void start_agent(const backend_server_plan& plan);
     std::string platform_settings(const std::string& name);
+    std::string relayed(const std::string& link, const std::string& target);
+    std::string list_name(const std::string& zone) const;
+    std::vector<std::string> list_names() const;
+    std::string entry_address_for(const std::string& entry, const std::string& list);
     std::string write_file(const std::string& name, const std::string& content);
     std::vector<std::string> tool_arguments() const;
 
@@ -148,6 +161,7 @@
     std::map<std::string, std::unique_ptr<relay>> relays_;
     std::map<std::string, std::string> zones_;
     std::map<std::string, std::vector<std::string>> commands_;
+    std::optional<std::size_t> tool_entry_;
 };
 
 /// Waits until a condition holds.
--- /dev/null
+++ b/tests/support/deployment_calls.cpp
@@ -0,0 +1,120 @@
+#include <algorithm>
+#include <thread>
+
+#include "citronseam/process/sizes.h"
+#include "support/deployment.h"
+#include "support/program.h"
+
+namespace citronseam::harness {
+namespace {
+
+constexpr std::size_t largest_answer = 64 * mebibyte;
+
+} // namespace
+
+std::vector<std::string> deployment::tool_arguments() const {
+    std::vector<std::string> arguments{"--store",   "http://" + address("store", "http"),
+                                       "--weights", "http://" + address("weights", "http"),
+                                       "--output",  "json"};
+    for (std::size_t i = 0; i < entry_count(); ++i) {
+        if (i == tool_entry_.value_or(i)) {
+            arguments.insert(arguments.end(), {"--entry", address(entry_name(i), "operator")});
+        }
+    }
+    return arguments;
+}
+
+deployment::tool_result deployment::tool(std::vector<std::string> arguments) {
+    std::vector<std::string> command{program("citronseam")};
+    const auto common = tool_arguments();
+    command.insert(command.end(), common.begin(), common.end());
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    child_process run(command);
+    constexpr milliseconds longest_run{60000};
+    tool_result ended;
+    ended.status = run.wait(longest_run);
+    // The pipes are drained a moment after the process ended.
+    std::this_thread::sleep_for(milliseconds(20));
+    ended.output = run.output();
+    ended.errors = run.errors();
+    return ended;
+}
+
+std::unique_ptr<child_process> deployment::start_load(std::vector<std::string> arguments) {
+    std::vector<std::string> command{program("citronseam-standin"), "load"};
+    command.insert(command.end(), arguments.begin(), arguments.end());
+    const bool has_target =
+        std::find(arguments.begin(), arguments.end(), "--target") != arguments.end();
+    for (std::size_t i = 0; !has_target && i < entry_count(); ++i) {
+        command.insert(command.end(), {"--target", "http://" + address(entry_name(i), "http")});
+    }
+    return std::make_unique<child_process>(command);
+}
+
+nlohmann::json deployment::load_result(child_process& load) {
+    constexpr milliseconds longest_load{120000};
+    const std::string line = load.wait_for_line("\"sent\"", longest_load);
+    return nlohmann::json::parse(line, nullptr, false);
+}
+
+nlohmann::json deployment::load(std::vector<std::string> arguments) {
+    const auto run = start_load(std::move(arguments));
+    return load_result(*run);
+}
+
+http_answer deployment::ask(const std::string& method, const std::string& url,
+                            const std::string& body, std::vector<http_header> headers,
+                            milliseconds timeout) {
+    http_request request;
+    request.method = method;
+    request.url = url;
+    request.body = body;
+    request.headers = std::move(headers);
+    request.timeout = timeout;
+    return fetch_and_wait(http_, std::move(request), largest_answer);
+}
+
+http_answer deployment::call(std::size_t entry, const std::string& method, const std::string& path,
+                             const std::string& body, std::vector<http_header> headers,
+                             milliseconds timeout) {
+    return ask(method, "http://" + address(entry_name(entry), "http") + path, body,
+               std::move(headers), timeout);
+}
+
+void deployment::set_faults(const std::string& standin, const nlohmann::json& switches) {
+    ask("POST", "http://" + address(standin, "http") + "/faults", switches.dump());
+}
+
+nlohmann::json deployment::record(const std::string& standin) {
+    const auto answer = ask("GET", "http://" + address(standin, "http") + "/record");
+    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+    return json.is_object() ? json["record"] : nlohmann::json::array();
+}
+
+int deployment::count_runs(const std::string& standin, const std::string& field,
+                           const std::string& value) {
+    int count = 0;
+    for (const auto& event : record(standin)) {
+        count += event.value("event", "") == "run" && event.value(field, "") == value ? 1 : 0;
+    }
+    return count;
+}
+
+int deployment::count_runs_of_service(const std::string& service, const std::string& field,
+                                      const std::string& value) {
+    int count = 0;
+    for (const auto& plan : plan_.backend_servers) {
+        if (plan.service == service) {
+            count += count_runs(plan.name + "-server", field, value);
+        }
+    }
+    return count;
+}
+
+nlohmann::json deployment::status(std::size_t entry) {
+    const auto answer =
+        ask("GET", "http://" + address(entry_name(entry), "operator") + "/v1/status");
+    return nlohmann::json::parse(answer.body, nullptr, false);
+}
+
+} // namespace citronseam::harness
--- a/tests/support/requests.h
+++ b/tests/support/requests.h
@@ -36,6 +36,16 @@
     });
 }
 
+/// @return runs of a stand-in that began later than a moment, Unix time in milliseconds
+inline int runs_after(deployment& system, const std::string& server, std::uint64_t moment_ms) {
+    int count = 0;
+    for (const auto& event : system.record(server)) {
+        const bool is_run = event.value("event", "") == "run";
+        count += is_run && event.value("at_ms", std::uint64_t{0}) > moment_ms ? 1 : 0;
+    }
+    return count;
+}
+
 /// @return the verdict that an answer carries
 inline std::string verdict_of(const http_answer& answer) {
     return find_header(answer.headers, "X-Run-Verdict");
--- a/tests/support/rollout.h
+++ b/tests/support/rollout.h
@@ -54,6 +54,13 @@
     return nlohmann::json::parse(status.output)["version"];
 }
 
+/// @return bytes that the origin served
+inline std::uint64_t origin_bytes(deployment& system) {
+    const auto counts =
+        system.ask("GET", "http://" + system.address("weights", "http") + "/counts");
+    return nlohmann::json::parse(counts.body)["bytes"];
+}
+
 /// @return what a process says of itself
 inline nlohmann::json own_status(deployment& system, const std::string& process) {
     const auto answer =
