Read the platform's list only when it changed

The list's entity tag goes with the request, and an unchanged list is answered by 304. Without a tag from the platform all is as before.

--- a/src/programs/daemon/instance_watch.cpp
+++ b/src/programs/daemon/instance_watch.cpp
@@ -21,6 +21,9 @@
 void instance_watch::read() {
     http_request request;
     request.url = url_;
+    if (!tag_.empty()) {
+        request.headers.push_back({"If-None-Match", tag_});
+    }
     http_.fetch(std::move(request), largest_list, [this](http_answer answer) {
         control_.post([this, answer = std::move(answer)] {
             take(answer);
@@ -34,6 +37,7 @@
         return;
     }
     if (const auto list = parse_instance_list(answer.body)) {
+        tag_ = find_header(answer.headers, "ETag");
         handle_(*list);
     }
 }
--- a/src/programs/daemon/instance_watch.h
+++ b/src/programs/daemon/instance_watch.h
@@ -36,6 +36,7 @@
     http_client& http_;
     std::string url_;
     milliseconds interval_;
+    std::string tag_; ///< of the list read last; one that did not change is not sent again
     list_handler handle_;
 };
 
--- a/src/programs/standin/instances.cpp
+++ b/src/programs/standin/instances.cpp
@@ -1,6 +1,8 @@
 // The platform's list of live and leaving instances. Changes show after a lag.
 #include <map>
 
+#include "citronseam/connection/http_client.h"
+#include "citronseam/process/random.h"
 #include "programs/standin/standin_server.h"
 
 namespace citronseam::standin {
@@ -16,7 +18,7 @@
         constexpr std::string_view base = "/instances/";
         const std::lock_guard<std::mutex> lock(mutex_);
         if (request.path == "/instances" && request.method == "GET") {
-            respond_json(*responder, 200, {{"instances", shown()}});
+            respond_list(request, *responder);
             return;
         }
         const std::string name =
@@ -52,6 +54,16 @@
         });
     }
 
+    void respond_list(const server_request& request, http_responder& responder) const {
+        const nlohmann::json list = {{"instances", shown()}};
+        const std::string tag = "\"" + std::to_string(hash_text(list.dump())) + "\"";
+        if (find_header(request.headers, "If-None-Match") == tag) {
+            responder.respond(304, {{"ETag", tag}}, "");
+            return;
+        }
+        respond_json(responder, 200, list, {{"ETag", tag}});
+    }
+
     nlohmann::json shown() const {
         nlohmann::json list = nlohmann::json::array();
         for (const auto& [name, row] : rows_) {
