Delete large answers of expired keys, and keep keys longer than requests

Answers over 32 KiB stayed in the object store for good when their row expired. The sweeper now deletes the row first and then the object; what it could not delete is counted. A configuration whose result_retention is less than twice request_timeout is refused, for a key could be forgotten, and the request run again, while the first run was still allowed. `control.key_sweep` sets the pace.

Before: the new case found the object still there when the row was gone (by reading; the object had no delete).

--- a/include/citronseam/connection/table_client.h
+++ b/include/citronseam/connection/table_client.h
@@ -68,6 +68,8 @@
     void put_object(const std::string& name, std::string content, object_callback done);
     /// Reads an object.
     void get_object(const std::string& name, object_callback done);
+    /// Deletes an object; one that is not there counts as deleted.
+    void remove_object(const std::string& name, object_callback done);
 
 private:
     std::string row_url(std::string_view table, const std::string& key) const;
--- a/include/citronseam/process/settings.h
+++ b/include/citronseam/process/settings.h
@@ -43,6 +43,7 @@
     milliseconds silence_timeout{2000};  ///< a connection without frames for this long is closed
     milliseconds store_poll{1000};       ///< how often an entry reads the head row
     milliseconds list_poll{2000};        ///< how often the instance list is read
+    milliseconds key_sweep{10000};       ///< how often an agent looks for expired keys
     std::uint32_t entries_per_agent{12}; ///< entries that an agent reports to
 };
 
--- a/src/connection/table_client.cpp
+++ b/src/connection/table_client.cpp
@@ -161,4 +161,20 @@
                 });
 }
 
+void table_client::remove_object(const std::string& name, object_callback done) {
+    http_request request;
+    request.method = "DELETE";
+    request.url = objects_ + "/objects/" + name;
+    request.timeout = timeout_;
+    http_.fetch(std::move(request), largest_row,
+                [name, done = std::move(done)](const http_answer& answer) {
+                    constexpr int not_there = 404;
+                    if (!is_success(answer) && answer.outcome.status != not_there) {
+                        done(tl::unexpected(to_error(answer, access::write, "object " + name)));
+                        return;
+                    }
+                    done(name);
+                });
+}
+
 } // namespace citronseam
--- a/src/process/configuration.cpp
+++ b/src/process/configuration.cpp
@@ -57,6 +57,11 @@
     if (limits.request_timeout.count() == 0) {
         object.report("request_timeout", "must be longer than zero");
     }
+    // Clocks of instances differ, so a key must outlive its request by more than a little.
+    if (limits.result_retention < 2 * limits.request_timeout) {
+        object.report("result_retention", "must be at least twice request_timeout, or a key could "
+                                          "be forgotten while its request still runs");
+    }
 }
 
 void read_rollout(yaml_object& object, rollout_limits& rollout) {
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -50,13 +50,14 @@
     control.silence_timeout = object.duration_or("silence_timeout", control.silence_timeout);
     control.store_poll = object.duration_or("store_poll", control.store_poll);
     control.list_poll = object.duration_or("list_poll", control.list_poll);
+    control.key_sweep = object.duration_or("key_sweep", control.key_sweep);
     control.entries_per_agent = static_cast<std::uint32_t>(object.number_or(
         "entries_per_agent", control.entries_per_agent, 1, most_entries_per_agent));
     if (control.silence_timeout < 2 * control.heartbeat_interval) {
         object.report("silence_timeout", "must be at least twice heartbeat_interval");
     }
     if (control.heartbeat_interval.count() == 0 || control.store_poll.count() == 0 ||
-        control.list_poll.count() == 0) {
+        control.list_poll.count() == 0 || control.key_sweep.count() == 0) {
         object.report("heartbeat_interval", "intervals must be longer than zero");
     }
 }
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -26,7 +26,6 @@
 constexpr milliseconds drain_poll{20};
 /// A leaving agent gives the store this long to take the results it still holds.
 constexpr milliseconds longest_result_wait{30000};
-constexpr milliseconds sweep_interval{10000};
 /// After the last request ended, answers may still be in the sockets' buffers.
 constexpr milliseconds linger{300};
 
@@ -91,7 +90,7 @@
             [this](const std::vector<listed_instance>& list) { take_instance_list(list); });
         control_.post([this] { watch_backend(); });
         control_.post([this] { ask_neighbours(); });
-        repeat(control_, sweep_interval, [this] { sweeper_.sweep(); });
+        repeat(control_, options_.control.key_sweep, [this] { sweeper_.sweep(); });
         repeat(control_, reconcile_interval, [this] {
             reconcile();
             const std::lock_guard<std::mutex> lock(progress_mutex_);
--- a/src/programs/agent/key_sweeper.cpp
+++ b/src/programs/agent/key_sweeper.cpp
@@ -40,8 +40,22 @@
             continue;
         }
         context_.numbers.count("citronseam_keys_expired_total");
-        context_.store.remove(tables::keys, row.key, row.tag, [](const result<table_row>&) {});
+        // The row goes first: without it nobody asks for the object.
+        context_.store.remove(tables::keys, row.key, row.tag,
+                              [this, object = record->answer_object](const auto& removed) {
+                                  if (removed && !object.empty()) {
+                                      remove_object(object);
+                                  }
+                              });
     }
 }
 
+void key_sweeper::remove_object(const std::string& name) {
+    context_.store.remove_object(name, [this](const result<std::string>& removed) {
+        // A large answer that stays behind costs room and nothing else, so it is only counted.
+        const char* outcome = removed ? "removed" : "left_behind";
+        context_.numbers.count("citronseam_answer_objects_total", {{"outcome", outcome}});
+    });
+}
+
 } // namespace citronseam
--- a/src/programs/agent/key_sweeper.h
+++ b/src/programs/agent/key_sweeper.h
@@ -21,6 +21,7 @@
 
 private:
     void remove_expired(const std::vector<table_row>& rows);
+    void remove_object(const std::string& name);
 
     agent_context& context_;
     random_source random_;
--- a/src/programs/standin/store.cpp
+++ b/src/programs/standin/store.cpp
@@ -23,7 +23,8 @@
         } else if (request.path.rfind("/tables/", 0) == 0) {
             handle_table(request, *responder);
         } else if (request.path == "/counts") {
-            respond_json(*responder, 200, {{"reads", reads_}, {"writes", writes_}});
+            respond_json(*responder, 200,
+                         {{"reads", reads_}, {"writes", writes_}, {"objects", objects_.size()}});
         } else {
             respond_json(*responder, 404, {{"error", "no such path"}});
         }
@@ -39,6 +40,12 @@
             respond_unless_lost(responder, 201, "", "");
             return;
         }
+        if (request.method == "DELETE") {
+            ++writes_;
+            const bool is_there = objects_.erase(request.path) > 0;
+            respond_unless_lost(responder, is_there ? 200 : 404, "", "");
+            return;
+        }
         ++reads_;
         const auto found = objects_.find(request.path);
         if (found == objects_.end()) {
--- a/tests/control_logic_test.cpp
+++ b/tests/control_logic_test.cpp
@@ -188,4 +188,13 @@
     EXPECT_FALSE(set_yaml_value(text, {"zones", "c", "in"}, "false").has_value());
 }
 
+TEST(configuration, a_key_must_outlive_its_request) {
+    const std::string body = harness::test_configuration(
+        {{"request_timeout: 5s", "request_timeout: 5s\n      result_retention: 9s"}});
+    const auto read = parse_configuration(body, "c.yaml");
+    ASSERT_FALSE(read.is_valid());
+    EXPECT_NE(describe(read.problems).find("result_retention"), std::string::npos)
+        << describe(read.problems);
+}
+
 } // namespace
--- a/tests/process_once_test.cpp
+++ b/tests/process_once_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include "citronseam/process/sizes.h"
 #include "support/requests.h"
 
 namespace {
@@ -198,4 +199,25 @@
     EXPECT_EQ(runs(system, "k"), 1);
 }
 
+TEST(process_once, an_expired_key_leaves_with_its_large_answer) {
+    auto plan = desk_plan(5);
+    plan.configuration = test_configuration(
+        {{"request_timeout: 5s", "request_timeout: 500ms\n      result_retention: 1s"}});
+    plan.control += "  key_sweep: 5ms\n";
+    deployment system(plan);
+    system.start();
+    const auto objects = [&system] {
+        const auto counts =
+            system.ask("GET", "http://" + system.address("store", "http") + "/counts");
+        return nlohmann::json::parse(counts.body)["objects"].get<int>();
+    };
+    const int before = objects();
+    // The service echoes the body, so the answer is too large for a row.
+    const auto first = book(system, 0, "k", std::string(100 * kibibyte, 'b'));
+    ASSERT_EQ(first.outcome.status, 200);
+    ASSERT_TRUE(wait_until([&] { return objects() > before; }, bound));
+    EXPECT_TRUE(wait_until([&] { return objects() == before; }, bound));
+    EXPECT_EQ(book(system, 0, "k").outcome.status, 200) << "the key may be used anew";
+}
+
 } // namespace
