Give permits back when the store is there again

One run of process_rollout_test took 61 s instead of 32 s. Cause: an agent that held permits while the table service went down could not give them back, let go of their tags, and then waited with all others for their expiry after 30 s. Ruled out: chunks (all held) and the order itself (never sent). Giving back is now tried again until the permit expires, and an instance takes over a permit that its own earlier attempt holds; an earlier life that wakes is told by confirm() that the permit is not its own.

--- a/src/programs/agent/permit_holder.cpp
+++ b/src/programs/agent/permit_holder.cpp
@@ -4,6 +4,12 @@
 
 namespace citronseam {
 
+namespace {
+
+constexpr milliseconds give_back_pause{500};
+
+} // namespace
+
 permit_holder::permit_holder(agent_context& context, std::string scope)
     : context_(context), scope_(std::move(scope)) {}
 
@@ -66,7 +72,7 @@
                                 // The answer to the insert was lost, but it took effect.
                                 tag_ = row->tag;
                                 done(true);
-                            } else if (!record || is_permit_free(*record, wall_clock_ms())) {
+                            } else if (!record || is_takeable(*record)) {
                                 take_over(slot, slots, *row, done);
                             } else {
                                 try_slot(slot + 1, slots, done);
@@ -74,6 +80,13 @@
                         }));
 }
 
+bool permit_holder::is_takeable(const permit_record& record) const {
+    // An earlier attempt of this instance could not give its permit back, or it was another life of
+    // the instance; confirm() tells that one that the permit is no longer its own.
+    const bool is_own_earlier = record.holder == context_.options.instance;
+    return is_own_earlier || is_permit_free(record, wall_clock_ms());
+}
+
 void permit_holder::take_over(std::uint32_t slot, std::uint32_t slots, const table_row& row,
                               const outcome_callback& done) {
     context_.store.replace(tables::permits, row_name(), row.tag, next_record(),
@@ -124,9 +137,24 @@
     if (!is_held()) {
         return;
     }
-    // A permit that cannot be given back expires by itself.
-    context_.store.remove(tables::permits, row_name(), tag_, [](const result<table_row>&) {});
+    remove_row(row_name(), tag_, std::chrono::steady_clock::now() + permit_lifetime);
     tag_.clear();
 }
 
+void permit_holder::remove_row(const std::string& row, const std::string& tag, time_point until) {
+    context_.store.remove(
+        tables::permits, row, tag,
+        on_control([this, row, tag, until](const result<table_row>& removed) {
+            const bool is_store_away =
+                !removed && removed.error().code != error_code::precondition_failed;
+            // After its lifetime the permit expires by itself.
+            if (is_store_away && std::chrono::steady_clock::now() < until) {
+                context_.control.post_after(give_back_pause,
+                                            [self = shared_from_this(), row, tag, until] {
+                                                self->remove_row(row, tag, until);
+                                            });
+            }
+        }));
+}
+
 } // namespace citronseam
--- a/src/programs/agent/permit_holder.h
+++ b/src/programs/agent/permit_holder.h
@@ -40,6 +40,8 @@
                    const outcome_callback& done);
     void renew(const outcome_callback& done);
     std::string next_record();
+    bool is_takeable(const permit_record& record) const;
+    void remove_row(const std::string& row, const std::string& tag, time_point until);
     std::string row_name() const;
     template<typename Function>
     auto on_control(Function function);
--- a/tests/process_orders_test.cpp
+++ b/tests/process_orders_test.cpp
@@ -107,4 +107,21 @@
     EXPECT_NE(answer.get().outcome.status, 0);
 }
 
+TEST(process_orders, permits_that_could_not_be_given_back_do_not_hold_up_a_release) {
+    constexpr milliseconds soon{10000};
+    deployment system(orders_plan(2, true));
+    system.start();
+    auto answer = start_long_answer(system);
+    ASSERT_EQ(system.release("pool", model_size, next_seed).status, 0);
+    const std::string version = wanted(system);
+    ASSERT_FALSE(system.process("agent-0").wait_for_line("ready=false", bound).empty());
+    system.set_faults("store", {{"down", true}});
+    EXPECT_EQ(answer.get().outcome.status, 200);
+    ASSERT_FALSE(system.process("agent-0").wait_for_line("load_failed", bound).empty());
+    // Time for the agent to try, and fail, to give its permits back.
+    std::this_thread::sleep_for(milliseconds(500));
+    system.set_faults("store", {{"down", false}});
+    EXPECT_TRUE(wait_until([&] { return is_everywhere(system, 2, version); }, soon));
+}
+
 } // namespace
