Split large files and write shared parts once

Read as a newcomer. chunk_swarm held connections, pacing and packing of bits beside its decisions: pacing (link_pacer) and packing (held_chunks) are decision logic with tests now, connections stand in a file of their own. The two roles' run loop, listening address and handling of control messages stood twice; they are run_role, listening_address and control_hub::handle_message. The final answer of a request, the answer about neighbours and an agent's status are files of their own. The rollout's plan was written in a test and a benchmark.

--- a/benchmark/rollout_measurement.cpp
+++ b/benchmark/rollout_measurement.cpp
@@ -8,13 +8,14 @@
 #include "citronseam/process/sizes.h"
 #include "measurements.h"
 #include "support/requests.h"
+#include "support/rollout.h"
 
 namespace citronseam::measurement {
 namespace {
 
 using namespace citronseam::harness;
 
-constexpr std::size_t model_size = 8 * mebibyte;
+constexpr std::size_t measured_size = 8 * mebibyte;
 /// The origin's link carries about four copies in the time in which a machine's link carries two.
 constexpr std::uint64_t origin_rate = 10000000;
 constexpr double machine_rate = 5 * 1000 * 1000;
@@ -30,21 +31,11 @@
     double busiest_share{0}; ///< of that, what the busiest sender sent
 };
 
-deployment_plan rollout_plan(int agents, bool is_baseline) {
-    deployment_plan plan = small_plan();
+deployment_plan paced_plan(int agents, bool is_baseline) {
     std::string rollout = "    rollout:\n      peer_rate: 40Mbit/s\n";
     rollout += is_baseline ? "      spread: origin\n" : "";
-    plan.configuration = test_configuration({{"    rollout:\n", rollout}});
+    deployment_plan plan = rollout_plan(agents, {{"    rollout:\n", rollout}});
     plan.origin_rate = origin_rate;
-    plan.backend_servers.clear();
-    plan.backend_servers.reserve(static_cast<std::size_t>(agents));
-    for (int i = 0; i < agents; ++i) {
-        plan.backend_servers.push_back({"agent-" + std::to_string(i),
-                                        "pool",
-                                        i % 2 == 0 ? "zone-a" : "zone-b",
-                                        true,
-                                        {"--cold-requests", "1"}});
-    }
     return plan;
 }
 
@@ -67,9 +58,9 @@
 }
 
 rollout_outcome run_rollout(int agents, bool is_baseline, int killed) {
-    deployment system(rollout_plan(agents, is_baseline));
+    deployment system(paced_plan(agents, is_baseline));
     system.start_processes();
-    system.apply(rollout_plan(agents, is_baseline).configuration);
+    system.apply(paced_plan(agents, is_baseline).configuration);
     std::vector<std::string> names;
     names.reserve(static_cast<std::size_t>(agents));
     for (int i = 0; i < agents; ++i) {
@@ -80,7 +71,7 @@
     const auto passed = [&began] {
         return std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
     };
-    system.release("pool", model_size, 7);
+    system.release("pool", measured_size, 7);
     if (killed > 0) {
         std::this_thread::sleep_for(milliseconds(1500));
         for (int i = 0; i < killed; ++i) {
@@ -110,17 +101,19 @@
     outcome.in_force_s = passed();
     const auto counts =
         system.ask("GET", "http://" + system.address("weights", "http") + "/counts");
-    outcome.origin_copies = nlohmann::json::parse(counts.body)["bytes"].get<double>() / model_size;
+    outcome.origin_copies =
+        nlohmann::json::parse(counts.body)["bytes"].get<double>() / measured_size;
     const std::vector<double> sent = bytes_between_regions(system, names);
     const double total = std::accumulate(sent.begin(), sent.end(), 0.0);
-    outcome.region_copies = total / model_size;
+    outcome.region_copies = total / measured_size;
     outcome.busiest_share = total > 0 ? *std::max_element(sent.begin(), sent.end()) / total : 0;
     return outcome;
 }
 
 void print_outcome(int agents, const std::string& what, const rollout_outcome& outcome) {
-    const double bound = std::max(
-        {model_size / machine_rate, model_size / double{origin_rate}, model_size / region_rate});
+    const double bound =
+        std::max({measured_size / machine_rate, measured_size / double{origin_rate},
+                  measured_size / region_rate});
     std::cout << "| " << agents << " | " << what << " | " << (outcome.is_whole ? "yes" : "no")
               << " | " << outcome.whole_s << " | " << outcome.in_force_s << " | "
               << outcome.in_force_s / bound << " | " << outcome.origin_copies << " | "
@@ -158,7 +151,7 @@
     std::cout
         << "\n### Live requests while a version spreads\n\n| when | sent | answered | p50 ms | "
            "p95 ms |\n|---|---|---|---|---|\n";
-    auto plan = rollout_plan(8, false);
+    auto plan = paced_plan(8, false);
     deployment system(plan);
     system.start();
     const std::vector<std::string> load{"--service", "pool",     "--rate", "100",      "--seconds",
@@ -171,7 +164,7 @@
     system.load(load);
     print("without", system.load(load));
     const auto run = system.start_load(load);
-    system.release("pool", model_size, 9);
+    system.release("pool", measured_size, 9);
     print("with", deployment::load_result(*run));
 }
 
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -2,18 +2,17 @@
 
 #include <map>
 
-#include <nlohmann/json.hpp>
-
 #include "citronseam/connection/dialer.h"
 #include "citronseam/process/log.h"
 #include "citronseam/process/membership.h"
 #include "programs/agent/agent_request.h"
+#include "programs/agent/agent_status.h"
 #include "programs/agent/cache_watch.h"
 #include "programs/agent/key_sweeper.h"
 #include "programs/agent/version_keeper.h"
 #include "programs/daemon/instance_watch.h"
 #include "programs/daemon/operator_server.h"
-#include "programs/daemon/shutdown_signal.h"
+#include "programs/daemon/role_run.h"
 
 namespace citronseam {
 namespace {
@@ -44,13 +43,7 @@
           keeper_(std::make_shared<version_keeper>(context_, swarm_)) {}
 
     int run() {
-
-        start();
-        const int signal = shutdown_signal::wait();
-        log_event(log_level::info, "leaving", {{"signal", signal}});
-        leave();
-        log_event(log_level::info, "stopped", {});
-        return 0;
+        return run_role([this] { start(); }, [this] { leave(); });
     }
 
 private:
@@ -71,7 +64,7 @@
             make_observer());
         swarm_->start();
         peer_address_ = options_.advertised_peer_address.empty()
-                            ? address_of(options_.peer_address, swarm_->port())
+                            ? listening_address(options_.peer_address, swarm_->port())
                             : options_.advertised_peer_address;
         operator_server_ =
             start_operator_server(*parse_host_port(options_.operator_address), numbers_,
@@ -80,12 +73,13 @@
                                           const std::shared_ptr<http_responder>& responder) {
                                        handle_operator(request, *responder);
                                    }});
-        log_event(log_level::info, "listening",
-                  {{"role", "agent"},
-                   {"instance", options_.instance},
-                   {"peer", peer_address_},
-                   {"peer_port", swarm_->port()},
-                   {"operator", address_of(options_.operator_address, operator_server_->port())}});
+        log_event(
+            log_level::info, "listening",
+            {{"role", "agent"},
+             {"instance", options_.instance},
+             {"peer", peer_address_},
+             {"peer_port", swarm_->port()},
+             {"operator", listening_address(options_.operator_address, operator_server_->port())}});
         instances_.start(
             [this](const std::vector<listed_instance>& list) { take_instance_list(list); });
         control_.post([this] { watch_backend(); });
@@ -98,10 +92,6 @@
         });
     }
 
-    static std::string address_of(const std::string& listen, std::uint16_t port) {
-        return parse_host_port(listen)->host + ":" + std::to_string(port);
-    }
-
     void reconcile() {
         if (is_engine()) {
             keeper_->reconcile();
@@ -207,16 +197,12 @@
     }
 
     void handle_message(const session_pointer& session, const wire::envelope& message) {
+
+        if (hub_.handle_message(session, message)) {
+            return;
+        }
         switch (message.body_type()) {
-        case wire::body::heartbeat:
-            hub_.handle_heartbeat(session, *message.body_as_heartbeat());
-            break;
-        case wire::body::configuration_request:
-            hub_.handle_request(session, *message.body_as_configuration_request());
-            break;
-        case wire::body::configuration_body:
-            hub_.handle_body(*message.body_as_configuration_body());
-            break;
+
         case wire::body::request_start:
             start_request(session, *message.body_as_request_start());
             break;
@@ -355,19 +341,7 @@
             return;
         }
         const std::lock_guard<std::mutex> lock(progress_mutex_);
-        const nlohmann::json status = {{"instance", options_.instance},
-                                       {"role", "agent"},
-                                       {"availability_zone", options_.availability_zone},
-                                       {"generation", generation_of(*hub_.view())},
-                                       {"limit", gate_.open_limit()},
-                                       {"running", gate_.running()},
-                                       {"refusal", name(gate_.check())},
-                                       {"version", progress_.in_force},
-                                       {"wanted", progress_.wanted},
-                                       {"chunks_held", progress_.held},
-                                       {"chunks_total", progress_.total},
-                                       {"origin_bytes", progress_.origin_bytes}};
-        respond_json(responder, 200, status.dump());
+        respond_json(responder, 200, agent_status_json(context_, progress_).dump());
     }
 
     void leave() {
--- a/src/programs/agent/chunk_swarm.cpp
+++ b/src/programs/agent/chunk_swarm.cpp
@@ -7,130 +7,9 @@
 
 constexpr milliseconds origin_timeout{30000};
 constexpr std::uint32_t origin_parallel = 2;
-/// Share of a second that a bucket may send at once after a pause.
-constexpr std::uint64_t burst_share = 20;
-
-std::string pack_bits(const std::vector<bool>& bits) {
-    std::string bytes((bits.size() + 7) / 8, '\0');
-    for (std::size_t i = 0; i < bits.size(); ++i) {
-        if (bits[i]) {
-            bytes[i / 8] =
-                static_cast<char>(static_cast<unsigned char>(bytes[i / 8]) | (1U << (i % 8)));
-        }
-    }
-    return bytes;
-}
-
-std::vector<bool> unpack_bits(const std::string& bytes, std::size_t count) {
-    std::vector<bool> bits(count, false);
-    for (std::size_t i = 0; i < count && i / 8 < bytes.size(); ++i) {
-        bits[i] = ((static_cast<unsigned char>(bytes[i / 8]) >> (i % 8)) & 1U) != 0;
-    }
-    return bits;
-}
 
 } // namespace
 
-chunk_swarm::chunk_swarm(agent_context& context, std::function<shared_frame()> hello)
-    : context_(context), hello_(std::move(hello)), random_(seeded_random_source()) {
-    chunks_.limit = context.options.weight_memory;
-    listener_ = std::make_shared<peer_listener>(
-        context.traffic.context(), *parse_host_port(context.options.peer_address),
-        [this](asio::ip::tcp::socket socket) {
-            const session_timing timing{context_.options.control.heartbeat_interval,
-                                        context_.options.control.silence_timeout};
-            std::make_shared<peer_session>(std::move(socket), hello_(), timing, make_observer())
-                ->start();
-        });
-}
-
-void chunk_swarm::start() {
-    dialer_ = std::make_shared<dialer>(context_.traffic.context(), hello_,
-                                       session_timing{context_.options.control.heartbeat_interval,
-                                                      context_.options.control.silence_timeout},
-                                       make_observer());
-    listener_->start();
-}
-
-void chunk_swarm::stop() {
-    listener_->close();
-    dialer_->stop();
-}
-
-std::uint16_t chunk_swarm::port() const {
-    return listener_->port();
-}
-
-session_observer chunk_swarm::make_observer() {
-    session_observer observer;
-    observer.on_hello = [this](const session_pointer& session, const wire::hello& hello) {
-        handle_hello(session, hello);
-    };
-    observer.on_message = [this](const session_pointer& session, const wire::envelope& message) {
-        handle_message(session, message);
-    };
-    observer.on_closed = [this](const session_pointer& session, close_reason) {
-        handle_closed(session);
-    };
-    observer.make_heartbeat = [this](const session_pointer& session) {
-        context_.hub.count_bytes(*session);
-        return make_frame(wire::heartbeatT{});
-    };
-    return observer;
-}
-
-void chunk_swarm::handle_hello(const session_pointer& session, const wire::hello& hello) {
-    if (hello.role() != wire::role::agent ||
-        view(hello.service()) != context_.options.backend_server.service) {
-        session->close(close_reason::wrong_protocol);
-        return;
-    }
-    context_.control.post([this, session, instance = std::string(view(hello.instance()))] {
-        connected_agent agent;
-        agent.session = session;
-        agent.instance = instance;
-        agents_[session->number()] = std::move(agent);
-        send_inventory(agents_[session->number()], true);
-    });
-}
-
-void chunk_swarm::handle_message(const session_pointer& session, const wire::envelope& message) {
-    const std::uint64_t number = session->number();
-    if (const auto* inventory = message.body_as_inventory()) {
-        context_.control.post([this, number, version = std::string(view(inventory->manifest())),
-                               held = std::string(view(inventory->held())),
-                               is_question = inventory->is_question()] {
-            take_inventory(number, version, held, is_question);
-        });
-    } else if (const auto* request = message.body_as_chunk_request()) {
-        context_.control.post(
-            [this, number, version = std::string(view(request->manifest())),
-             chunk = std::size_t{request->index()}] { serve_request(number, version, chunk); });
-    } else if (const auto* reply = message.body_as_chunk_reply()) {
-        context_.control.post([this, number, version = std::string(view(reply->manifest())),
-                               chunk = std::size_t{reply->index()}, is_found = reply->found(),
-                               content = std::string(view(reply->data()))]() mutable {
-            take_chunk(number, version, chunk, is_found, std::move(content));
-        });
-    }
-}
-
-void chunk_swarm::handle_closed(const session_pointer& session) {
-    context_.control.post([this, number = session->number()] {
-        const auto found = agents_.find(number);
-        if (found == agents_.end()) {
-            return;
-        }
-        for (const auto& [chunk, moment] : found->second.asked) {
-            if (chunk < is_wanted_.size()) {
-                is_wanted_[chunk] = true;
-            }
-        }
-        agents_.erase(found);
-        ask_all();
-    });
-}
-
 void chunk_swarm::set_members(std::vector<swarm_member> members, const std::string& region,
                               const std::string& origin_region) {
     const bool is_same = members == members_ && region == region_;
@@ -154,11 +33,8 @@
 }
 
 void chunk_swarm::set_rates(const swarm_rates& rates) {
-    if (rates.own_link != rates_.own_link || rates.region_link != rates_.region_link) {
-        const time_point now = std::chrono::steady_clock::now();
-        own_bucket_ = make_bucket(rates.own_link, rates.own_link / burst_share, now);
-        region_buckets_.clear();
-    }
+    citronseam::set_rates(pacer_, rates.own_link, rates.region_link,
+                          std::chrono::steady_clock::now());
     const bool is_other_policy = rates.spread != rates_.spread;
     rates_ = rates;
     if (is_other_policy) {
@@ -392,85 +268,4 @@
     }
 }
 
-void chunk_swarm::send_inventories() {
-    if (!has_news_) {
-        return;
-    }
-    has_news_ = false;
-    for (auto& [number, agent] : agents_) {
-        send_inventory(agent, false);
-    }
-}
-
-void chunk_swarm::send_inventory(connected_agent& agent, bool is_question) const {
-    if (version_.empty() || is_alone()) {
-        return;
-    }
-    std::vector<bool> held(manifest_.chunks.size());
-    for (std::size_t i = 0; i < held.size(); ++i) {
-        held[i] = find_chunk(chunks_, manifest_.chunks[i].hash) != nullptr;
-    }
-    const std::string packed = pack_bits(held);
-    wire::inventoryT message;
-    message.manifest = version_;
-    message.held.assign(packed.begin(), packed.end());
-    message.is_question = is_question;
-    agent.session->send(make_frame(std::move(message)));
-}
-
-void chunk_swarm::take_inventory(std::uint64_t session, const std::string& version,
-                                 const std::string& held, bool is_question) {
-    const auto found = agents_.find(session);
-    if (found == agents_.end() || version != version_) {
-        return;
-    }
-    found->second.state.held = unpack_bits(held, manifest_.chunks.size());
-    if (is_question) {
-        send_inventory(found->second, false);
-    }
-    found->second.state.late = 0;
-    place(found->second);
-    ask_all();
-}
-
-void chunk_swarm::serve_request(std::uint64_t session, const std::string& version,
-                                std::size_t chunk) {
-    const auto found = agents_.find(session);
-    if (found == agents_.end()) {
-        return;
-    }
-    wire::chunk_replyT reply;
-    reply.manifest = version;
-    reply.index = static_cast<std::uint32_t>(chunk);
-    if (version == version_ && chunk < manifest_.chunks.size()) {
-        if (const chunk_content content = find_chunk(chunks_, manifest_.chunks[chunk].hash)) {
-            reply.found = true;
-            reply.data.assign(content->begin(), content->end());
-        }
-    }
-    send_paced(found->second, make_frame(std::move(reply)));
-}
-
-void chunk_swarm::send_paced(const connected_agent& agent, shared_frame frame) {
-    const session_pointer session = agent.session;
-    const time_point now = std::chrono::steady_clock::now();
-    const std::string region = region_of_member(agent.instance);
-    const bool is_near = region == region_;
-    const std::uint64_t burst = rates_.region_link / burst_share;
-    token_bucket& bucket =
-        is_near ? own_bucket_
-                : region_buckets_.try_emplace(region, make_bucket(rates_.region_link, burst, now))
-                      .first->second;
-    context_.numbers.count("citronseam_weight_bytes_sent_total", {{"to_region", region}},
-                           static_cast<double>(frame->size()));
-    const microseconds wait = wait_time(bucket, now);
-    take(bucket, frame->size(), now);
-    if (wait.count() == 0) {
-        session->send(std::move(frame));
-        return;
-    }
-    context_.control.post_after(wait,
-                                [session, frame = std::move(frame)] { session->send(frame); });
-}
-
 } // namespace citronseam
--- a/src/programs/agent/chunk_swarm.h
+++ b/src/programs/agent/chunk_swarm.h
@@ -14,7 +14,7 @@
 #include "citronseam/connection/peer_listener.h"
 #include "citronseam/version/chunk_plan.h"
 #include "citronseam/version/chunk_store.h"
-#include "citronseam/version/token_bucket.h"
+#include "citronseam/version/link_pacer.h"
 #include "programs/agent/agent_context.h"
 
 namespace citronseam {
@@ -113,8 +113,7 @@
     std::string origin_region_;
     std::vector<swarm_member> senders_; ///< to this region, in their order
     swarm_rates rates_;
-    token_bucket own_bucket_;
-    std::map<std::string, token_bucket> region_buckets_; ///< by region that is sent to
+    link_pacer pacer_;
 
     std::string version_;
     manifest manifest_;
--- a/src/programs/daemon/control_hub.cpp
+++ b/src/programs/daemon/control_hub.cpp
@@ -74,6 +74,23 @@
                    static_cast<double>(session.take_received_bytes()));
 }
 
+bool control_hub::handle_message(const std::shared_ptr<peer_session>& from,
+                                 const wire::envelope& message) {
+    switch (message.body_type()) {
+    case wire::body::heartbeat:
+        handle_heartbeat(from, *message.body_as_heartbeat());
+        return true;
+    case wire::body::configuration_request:
+        handle_request(from, *message.body_as_configuration_request());
+        return true;
+    case wire::body::configuration_body:
+        handle_body(*message.body_as_configuration_body());
+        return true;
+    default:
+        return false;
+    }
+}
+
 void control_hub::handle_heartbeat(const std::shared_ptr<peer_session>& from,
                                    const wire::heartbeat& message) {
     const time_point now = std::chrono::steady_clock::now();
--- a/src/programs/daemon/control_hub.h
+++ b/src/programs/daemon/control_hub.h
@@ -42,6 +42,10 @@
     /// thread.
     void count_bytes(peer_session& session) const;
 
+    /// Takes a message if it is about control state: heartbeat, question for the configuration, or
+    /// configuration. May be called from any thread.
+    /// @return whether it was
+    bool handle_message(const std::shared_ptr<peer_session>& from, const wire::envelope& message);
     /// Takes what a heartbeat says. May be called from any thread.
     void handle_heartbeat(const std::shared_ptr<peer_session>& from,
                           const wire::heartbeat& message);
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -11,12 +11,13 @@
 #include "citronseam/process/log.h"
 #include "programs/daemon/instance_watch.h"
 #include "programs/daemon/operator_server.h"
-#include "programs/daemon/shutdown_signal.h"
+#include "programs/daemon/role_run.h"
 #include "programs/entry/backend_directory.h"
 #include "programs/entry/caller_front.h"
 #include "programs/entry/entry_mesh.h"
 #include "programs/entry/entry_operator.h"
 #include "programs/entry/head_watch.h"
+#include "programs/entry/neighbour_answer.h"
 
 namespace citronseam {
 namespace {
@@ -53,12 +54,7 @@
                                                              }} {}
 
     int run() {
-        start();
-        const int signal = shutdown_signal::wait();
-        log_event(log_level::info, "leaving", {{"signal", signal}});
-        leave();
-        log_event(log_level::info, "stopped", {});
-        return 0;
+        return run_role([this] { start(); }, [this] { leave(); });
     }
 
 private:
@@ -73,7 +69,7 @@
         listener_ = std::make_shared<peer_listener>(
             traffic_.context(), *parse_host_port(options_.peer_address),
             [this](asio::ip::tcp::socket socket) { accept(std::move(socket)); });
-        peer_address_ = address_of(options_.peer_address, listener_->port());
+        peer_address_ = listening_address(options_.peer_address, listener_->port());
         server_options callers;
         callers.address = *parse_host_port(options_.http_address);
         callers.threads = static_cast<int>(options_.http_threads);
@@ -81,7 +77,7 @@
             callers, [this](server_request request, std::shared_ptr<http_responder> responder) {
                 front_.handle(std::move(request), std::move(responder));
             });
-        front_.set_address(address_of(options_.http_address, http_->port()));
+        front_.set_address(listening_address(options_.http_address, http_->port()));
         operator_ = start_operator_server(
             *parse_host_port(options_.operator_address), numbers_,
             {[this] { return readiness(); },
@@ -104,11 +100,7 @@
                    {"instance", options_.instance},
                    {"http", front_.address()},
                    {"peer", peer_address_},
-                   {"operator", address_of(options_.operator_address, operator_->port())}});
-    }
-
-    static std::string address_of(const std::string& listen, std::uint16_t port) {
-        return parse_host_port(listen)->host + ":" + std::to_string(port);
+                   {"operator", listening_address(options_.operator_address, operator_->port())}});
     }
 
     session_timing timing() const {
@@ -207,18 +199,16 @@
     }
 
     void handle_message(const session_pointer& session, const wire::envelope& message) {
+
+        if (hub_.handle_message(session, message)) {
+            take_report(session, message);
+            return;
+        }
         switch (message.body_type()) {
-        case wire::body::heartbeat:
-            handle_heartbeat(session, *message.body_as_heartbeat());
-            break;
-        case wire::body::configuration_request:
-            hub_.handle_request(session, *message.body_as_configuration_request());
-            break;
-        case wire::body::configuration_body:
-            hub_.handle_body(*message.body_as_configuration_body());
-            break;
+
         case wire::body::neighbours_request:
-            answer_neighbours(session, *message.body_as_neighbours_request());
+            session->send(make_frame(
+                neighbours_of(directory_, view(message.body_as_neighbours_request()->service()))));
             break;
         case wire::body::crash_report:
             crashes_.take_report(*message.body_as_crash_report());
@@ -239,29 +229,15 @@
         }
     }
 
-    void answer_neighbours(const session_pointer& session,
-                           const wire::neighbours_request& message) const {
-        wire::neighbours_replyT reply;
-        for (const auto& link : directory_.links()) {
-            if (link->service() != view(message.service())) {
-                continue;
-            }
-            auto row = std::make_unique<wire::neighbourT>();
-            row->instance = link->instance();
-            row->peer_address = link->peer_address();
-            row->availability_zone = link->availability_zone();
-            row->is_ready = link->load().is_accepting;
-            reply.neighbours.push_back(std::move(row));
+    void take_report(const session_pointer& session, const wire::envelope& message) {
+        const wire::heartbeat* heartbeat = message.body_as_heartbeat();
+        if (heartbeat == nullptr) {
+            return;
         }
-        session->send(make_frame(std::move(reply)));
-    }
-
-    void handle_heartbeat(const session_pointer& session, const wire::heartbeat& message) {
-        hub_.handle_heartbeat(session, message);
         if (const auto link = link_of(session->number())) {
-            directory_.take_report(link, message);
+            directory_.take_report(link, *heartbeat);
         } else {
-            mesh_.take_report(session->number(), message);
+            mesh_.take_report(session->number(), *heartbeat);
         }
     }
 
--- /dev/null
+++ b/src/programs/entry/neighbour_answer.h
@@ -0,0 +1,18 @@
+/// @file
+/// Tells agents who else serves their service.
+#ifndef CITRONSEAM_PROGRAMS_ENTRY_NEIGHBOUR_ANSWER_H
+#define CITRONSEAM_PROGRAMS_ENTRY_NEIGHBOUR_ANSWER_H
+
+#include <string_view>
+
+#include "generated/wire_generated.h"
+#include "programs/entry/backend_directory.h"
+
+namespace citronseam {
+
+/// @return the agents of a service that are connected to this entry
+wire::neighbours_replyT neighbours_of(const backend_directory& directory, std::string_view service);
+
+} // namespace citronseam
+
+#endif
--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 
-#include <nlohmann/json.hpp>
-
 #include "citronseam/connection/http_client.h"
 #include "citronseam/process/log.h"
 #include "citronseam/process/sizes.h"
+#include "programs/entry/final_answer.h"
 
 namespace citronseam {
 namespace {
@@ -41,11 +40,6 @@
     }
 }
 
-std::string retry_after_seconds(milliseconds wait) {
-    const auto whole = std::chrono::ceil<seconds>(wait).count();
-    return std::to_string(std::max<std::int64_t>(whole, 1));
-}
-
 } // namespace
 
 request_exchange::request_exchange(entry_context& context,
@@ -363,19 +357,7 @@
     if (outcome.retry_after.count() == 0) {
         outcome.retry_after = dispatcher_->time_to_return();
     }
-    const nlohmann::json body = {{"error",
-                                  {{"message", outcome.message},
-                                   {"code", name(outcome.reason)},
-                                   {"verdict", name(outcome.verdict)},
-                                   {"request_id", request_.request_id},
-                                   {"retry_after_ms", outcome.retry_after.count()}}}};
-    responder_->respond(http_status(outcome.reason),
-                        {{"Content-Type", "application/json"},
-                         {"X-Run-Verdict", std::string(name(outcome.verdict))},
-                         {"X-Refusal", std::string(name(outcome.reason))},
-                         {"X-Request-Id", request_.request_id},
-                         {"Retry-After", retry_after_seconds(outcome.retry_after)}},
-                        body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
+    send_final_answer(*responder_, request_.request_id, outcome);
     finish(std::string(name(outcome.reason)));
 }
 
--- a/tests/process_once_test.cpp
+++ b/tests/process_once_test.cpp
@@ -36,19 +36,25 @@
     return system.count_runs("agent-d-server", "key", key) > 0 ? "agent-d" : "agent-e";
 }
 
+/// Books again and again until the result is there; the caller's test looks at what came.
+http_answer book_until_answered(deployment& system, std::size_t entry, const std::string& key) {
+    http_answer answer;
+    const bool is_answered = wait_until(
+        [&] {
+            answer = book(system, entry, key);
+            return answer.outcome.status == 200;
+        },
+        bound);
+    EXPECT_TRUE(is_answered) << answer.body;
+    return answer;
+}
+
 TEST(process_once, a_key_sent_again_at_another_entry_replays_the_whole_answer) {
     deployment system(desk_plan(5));
     system.start();
     const auto first = book(system, 0, "k");
     ASSERT_EQ(first.outcome.status, 200) << first.body;
-    http_answer again;
-    ASSERT_TRUE(wait_until(
-        [&] {
-            again = book(system, 1, "k");
-            return again.outcome.status == 200;
-        },
-        bound))
-        << again.body;
+    const http_answer again = book_until_answered(system, 1, "k");
     EXPECT_EQ(again.body, first.body);
     EXPECT_EQ(find_header(again.headers, "X-Replayed"), "true");
     EXPECT_EQ(runs(system, "k"), 1);
@@ -173,14 +179,7 @@
     const auto answer = call.get();
     EXPECT_EQ(answer.outcome.status, 200) << answer.body;
     system.set_faults("store", {{"down", false}});
-    http_answer again;
-    EXPECT_TRUE(wait_until(
-        [&] {
-            again = book(system, 1, "k");
-            return again.outcome.status == 200;
-        },
-        bound))
-        << again.body;
+    const http_answer again = book_until_answered(system, 1, "k");
     EXPECT_EQ(again.body, answer.body);
     EXPECT_EQ(runs(system, "k"), 1);
 }
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -5,6 +5,8 @@
 
 #include "citronseam/version/chunk_plan.h"
 #include "citronseam/version/chunk_store.h"
+#include "citronseam/version/held_chunks.h"
+#include "citronseam/version/link_pacer.h"
 #include "citronseam/version/permit.h"
 #include "citronseam/version/sha256.h"
 #include "citronseam/version/token_bucket.h"
@@ -252,4 +254,21 @@
     EXPECT_EQ(service_slots(1), 1U);
 }
 
+TEST(held_chunks, survive_the_way_there_and_a_short_message) {
+    std::vector<bool> held(19);
+    held[0] = held[8] = held[18] = true;
+    EXPECT_EQ(unpack_held(pack_held(held), held.size()), held);
+    held[18] = false;
+    EXPECT_EQ(unpack_held(pack_held(held).substr(0, 2), held.size()), held);
+}
+
+TEST(link_pacer, regions_do_not_wait_for_each_other) {
+    link_pacer pacer;
+    set_rates(pacer, 0, 1000, time_point{});
+    EXPECT_EQ(take_turn(pacer, "b", false, 2000, time_point{}).count(), 0);
+    EXPECT_GT(take_turn(pacer, "b", false, 2000, time_point{}).count(), 0);
+    EXPECT_EQ(take_turn(pacer, "c", false, 2000, time_point{}).count(), 0);
+    EXPECT_EQ(take_turn(pacer, "a", true, 2000, time_point{}).count(), 0) << "not paced";
+}
+
 } // namespace
