Bind the HTTP server once, so that fixed ports work

Ruled out: connections in TIME_WAIT (the option to reuse is set, and a port that was never used failed as well). Cause: Pistache's serveThreaded() binds by itself; our bind() before it took the port from it. With port 0, which all tests used, both calls got a port each and nobody noticed. So no daemon with fixed ports, as every operator sets them, could start.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -187,8 +187,7 @@
 public:
     implementation(const server_options& options, request_handler handler)
         : writers_(static_cast<std::size_t>(options.threads)),
-          endpoint_(Pistache::Address(Pistache::Ipv4::any(), Pistache::Port(0))) {
-        const Pistache::Address address(options.address.host, Pistache::Port(options.address.port));
+          endpoint_(Pistache::Address(options.address.host, Pistache::Port(options.address.port))) {
         auto settings =
             http::Endpoint::options()
                 .threads(options.threads)
@@ -201,7 +200,7 @@
         endpoint_.init(settings);
         endpoint_.setHandler(std::make_shared<guarding_handler>(
             writers_.context(), std::move(handler), options.largest_body));
-        endpoint_.bind(address);
+        // This binds as well; a call of bind() before it would take the port from itself.
         endpoint_.serveThreaded();
     }
 
--- a/src/programs/standin/instances.cpp
+++ b/src/programs/standin/instances.cpp
@@ -82,13 +82,7 @@
 
 int run_instances(const std::string& address, int lag_ms) {
     instance_list content(lag_ms);
-    standin_server server(
-        "instances", address,
-        [&](const server_request& request, const std::shared_ptr<http_responder>& responder) {
-            content.handle(request, responder);
-        });
-    content.use(server);
-    return server.run();
+    return serve("instances", address, content);
 }
 
 } // namespace citronseam::standin
--- a/src/programs/standin/standin_server.h
+++ b/src/programs/standin/standin_server.h
@@ -73,6 +73,26 @@
     std::unique_ptr<http_server> server_;
 };
 
+/// Serves one stand-in until it is told to end.
+/// @param name          name for the log
+/// @param address       where to listen
+/// @param content       has `use(standin_server&)` and `handle(request, responder)`
+/// @param prints_record whether the record goes to standard output as well
+template<typename Content>
+int serve(const std::string& name, const std::string& address, Content& content,
+          bool prints_record = false) {
+    standin_server server(
+        name, address,
+        [&](const server_request& request, const std::shared_ptr<http_responder>& responder) {
+            content.handle(request, responder);
+        });
+    content.use(server);
+    if (prints_record) {
+        server.print_record();
+    }
+    return server.run();
+}
+
 /// Sends a JSON answer.
 void respond_json(http_responder& responder, int status, const nlohmann::json& body,
                   std::vector<http_header> headers = {});
--- a/src/programs/standin/store.cpp
+++ b/src/programs/standin/store.cpp
@@ -146,13 +146,7 @@
 
 int run_store(const std::string& address) {
     store content;
-    standin_server server(
-        "store", address,
-        [&](const server_request& request, const std::shared_ptr<http_responder>& responder) {
-            content.handle(request, responder);
-        });
-    content.use(server);
-    return server.run();
+    return serve("store", address, content);
 }
 
 } // namespace citronseam::standin
--- a/src/programs/standin/weights.cpp
+++ b/src/programs/standin/weights.cpp
@@ -104,13 +104,7 @@
 
 int run_weights(const std::string& address, std::uint64_t rate) {
     origin content(rate);
-    standin_server server(
-        "weights", address,
-        [&](const server_request& request, const std::shared_ptr<http_responder>& responder) {
-            content.handle(request, responder);
-        });
-    content.use(server);
-    return server.run();
+    return serve("weights", address, content);
 }
 
 } // namespace citronseam::standin
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -95,6 +95,24 @@
     EXPECT_EQ(whole, caller_count);
 }
 
+TEST(http_server, listens_on_the_port_that_it_was_given) {
+    const auto answer = [](const server_request&,
+                           const std::shared_ptr<http_responder>& responder) {
+        responder->respond(200, {}, "here");
+    };
+    std::uint16_t port = 0;
+    {
+        const http_server first({{"127.0.0.1", 0}, 1, mebibyte}, answer);
+        port = first.port();
+    }
+    const http_server second({{"127.0.0.1", port}, 1, mebibyte}, answer);
+    EXPECT_EQ(second.port(), port);
+    http_client client;
+    http_request request;
+    request.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+    EXPECT_EQ(fetch_and_wait(client, std::move(request), mebibyte).body, "here");
+}
+
 TEST(http_server, bad_requests_get_a_clear_answer) {
     streaming_server server;
     const auto post = [&](const std::string& headers) {
