--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -282,7 +282,7 @@
 }
 
 std::string deployment::entry_address_for(const std::string& entry, const std::string& list) {
-    const std::string peer = addresses_[entry]["peer"];
+    std::string peer = addresses_[entry]["peer"];
     if (!plan_.has_relays) {
         return peer;
     }
