--- a/include/citronseam/connection/http_client.h
+++ b/include/citronseam/connection/http_client.h
@@ -77,6 +77,11 @@
     /// Ends an exchange early. May be called from any thread.
     void cancel(std::uint64_t number);
 
+    /// Runs a function on the client's thread. May be called from any thread.
+    void post(std::function<void()> work);
+    /// Runs a function on the client's thread after a delay. May be called from any thread.
+    void post_after(milliseconds delay, std::function<void()> work);
+
     /// @return number of exchanges under way
     std::size_t running() const;
 
--- a/include/citronseam/connection/http_responder.h
+++ b/include/citronseam/connection/http_responder.h
@@ -41,6 +41,9 @@
     /// Cuts the connection.
     void abort();
 
+    /// Closes the connection once the answer is out, and tells the caller so with the answer.
+    void close_after_answer();
+
     /// @return whether the caller is still connected
     bool is_open() const;
     /// @return whether begin() or respond() was called
@@ -53,9 +56,11 @@
     enum class state : std::uint8_t { waiting, streaming, done };
 
     void end();
+    std::string_view closing_header() const noexcept;
 
     std::shared_ptr<server_connection> connection_;
     bool is_head_;
+    bool is_last_{false};
     state state_{state::waiting};
 };
 
--- a/include/citronseam/process/settings.h
+++ b/include/citronseam/process/settings.h
@@ -4,6 +4,8 @@
 #define CITRONSEAM_PROCESS_SETTINGS_H
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,8 +18,10 @@
 
 /// What a daemon does.
 enum class process_role : std::uint8_t {
-    entry, ///< takes requests from callers
-    agent  ///< stands beside one backend server and guards it
+    entry,   ///< takes requests from callers
+    agent,   ///< stands beside one backend server and guards it
+    gateway, ///< takes requests from callers, on the users' platform
+    sidecar  ///< stands beside one model engine, on the users' platform
 };
 
 /// @return the name of a role as written in settings
@@ -37,6 +41,25 @@
     std::string address; ///< `host:port` of its HTTP interface
 };
 
+/// What a gateway or a sidecar is told by the users' platform.
+struct node_settings {
+    std::string store_address;     ///< `host:port` of the platform's store
+    std::string readiness_address; ///< `host:port` for the platform's readiness checks, gateways
+    std::string directory_address; ///< `host:port` for callers that ask where to connect, gateways
+    std::vector<std::string> seed_addresses; ///< peer addresses of a few gateways, maybe stale
+    std::string region;
+    std::map<std::string, std::string, std::less<>> region_of_zone;
+    double retry_ratio{0.1};            ///< repeats per request of a service, over all processes
+    double retry_slack{10};             ///< repeats beyond that share, over all processes
+    milliseconds retry_window{10000};   ///< over which repeats are counted
+    double cold_factor{1};              ///< on the rate that a cold backend server bears
+    double cold_slack{0};               ///< requests a second beyond that
+    milliseconds weights_due{8000};     ///< after new weights were named no request begins on older
+    milliseconds contact{3000}; ///< after a start or a fault, until bounds hold for the process
+    milliseconds grace_period{8000};    ///< from the signal to leave until the process is killed
+    milliseconds longest_lifetime{5000}; ///< that callers give to an answer of the directory
+};
+
 /// Timing of the control connections.
 struct control_settings {
     milliseconds heartbeat_interval{500};
@@ -49,6 +72,7 @@
 
 /// Settings of one daemon.
 struct settings {
+    std::string file; ///< where they were read
     process_role role{process_role::entry};
     std::string instance;
     std::string availability_zone;
@@ -56,7 +80,8 @@
     std::string peer_address; ///< `host:port` for other processes of the system
     std::string advertised_peer_address; ///< what others dial, when it differs from peer_address
     std::string operator_address; ///< `host:port` for operators: health, metrics, status, control
-    platform_settings platform;
+    platform_settings platform; ///< entries and agents only
+    node_settings node;         ///< gateways and sidecars only
     backend_server_settings backend_server; ///< agents only
     control_settings control;
     std::uint32_t traffic_threads{2};
--- a/include/citronseam/process/yaml_object.h
+++ b/include/citronseam/process/yaml_object.h
@@ -42,6 +42,8 @@
     /// Reads a whole number within [least, most], or returns `fallback`.
     std::uint64_t number_or(const std::string& key, std::uint64_t fallback, std::uint64_t least,
                             std::uint64_t most);
+    /// Reads a number that may have a fraction and is not negative, or returns `fallback`.
+    double fraction_or(const std::string& key, double fallback);
     /// Reads `true` or `false`, or returns `fallback`.
     bool flag_or(const std::string& key, bool fallback);
     /// Reads a duration with a unit, or returns `fallback`.
--- a/include/citronseam/version/chunk_plan.h
+++ b/include/citronseam/version/chunk_plan.h
@@ -94,7 +94,9 @@
 /// Time after which a fetch or a drawer is taken to be stalled: several chunks' time on the link.
 /// @param chunk_size bytes
 /// @param rate       bytes a second of the slowest link on the way; 0 is unlimited
-milliseconds stall_timeout(std::uint64_t chunk_size, std::uint64_t rate) noexcept;
+/// @param shortest   the result is never below this
+milliseconds stall_timeout(std::uint64_t chunk_size, std::uint64_t rate,
+                           milliseconds shortest) noexcept;
 
 } // namespace citronseam
 
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -111,6 +111,8 @@
 void set_connection(CURL* easy, const http_request& request) {
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    // A path goes on as the caller wrote it, dots included.
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, receive_buffer_size);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
@@ -133,6 +135,13 @@
         const std::string line = header.name + ": " + header.value;
         current.header_list = curl_slist_append(current.header_list, line.c_str());
     }
+    // An empty value keeps libcurl from adding a header of its own.
+    for (const char* name : {"Accept", "Content-Type"}) {
+        if (find_header(current.request.headers, name).empty()) {
+            const std::string line = std::string(name) + ":";
+            current.header_list = curl_slist_append(current.header_list, line.c_str());
+        }
+    }
     // Without this libcurl waits for "100 Continue" before it sends a larger body.
     current.header_list = curl_slist_append(current.header_list, "Expect:");
     curl_easy_setopt(current.easy, CURLOPT_HTTPHEADER, current.header_list);
@@ -216,6 +225,12 @@
         });
     }
 
+    void post(std::function<void()> work) { loop_.post(std::move(work)); }
+
+    void post_after(milliseconds delay, std::function<void()> work) {
+        loop_.post_after(delay, std::move(work));
+    }
+
     std::size_t size() const { return size_; }
 
 private:
@@ -284,6 +299,14 @@
     worker_->cancel(number);
 }
 
+void http_client::post(std::function<void()> work) {
+    worker_->post(std::move(work));
+}
+
+void http_client::post_after(milliseconds delay, std::function<void()> work) {
+    worker_->post_after(delay, std::move(work));
+}
+
 std::size_t http_client::running() const {
     return worker_->size();
 }
--- a/src/connection/http_responder.cpp
+++ b/src/connection/http_responder.cpp
@@ -13,7 +13,7 @@
     std::string_view text;
 };
 
-constexpr std::array<status_text, 24> status_texts{{
+constexpr std::array<status_text, 26> status_texts{{
     {200, "OK"},
     {201, "Created"},
     {202, "Accepted"},
@@ -27,10 +27,12 @@
     {403, "Forbidden"},
     {404, "Not Found"},
     {405, "Method Not Allowed"},
+    {408, "Request Timeout"},
     {409, "Conflict"},
     {412, "Precondition Failed"},
     {413, "Content Too Large"},
     {416, "Range Not Satisfiable"},
+    {421, "Misdirected Request"},
     {422, "Unprocessable Content"},
     {429, "Too Many Requests"},
     {499, "Client Closed Request"},
@@ -83,7 +85,7 @@
     if (state_ != state::waiting) {
         return;
     }
-    std::string text = head_text(status, headers);
+    std::string text = head_text(status, headers).append(closing_header());
     if (!has_no_body(status)) {
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
@@ -100,7 +102,16 @@
         return;
     }
     state_ = state::streaming;
-    connection_->send(head_text(status, headers) + "Transfer-Encoding: chunked\r\n\r\n");
+    connection_->send(head_text(status, headers).append(closing_header()) + "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void http_responder::close_after_answer() {
+    is_last_ = true;
+    connection_->close_after_answer();
+}
+
+std::string_view http_responder::closing_header() const noexcept {
+    return is_last_ ? "Connection: close\r\n" : "";
 }
 
 void http_responder::write(std::string_view data) {
--- a/src/connection/transfer_loop.cpp
+++ b/src/connection/transfer_loop.cpp
@@ -38,6 +38,15 @@
     asio::post(context_, std::move(work));
 }
 
+void transfer_loop::post_after(std::chrono::milliseconds delay, std::function<void()> work) {
+    auto timer = std::make_shared<asio::steady_timer>(context_, delay);
+    timer->async_wait([timer, work = std::move(work)](const asio::error_code& problem) {
+        if (!problem) {
+            work();
+        }
+    });
+}
+
 void transfer_loop::stop() {
     context_.stop();
     if (thread_.joinable()) {
--- a/src/connection/transfer_loop.h
+++ b/src/connection/transfer_loop.h
@@ -29,6 +29,8 @@
 
     /// Runs a function on the thread. May be called from any thread.
     void post(std::function<void()> work);
+    /// Runs a function on the thread after a delay. May be called from any thread.
+    void post_after(std::chrono::milliseconds delay, std::function<void()> work);
     /// Ends the thread. Transfers stay as they are.
     void stop();
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -3,18 +3,23 @@
 #include <charconv>
 
 #include "citronseam/process/enum_names.h"
+#include "citronseam/process/sizes.h"
 #include "citronseam/process/error.h"
 #include "citronseam/process/yaml_object.h"
 
 namespace citronseam {
 namespace {
 
-constexpr std::array<enum_name<process_role>, 2> role_names{{
+constexpr std::array<enum_name<process_role>, 4> role_names{{
     {process_role::entry, "entry"},
     {process_role::agent, "agent"},
+    {process_role::gateway, "gateway"},
+    {process_role::sidecar, "sidecar"},
 }};
 
 constexpr std::uint64_t most_threads = 64;
+/// Pieces of weights that a sidecar keeps by default; its machine has about 128 MB in all.
+constexpr std::uint64_t default_node_weight_memory = 32 * mebibyte;
 constexpr std::uint64_t most_entries_per_agent = 64;
 
 std::string read_address(yaml_object& object, const std::string& key) {
@@ -62,11 +67,66 @@
     }
 }
 
+void read_bounds(yaml_object& object, node_settings& node) {
+    node.retry_ratio = object.fraction_or("retry_ratio", node.retry_ratio);
+    node.retry_slack = object.fraction_or("retry_slack", node.retry_slack);
+    node.retry_window = object.duration_or("retry_window", node.retry_window);
+    node.cold_factor = object.fraction_or("cold_factor", node.cold_factor);
+    node.cold_slack = object.fraction_or("cold_slack", node.cold_slack);
+    node.weights_due = object.duration_or("weights_due", node.weights_due);
+    node.contact = object.duration_or("contact", node.contact);
+    node.grace_period = object.duration_or("grace_period", node.grace_period);
+    node.longest_lifetime = object.duration_or("longest_lifetime", node.longest_lifetime);
+}
+
+void read_zones(yaml_object& object, node_settings& node) {
+    object.objects("zones", [&](yaml_object& zone) {
+        const std::string name = zone.text("name");
+        node.region_of_zone[name] = zone.text("region");
+    });
+}
+
+/// Settings of gateways and sidecars.
+void read_node(yaml_object& object, settings& value) {
+    const bool is_gateway = value.role == process_role::gateway;
+    value.node.region = object.text("region");
+    value.node.store_address = read_address(object, "store");
+    value.node.seed_addresses = object.texts("seeds");
+    read_zones(object, value.node);
+    value.node.region_of_zone.emplace(value.availability_zone, value.node.region);
+    object.object("bounds", [&](yaml_object& bounds) { read_bounds(bounds, value.node); });
+    object.object("listen", [&](yaml_object& listen) {
+        value.peer_address = read_address(listen, "peer");
+        value.operator_address = read_address(listen, "operator");
+        if (is_gateway) {
+            value.http_address = read_address(listen, "http");
+            value.node.readiness_address = read_address(listen, "readiness");
+            value.node.directory_address = read_address(listen, "directory");
+        }
+    });
+    if (!object.has("listen")) {
+        object.report("listen", "the addresses to listen on are required here and are missing");
+    }
+    object.object("backend_server", [&](yaml_object& server) {
+        value.backend_server.service = server.text("service");
+        value.backend_server.address = read_address(server, "address");
+    });
+    if (!is_gateway && !object.has("backend_server")) {
+        object.report("backend_server", "a sidecar needs its backend server and it is missing");
+    }
+    value.weight_memory = object.size_or("weight_memory", default_node_weight_memory);
+    value.peer_link = object.rate_or("peer_link", value.peer_link);
+}
+
 void read_root(yaml_object& object, settings& value) {
     const std::string role = object.choice("role", all_names(role_names));
     value.role = find_value(role_names, role).value_or(process_role::entry);
     value.instance = object.text("instance");
     value.availability_zone = object.text("availability_zone");
+    if (value.role == process_role::gateway || value.role == process_role::sidecar) {
+        read_node(object, value);
+        return;
+    }
     object.object("listen", [&](yaml_object& listen) {
         value.peer_address = read_address(listen, "peer");
         if (listen.has("peer_advertised")) {
@@ -112,6 +172,7 @@
 
 file_result<settings> parse_settings(const std::string& content, const std::string& file) {
     file_result<settings> read;
+    read.value.file = file;
     read_yaml(content, file, read.problems,
               [&](yaml_object& object) { read_root(object, read.value); });
     return read;
--- /dev/null
+++ b/src/process/versioned_row.cpp
@@ -0,0 +1,63 @@
+#include "citronseam/process/versioned_row.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+
+namespace citronseam {
+namespace {
+
+bool take_row(row_cache& cache, const versioned_row& row) {
+    versioned_row& known = cache.rows[row.key];
+    if (row.version <= known.version) {
+        return false;
+    }
+    known = row;
+    return true;
+}
+
+/// A row that a whole read does not list was removed, unless it was written after that read.
+void remove_unlisted(row_cache& cache, const row_batch& batch,
+                     std::vector<versioned_row>& changed) {
+    std::set<std::string_view> listed;
+    for (const auto& row : batch.rows) {
+        listed.insert(row.key);
+    }
+    for (auto& [key, row] : cache.rows) {
+        if (row.is_removed || row.version > batch.version || listed.count(key) > 0) {
+            continue;
+        }
+        row.is_removed = true;
+        row.value.clear();
+        row.version = batch.version;
+        changed.push_back(row);
+    }
+}
+
+} // namespace
+
+std::vector<versioned_row> merge(row_cache& cache, const row_batch& batch) {
+    std::vector<versioned_row> changed;
+    for (const auto& row : batch.rows) {
+        if (take_row(cache, row)) {
+            changed.push_back(row);
+        }
+    }
+    if (batch.is_whole) {
+        remove_unlisted(cache, batch, changed);
+    }
+    cache.version = std::max(cache.version, batch.version);
+    return changed;
+}
+
+std::vector<versioned_row> rows_after(const row_cache& cache, std::uint64_t after) {
+    std::vector<versioned_row> newer;
+    for (const auto& [key, row] : cache.rows) {
+        if (row.version > after) {
+            newer.push_back(row);
+        }
+    }
+    return newer;
+}
+
+} // namespace citronseam
--- a/src/process/yaml_object.cpp
+++ b/src/process/yaml_object.cpp
@@ -138,6 +138,21 @@
     return number;
 }
 
+double yaml_object::fraction_or(const std::string& key, double fallback) {
+    std::string value;
+    if (!take(key, value)) {
+        return fallback;
+    }
+    double number = 0;
+    const char* end = value.data() + value.size();
+    const auto [rest, problem] = std::from_chars(value.data(), end, number);
+    if (problem != std::errc{} || rest != end || number < 0) {
+        report(key, "expected a number that is not negative, found '" + value + "'");
+        return fallback;
+    }
+    return number;
+}
+
 bool yaml_object::flag_or(const std::string& key, bool fallback) {
     const std::string value = choice_or(key, fallback ? "true" : "false", {"true", "false"});
     return value == "true";
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -28,6 +28,20 @@
 /// After the last request ended, answers may still be in the sockets' buffers.
 constexpr milliseconds linger{300};
 
+/// Weights are drawn at the pace of a link that all agents share, so one piece may take long.
+constexpr milliseconds draw_timeout{30000};
+
+/// @return the request for a chunk as a range of the weights at the origin
+http_request draw_by_range(const std::string& store, const manifest& list, std::size_t chunk) {
+    const std::uint64_t first = chunk_offset(list, chunk);
+    const std::uint64_t last = first + list.chunks[chunk].size - 1;
+    http_request request;
+    request.url = store + "/weights/" + list.source;
+    request.headers = {{"Range", "bytes=" + std::to_string(first) + "-" + std::to_string(last)}};
+    request.timeout = draw_timeout;
+    return request;
+}
+
 /// The agent's parts and the traffic between them.
 class agent {
 public:
@@ -39,17 +53,37 @@
                  store_timeout),
           context_{options_, incarnation_, control_, traffic_, numbers_, hub_, gate_,
                    backend_, platform_,    store_,   {1},      {0},      {},   {}},
-          swarm_(std::make_shared<chunk_swarm>(context_, [this] { return make_hello(); })),
+          swarm_(std::make_shared<chunk_swarm>(make_swarm_context(),
+                                               [this] { return make_hello(); })),
           keeper_(std::make_shared<version_keeper>(context_, swarm_)) {}
 
     int run() {
-        return run_role([this] { start(); }, [this] { leave(); });
+        return run_role(options_, {[this] { start(); }, [this] { leave(); }, {}});
     }
 
 private:
     using session_pointer = std::shared_ptr<peer_session>;
     using request_map = std::map<std::uint64_t, std::weak_ptr<agent_request>>;
 
+    swarm_context make_swarm_context() {
+        swarm_context parts{options_.instance,
+                            options_.backend_server.service,
+                            options_.peer_address,
+                            wire::role::agent,
+                            {options_.control.heartbeat_interval, options_.control.silence_timeout},
+                            options_.weight_memory,
+                            control_,
+                            traffic_,
+                            numbers_,
+                            platform_,
+                            {},
+                            [this](peer_session& session) { hub_.count_bytes(session); }};
+        parts.make_draw = [this](const manifest& list, std::size_t chunk) {
+            return draw_by_range(options_.platform.weight_store, list, chunk);
+        };
+        return parts;
+    }
+
     void start() {
         context_.report_loss = [this](std::uint64_t fingerprint) { report_loss(fingerprint); };
         context_.request_ended = [this] {
--- a/src/programs/daemon/role_run.h
+++ b/src/programs/daemon/role_run.h
@@ -1,5 +1,5 @@
 /// @file
-/// What both roles do from their start to their end.
+/// What all roles do from their start to their end.
 #ifndef CITRONSEAM_PROGRAMS_DAEMON_ROLE_RUN_H
 #define CITRONSEAM_PROGRAMS_DAEMON_ROLE_RUN_H
 
@@ -9,9 +9,20 @@
 
 namespace citronseam {
 
-/// Starts a role, waits for the signal to leave, and lets the role leave.
+struct settings;
+
+/// What a role does at the turns of its life.
+struct role_actions {
+    std::function<void()> start;
+    std::function<void()> leave; ///< returns when everything in flight has ended
+    /// Takes settings that were read again; may be empty.
+    std::function<void(const settings&)> take_settings;
+};
+
+/// Starts a role, reads its settings again when asked to, waits for the signal to leave, and lets
+/// the role leave.
 /// @return exit code of the process
-int run_role(const std::function<void()>& start, const std::function<void()>& leave);
+int run_role(const settings& options, const role_actions& actions);
 
 /// @param listen address as set, whose port may be 0
 /// @param port   port that the system gave
--- a/src/programs/daemon/shutdown_signal.cpp
+++ b/src/programs/daemon/shutdown_signal.cpp
@@ -12,6 +12,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -23,11 +24,11 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-int wait() {
+event wait() {
     const sigset_t signals = leaving_signals();
     int received = 0;
     sigwait(&signals, &received);
-    return received;
+    return received == SIGHUP ? event::reload : event::leave;
 }
 
 } // namespace citronseam::shutdown_signal
--- a/src/programs/daemon/shutdown_signal.h
+++ b/src/programs/daemon/shutdown_signal.h
@@ -1,17 +1,25 @@
 /// @file
-/// Waits for the signal that asks a process to leave.
+/// Waits for the signals that ask a process to leave or to read its settings again.
 #ifndef CITRONSEAM_PROGRAMS_DAEMON_SHUTDOWN_SIGNAL_H
 #define CITRONSEAM_PROGRAMS_DAEMON_SHUTDOWN_SIGNAL_H
 
+#include <cstdint>
+
 namespace citronseam::shutdown_signal {
 
-/// Blocks SIGTERM and SIGINT for this thread and those it starts later, and ignores SIGPIPE.
+/// What a signal asks for.
+enum class event : std::uint8_t {
+    leave, ///< SIGTERM or SIGINT
+    reload ///< SIGHUP: the settings file changed
+};
+
+/// Blocks SIGTERM, SIGINT and SIGHUP for this thread and those it starts later, and ignores SIGPIPE.
 /// Call it before any other thread starts.
 void block();
 
-/// Waits for SIGTERM or SIGINT.
-/// @return the signal's number
-int wait();
+/// Waits for one of these signals.
+/// @return what it asks for
+event wait();
 
 } // namespace citronseam::shutdown_signal
 
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -54,7 +54,7 @@
                                                              }} {}
 
     int run() {
-        return run_role([this] { start(); }, [this] { leave(); });
+        return run_role(options_, {[this] { start(); }, [this] { leave(); }, {}});
     }
 
 private:
--- /dev/null
+++ b/src/programs/gateway/gateway_context.h
@@ -0,0 +1,29 @@
+/// @file
+/// What the parts of a gateway share.
+#ifndef CITRONSEAM_PROGRAMS_GATEWAY_GATEWAY_CONTEXT_H
+#define CITRONSEAM_PROGRAMS_GATEWAY_GATEWAY_CONTEXT_H
+
+#include <atomic>
+#include <cstdint>
+
+#include "citronseam/connection/http_client.h"
+#include "citronseam/connection/io_threads.h"
+#include "citronseam/process/metrics.h"
+#include "citronseam/process/settings.h"
+#include "programs/gateway/server_pool.h"
+
+namespace citronseam {
+
+/// Lives as long as the process; every part holds a reference.
+struct gateway_context {
+    const settings& options;
+    io_threads& control;
+    http_client& traffic; ///< its thread is the traffic thread
+    metrics& numbers;
+    server_pool& pool;
+    std::atomic<std::uint32_t> running{0}; ///< callers' requests under way
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/programs/gateway/server_pool.cpp
@@ -0,0 +1,163 @@
+#include "programs/gateway/server_pool.h"
+
+#include <algorithm>
+
+#include "citronseam/process/log.h"
+
+namespace citronseam {
+namespace {
+
+/// Part of the latency objective that a request may spend waiting for a place at an engine. The
+/// rest is for reading the prompt and the way there and back.
+constexpr double waiting_share = 0.4;
+/// Plain services tell nothing of their speed; a queue as long as their slots is taken as bearable.
+constexpr std::uint32_t plain_allowance_per_slot = 1;
+/// Time in which a place comes free where nothing is known of a service's speed.
+constexpr milliseconds default_turnover{50};
+/// Urgent requests may wait where others are refused, so that they are served first.
+constexpr double urgent_factor = 1.5;
+constexpr double patient_factor = 0.5;
+
+double factor_of(int rank) {
+    if (rank <= 0) {
+        return urgent_factor;
+    }
+    return rank == 1 ? 1.0 : patient_factor;
+}
+
+} // namespace
+
+server_pool::server_pool(const settings& options, metrics& numbers)
+    : options_(options), numbers_(numbers),
+      bound_{options.node.retry_ratio, options.node.retry_slack, options.node.retry_window},
+      random_(seeded_random_source()) {}
+
+std::string_view server_pool::region_of(std::string_view zone) const {
+    const auto found = options_.node.region_of_zone.find(zone);
+    return found == options_.node.region_of_zone.end() ? std::string_view{} : found->second;
+}
+
+void server_pool::take_view(std::shared_ptr<const traffic_view> view) {
+    view_ = std::move(view);
+    for (auto& [name, service] : services_) {
+        service.servers.clear();
+    }
+    add_servers(*view_);
+}
+
+void server_pool::add_servers(const traffic_view& view) {
+    std::map<std::string, std::shared_ptr<server_state>, std::less<>> kept;
+    for (const auto& entry : view.servers) {
+        const auto known = by_id_.find(entry.id);
+        const bool is_same_life = known != by_id_.end() &&
+                                  known->second->entry.started_at_ms == entry.started_at_ms &&
+                                  known->second->entry.address == entry.address;
+        auto server = is_same_life ? known->second : std::make_shared<server_state>();
+        server->entry = entry;
+        services_[entry.service].servers.push_back(server);
+        kept.emplace(entry.id, std::move(server));
+    }
+    by_id_ = std::move(kept);
+}
+
+void server_pool::take_report(const std::string& address, const engine_report& report,
+                              time_point now) {
+    for (const auto& [id, server] : by_id_) {
+        if (server->entry.address == address) {
+            citronseam::take_report(*server, report, now);
+        }
+    }
+}
+
+std::uint32_t server_pool::waiting_allowance(const routed_service& service, const route& rule,
+                                             int rank) const {
+    const double duration = usual_duration_ms(service.engine);
+    if (!service.has_engine || duration <= 0 || service.engine.slots == 0) {
+        return plain_allowance_per_slot * std::max(1U, service.engine.slots);
+    }
+    const double turnover_ms = duration / service.engine.slots;
+    const auto objective = static_cast<double>(rule.latency_objective.count());
+    return static_cast<std::uint32_t>(waiting_share * factor_of(rank) * objective / turnover_ms);
+}
+
+milliseconds server_pool::turnover(const std::string& service) const {
+    if (view_ == nullptr || view_->routes == nullptr) {
+        return default_turnover;
+    }
+    const auto& services = view_->routes->rules->services;
+    const auto found = services.find(service);
+    const auto pool = services_.find(service);
+    if (found == services.end() || pool == services_.end() || pool->second.servers.empty()) {
+        return default_turnover;
+    }
+    const double duration = usual_duration_ms(found->second.engine);
+    const double places = static_cast<double>(found->second.engine.slots) *
+                          static_cast<double>(pool->second.servers.size());
+    if (duration <= 0 || places <= 0) {
+        return default_turnover;
+    }
+    return milliseconds(static_cast<std::int64_t>(duration / places));
+}
+
+server_offer server_pool::choose(const server_wish& wish, time_point now) {
+    server_offer offer;
+    offer.obstacle = choice_obstacle::no_server;
+    const auto pool = services_.find(wish.service);
+    const auto& services = view_->routes->rules->services;
+    const auto service = services.find(wish.service);
+    if (pool == services_.end() || service == services.end()) {
+        return offer;
+    }
+    choice_terms terms;
+    terms.now = now;
+    terms.own_zone = options_.availability_zone;
+    terms.own_region = options_.node.region;
+    terms.sharers = view_->gateways;
+    terms.waiting_allowance =
+        waiting_allowance(service->second, *wish.rule, rank_of(*wish.rule, wish.workspace));
+    if (service->second.cold_requests_per_second > 0) {
+        terms.cold_requests_per_second =
+            service->second.cold_requests_per_second * options_.node.cold_factor +
+            options_.node.cold_slack;
+    }
+    terms.needs_weights = service->second.has_engine;
+    terms.least_weights_version = least_weights_version(*view_, service->second.engine.model,
+                                                        options_.node.weights_due, now);
+    terms.exact_weights_version = wish.exact_weights;
+    for (const auto& id : wish.tried) {
+        terms.excluded.emplace_back(id);
+    }
+    terms.region_of = [this](std::string_view zone) { return region_of(zone); };
+    terms.is_zone_allowed = [this, &wish](std::string_view zone) {
+        return view_->evacuated_zones.count(zone) == 0 &&
+               is_region_allowed(*wish.rule, wish.workspace, region_of(zone));
+    };
+    std::vector<server_state*> candidates;
+    for (const auto& server : pool->second.servers) {
+        candidates.push_back(server.get());
+    }
+    const server_choice choice = choose_server(candidates, terms, random_);
+    offer.obstacle = choice.obstacle;
+    offer.busy = choice.busy;
+    offer.least_weights = terms.least_weights_version;
+    for (const auto& server : pool->second.servers) {
+        if (server.get() == choice.server) {
+            offer.server = server;
+        }
+    }
+    return offer;
+}
+
+void server_pool::note_request(const std::string& service, time_point now) {
+    citronseam::note_request(services_[service].repeats, bound_, now);
+}
+
+bool server_pool::take_repeat(const std::string& service, time_point now) {
+    const bool is_granted = citronseam::take_repeat(services_[service].repeats, bound_,
+                                                    view_->gateways, now);
+    numbers_.count("citronseam_repeats_total",
+                   {{"service", service}, {"granted", is_granted ? "yes" : "no"}});
+    return is_granted;
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/gateway/server_pool.h
@@ -0,0 +1,85 @@
+/// @file
+/// The backend servers as the traffic thread sees them.
+#ifndef CITRONSEAM_PROGRAMS_GATEWAY_SERVER_POOL_H
+#define CITRONSEAM_PROGRAMS_GATEWAY_SERVER_POOL_H
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "citronseam/process/metrics.h"
+#include "citronseam/process/settings.h"
+#include "citronseam/request/server_choice.h"
+#include "citronseam/request/shared_retry_budget.h"
+#include "programs/gateway/traffic_view.h"
+
+namespace citronseam {
+
+/// What a request asks of the pool.
+struct server_wish {
+    const route* rule{nullptr};
+    const routed_workspace* workspace{nullptr};
+    std::string service;
+    std::vector<std::string> tried;   ///< identifiers of servers that had the request
+    std::uint64_t exact_weights{0};   ///< a stream goes on with these weights; 0: any
+};
+
+/// What the pool answers.
+struct server_offer {
+    std::shared_ptr<server_state> server; ///< nullptr: none
+    choice_obstacle obstacle{choice_obstacle::none};
+    double busy{0};
+    std::uint64_t least_weights{0}; ///< oldest version that the request may begin on
+};
+
+/// Keeps the load of each server and chooses among them. Everything runs on the traffic thread.
+class server_pool {
+public:
+    /// @param options settings; must outlive the pool
+    server_pool(const settings& options, metrics& numbers);
+
+    /// Takes new beliefs. Servers that stay keep what is known of their load.
+    void take_view(std::shared_ptr<const traffic_view> view);
+    /// Takes what the process beside an engine reports.
+    /// @param address of the engine
+    void take_report(const std::string& address, const engine_report& report, time_point now);
+
+    /// Chooses a server.
+    server_offer choose(const server_wish& wish, time_point now);
+
+    /// Notes a caller's request for a service.
+    void note_request(const std::string& service, time_point now);
+    /// Takes leave to send a request to one more server.
+    bool take_repeat(const std::string& service, time_point now);
+
+    /// @return the beliefs, nullptr until the first came
+    const std::shared_ptr<const traffic_view>& view() const noexcept { return view_; }
+    /// @return generator of the traffic thread
+    random_source& random() noexcept { return random_; }
+    /// @return time in which one place of a service's servers comes free, on average
+    milliseconds turnover(const std::string& service) const;
+
+private:
+    struct service_pool_entry {
+        std::vector<std::shared_ptr<server_state>> servers;
+        shared_retry_budget repeats;
+    };
+
+    void add_servers(const traffic_view& view);
+    std::string_view region_of(std::string_view zone) const;
+    std::uint32_t waiting_allowance(const routed_service& service, const route& rule,
+                                    int rank) const;
+
+    const settings& options_;
+    metrics& numbers_;
+    retry_bound bound_;
+    random_source random_;
+    std::shared_ptr<const traffic_view> view_;
+    std::map<std::string, std::shared_ptr<server_state>, std::less<>> by_id_;
+    std::map<std::string, service_pool_entry, std::less<>> services_;
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/programs/node/member_mesh.cpp
@@ -0,0 +1,262 @@
+#include "programs/node/member_mesh.h"
+
+#include "citronseam/connection/frame.h"
+#include "citronseam/process/log.h"
+
+namespace citronseam {
+namespace {
+
+wire::role to_wire(process_role role) {
+    return role == process_role::sidecar ? wire::role::sidecar : wire::role::gateway;
+}
+
+member read_member(const wire::hello& hello) {
+    member process;
+    process.instance = view(hello.instance());
+    process.role =
+        hello.role() == wire::role::sidecar ? process_role::sidecar : process_role::gateway;
+    process.zone = view(hello.availability_zone());
+    process.region = view(hello.region());
+    process.peer_address = view(hello.peer_address());
+    process.http_address = view(hello.http_address());
+    process.service = view(hello.service());
+    process.incarnation = hello.incarnation();
+    return process;
+}
+
+} // namespace
+
+member_mesh::member_mesh(io_threads& control, member self, session_timing timing,
+                         mesh_observer observer)
+    : control_(control), self_(std::move(self)), timing_(timing), observer_(std::move(observer)),
+      beat_(make_frame(wire::member_beatT{})) {}
+
+shared_frame member_mesh::make_hello() const {
+    wire::helloT hello;
+    hello.protocol = wire_protocol_version;
+    hello.role = to_wire(self_.role);
+    hello.instance = self_.instance;
+    hello.incarnation = self_.incarnation;
+    hello.availability_zone = self_.zone;
+    hello.region = self_.region;
+    hello.service = self_.service;
+    hello.peer_address = self_.peer_address;
+    hello.http_address = self_.http_address;
+    return make_frame(std::move(hello));
+}
+
+session_observer member_mesh::make_observer() {
+    session_observer observer;
+    const std::weak_ptr<member_mesh> weak = weak_from_this();
+    observer.on_hello = [weak](const session_pointer& session, const wire::hello& hello) {
+        if (const auto self = weak.lock()) {
+            self->handle_hello(session, hello);
+        }
+    };
+    observer.on_message = [weak](const session_pointer& session, const wire::envelope& message) {
+        if (const auto self = weak.lock()) {
+            self->handle_message(session, message);
+        }
+    };
+    observer.on_closed = [weak](const session_pointer& session, close_reason reason) {
+        if (const auto self = weak.lock()) {
+            self->handle_closed(session, reason);
+        }
+    };
+    observer.make_heartbeat = [weak](const session_pointer&) {
+        const auto self = weak.lock();
+        return self == nullptr ? shared_frame{} : self->beat_;
+    };
+    return observer;
+}
+
+void member_mesh::listen(const host_port& address) {
+    listener_ = std::make_shared<peer_listener>(
+        control_.context(), address, [weak = weak_from_this()](asio::ip::tcp::socket socket) {
+            if (const auto self = weak.lock()) {
+                std::make_shared<peer_session>(std::move(socket), self->make_hello(),
+                                               self->timing_, self->make_observer())
+                    ->start();
+            }
+        });
+    listener_->start();
+}
+
+void member_mesh::set_targets(std::map<std::string, std::string> targets) {
+    if (dialer_ == nullptr) {
+        dialer_ = std::make_shared<dialer>(
+            control_.context(), [weak = weak_from_this()] {
+                const auto self = weak.lock();
+                return self == nullptr ? make_frame(wire::helloT{}) : self->make_hello();
+            },
+            timing_, make_observer());
+    }
+    dialer_->set_targets(std::move(targets));
+}
+
+void member_mesh::set_beat(const wire::member_beatT& beat) {
+    beat_ = make_frame(wire::member_beatT(beat));
+}
+
+void member_mesh::broadcast(wire::member_beatT beat) {
+    const shared_frame frame = make_frame(std::move(beat));
+    for (const auto& [number, connected] : sessions_) {
+        connected.session->send(frame);
+    }
+}
+
+void member_mesh::ask_neighbours(const connected_member& from, const std::string& service) {
+    wire::neighbours_requestT request;
+    request.service = service;
+    request.availability_zone = self_.zone;
+    from.session->send(make_frame(std::move(request)));
+}
+
+void member_mesh::ask_rows(const connected_member& from, const std::string& table,
+                           std::uint64_t after) {
+    wire::rows_requestT request;
+    request.table = table;
+    request.after = after;
+    from.session->send(make_frame(std::move(request)));
+}
+
+void member_mesh::stop() {
+    if (dialer_ != nullptr) {
+        dialer_->stop();
+    }
+    if (listener_ != nullptr) {
+        listener_->close();
+    }
+    for (const auto& [number, connected] : sessions_) {
+        connected.session->close(close_reason::local);
+    }
+}
+
+std::vector<const connected_member*> member_mesh::members() const {
+    std::map<std::string_view, const connected_member*> newest;
+    for (const auto& [number, connected] : sessions_) {
+        const connected_member*& known = newest[connected.process.instance];
+        if (known == nullptr || connected.process.incarnation >= known->process.incarnation) {
+            known = &connected;
+        }
+    }
+    std::vector<const connected_member*> listed;
+    listed.reserve(newest.size());
+    for (const auto& [instance, connected] : newest) {
+        listed.push_back(connected);
+    }
+    return listed;
+}
+
+void member_mesh::handle_hello(const session_pointer& session, const wire::hello& hello) {
+    const bool is_known_role =
+        hello.role() == wire::role::gateway || hello.role() == wire::role::sidecar;
+    if (!is_known_role || view(hello.instance()) == self_.instance) {
+        session->close(close_reason::wrong_protocol);
+        return;
+    }
+    connected_member connected;
+    connected.process = read_member(hello);
+    connected.session = session;
+    log_event(log_level::info, "member_connected",
+              {{"member", connected.process.instance},
+               {"zone", connected.process.zone},
+               {"incarnation", connected.process.incarnation}});
+    sessions_[session->number()] = std::move(connected);
+    observer_.on_members();
+}
+
+void member_mesh::handle_message(const session_pointer& session, const wire::envelope& message) {
+    const auto found = sessions_.find(session->number());
+    if (found == sessions_.end()) {
+        return;
+    }
+    if (const auto* beat = message.body_as_member_beat()) {
+        connected_member& from = found->second;
+        const bool is_change = from.is_ready != beat->is_ready();
+        from.is_ready = beat->is_ready();
+        from.operator_version = beat->operator_version();
+        from.servers_version = beat->servers_version();
+        observer_.on_beat(from, *beat);
+        if (is_change) {
+            observer_.on_members();
+        }
+    } else if (const auto* request = message.body_as_rows_request()) {
+        answer_rows(session, *request);
+    } else if (const auto* reply = message.body_as_rows_reply()) {
+        take_rows(*reply);
+    } else if (const auto* wanted = message.body_as_neighbours_request()) {
+        answer_neighbours(session, *wanted);
+    } else if (const auto* neighbours = message.body_as_neighbours_reply()) {
+        if (observer_.on_neighbours) {
+            observer_.on_neighbours(*neighbours);
+        }
+    }
+}
+
+void member_mesh::answer_neighbours(const session_pointer& session,
+                                    const wire::neighbours_request& request) {
+    wire::neighbours_replyT reply;
+    for (const connected_member* connected : members()) {
+        const member& process = connected->process;
+        if (process.role != process_role::sidecar || process.service != view(request.service())) {
+            continue;
+        }
+        auto neighbour = std::make_unique<wire::neighbourT>();
+        neighbour->instance = process.instance;
+        neighbour->peer_address = process.peer_address;
+        neighbour->availability_zone = process.zone;
+        neighbour->is_ready = connected->is_ready;
+        reply.neighbours.push_back(std::move(neighbour));
+    }
+    session->send(make_frame(std::move(reply)));
+}
+
+void member_mesh::handle_closed(const session_pointer& session, close_reason reason) {
+    const auto found = sessions_.find(session->number());
+    if (found == sessions_.end()) {
+        return;
+    }
+    log_event(log_level::warning, "member_lost",
+              {{"member", found->second.process.instance}, {"reason", name(reason)}});
+    sessions_.erase(found);
+    observer_.on_members();
+}
+
+void member_mesh::answer_rows(const session_pointer& session, const wire::rows_request& request) {
+    if (!observer_.on_rows_wanted) {
+        return;
+    }
+    const std::string table(view(request.table()));
+    const row_batch batch = observer_.on_rows_wanted(table, request.after());
+    wire::rows_replyT reply;
+    reply.table = table;
+    reply.version = batch.version;
+    reply.is_whole = batch.is_whole;
+    for (const auto& row : batch.rows) {
+        auto written = std::make_unique<wire::table_rowT>();
+        written->key = row.key;
+        written->value.assign(row.value.begin(), row.value.end());
+        written->version = row.version;
+        written->is_removed = row.is_removed;
+        reply.rows.push_back(std::move(written));
+    }
+    session->send(make_frame(std::move(reply)));
+}
+
+void member_mesh::take_rows(const wire::rows_reply& reply) {
+    row_batch batch;
+    batch.version = reply.version();
+    batch.is_whole = reply.is_whole();
+    if (reply.rows() != nullptr) {
+        for (const auto* row : *reply.rows()) {
+            batch.rows.push_back({std::string(view(row->key())), std::string(view(row->value())),
+                                  row->version(), row->is_removed()});
+        }
+    }
+    if (observer_.on_rows) {
+        observer_.on_rows(std::string(view(reply.table())), batch);
+    }
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/node/member_mesh.h
@@ -0,0 +1,99 @@
+/// @file
+/// Connections to the other processes of the system, and what they say.
+#ifndef CITRONSEAM_PROGRAMS_NODE_MEMBER_MESH_H
+#define CITRONSEAM_PROGRAMS_NODE_MEMBER_MESH_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "citronseam/connection/dialer.h"
+#include "citronseam/connection/io_threads.h"
+#include "citronseam/connection/peer_listener.h"
+#include "citronseam/connection/peer_session.h"
+#include "citronseam/connection/wire_message.h"
+#include "citronseam/process/member.h"
+#include "citronseam/process/versioned_row.h"
+
+namespace citronseam {
+
+/// A process that is connected.
+struct connected_member {
+    member process;
+    std::shared_ptr<peer_session> session;
+    bool is_ready{false};
+    std::uint64_t operator_version{0}; ///< newest row of the operator's table that it holds
+    std::uint64_t servers_version{0};  ///< of its newest read of the list of servers
+};
+
+/// What the owner of a mesh wants to hear. All functions run on the control thread.
+struct mesh_observer {
+    /// A process came or went.
+    std::function<void()> on_members;
+    /// A process sent its regular message.
+    std::function<void(const connected_member& from, const wire::member_beat& beat)> on_beat;
+    /// A process asks for rows.
+    std::function<row_batch(const std::string& table, std::uint64_t after)> on_rows_wanted;
+    /// A gateway told who the sidecars of a service are.
+    std::function<void(const wire::neighbours_reply&)> on_neighbours;
+    /// A process sent rows.
+    std::function<void(const std::string& table, const row_batch& rows)> on_rows;
+};
+
+/// Keeps one connection to each process that is to be known. A connection that falls silent is
+/// closed, and its process counts as gone until it is back. Everything runs on the control thread.
+class member_mesh : public std::enable_shared_from_this<member_mesh> {
+public:
+    /// @param control  loop of the control thread; carries the sockets
+    /// @param self     this process
+    /// @param timing   heartbeat interval and silence timeout
+    /// @param observer hears what comes
+    member_mesh(io_threads& control, member self, session_timing timing, mesh_observer observer);
+
+    /// Listens for other processes.
+    void listen(const host_port& address);
+    /// Replaces the set of processes to connect to: peer addresses by name.
+    void set_targets(std::map<std::string, std::string> targets);
+    /// Replaces the regular message.
+    void set_beat(const wire::member_beatT& beat);
+    /// Sends a message to all connected processes at once.
+    void broadcast(wire::member_beatT beat);
+    /// Asks a gateway who the sidecars of a service are.
+    void ask_neighbours(const connected_member& from, const std::string& service);
+    /// Asks a process for rows.
+    void ask_rows(const connected_member& from, const std::string& table, std::uint64_t after);
+    /// Closes all connections.
+    void stop();
+
+    /// @return the connected processes, one entry for each instance
+    std::vector<const connected_member*> members() const;
+
+private:
+    using session_pointer = std::shared_ptr<peer_session>;
+
+    shared_frame make_hello() const;
+    session_observer make_observer();
+    void handle_hello(const session_pointer& session, const wire::hello& hello);
+    void handle_message(const session_pointer& session, const wire::envelope& message);
+    void handle_closed(const session_pointer& session, close_reason reason);
+    void answer_rows(const session_pointer& session, const wire::rows_request& request);
+    void answer_neighbours(const session_pointer& session, const wire::neighbours_request& request);
+    void take_rows(const wire::rows_reply& reply);
+
+    io_threads& control_;
+    member self_;
+    session_timing timing_;
+    mesh_observer observer_;
+    std::shared_ptr<peer_listener> listener_;
+    std::shared_ptr<dialer> dialer_;
+    std::map<std::uint64_t, connected_member> sessions_; ///< by session
+    shared_frame beat_;
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/programs/node/store_client.h
@@ -0,0 +1,53 @@
+/// @file
+/// The only client of the platform's store in a gateway or a sidecar.
+#ifndef CITRONSEAM_PROGRAMS_NODE_STORE_CLIENT_H
+#define CITRONSEAM_PROGRAMS_NODE_STORE_CLIENT_H
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "citronseam/connection/http_client.h"
+#include "citronseam/connection/io_threads.h"
+#include "citronseam/process/metrics.h"
+#include "citronseam/process/versioned_row.h"
+#include "platform/store.h"
+
+namespace citronseam {
+
+/// Reads and writes rows. All functions and callbacks run on the control thread.
+class store_client {
+public:
+    using batch_handler = std::function<void(platform::store_outcome, const row_batch&)>;
+    using write_handler = std::function<void(platform::store_outcome)>;
+
+    /// @param address `host:port` of the store
+    store_client(io_threads& control, http_client& http, metrics& numbers,
+                 const std::string& address);
+
+    /// Reads a whole table, page by page.
+    void read_table(const std::string& table, batch_handler done);
+    /// Waits for changes of a table after a version.
+    void await_changes(const std::string& table, std::uint64_t after, milliseconds wait,
+                       batch_handler done);
+    /// Writes a row whatever it holds.
+    void write_row(const std::string& table, const std::string& key, const std::string& value,
+                   write_handler done);
+
+private:
+    void read_page(const std::string& table, const std::string& first, row_batch collected,
+                   batch_handler done);
+    void call(const char* name, http_request request, std::function<void(http_answer)> done);
+    void note_outcome(const char* name, platform::store_outcome outcome,
+                      const std::string& message);
+
+    io_threads& control_;
+    http_client& http_;
+    metrics& numbers_;
+    std::string base_;
+    bool is_answering_{true};
+};
+
+} // namespace citronseam
+
+#endif
--- /dev/null
+++ b/src/programs/node/table_follower.cpp
@@ -0,0 +1,82 @@
+#include "programs/node/table_follower.h"
+
+#include "citronseam/process/log.h"
+
+namespace citronseam {
+namespace {
+
+/// Pause after a failed call: well below the bounds within which a change must be in force, and few
+/// enough calls that all processes together stay within the store's rates.
+constexpr milliseconds pause_after_failure{250};
+
+} // namespace
+
+table_follower::table_follower(io_threads& control, store_client& store, std::string table,
+                               follow_mode mode, milliseconds interval)
+    : control_(control), store_(store), table_(std::move(table)), mode_(mode), interval_(interval) {
+}
+
+void table_follower::start(change_handler handle) {
+    handle_ = std::move(handle);
+    read_whole();
+}
+
+void table_follower::take(const row_batch& batch) {
+    const bool is_first = cache_.version == 0;
+    const auto changed = merge(cache_, batch);
+    if (handle_ && (!changed.empty() || is_first)) {
+        handle_(changed);
+    }
+}
+
+void table_follower::later(milliseconds delay, void (table_follower::*step)()) {
+    control_.post_after(delay, [this, step] { (this->*step)(); });
+}
+
+void table_follower::read_whole() {
+    store_.read_table(table_, [this](platform::store_outcome outcome, const row_batch& batch) {
+        handle_whole(outcome, batch);
+    });
+}
+
+void table_follower::handle_whole(platform::store_outcome outcome, const row_batch& batch) {
+    if (outcome != platform::store_outcome::done) {
+        later(pause_after_failure, &table_follower::read_whole);
+        return;
+    }
+    read_at_ = std::chrono::steady_clock::now();
+    feed_version_ = batch.version;
+    take(batch);
+    if (mode_ == follow_mode::poll) {
+        later(interval_, &table_follower::read_whole);
+    } else {
+        wait_for_changes();
+    }
+}
+
+void table_follower::wait_for_changes() {
+    store_.await_changes(table_, feed_version_, interval_,
+                         [this](platform::store_outcome outcome, const row_batch& batch) {
+                             handle_feed(outcome, batch);
+                         });
+}
+
+void table_follower::handle_feed(platform::store_outcome outcome, const row_batch& batch) {
+    if (outcome == platform::store_outcome::history_lost) {
+        log_event(log_level::warning, "feed_history_lost",
+                  {{"table", table_}, {"after", feed_version_}});
+        read_whole();
+        return;
+    }
+    if (outcome != platform::store_outcome::done) {
+        // What changed meanwhile may have left the history, so the table is read again.
+        later(pause_after_failure, &table_follower::read_whole);
+        return;
+    }
+    read_at_ = std::chrono::steady_clock::now();
+    feed_version_ = std::max(feed_version_, batch.version);
+    take(batch);
+    wait_for_changes();
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/sidecar/sidecar.cpp
@@ -0,0 +1,225 @@
+#include "programs/sidecar/sidecar.h"
+
+#include "citronseam/process/log.h"
+#include "platform/decode.h"
+#include "programs/daemon/operator_server.h"
+#include "programs/daemon/role_run.h"
+#include "programs/node/node_links.h"
+#include "programs/sidecar/engine_watch.h"
+#include "programs/sidecar/weights_keeper.h"
+
+namespace citronseam {
+namespace {
+
+constexpr session_timing mesh_timing{milliseconds(500), milliseconds(2000)};
+constexpr milliseconds reconcile_interval{50};
+/// The list of other sidecars is asked for this often, so that a fetch begins with it at hand.
+constexpr milliseconds members_interval{500};
+/// A piece waits behind those that the other neighbours asked for; without progress for longer the
+/// next sidecar steps in.
+constexpr milliseconds shortest_stall{900};
+/// Pieces asked of the origin at once by one sidecar; its link carries a piece in tens of
+/// milliseconds, so two keep it busy.
+constexpr std::uint32_t origin_parallel = 2;
+/// Versions of weights begin with this; it holds until the operator names another.
+constexpr std::uint64_t first_weights_version = 1;
+
+/// The parts of a sidecar.
+class sidecar {
+public:
+    explicit sidecar(const settings& options)
+        : options_(options), control_(1), context_{options_, control_, http_, numbers_},
+          links_(options_, control_, http_, numbers_, mesh_timing, make_observer()),
+          engine_(context_),
+          swarm_(std::make_shared<chunk_swarm>(make_swarm_context(),
+                                               [this] { return make_swarm_hello(); })),
+          keeper_(std::make_shared<weights_keeper>(context_, engine_, swarm_)) {}
+
+    int run() {
+        return run_role(options_, {[this] { start(); }, [this] { leave(); }, {}});
+    }
+
+private:
+    void start() {
+        operator_server_ = start_operator_server(
+            *parse_host_port(options_.operator_address), numbers_,
+            {[] { return std::string(); },
+             [](const server_request&, const std::shared_ptr<http_responder>& responder) {
+                 respond_error(*responder, 404, "unknown path");
+             }});
+        control_.post([this] {
+            swarm_rates rates;
+            rates.origin_parallel = origin_parallel;
+            rates.shortest_stall = shortest_stall;
+            swarm_->set_rates(rates);
+            swarm_->start();
+            links_.start({});
+            engine_.start([this] { tell_gateways(); });
+            repeat(control_, reconcile_interval, [this] { keeper_->reconcile(); });
+            repeat(control_, members_interval, [this] { ask_members(); });
+        });
+        log_event(log_level::info, "started",
+                  {{"role", "sidecar"},
+                   {"instance", options_.instance},
+                   {"zone", options_.availability_zone},
+                   {"engine", options_.backend_server.address},
+                   {"store", options_.node.store_address}});
+    }
+
+    void leave() {
+        operator_server_.reset();
+        control_.post([this] {
+            links_.stop();
+            swarm_->stop();
+        });
+        control_.stop();
+    }
+
+    swarm_context make_swarm_context() {
+        swarm_context parts{options_.instance,
+                            options_.backend_server.service,
+                            options_.peer_address,
+                            wire::role::sidecar,
+                            mesh_timing,
+                            options_.weight_memory,
+                            control_,
+                            control_,
+                            numbers_,
+                            http_,
+                            {},
+                            {}};
+        parts.make_draw = [this](const manifest&, std::size_t piece) {
+            return keeper_->make_draw(piece);
+        };
+        return parts;
+    }
+
+    shared_frame make_swarm_hello() const {
+        wire::helloT hello;
+        hello.protocol = wire_protocol_version;
+        hello.role = wire::role::sidecar;
+        hello.instance = options_.instance;
+        hello.incarnation = links_.self().incarnation;
+        hello.availability_zone = options_.availability_zone;
+        hello.service = options_.backend_server.service;
+        hello.peer_address = options_.peer_address;
+        return make_frame(std::move(hello));
+    }
+
+    node_observer make_observer() {
+        node_observer observer;
+        observer.on_operator_rows = [this](const std::vector<versioned_row>& changed) {
+            take_operator_rows(changed);
+        };
+        observer.on_members = [] {};
+        observer.on_beat = [](const connected_member&, const wire::member_beat&) {};
+        observer.on_neighbours = [this](const wire::neighbours_reply& reply) {
+            take_neighbours(reply);
+        };
+        return observer;
+    }
+
+    void take_operator_rows(const std::vector<versioned_row>& changed) {
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto& row : changed) {
+            auto decoded = platform::decode_operator_row(row);
+            if (!decoded) {
+                log_event(log_level::error, "operator_row_unreadable",
+                          {{"row", row.key}, {"reason", decoded.error().message}});
+                continue;
+            }
+            if (decoded->rules) {
+                take_rules(*decoded->rules);
+            } else if (decoded->weights) {
+                named_[decoded->weights->model] = decoded->weights->version;
+            }
+        }
+        if (!model_.empty()) {
+            const auto named = named_.find(model_);
+            const std::uint64_t version =
+                named == named_.end() ? first_weights_version : named->second;
+            keeper_->set_wanted({model_, version, now});
+        }
+    }
+
+    void take_rules(const routing& rules) {
+        const auto own = rules.services.find(options_.backend_server.service);
+        if (own != rules.services.end() && own->second.has_engine) {
+            model_ = own->second.engine.model;
+            keeper_->set_load_duration(own->second.engine.load_duration);
+        }
+        if (const routed_service* origin = find_origin(rules)) {
+            keeper_->set_origin(origin->origin_address);
+            origin_region_ = region_of(origin->zone);
+        }
+    }
+
+    std::string region_of(const std::string& zone) const {
+        const auto found = options_.node.region_of_zone.find(zone);
+        return found == options_.node.region_of_zone.end() ? options_.node.region : found->second;
+    }
+
+    /// Asks one gateway after the other who the other sidecars of the service are.
+    void ask_members() {
+        const auto members = links_.mesh().members();
+        if (members.empty()) {
+            return;
+        }
+        ++asked_;
+        links_.mesh().ask_neighbours(*members[asked_ % members.size()],
+                                     options_.backend_server.service);
+    }
+
+    void take_neighbours(const wire::neighbours_reply& reply) {
+        std::vector<swarm_member> members;
+        if (reply.neighbours() != nullptr) {
+            for (const auto* neighbour : *reply.neighbours()) {
+                members.push_back({std::string(view(neighbour->instance())),
+                                   std::string(view(neighbour->peer_address())),
+                                   region_of(std::string(view(neighbour->availability_zone()))),
+                                   neighbour->is_ready()});
+            }
+        }
+        swarm_->set_members(std::move(members), options_.node.region, origin_region_);
+    }
+
+    void tell_gateways() {
+        wire::member_beatT beat;
+        beat.is_ready = engine_.state().has_value();
+        beat.operator_version = links_.operator_version();
+        links_.mesh().set_beat(beat);
+        beat.engine = std::make_unique<wire::engine_statusT>();
+        beat.engine->address = options_.backend_server.address;
+        beat.engine->is_reachable = engine_.state().has_value();
+        if (engine_.state()) {
+            const platform::engine_state& state = *engine_.state();
+            beat.engine->weights_version = state.weights_version;
+            beat.engine->busy = state.running + state.waiting;
+            beat.engine->is_loading = keeper_->is_loading() || state.is_executing_order;
+        }
+        links_.mesh().broadcast(std::move(beat));
+    }
+
+    const settings& options_;
+    metrics numbers_;
+    io_threads control_;
+    http_client http_;
+    sidecar_context context_;
+    node_links links_;
+    engine_watch engine_;
+    std::shared_ptr<chunk_swarm> swarm_;
+    std::shared_ptr<weights_keeper> keeper_;
+    std::map<std::string, std::uint64_t> named_; ///< weights by model
+    std::string model_;                          ///< of the engine beside this process
+    std::string origin_region_;
+    std::size_t asked_{0};
+    std::unique_ptr<http_server> operator_server_;
+};
+
+} // namespace
+
+int run_sidecar(const settings& options) {
+    return sidecar(options).run();
+}
+
+} // namespace citronseam
--- /dev/null
+++ b/src/programs/sidecar/sidecar_context.h
@@ -0,0 +1,30 @@
+/// @file
+/// What the parts of a sidecar share.
+#ifndef CITRONSEAM_PROGRAMS_SIDECAR_SIDECAR_CONTEXT_H
+#define CITRONSEAM_PROGRAMS_SIDECAR_SIDECAR_CONTEXT_H
+
+#include <functional>
+
+#include "citronseam/connection/http_client.h"
+#include "citronseam/connection/io_threads.h"
+#include "citronseam/process/metrics.h"
+#include "citronseam/process/settings.h"
+
+namespace citronseam {
+
+/// Lives as long as the process; every part holds a reference.
+struct sidecar_context {
+    const settings& options;
+    io_threads& control;
+    http_client& http;
+    metrics& numbers;
+};
+
+/// Sends a request and takes the answer on the control thread.
+/// @param largest_body a longer answer ends the exchange
+void fetch_on_control(sidecar_context& context, http_request request, std::size_t largest_body,
+                      std::function<void(const http_answer&)> take);
+
+} // namespace citronseam
+
+#endif
--- a/src/programs/agent/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -1,12 +1,10 @@
-#include "programs/agent/chunk_swarm.h"
+#include "programs/swarm/chunk_swarm.h"
 
 #include "citronseam/process/log.h"
 
 namespace citronseam {
 namespace {
 
-constexpr milliseconds origin_timeout{30000};
-constexpr std::uint32_t origin_parallel = 2;
 
 } // namespace
 
@@ -21,7 +19,7 @@
     }
     dialer::target_map targets;
     for (const auto& member :
-         choose_neighbours(context_.options.instance, region_, origin_region_, members_)) {
+         choose_neighbours(context_.instance, region_, origin_region_, members_)) {
         targets.emplace(member.instance, member.peer_address);
     }
     dialer_->set_targets(std::move(targets));
@@ -50,7 +48,7 @@
     ranks_.resize(manifest_.chunks.size());
     for (std::size_t i = 0; i < ranks_.size(); ++i) {
         ranks_[i] =
-            is_alone() ? 0 : draw_rank(version_, i, context_.options.instance, region_, members_);
+            is_alone() ? 0 : draw_rank(version_, i, context_.instance, region_, members_);
     }
 }
 
@@ -85,6 +83,14 @@
     }
 }
 
+bool chunk_swarm::adopt(std::size_t chunk, std::string content) {
+    if (chunk >= manifest_.chunks.size() || !is_chunk_valid(manifest_, chunk, content)) {
+        return false;
+    }
+    add_valid(chunk, std::move(content));
+    return true;
+}
+
 void chunk_swarm::end_fetch() {
     on_whole_ = nullptr;
 }
@@ -111,7 +117,7 @@
     const std::uint64_t slowest = rates_.region_link > 0 && rates_.own_link > 0
                                       ? std::min(rates_.region_link, rates_.own_link)
                                       : std::max(rates_.region_link, rates_.own_link);
-    return stall_timeout(manifest_.chunk_size, slowest);
+    return stall_timeout(manifest_.chunk_size, slowest, rates_.shortest_stall);
 }
 
 fetch_state chunk_swarm::make_state(std::vector<std::uint64_t>& sessions, time_point now) const {
@@ -129,7 +135,7 @@
         std::none_of(members_.begin(), members_.end(),
                      [this](const auto& member) { return member.region == origin_region_; });
     state.origin_requests = origin_requests_;
-    state.origin_parallel = origin_parallel;
+    state.origin_parallel = rates_.origin_parallel;
     return state;
 }
 
@@ -164,14 +170,9 @@
 
 void chunk_swarm::draw(std::size_t chunk) {
     ++origin_requests_;
-    const std::uint64_t first = chunk_offset(manifest_, chunk);
-    const std::uint64_t last = first + manifest_.chunks[chunk].size - 1;
-    http_request request;
-    request.url = context_.options.platform.weight_store + "/weights/" + manifest_.source;
-    request.headers = {{"Range", "bytes=" + std::to_string(first) + "-" + std::to_string(last)}};
-    request.timeout = origin_timeout;
+    http_request request = context_.make_draw(manifest_, chunk);
     request.receive_rate = rates_.origin;
-    context_.platform.fetch(
+    context_.http.fetch(
         std::move(request), largest_chunk_size,
         [self = shared_from_this(), version = version_, chunk](http_answer answer) {
             self->context_.control.post([self, version, chunk, answer = std::move(answer)] {
--- a/src/programs/agent/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -1,7 +1,7 @@
 /// @file
 /// Exchanges chunks with other agents of the service and draws from the origin.
-#ifndef CITRONSEAM_PROGRAMS_AGENT_CHUNK_SWARM_H
-#define CITRONSEAM_PROGRAMS_AGENT_CHUNK_SWARM_H
+#ifndef CITRONSEAM_PROGRAMS_SWARM_CHUNK_SWARM_H
+#define CITRONSEAM_PROGRAMS_SWARM_CHUNK_SWARM_H
 
 #include <cstdint>
 #include <functional>
@@ -12,10 +12,11 @@
 
 #include "citronseam/connection/dialer.h"
 #include "citronseam/connection/peer_listener.h"
+#include "citronseam/process/configuration.h"
 #include "citronseam/version/chunk_plan.h"
 #include "citronseam/version/chunk_store.h"
 #include "citronseam/version/link_pacer.h"
-#include "programs/agent/agent_context.h"
+#include "programs/swarm/swarm_context.h"
 
 namespace citronseam {
 
@@ -25,6 +26,9 @@
     std::uint64_t own_link{0};    ///< to agents of the same region
     std::uint64_t region_link{0}; ///< this agent's share of the link to each other region
     std::uint64_t origin{0};      ///< drawn from the origin
+    std::uint32_t origin_parallel{2}; ///< chunks asked of the origin at once
+    /// Time without progress after which another agent steps in, at least.
+    milliseconds shortest_stall{2000};
 };
 
 /// Fetches the chunks of one version at a time and serves those it holds. State changes on the
@@ -33,7 +37,7 @@
 public:
     /// @param context parts of the agent
     /// @param hello   first frame of connections between agents
-    chunk_swarm(agent_context& context, std::function<shared_frame()> hello);
+    chunk_swarm(swarm_context context, std::function<shared_frame()> hello);
 
     /// Begins to listen for other agents.
     void start();
@@ -51,6 +55,9 @@
     /// Fetches a version; chunks that are held already are kept. Control thread.
     /// @param on_whole called once all chunks are held
     void fetch(const std::string& version, const manifest& list, std::function<void()> on_whole);
+    /// Takes a chunk that was found elsewhere, if it is one of the version's. Control thread.
+    /// @return whether it was
+    bool adopt(std::size_t chunk, std::string content);
     /// Ends fetching; chunks that are held are still served. Control thread.
     void end_fetch();
     /// Takes the next steps. Call it again and again on the control thread.
@@ -102,7 +109,7 @@
     bool is_alone() const noexcept;
     bool is_fetching() const noexcept { return on_whole_ != nullptr; }
 
-    agent_context& context_;
+    swarm_context context_;
     std::function<shared_frame()> hello_;
     std::shared_ptr<peer_listener> listener_;
     std::shared_ptr<dialer> dialer_;
--- a/src/programs/agent/chunk_swarm_links.cpp
+++ b/src/programs/swarm/chunk_swarm_links.cpp
@@ -1,27 +1,24 @@
 // Connections of a chunk_swarm: who is connected, what it holds, and what goes out.
 #include "citronseam/process/log.h"
 #include "citronseam/version/held_chunks.h"
-#include "programs/agent/chunk_swarm.h"
+#include "programs/swarm/chunk_swarm.h"
 
 namespace citronseam {
 
-chunk_swarm::chunk_swarm(agent_context& context, std::function<shared_frame()> hello)
-    : context_(context), hello_(std::move(hello)), random_(seeded_random_source()) {
-    chunks_.limit = context.options.weight_memory;
+chunk_swarm::chunk_swarm(swarm_context context, std::function<shared_frame()> hello)
+    : context_(std::move(context)), hello_(std::move(hello)), random_(seeded_random_source()) {
+    chunks_.limit = context_.weight_memory;
     listener_ = std::make_shared<peer_listener>(
-        context.traffic.context(), *parse_host_port(context.options.peer_address),
+        context_.traffic.context(), *parse_host_port(context_.address),
         [this](asio::ip::tcp::socket socket) {
-            const session_timing timing{context_.options.control.heartbeat_interval,
-                                        context_.options.control.silence_timeout};
-            std::make_shared<peer_session>(std::move(socket), hello_(), timing, make_observer())
+            std::make_shared<peer_session>(std::move(socket), hello_(), context_.timing,
+                                           make_observer())
                 ->start();
         });
 }
 
 void chunk_swarm::start() {
-    dialer_ = std::make_shared<dialer>(context_.traffic.context(), hello_,
-                                       session_timing{context_.options.control.heartbeat_interval,
-                                                      context_.options.control.silence_timeout},
+    dialer_ = std::make_shared<dialer>(context_.traffic.context(), hello_, context_.timing,
                                        make_observer());
     listener_->start();
 }
@@ -47,15 +44,17 @@
         handle_closed(session);
     };
     observer.make_heartbeat = [this](const session_pointer& session) {
-        context_.hub.count_bytes(*session);
+        if (context_.count_bytes) {
+            context_.count_bytes(*session);
+        }
         return make_frame(wire::heartbeatT{});
     };
     return observer;
 }
 
 void chunk_swarm::handle_hello(const session_pointer& session, const wire::hello& hello) {
-    if (hello.role() != wire::role::agent ||
-        view(hello.service()) != context_.options.backend_server.service) {
+    if (hello.role() != context_.role ||
+        view(hello.service()) != context_.service) {
         session->close(close_reason::wrong_protocol);
         return;
     }
--- /dev/null
+++ b/src/request/event_stream.cpp
@@ -0,0 +1,70 @@
+#include "citronseam/request/event_stream.h"
+
+#include <charconv>
+
+namespace citronseam {
+namespace {
+
+constexpr std::string_view end_mark = "\n\n";
+constexpr std::string_view end_mark_crlf = "\r\n\r\n";
+constexpr std::string_view id_field = "id:";
+
+/// @return bytes of the first event with its end mark, 0 when it is not whole
+std::size_t event_size(std::string_view text) {
+    const auto plain = text.find(end_mark);
+    const auto crlf = text.find(end_mark_crlf);
+    if (plain == std::string_view::npos && crlf == std::string_view::npos) {
+        return 0;
+    }
+    if (crlf < plain) {
+        return crlf + end_mark_crlf.size();
+    }
+    return plain + end_mark.size();
+}
+
+std::optional<std::uint64_t> id_of(std::string_view event) {
+    while (!event.empty()) {
+        const auto stop = event.find('\n');
+        std::string_view line = event.substr(0, stop);
+        if (line.substr(0, id_field.size()) == id_field) {
+            line.remove_prefix(id_field.size());
+            while (!line.empty() && line.front() == ' ') {
+                line.remove_prefix(1);
+            }
+            std::uint64_t number = 0;
+            const auto read = std::from_chars(line.data(), line.data() + line.size(), number);
+            return read.ec == std::errc{} ? std::optional(number) : std::nullopt;
+        }
+        event = stop == std::string_view::npos ? std::string_view{} : event.substr(stop + 1);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+bool feed(event_buffer& buffer, std::string_view bytes) {
+    buffer.pending.append(bytes);
+    return buffer.pending.size() <= largest_event || event_size(buffer.pending) > 0;
+}
+
+std::optional<stream_event> next_event(event_buffer& buffer) {
+    const std::size_t size = event_size(buffer.pending);
+    if (size == 0) {
+        return std::nullopt;
+    }
+    stream_event event;
+    event.bytes = buffer.pending.substr(0, size);
+    event.id = id_of(event.bytes);
+    buffer.pending.erase(0, size);
+    return event;
+}
+
+event_standing standing_of(std::optional<std::uint64_t> last,
+                           std::optional<std::uint64_t> id) noexcept {
+    if (!last || !id || *id == *last + 1) {
+        return event_standing::next;
+    }
+    return *id <= *last ? event_standing::repeated : event_standing::gap;
+}
+
+} // namespace citronseam
--- a/src/version/chunk_plan.cpp
+++ b/src/version/chunk_plan.cpp
@@ -9,7 +9,6 @@
 /// Ranks that must have failed before an agent far from the origin draws from it.
 constexpr std::uint32_t far_origin_delay = 2;
 constexpr std::uint64_t chunks_until_stalled = 64;
-constexpr milliseconds shortest_stall{2000};
 
 std::string chunk_key(std::string_view version, std::size_t chunk) {
     return std::string(version) + ":" + std::to_string(chunk);
@@ -158,13 +157,14 @@
     return static_cast<std::uint32_t>(idle / timeout);
 }
 
-milliseconds stall_timeout(std::uint64_t chunk_size, std::uint64_t rate) noexcept {
+milliseconds stall_timeout(std::uint64_t chunk_size, std::uint64_t rate,
+                           milliseconds shortest) noexcept {
     if (rate == 0) {
-        return shortest_stall;
+        return shortest;
     }
     constexpr std::uint64_t in_ms = 1000;
     const auto scaled = milliseconds(chunks_until_stalled * chunk_size * in_ms / rate);
-    return std::max(scaled, shortest_stall);
+    return std::max(scaled, shortest);
 }
 
 } // namespace citronseam
--- /dev/null
+++ b/src/version/routing.cpp
@@ -0,0 +1,45 @@
+#include "citronseam/version/routing.h"
+
+#include <array>
+
+#include "citronseam/process/enum_names.h"
+
+namespace citronseam {
+namespace {
+
+constexpr std::array<enum_name<repetition>, 3> repetition_names{{
+    {repetition::idempotent, "idempotent"},
+    {repetition::non_idempotent, "non_idempotent"},
+    {repetition::streaming, "streaming"},
+}};
+
+} // namespace
+
+std::string_view name(repetition kind) noexcept {
+    return find_name(repetition_names, kind);
+}
+
+bool is_repeatable(const route& rule) noexcept {
+    return rule.kind == repetition::idempotent ||
+           (rule.kind == repetition::streaming && rule.is_resumable);
+}
+
+double usual_duration_ms(const engine_profile& engine) noexcept {
+    if (engine.prompt_tokens_per_ms <= 0) {
+        return 0;
+    }
+    const double step = engine.step_ms + engine.step_ms_per_sequence * engine.slots;
+    return engine.usual_prompt_tokens / engine.prompt_tokens_per_ms +
+           engine.usual_output_tokens * step;
+}
+
+const routed_service* find_origin(const routing& rules) noexcept {
+    for (const auto& [key, service] : rules.services) {
+        if (!service.origin_address.empty()) {
+            return &service;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace citronseam
