--- a/include/citronseam/version/routing.h
+++ b/include/citronseam/version/routing.h
@@ -66,8 +66,10 @@
     double usual_output_tokens{0};    ///< mean of the requests
 };
 
-/// @return time that a usual request takes in a full batch; 0 when the profile does not tell
-double usual_duration_ms(const engine_profile& engine) noexcept;
+/// @return time in which an engine with a full batch finishes one usual request after the other; 0
+/// when the profile does not tell. Prompts are read one after another, tokens are made for the whole
+/// batch at once.
+double usual_turnover_ms(const engine_profile& engine) noexcept;
 
 /// A service: a set of backend servers that serve the same requests.
 struct routed_service {
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -26,6 +26,7 @@
 struct connection_input {
     std::shared_ptr<server_connection> connection;
     std::string head;                ///< bytes of a head that has not come whole
+    std::string target;              ///< path and query as the caller wrote them
     std::uint64_t body_remaining{0}; ///< announced bytes that have not come yet
     bool is_in_body{false};
     bool is_chunked{false};
@@ -43,11 +44,21 @@
     }
 }
 
-server_request convert(const http::Request& request) {
+/// @return path and query of a request line; the library sorts and decodes the query
+std::string target_of(std::string_view head) {
+    const auto first = head.find(' ');
+    const auto end = head.find(' ', first + 1);
+    if (first == std::string_view::npos || end == std::string_view::npos) {
+        return {};
+    }
+    return std::string(head.substr(first + 1, end - first - 1));
+}
+
+server_request convert(const http::Request& request, std::string target) {
     server_request converted;
     converted.method = http::methodString(request.method());
-    converted.path = request.resource();
-    converted.target = request.resource() + request.query().as_str();
+    converted.path = target.substr(0, target.find('?'));
+    converted.target = std::move(target);
     for (const auto& [name, raw] : request.headers().rawList()) {
         converted.headers.push_back({raw.name(), raw.value()});
     }
@@ -109,6 +120,7 @@
             return;
         }
         const std::string bytes = std::move(input->head);
+        input->target = target_of(bytes);
         input->head.clear();
         input->is_in_body = true;
         input->is_chunked = checked.is_chunked;
@@ -157,7 +169,8 @@
             return;
         }
         const bool is_head = request.method() == http::Method::Head;
-        handler_(convert(request), std::make_shared<http_responder>(input.connection, is_head));
+        handler_(convert(request, std::move(input.target)),
+                 std::make_shared<http_responder>(input.connection, is_head));
     }
 
     static void refuse(int status, std::string_view text, connection_input& input) {
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -71,11 +71,10 @@
 
 std::uint32_t server_pool::waiting_allowance(const routed_service& service, const route& rule,
                                              int rank) const {
-    const double duration = usual_duration_ms(service.engine);
-    if (!service.has_engine || duration <= 0 || service.engine.slots == 0) {
+    const double turnover_ms = usual_turnover_ms(service.engine);
+    if (!service.has_engine || turnover_ms <= 0) {
         return plain_allowance_per_slot * std::max(1U, service.engine.slots);
     }
-    const double turnover_ms = duration / service.engine.slots;
     const auto objective = static_cast<double>(rule.latency_objective.count());
     return static_cast<std::uint32_t>(waiting_share * factor_of(rank) * objective / turnover_ms);
 }
@@ -90,13 +89,12 @@
     if (found == services.end() || pool == services_.end() || pool->second.servers.empty()) {
         return default_turnover;
     }
-    const double duration = usual_duration_ms(found->second.engine);
-    const double places = static_cast<double>(found->second.engine.slots) *
-                          static_cast<double>(pool->second.servers.size());
-    if (duration <= 0 || places <= 0) {
+    const double turnover_ms = usual_turnover_ms(found->second.engine);
+    if (turnover_ms <= 0) {
         return default_turnover;
     }
-    return milliseconds(static_cast<std::int64_t>(duration / places));
+    const auto servers = static_cast<double>(pool->second.servers.size());
+    return milliseconds(static_cast<std::int64_t>(turnover_ms / servers));
 }
 
 server_offer server_pool::choose(const server_wish& wish, time_point now) {
--- a/src/programs/node/node_links.cpp
+++ b/src/programs/node/node_links.cpp
@@ -10,11 +10,9 @@
 /// Table of the processes of the system, one row each.
 constexpr const char* members_table = "citronseam_members";
 
-/// A feed that heard nothing for this long is begun anew: a connection that lost its way is found
-/// out within the bound on a change being in force.
-constexpr milliseconds feed_wait{2000};
-/// New processes are found within this time; contact after that is direct.
-constexpr milliseconds members_interval{1500};
+/// A feed that heard nothing for this long is begun anew, so that a connection that lost its way is
+/// found out. Until then the other processes' messages tell of newer rows.
+constexpr milliseconds feed_wait{8000};
 constexpr milliseconds pause_before_registering_again{400};
 /// Rows are asked of another process when the own feed has not brought them within this time.
 constexpr milliseconds feed_patience{250};
@@ -42,7 +40,7 @@
       mesh_(std::make_shared<member_mesh>(control, self_, timing, make_mesh_observer())),
       operator_rows_(control, store_, std::string(platform::operator_table), follow_mode::feed,
                      feed_wait),
-      member_rows_(control, store_, members_table, follow_mode::poll, members_interval) {}
+      member_rows_(control, store_, members_table, follow_mode::feed, feed_wait) {}
 
 void node_links::start(std::vector<table_follower*> tables) {
     shared_tables_[operator_rows_.table()] = &operator_rows_;
--- a/src/programs/sidecar/weights_keeper.cpp
+++ b/src/programs/sidecar/weights_keeper.cpp
@@ -21,6 +21,7 @@
 }};
 
 constexpr milliseconds pause_after_failure{200};
+constexpr milliseconds progress_interval{500};
 constexpr std::size_t largest_list = mebibyte;
 /// Pieces that lie at an engine may turn bad, so they are read back shortly before the order.
 constexpr milliseconds longest_verified_age{1000};
@@ -114,6 +115,7 @@
         break;
     case keeper_step::fetch:
         swarm_->tick();
+        note_progress(now);
         break;
     case keeper_step::turn:
         wait_for_turn();
@@ -133,6 +135,19 @@
     }
 }
 
+void weights_keeper::note_progress(time_point now) {
+    if (now - progress_noted_at_ < progress_interval) {
+        return;
+    }
+    progress_noted_at_ = now;
+    log_event(log_level::info, "weights_progress",
+              {{"version", wanted_.version},
+               {"pieces", count_held(swarm_->chunks(), list_)},
+               {"of", list_.chunks.size()},
+               {"members", swarm_->members().size()},
+               {"after_ms", elapsed_ms(wanted_.named_at, now)}});
+}
+
 void weights_keeper::read_list() {
     if (origin_.empty()) {
         return;
--- a/src/programs/sidecar/weights_keeper.h
+++ b/src/programs/sidecar/weights_keeper.h
@@ -67,6 +67,7 @@
 
     void enter(keeper_step step);
     void restart(keeper_step step);
+    void note_progress(time_point now);
     void read_list();
     void take_list(const http_answer& answer);
     void adopt_staged(std::size_t piece);
@@ -96,6 +97,7 @@
     time_point verified_at_;
     time_point ordered_at_;
     time_point next_try_;
+    time_point progress_noted_at_;
 };
 
 } // namespace citronseam
--- a/src/version/routing.cpp
+++ b/src/version/routing.cpp
@@ -24,13 +24,13 @@
            (rule.kind == repetition::streaming && rule.is_resumable);
 }
 
-double usual_duration_ms(const engine_profile& engine) noexcept {
-    if (engine.prompt_tokens_per_ms <= 0) {
+double usual_turnover_ms(const engine_profile& engine) noexcept {
+    if (engine.prompt_tokens_per_ms <= 0 || engine.slots == 0) {
         return 0;
     }
     const double step = engine.step_ms + engine.step_ms_per_sequence * engine.slots;
     return engine.usual_prompt_tokens / engine.prompt_tokens_per_ms +
-           engine.usual_output_tokens * step;
+           engine.usual_output_tokens * step / engine.slots;
 }
 
 const routed_service* find_origin(const routing& rules) noexcept {
