Draw weights in every region and pace them below live requests

Cause: sidecars shared their links with their engines' streams; eight pieces at once queued for 270 ms there, and first events came late while weights moved (p90 568 ms at 20-22 s). Pieces left the origin in one region only, whose five uplinks then carried six copies: 3.5 s there, 4.8 s elsewhere, so the next version found none in force.

Ruled out: load (8 of 16 places busy), the processes' own time (0.008 of a core).

--- a/include/citronseam/version/chunk_plan.h
+++ b/include/citronseam/version/chunk_plan.h
@@ -49,6 +49,17 @@
                                             std::string_view origin_region,
                                             const std::vector<swarm_member>& members);
 
+/// @return how many members of all regions stand before `self` in drawing a chunk from the origin,
+/// when every region draws its part; 0: it is the one that does
+std::uint32_t origin_rank(std::string_view version, std::size_t chunk, std::string_view self,
+                          const std::vector<swarm_member>& members);
+
+/// Chooses the members that an agent keeps connections to when every region draws its part: a
+/// bounded number in its own region and a few in each other one.
+std::vector<swarm_member> choose_neighbours_everywhere(std::string_view self,
+                                                       std::string_view region,
+                                                       const std::vector<swarm_member>& members);
+
 /// What is known of one connected neighbour.
 struct neighbour_state {
     std::vector<bool> held;     ///< by chunk
@@ -71,6 +82,9 @@
     std::vector<bool> wanted;         ///< by chunk: neither held nor asked for
     std::vector<std::uint32_t> ranks; ///< by chunk, see draw_rank()
     std::vector<neighbour_state> neighbours;
+    /// By chunk, see origin_rank(); empty when only the origin's region draws.
+    std::vector<std::uint32_t> origin_ranks;
+    std::uint32_t most_requests{0};   ///< chunks asked for at once of all; 0 is unlimited
     std::size_t senders{0};           ///< to the own region; each sends every n-th chunk
     std::uint32_t level{0};           ///< ranks up to this one may use the scarce link
     bool is_origin_near{true};        ///< own region is the origin's, or no member is there
--- a/include/citronseam/version/link_pacer.h
+++ b/include/citronseam/version/link_pacer.h
@@ -11,17 +11,24 @@
 
 namespace citronseam {
 
-/// Buckets of one agent; rates in bytes a second, 0 is unlimited.
+/// Rates of one agent in bytes a second; 0 is unlimited.
+struct link_rates {
+    std::uint64_t near{0};   ///< to agents of the same region
+    std::uint64_t region{0}; ///< this agent's share of the link to each other region
+    std::uint64_t uplink{0}; ///< of everything that the instance sends
+    bool operator==(const link_rates&) const = default;
+};
+
+/// Buckets of one agent.
 struct link_pacer {
-    std::uint64_t own_rate{0};    ///< to agents of the same region
-    std::uint64_t region_rate{0}; ///< this agent's share of the link to each other region
-    token_bucket own;
+    link_rates rates;
+    token_bucket near;
+    token_bucket uplink;
     std::map<std::string, token_bucket> regions; ///< by region that is sent to
 };
 
 /// Takes rates. Buckets start anew when a rate changed.
-void set_rates(link_pacer& pacer, std::uint64_t own_rate, std::uint64_t region_rate,
-               time_point now);
+void set_rates(link_pacer& pacer, const link_rates& rates, time_point now);
 
 /// Takes the bytes of a piece that is to be sent.
 /// @param region  region of the receiver
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -134,6 +134,8 @@
     attempt_.server = offer.server;
     attempt_.began_at = now;
     attempt_.heard_at = now;
+    chosen_busy_ = offer.busy;
+    report_age_ms_ = offer.server->has_report ? elapsed_ms(offer.server->reported_at, now) : 0;
     ++sendings_;
     ++generation_;
     tried_.push_back(offer.server->entry.id);
@@ -470,6 +472,8 @@
                {"route", route_name},
                {"workspace", workspace},
                {"server", tried_.empty() ? "none" : tried_.back()},
+               {"busy", chosen_busy_},
+               {"report_age_ms", report_age_ms_},
                {"sendings", sendings_},
                {"events", events_passed_},
                {"first_ms", events_passed_ > 0 ? elapsed_ms(received_at_, first_part_at_) : 0},
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -108,8 +108,9 @@
     std::uint64_t stream_weights_{0};
     std::size_t events_passed_{0};
     time_point first_part_at_;
+    double chosen_busy_{0};          ///< what the last choice assumed to run at its server
+    std::uint32_t report_age_ms_{0}; ///< how old the report behind it was
     bool is_done_{false};
-    bool is_repeat_{false};
 };
 
 } // namespace citronseam
--- a/src/programs/gateway/traffic_view.cpp
+++ b/src/programs/gateway/traffic_view.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// A request may wait at its engine before it begins, and news of the version took a while to come.
-constexpr milliseconds due_margin{1200};
+constexpr milliseconds due_margin{600};
 
 } // namespace
 
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -18,9 +18,14 @@
 /// A piece waits behind those that the other neighbours asked for; without progress for longer the
 /// next sidecar steps in.
 constexpr milliseconds shortest_stall{900};
-/// Pieces asked of the origin at once by one sidecar; its link carries a piece in tens of
-/// milliseconds, so two keep it busy.
-constexpr std::uint32_t origin_parallel = 2;
+/// Pieces asked of the origin at once by one sidecar. Many sidecars draw at the same time, and the
+/// fewer pieces share the origin's link the sooner the first ones come and spread.
+constexpr std::uint32_t origin_parallel = 1;
+/// Pieces asked for at once. On a link that carries a piece in 35 ms more of them would delay the
+/// engine's live requests by a third of their latency objective.
+constexpr std::uint32_t most_requests = 3;
+/// Part of the instance's link that weights may take. The rest is for live requests.
+constexpr std::uint64_t weights_percent = 75;
 /// Versions of weights begin with this; it holds until the operator names another.
 constexpr std::uint64_t first_weights_version = 1;
 
@@ -50,6 +55,10 @@
         control_.post([this] {
             swarm_rates rates;
             rates.origin_parallel = origin_parallel;
+            rates.most_requests = most_requests;
+            rates.uplink = options_.peer_link * weights_percent / 100;
+            rates.downlink = rates.uplink;
+            rates.is_drawn_everywhere = true;
             rates.shortest_stall = shortest_stall;
             swarm_->set_rates(rates);
             swarm_->start();
--- a/src/programs/sidecar/weights_keeper.cpp
+++ b/src/programs/sidecar/weights_keeper.cpp
@@ -1,6 +1,7 @@
 #include "programs/sidecar/weights_keeper.h"
 
 #include <array>
+#include <utility>
 
 #include "citronseam/process/enum_names.h"
 #include "citronseam/process/log.h"
@@ -28,7 +29,7 @@
 /// Requests that run when the order comes end first; nearly all do within this time.
 constexpr milliseconds usual_drain{1800};
 /// Gateways stop using older weights this long before they are due, and hear of the new ones late.
-constexpr milliseconds due_margin{1000};
+constexpr milliseconds due_margin{800};
 /// An order whose load has not begun after this time may have been lost.
 constexpr milliseconds order_patience{1500};
 
@@ -54,9 +55,32 @@
 }
 
 void weights_keeper::set_wanted(const wanted_weights& wanted) {
-    if (wanted.model == wanted_.model && wanted.version <= wanted_.version) {
+    const wanted_weights& newest = next_ ? *next_ : wanted_;
+    if (wanted.model == newest.model && wanted.version <= newest.version) {
         return;
     }
+    next_ = wanted;
+    if (!must_finish_first()) {
+        begin(*std::exchange(next_, std::nullopt));
+    }
+}
+
+/// Weights that are nearly there are put in force although newer ones were named: they are due
+/// before the newer ones can be here.
+bool weights_keeper::must_finish_first() const {
+    const bool is_over =
+        std::chrono::steady_clock::now() - wanted_.named_at > context_.options.node.weights_due;
+    if (is_over || wanted_.version == 0) {
+        return false;
+    }
+    if (step_ == keeper_step::fetch) {
+        return count_held(swarm_->chunks(), list_) * 2 >= list_.chunks.size();
+    }
+    return step_ == keeper_step::stage || step_ == keeper_step::verify ||
+           step_ == keeper_step::turn;
+}
+
+void weights_keeper::begin(const wanted_weights& wanted) {
     log_event(log_level::info, "weights_wanted",
               {{"model", wanted.model},
                {"version", wanted.version},
@@ -95,6 +119,9 @@
 
 void weights_keeper::reconcile() {
     const auto now = std::chrono::steady_clock::now();
+    if (next_ && !must_finish_first()) {
+        begin(*std::exchange(next_, std::nullopt));
+    }
     if (wanted_.version == 0 || is_busy_ || now < next_try_) {
         return;
     }
--- a/src/programs/sidecar/weights_keeper.h
+++ b/src/programs/sidecar/weights_keeper.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,8 @@
     template<typename Function>
     auto guarded(Function function);
 
+    void begin(const wanted_weights& wanted);
+    bool must_finish_first() const;
     void enter(keeper_step step);
     void restart(keeper_step step);
     void note_progress(time_point now);
@@ -87,6 +90,7 @@
     std::string origin_;
     milliseconds load_duration_{0};
     wanted_weights wanted_;
+    std::optional<wanted_weights> next_; ///< follows once wanted_ is on its way into force
     manifest list_;
     keeper_step step_{keeper_step::done};
     std::uint64_t epoch_{0}; ///< counts changes of the wanted weights and of the step
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -5,6 +5,8 @@
 namespace citronseam {
 namespace {
 
+/// Part of a second for which may be asked at once after a pause.
+constexpr std::uint64_t asking_burst_share = 20;
 
 } // namespace
 
@@ -17,22 +19,35 @@
     if (is_same) {
         return;
     }
-    dialer::target_map targets;
-    for (const auto& member :
-         choose_neighbours(context_.instance, region_, origin_region_, members_)) {
-        targets.emplace(member.instance, member.peer_address);
-    }
-    dialer_->set_targets(std::move(targets));
-    senders_ = region_senders(region_, origin_region_, members_);
+    choose_targets();
     for (auto& [number, agent] : agents_) {
         place(agent);
     }
     rank_chunks();
 }
 
+void chunk_swarm::choose_targets() {
+    const auto neighbours =
+        rates_.is_drawn_everywhere
+            ? choose_neighbours_everywhere(context_.instance, region_, members_)
+            : choose_neighbours(context_.instance, region_, origin_region_, members_);
+    dialer::target_map targets;
+    for (const auto& member : neighbours) {
+        targets.emplace(member.instance, member.peer_address);
+    }
+    dialer_->set_targets(std::move(targets));
+    senders_ = rates_.is_drawn_everywhere
+                   ? std::vector<swarm_member>{}
+                   : region_senders(region_, origin_region_, members_);
+}
+
 void chunk_swarm::set_rates(const swarm_rates& rates) {
-    citronseam::set_rates(pacer_, rates.own_link, rates.region_link,
-                          std::chrono::steady_clock::now());
+    const time_point now = std::chrono::steady_clock::now();
+    citronseam::set_rates(pacer_, {rates.own_link, rates.region_link, rates.uplink}, now);
+    if (rates.downlink != rates_.downlink) {
+        // A full bucket holds the pieces that may be under way at once.
+        asking_ = make_bucket(rates.downlink, rates.downlink / asking_burst_share, now);
+    }
     const bool is_other_policy = rates.spread != rates_.spread;
     rates_ = rates;
     if (is_other_policy) {
@@ -46,6 +61,10 @@
 
 void chunk_swarm::rank_chunks() {
     ranks_.resize(manifest_.chunks.size());
+    origin_ranks_.resize(rates_.is_drawn_everywhere ? ranks_.size() : 0);
+    for (std::size_t i = 0; i < origin_ranks_.size(); ++i) {
+        origin_ranks_[i] = origin_rank(version_, i, context_.instance, members_);
+    }
     for (std::size_t i = 0; i < ranks_.size(); ++i) {
         ranks_[i] =
             is_alone() ? 0 : draw_rank(version_, i, context_.instance, region_, members_);
@@ -124,6 +143,8 @@
     fetch_state state;
     state.wanted = is_wanted_;
     state.ranks = ranks_;
+    state.origin_ranks = origin_ranks_;
+    state.most_requests = rates_.most_requests;
     for (const auto& [number, agent] : agents_) {
         sessions.push_back(number);
         state.neighbours.push_back(agent.state);
@@ -145,7 +166,13 @@
     }
     std::vector<std::uint64_t> sessions;
     fetch_state state = make_state(sessions, std::chrono::steady_clock::now());
-    while (const auto choice = choose_fetch(state, random_)) {
+    const time_point now = std::chrono::steady_clock::now();
+    while (wait_time(asking_, now).count() == 0) {
+        const auto choice = choose_fetch(state, random_);
+        if (!choice) {
+            return;
+        }
+        take(asking_, manifest_.chunks[choice->chunk].size, now);
         state.wanted[choice->chunk] = false;
         is_wanted_[choice->chunk] = false;
         if (choice->neighbour) {
--- a/src/programs/swarm/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -24,6 +24,10 @@
 struct swarm_rates {
     spread_policy spread{spread_policy::peers};
     std::uint64_t own_link{0};    ///< to agents of the same region
+    std::uint64_t uplink{0};      ///< of everything that is sent
+    std::uint64_t downlink{0};    ///< of everything that is asked for
+    std::uint32_t most_requests{0}; ///< chunks asked for at once; 0 is unlimited
+    bool is_drawn_everywhere{false}; ///< every region draws its part from the origin
     std::uint64_t region_link{0}; ///< this agent's share of the link to each other region
     std::uint64_t origin{0};      ///< drawn from the origin
     std::uint32_t origin_parallel{2}; ///< chunks asked of the origin at once
@@ -102,6 +106,7 @@
     void send_inventory(connected_agent& agent, bool is_question) const;
     void finish_if_whole();
     void rank_chunks();
+    void choose_targets();
     fetch_state make_state(std::vector<std::uint64_t>& sessions, time_point now) const;
     milliseconds patience() const;
     std::string region_of_member(const std::string& instance) const;
@@ -121,12 +126,14 @@
     std::vector<swarm_member> senders_; ///< to this region, in their order
     swarm_rates rates_;
     link_pacer pacer_;
+    token_bucket asking_; ///< paces what is asked for
 
     std::string version_;
     manifest manifest_;
     chunk_store chunks_;
     std::vector<bool> is_wanted_;
     std::vector<std::uint32_t> ranks_;
+    std::vector<std::uint32_t> origin_ranks_; ///< when every region draws its part
     std::function<void()> on_whole_;
     time_point last_progress_;
     bool has_news_{false};
--- a/src/version/chunk_plan.cpp
+++ b/src/version/chunk_plan.cpp
@@ -1,11 +1,13 @@
 #include "citronseam/version/chunk_plan.h"
 
 #include <algorithm>
+#include <map>
 
 namespace citronseam {
 namespace {
 
 constexpr std::size_t near_neighbours = 6;
+constexpr std::size_t far_neighbours = 3;
 /// Ranks that must have failed before an agent far from the origin draws from it.
 constexpr std::uint32_t far_origin_delay = 2;
 constexpr std::uint64_t chunks_until_stalled = 64;
@@ -55,6 +57,10 @@
 }
 
 bool may_draw(const fetch_state& state, std::size_t chunk) noexcept {
+    if (!state.origin_ranks.empty()) {
+        return state.origin_requests < state.origin_parallel &&
+               state.origin_ranks[chunk] <= state.level;
+    }
     const std::uint32_t delay = state.is_origin_near ? 0 : far_origin_delay;
     return state.origin_requests < state.origin_parallel &&
            state.ranks[chunk] + delay <= state.level;
@@ -83,6 +89,14 @@
     return count;
 }
 
+std::uint32_t count_requests(const fetch_state& state) noexcept {
+    std::uint32_t count = state.origin_requests;
+    for (const auto& neighbour : state.neighbours) {
+        count += neighbour.requested;
+    }
+    return count;
+}
+
 } // namespace
 
 std::uint32_t draw_rank(std::string_view version, std::size_t chunk, std::string_view self,
@@ -126,7 +140,38 @@
     return chosen;
 }
 
+std::uint32_t origin_rank(std::string_view version, std::size_t chunk, std::string_view self,
+                          const std::vector<swarm_member>& members) {
+    const std::string key = chunk_key(version, chunk);
+    const std::uint64_t own = rendezvous_weight(key, self);
+    return static_cast<std::uint32_t>(
+        std::count_if(members.begin(), members.end(), [&](const swarm_member& member) {
+            return member.instance != self && rendezvous_weight(key, member.instance) > own;
+        }));
+}
+
+std::vector<swarm_member> choose_neighbours_everywhere(std::string_view self,
+                                                       std::string_view region,
+                                                       const std::vector<swarm_member>& members) {
+    std::map<std::string_view, std::vector<swarm_member>> by_region;
+    for (const auto& member : members) {
+        if (member.instance != self) {
+            by_region[member.region].push_back(member);
+        }
+    }
+    std::vector<swarm_member> chosen;
+    for (auto& [name, candidates] : by_region) {
+        const std::size_t count = name == region ? near_neighbours : far_neighbours;
+        const auto closest_ones = closest(self, std::move(candidates), count);
+        chosen.insert(chosen.end(), closest_ones.begin(), closest_ones.end());
+    }
+    return chosen;
+}
+
 std::optional<fetch_choice> choose_fetch(const fetch_state& state, random_source& random) {
+    if (state.most_requests > 0 && count_requests(state) >= state.most_requests) {
+        return std::nullopt;
+    }
     std::optional<fetch_choice> choice;
     std::uint32_t fewest = 0;
     const std::size_t total = state.wanted.size();
--- a/src/version/link_pacer.cpp
+++ b/src/version/link_pacer.cpp
@@ -1,5 +1,7 @@
 #include "citronseam/version/link_pacer.h"
 
+#include <algorithm>
+
 namespace citronseam {
 namespace {
 
@@ -12,14 +14,13 @@
 
 } // namespace
 
-void set_rates(link_pacer& pacer, std::uint64_t own_rate, std::uint64_t region_rate,
-               time_point now) {
-    if (own_rate == pacer.own_rate && region_rate == pacer.region_rate) {
+void set_rates(link_pacer& pacer, const link_rates& rates, time_point now) {
+    if (rates == pacer.rates) {
         return;
     }
-    pacer.own_rate = own_rate;
-    pacer.region_rate = region_rate;
-    pacer.own = bucket_for(own_rate, now);
+    pacer.rates = rates;
+    pacer.near = bucket_for(rates.near, now);
+    pacer.uplink = bucket_for(rates.uplink, now);
     pacer.regions.clear();
 }
 
@@ -27,10 +28,11 @@
                        std::uint64_t bytes, time_point now) {
     token_bucket& bucket =
         is_near
-            ? pacer.own
-            : pacer.regions.try_emplace(region, bucket_for(pacer.region_rate, now)).first->second;
-    const microseconds wait = wait_time(bucket, now);
+            ? pacer.near
+            : pacer.regions.try_emplace(region, bucket_for(pacer.rates.region, now)).first->second;
+    const microseconds wait = std::max(wait_time(bucket, now), wait_time(pacer.uplink, now));
     take(bucket, bytes, now);
+    take(pacer.uplink, bytes, now);
     return wait;
 }
 
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -264,7 +264,7 @@
 
 TEST(link_pacer, regions_do_not_wait_for_each_other) {
     link_pacer pacer;
-    set_rates(pacer, 0, 1000, time_point{});
+    set_rates(pacer, {0, 1000, 0}, time_point{});
     EXPECT_EQ(take_turn(pacer, "b", false, 2000, time_point{}).count(), 0);
     EXPECT_GT(take_turn(pacer, "b", false, 2000, time_point{}).count(), 0);
     EXPECT_EQ(take_turn(pacer, "c", false, 2000, time_point{}).count(), 0);
