Choose engines by unread prompts; fetch and load weights side by side

Cause: an engine that came back from a load showed no running requests, so all gateways sent at once; its prompts are read one after another, and first events came after 500 to 1,000 ms at busy 0 to 4. Batch size hardly matters for the pace (0.04 ms of 7.4 a request).

Change: the choice estimates the time until the first event from the prompts sent lately and the requests beyond the slots. Weights that are whole wait for their turn up to the due time, while newer ones are fetched; engines of the later turns leave a version out when a newer one is near; long requests avoid engines that load soon.

--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,7 @@
     std::uint64_t weights_version{0}; ///< of the whole model in force; 0: none
     bool is_loading{false};           ///< it takes no requests until its load is done
     bool is_reachable{true};
+    std::optional<milliseconds> load_in; ///< when it will begin to load new weights
 };
 
 /// One backend server as this process knows it.
@@ -33,6 +35,8 @@
     time_point reported_at;
     std::uint32_t sent_since_report{0};
     std::uint32_t ended_since_report{0};
+    double unread_ms{0};        ///< time to read the prompts that this process sent lately
+    time_point unread_at;       ///< when that was last brought up to date
     sliding_count sent;         ///< requests of this process, for the bound of cold servers
     double failure_share{0};    ///< recent share of exchanges that the server broke
     int failures_in_a_row{0};
@@ -48,6 +52,11 @@
     std::size_t sharers{1};            ///< processes that send to the same servers
     std::uint32_t waiting_allowance{0}; ///< requests that may wait at a server beyond its slots
     double cold_requests_per_second{0}; ///< of all processes together to one server; 0: no bound
+    milliseconds expected_duration{0}; ///< of the request
+    double prompt_ms{0};   ///< time that an engine takes to read the request's prompt
+    double turnover_ms{0}; ///< time in which a full server finishes one request after the other
+    /// Part of an engine's reading that serves this process's prompts, as others send there too.
+    double reading_share{1};
     std::uint64_t least_weights_version{0};
     std::uint64_t exact_weights_version{0}; ///< 0: any; else a stream goes on with these weights
     bool needs_weights{false};              ///< whether only servers that hold weights will do
@@ -92,7 +101,12 @@
 /// Takes a report.
 void take_report(server_state& server, const engine_report& report, time_point now) noexcept;
 /// Notes that a request of this process was sent.
-void note_sent(server_state& server, time_point now);
+void note_sent(server_state& server, const choice_terms& terms);
+
+/// @return time until the server would begin to answer, as far as this process can tell: prompts
+/// are read one after another, so those sent just before count, while the size of the batch hardly
+/// does
+double expected_wait_ms(const server_state& server, const choice_terms& terms) noexcept;
 /// How an exchange with a backend server ended, as far as the server is to blame.
 enum class exchange_standing : std::uint8_t {
     sound,   ///< it answered
--- a/include/citronseam/version/load_turn.h
+++ b/include/citronseam/version/load_turn.h
@@ -16,10 +16,9 @@
 struct load_turn_terms {
     time_point named_at; ///< when the weights were named
     time_point whole_at; ///< when this engine had all pieces
-    milliseconds due{0};           ///< time from naming until all engines must have them in force
-    milliseconds load_duration{0}; ///< from the order until they are in force, running requests included
-    std::size_t index{0};          ///< place of this engine among those of the service
-    std::size_t count{1};          ///< engines of the service
+    milliseconds due{0};  ///< time from naming until the last engine must begin to load
+    std::size_t index{0}; ///< place of this engine among those of the service
+    std::size_t count{1}; ///< engines of the service
 };
 
 /// @return when to order the load. Turns are spread evenly over the time that is left; with none
--- a/include/citronseam/version/routing.h
+++ b/include/citronseam/version/routing.h
@@ -71,6 +71,12 @@
 /// batch at once.
 double usual_turnover_ms(const engine_profile& engine) noexcept;
 
+/// @return time that a request is expected to take at an engine under load
+/// @param prompt_tokens tokens to read
+/// @param output_tokens tokens to make
+double expected_duration_ms(const engine_profile& engine, double prompt_tokens,
+                            double output_tokens) noexcept;
+
 /// A service: a set of backend servers that serve the same requests.
 struct routed_service {
     std::string name;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -176,8 +176,11 @@
 
     void take_beat(const connected_member& from, const wire::member_beat& beat) {
         if (const auto* engine = beat.engine()) {
-            const engine_report report{engine->busy(), engine->weights_version(),
-                                       engine->is_loading(), engine->is_reachable()};
+            engine_report report{engine->busy(), engine->weights_version(), engine->is_loading(),
+                                 engine->is_reachable(), std::nullopt};
+            if (engine->is_load_planned()) {
+                report.load_in = milliseconds(engine->load_in_ms());
+            }
             traffic_.post([this, report, address = std::string(view(engine->address()))] {
                 pool_.take_report(address, report, std::chrono::steady_clock::now());
             });
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -117,7 +117,14 @@
         end_late();
         return;
     }
-    server_wish wish{rule_, workspace_, service_, tried_, events_passed_ > 0 ? stream_weights_ : 0};
+    server_wish wish;
+    wish.rule = rule_;
+    wish.workspace = workspace_;
+    wish.service = service_;
+    wish.tried = tried_;
+    wish.prompt_tokens = terms_.prompt_tokens;
+    wish.output_tokens = terms_.expected_output_tokens;
+    wish.exact_weights = events_passed_ > 0 ? stream_weights_ : 0;
     const server_offer offer = context_.pool.choose(wish, now);
     if (offer.server != nullptr) {
         send_to(offer);
@@ -135,11 +142,11 @@
     attempt_.began_at = now;
     attempt_.heard_at = now;
     chosen_busy_ = offer.busy;
+    expected_wait_ms_ = offer.wait_ms;
     report_age_ms_ = offer.server->has_report ? elapsed_ms(offer.server->reported_at, now) : 0;
     ++sendings_;
     ++generation_;
     tried_.push_back(offer.server->entry.id);
-    note_sent(*offer.server, now);
 
     platform::dispatch_terms terms;
     terms.patience = time_left(now);
@@ -473,6 +480,7 @@
                {"workspace", workspace},
                {"server", tried_.empty() ? "none" : tried_.back()},
                {"busy", chosen_busy_},
+               {"expected_wait_ms", expected_wait_ms_},
                {"report_age_ms", report_age_ms_},
                {"sendings", sendings_},
                {"prompt_tokens", terms_.prompt_tokens},
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -109,6 +109,7 @@
     std::size_t events_passed_{0};
     time_point first_part_at_;
     double chosen_busy_{0};          ///< what the last choice assumed to run at its server
+    double expected_wait_ms_{0};
     std::uint32_t report_age_ms_{0}; ///< how old the report behind it was
     bool is_done_{false};
 };
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -18,6 +18,9 @@
 constexpr double urgent_factor = 1.5;
 constexpr double patient_factor = 0.5;
 
+/// Processes spread their requests over the servers near them, so fewer than all share one engine.
+constexpr double sharing_spread = 2;
+
 double factor_of(int rank) {
     if (rank <= 0) {
         return urgent_factor;
@@ -97,30 +100,34 @@
     return milliseconds(static_cast<std::int64_t>(turnover_ms / servers));
 }
 
-server_offer server_pool::choose(const server_wish& wish, time_point now) {
-    server_offer offer;
-    offer.obstacle = choice_obstacle::no_server;
-    const auto pool = services_.find(wish.service);
-    const auto& services = view_->routes->rules->services;
-    const auto service = services.find(wish.service);
-    if (pool == services_.end() || service == services.end()) {
-        return offer;
-    }
+choice_terms server_pool::make_terms(const server_wish& wish, const routed_service& service,
+                                     time_point now) const {
+    const engine_profile& engine = service.engine;
+    const double output = wish.output_tokens > 0 ? static_cast<double>(wish.output_tokens)
+                                                 : engine.usual_output_tokens;
+    const auto prompt = static_cast<double>(wish.prompt_tokens);
     choice_terms terms;
     terms.now = now;
     terms.own_zone = options_.availability_zone;
     terms.own_region = options_.node.region;
     terms.sharers = view_->gateways;
     terms.waiting_allowance =
-        waiting_allowance(service->second, *wish.rule, rank_of(*wish.rule, wish.workspace));
-    if (service->second.cold_requests_per_second > 0) {
+        waiting_allowance(service, *wish.rule, rank_of(*wish.rule, wish.workspace));
+    if (service.cold_requests_per_second > 0) {
         terms.cold_requests_per_second =
-            service->second.cold_requests_per_second * options_.node.cold_factor +
-            options_.node.cold_slack;
+            service.cold_requests_per_second * options_.node.cold_factor + options_.node.cold_slack;
+    }
+    terms.expected_duration =
+        milliseconds(static_cast<std::int64_t>(expected_duration_ms(engine, prompt, output)));
+    terms.turnover_ms = usual_turnover_ms(engine);
+    if (engine.prompt_tokens_per_ms > 0) {
+        terms.prompt_ms = prompt / engine.prompt_tokens_per_ms;
     }
-    terms.needs_weights = service->second.has_engine;
-    terms.least_weights_version = least_weights_version(*view_, service->second.engine.model,
-                                                        options_.node.weights_due, now);
+    terms.reading_share =
+        std::min(1.0, sharing_spread / static_cast<double>(std::max<std::size_t>(terms.sharers, 1)));
+    terms.needs_weights = service.has_engine;
+    terms.least_weights_version =
+        least_weights_version(*view_, engine.model, options_.node.weights_due, now);
     terms.exact_weights_version = wish.exact_weights;
     for (const auto& id : wish.tried) {
         terms.excluded.emplace_back(id);
@@ -130,6 +137,19 @@
         return view_->evacuated_zones.count(zone) == 0 &&
                is_region_allowed(*wish.rule, wish.workspace, region_of(zone));
     };
+    return terms;
+}
+
+server_offer server_pool::choose(const server_wish& wish, time_point now) {
+    server_offer offer;
+    offer.obstacle = choice_obstacle::no_server;
+    const auto pool = services_.find(wish.service);
+    const auto& services = view_->routes->rules->services;
+    const auto service = services.find(wish.service);
+    if (pool == services_.end() || service == services.end()) {
+        return offer;
+    }
+    const choice_terms terms = make_terms(wish, service->second, now);
     std::vector<server_state*> candidates;
     for (const auto& server : pool->second.servers) {
         candidates.push_back(server.get());
@@ -137,10 +157,11 @@
     const server_choice choice = choose_server(candidates, terms, random_);
     offer.obstacle = choice.obstacle;
     offer.busy = choice.busy;
-    offer.least_weights = terms.least_weights_version;
     for (const auto& server : pool->second.servers) {
         if (server.get() == choice.server) {
             offer.server = server;
+            offer.wait_ms = expected_wait_ms(*server, terms);
+            note_sent(*server, terms);
         }
     }
     return offer;
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -22,6 +22,8 @@
     const routed_workspace* workspace{nullptr};
     std::string service;
     std::vector<std::string> tried;   ///< identifiers of servers that had the request
+    std::uint64_t prompt_tokens{0};
+    std::uint64_t output_tokens{0};   ///< expected, 0: not known
     std::uint64_t exact_weights{0};   ///< a stream goes on with these weights; 0: any
 };
 
@@ -29,8 +31,8 @@
 struct server_offer {
     std::shared_ptr<server_state> server; ///< nullptr: none
     choice_obstacle obstacle{choice_obstacle::none};
-    double busy{0};
-    std::uint64_t least_weights{0}; ///< oldest version that the request may begin on
+    double busy{0};    ///< requests that the choice assumed to run there
+    double wait_ms{0}; ///< time that the choice assumed until the answer begins
 };
 
 /// Keeps the load of each server and chooses among them. Everything runs on the traffic thread.
@@ -45,7 +47,7 @@
     /// @param address of the engine
     void take_report(const std::string& address, const engine_report& report, time_point now);
 
-    /// Chooses a server.
+    /// Chooses a server and notes that the request goes there.
     server_offer choose(const server_wish& wish, time_point now);
 
     /// Notes a caller's request for a service.
@@ -68,6 +70,8 @@
 
     void add_servers(const traffic_view& view);
     std::string_view region_of(std::string_view zone) const;
+    choice_terms make_terms(const server_wish& wish, const routed_service& service,
+                            time_point now) const;
     std::uint32_t waiting_allowance(const routed_service& service, const route& rule,
                                     int rank) const;
 
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -6,7 +6,8 @@
 #include "programs/daemon/role_run.h"
 #include "programs/node/node_links.h"
 #include "programs/sidecar/engine_watch.h"
-#include "programs/sidecar/weights_keeper.h"
+#include "programs/sidecar/weights_fetcher.h"
+#include "programs/sidecar/weights_loader.h"
 
 namespace citronseam {
 namespace {
@@ -38,7 +39,11 @@
           engine_(context_),
           swarm_(std::make_shared<chunk_swarm>(make_swarm_context(),
                                                [this] { return make_swarm_hello(); })),
-          keeper_(std::make_shared<weights_keeper>(context_, engine_, swarm_)) {}
+          loader_(std::make_shared<weights_loader>(context_, engine_, make_surroundings())),
+          fetcher_(std::make_shared<weights_fetcher>(
+              context_, engine_, swarm_, [this](std::shared_ptr<const whole_weights> weights) {
+                  loader_->set_whole(std::move(weights));
+              })) {}
 
     int run() {
         return run_role(options_, {[this] { start(); }, [this] { leave(); }, {}});
@@ -64,7 +69,10 @@
             swarm_->start();
             links_.start({});
             engine_.start([this] { tell_gateways(); });
-            repeat(control_, reconcile_interval, [this] { keeper_->reconcile(); });
+            repeat(control_, reconcile_interval, [this] {
+                fetcher_->reconcile();
+                loader_->reconcile();
+            });
             repeat(control_, members_interval, [this] { ask_members(); });
         });
         log_event(log_level::info, "started",
@@ -98,11 +106,25 @@
                             {},
                             {}};
         parts.make_draw = [this](const manifest&, std::size_t piece) {
-            return keeper_->make_draw(piece);
+            return fetcher_->make_draw(piece);
         };
         return parts;
     }
 
+    loader_surroundings make_surroundings() {
+        loader_surroundings surroundings;
+        surroundings.instances = [this] {
+            std::vector<std::string> instances;
+            for (const auto& process : swarm_->members()) {
+                instances.push_back(process.instance);
+            }
+            return instances;
+        };
+        surroundings.newest_version = [this] { return fetcher_->newest().version; };
+        surroundings.newest_progress = [this] { return fetcher_->progress(); };
+        return surroundings;
+    }
+
     shared_frame make_swarm_hello() const {
         wire::helloT hello;
         hello.protocol = wire_protocol_version;
@@ -147,7 +169,7 @@
             const auto named = named_.find(model_);
             const std::uint64_t version =
                 named == named_.end() ? first_weights_version : named->second;
-            keeper_->set_wanted({model_, version, now});
+            fetcher_->set_wanted({model_, version, now});
         }
     }
 
@@ -155,10 +177,9 @@
         const auto own = rules.services.find(options_.backend_server.service);
         if (own != rules.services.end() && own->second.has_engine) {
             model_ = own->second.engine.model;
-            keeper_->set_load_duration(own->second.engine.load_duration);
         }
         if (const routed_service* origin = find_origin(rules)) {
-            keeper_->set_origin(origin->origin_address);
+            fetcher_->set_origin(origin->origin_address);
             origin_region_ = region_of(origin->zone);
         }
     }
@@ -204,7 +225,12 @@
             const platform::engine_state& state = *engine_.state();
             beat.engine->weights_version = state.weights_version;
             beat.engine->busy = state.running + state.waiting;
-            beat.engine->is_loading = keeper_->is_loading() || state.is_executing_order;
+            if (const auto planned = loader_->planned_at()) {
+                beat.engine->is_load_planned = true;
+                beat.engine->load_in_ms =
+                    elapsed_ms(std::chrono::steady_clock::now(), *planned);
+            }
+            beat.engine->is_loading = loader_->is_loading() || state.is_executing_order;
         }
         links_.mesh().broadcast(std::move(beat));
     }
@@ -217,7 +243,8 @@
     node_links links_;
     engine_watch engine_;
     std::shared_ptr<chunk_swarm> swarm_;
-    std::shared_ptr<weights_keeper> keeper_;
+    std::shared_ptr<weights_loader> loader_;
+    std::shared_ptr<weights_fetcher> fetcher_;
     std::map<std::string, std::uint64_t> named_; ///< weights by model
     std::string model_;                          ///< of the engine beside this process
     std::string origin_region_;
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -16,12 +16,19 @@
     {choice_obstacle::failing, "failing"},
 }};
 
-/// A server of another region is taken when it is a quarter of its slots less busy.
-constexpr double far_region_share = 0.25;
-/// A server of another zone of the own region is taken when it is a sixteenth less busy.
-constexpr double far_zone_share = 0.0625;
-/// A server that breaks all its exchanges counts as busier by all its slots.
-constexpr double failure_weight = 1.0;
+/// A server of another region is taken when it answers sooner by this much. Bytes between regions
+/// are scarce.
+constexpr double far_region_ms = 40;
+/// The same for another zone of the own region.
+constexpr double far_zone_ms = 10;
+/// A server that breaks all its exchanges counts as slower by this much.
+constexpr double failure_ms = 1000;
+/// A request that outlasts the time until a load counts the engine as slower by this much.
+constexpr double load_ms = 300;
+/// Each running request slows the others' tokens a little.
+constexpr double running_ms = 2;
+/// Spread of the random part: processes that see the same report choose differently.
+constexpr double random_ms = 10;
 /// Weight of the newest exchange in the share of failures: about the last ten count.
 constexpr double failure_smoothing = 0.1;
 /// Part of the bound of cold servers that is used: requests reach a server at other distances than
@@ -42,6 +49,13 @@
            terms.excluded.end();
 }
 
+/// @return time to read what is still unread of the prompts that this process sent
+double unread_at(const server_state& server, const choice_terms& terms) noexcept {
+    const double passed =
+        std::chrono::duration<double, std::milli>(terms.now - server.unread_at).count();
+    return std::max(0.0, server.unread_ms - passed * terms.reading_share);
+}
+
 bool is_report_fresh(const server_state& server, time_point now) noexcept {
     return server.has_report && now - server.reported_at <= report_lifetime;
 }
@@ -96,7 +110,16 @@
         return 0;
     }
     const bool is_far = terms.region_of(server.entry.zone) != terms.own_region;
-    return server.entry.slots * (is_far ? far_region_share : far_zone_share);
+    return is_far ? far_region_ms : far_zone_ms;
+}
+
+/// A request that outlasts the time until a load keeps the engine from loading, nearly idle.
+double load_cost(const server_state& server, const choice_terms& terms) {
+    if (!is_report_fresh(server, terms.now) || !server.report.load_in) {
+        return 0;
+    }
+    const auto passed = std::chrono::duration_cast<milliseconds>(terms.now - server.reported_at);
+    return terms.expected_duration > *server.report.load_in - passed ? load_ms : 0;
 }
 
 double uniform(random_source& random) {
@@ -147,9 +170,9 @@
         }
         const double busy = estimate_busy(*server, terms.now);
         // The random part spreads choices that several processes make on the same report.
-        const double score = busy + distance_cost(*server, terms) +
-                             failure_weight * server->failure_share * server->entry.slots +
-                             uniform(random);
+        const double score = expected_wait_ms(*server, terms) + distance_cost(*server, terms) +
+                             load_cost(*server, terms) + failure_ms * server->failure_share +
+                             random_ms * uniform(random);
         if (choice.server == nullptr || score < best) {
             choice.server = server;
             choice.busy = busy;
@@ -170,10 +193,18 @@
     server.ended_since_report = 0;
 }
 
-void note_sent(server_state& server, time_point now) {
+double expected_wait_ms(const server_state& server, const choice_terms& terms) noexcept {
+    const double busy = estimate_busy(server, terms.now);
+    const double waiting = std::max(0.0, busy + 1 - server.entry.slots);
+    return unread_at(server, terms) + waiting * terms.turnover_ms + busy * running_ms;
+}
+
+void note_sent(server_state& server, const choice_terms& terms) {
     ++server.own_running;
     ++server.sent_since_report;
-    add_event(server.sent, now);
+    server.unread_ms = unread_at(server, terms) + terms.prompt_ms;
+    server.unread_at = terms.now;
+    add_event(server.sent, terms.now);
 }
 
 void note_ended(server_state& server, exchange_standing standing, time_point now) noexcept {
--- a/src/version/load_turn.cpp
+++ b/src/version/load_turn.cpp
@@ -7,7 +7,7 @@
 namespace citronseam {
 
 time_point load_moment(const load_turn_terms& terms) noexcept {
-    const time_point latest = terms.named_at + terms.due - terms.load_duration;
+    const time_point latest = terms.named_at + terms.due;
     if (latest <= terms.whole_at || terms.count <= 1) {
         return terms.whole_at;
     }
--- a/src/version/routing.cpp
+++ b/src/version/routing.cpp
@@ -33,6 +33,19 @@
            engine.usual_output_tokens * step / engine.slots;
 }
 
+double expected_duration_ms(const engine_profile& engine, double prompt_tokens,
+                            double output_tokens) noexcept {
+    const double turnover = usual_turnover_ms(engine);
+    if (turnover <= 0) {
+        return 0;
+    }
+    // Between two steps an engine reads the prompts of others, for its usual share of the time.
+    const double reading = engine.usual_prompt_tokens / engine.prompt_tokens_per_ms;
+    const double step = engine.step_ms + engine.step_ms_per_sequence * engine.slots;
+    return prompt_tokens / engine.prompt_tokens_per_ms +
+           output_tokens * step * turnover / (turnover - reading);
+}
+
 const routed_service* find_origin(const routing& rules) noexcept {
     for (const auto& [key, service] : rules.services) {
         if (!service.origin_address.empty()) {
