Estimate an engine's wait by requests without a first event

Cause: the virtual backlog drained by the clock, while an engine reads prompts only between passes; gateways sent on to engines that were still reading (busy 0 to 4 with first events after 400 to 700 ms in the seconds of a load).

Change: own requests that wait for their first event count with their prompts; a server whose answer would begin after 40% of the latency objective is full; sidecars read their engine every 50 ms and tell changes of three requests at once.

--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -35,8 +35,7 @@
     time_point reported_at;
     std::uint32_t sent_since_report{0};
     std::uint32_t ended_since_report{0};
-    double unread_ms{0};        ///< time to read the prompts that this process sent lately
-    time_point unread_at;       ///< when that was last brought up to date
+    double unread_ms{0}; ///< time to read the prompts of own requests that wait for a first event
     sliding_count sent;         ///< requests of this process, for the bound of cold servers
     double failure_share{0};    ///< recent share of exchanges that the server broke
     int failures_in_a_row{0};
@@ -51,12 +50,13 @@
     std::string_view own_region;
     std::size_t sharers{1};            ///< processes that send to the same servers
     std::uint32_t waiting_allowance{0}; ///< requests that may wait at a server beyond its slots
+    double longest_wait_ms{0}; ///< a server that would begin to answer later is full; 0: no bound
     double cold_requests_per_second{0}; ///< of all processes together to one server; 0: no bound
     milliseconds expected_duration{0}; ///< of the request
     double prompt_ms{0};   ///< time that an engine takes to read the request's prompt
     double turnover_ms{0}; ///< time in which a full server finishes one request after the other
-    /// Part of an engine's reading that serves this process's prompts, as others send there too.
-    double reading_share{1};
+    /// Processes that are taken to send as much to a server as this one does.
+    double senders_alike{1};
     std::uint64_t least_weights_version{0};
     std::uint64_t exact_weights_version{0}; ///< 0: any; else a stream goes on with these weights
     bool needs_weights{false};              ///< whether only servers that hold weights will do
@@ -100,6 +100,10 @@
 
 /// Takes a report.
 void take_report(server_state& server, const engine_report& report, time_point now) noexcept;
+/// Notes that a request began to be answered, or ended without.
+/// @param prompt_ms as when it was sent
+void note_prompt_read(server_state& server, double prompt_ms) noexcept;
+
 /// Notes that a request of this process was sent.
 void note_sent(server_state& server, const choice_terms& terms);
 
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -139,6 +139,7 @@
     const auto now = std::chrono::steady_clock::now();
     attempt_ = {};
     attempt_.server = offer.server;
+    attempt_.unread_ms = offer.prompt_ms;
     attempt_.began_at = now;
     attempt_.heard_at = now;
     chosen_busy_ = offer.busy;
@@ -213,6 +214,7 @@
     if (attempt_.is_unusable) {
         return false;
     }
+    note_answer_began();
     if (attempt_.is_stream) {
         attempt_.is_unusable = !feed(attempt_.events, data) || !pass_on_events();
         return !attempt_.is_unusable;
@@ -258,8 +260,16 @@
     responder_->begin(attempt_.status, platform::headers_for_caller(attempt_.headers));
 }
 
+void gateway_exchange::note_answer_began() {
+    if (attempt_.server != nullptr && attempt_.unread_ms > 0) {
+        note_prompt_read(*attempt_.server, attempt_.unread_ms);
+        attempt_.unread_ms = 0;
+    }
+}
+
 void gateway_exchange::end_attempt(exchange_standing standing) {
     if (attempt_.server != nullptr) {
+        note_answer_began();
         note_ended(*attempt_.server, standing, std::chrono::steady_clock::now());
         attempt_.server = nullptr;
     }
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -38,6 +38,7 @@
     /// One sending to one backend server.
     struct attempt {
         std::uint64_t number{0}; ///< of the HTTP exchange
+        double unread_ms{0};     ///< time to read the prompt, 0 once the answer began
         std::shared_ptr<server_state> server;
         time_point began_at;
         time_point heard_at; ///< of the last part of the answer
@@ -72,6 +73,7 @@
     void handle_answer(const http_outcome& outcome);
     void handle_broken(const http_outcome& outcome);
     void handle_not_run(std::string_view why);
+    void note_answer_began();
     void end_attempt(exchange_standing standing);
     void cancel_attempt(exchange_standing standing);
     void retry_or(std::string_view why, void (gateway_exchange::*give_up)(std::string_view));
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -18,8 +18,8 @@
 constexpr double urgent_factor = 1.5;
 constexpr double patient_factor = 0.5;
 
-/// Processes spread their requests over the servers near them, so fewer than all share one engine.
-constexpr double sharing_spread = 2;
+/// Processes send most requests to the servers near them, so about half of all share one engine.
+constexpr double part_of_senders = 0.5;
 
 double factor_of(int rank) {
     if (rank <= 0) {
@@ -119,12 +119,17 @@
     }
     terms.expected_duration =
         milliseconds(static_cast<std::int64_t>(expected_duration_ms(engine, prompt, output)));
+    if (service.has_engine) {
+        terms.longest_wait_ms = waiting_share *
+                                factor_of(rank_of(*wish.rule, wish.workspace)) *
+                                static_cast<double>(wish.rule->latency_objective.count());
+    }
     terms.turnover_ms = usual_turnover_ms(engine);
     if (engine.prompt_tokens_per_ms > 0) {
         terms.prompt_ms = prompt / engine.prompt_tokens_per_ms;
     }
-    terms.reading_share =
-        std::min(1.0, sharing_spread / static_cast<double>(std::max<std::size_t>(terms.sharers, 1)));
+    terms.senders_alike =
+        std::max(1.0, static_cast<double>(terms.sharers) * part_of_senders);
     terms.needs_weights = service.has_engine;
     terms.least_weights_version =
         least_weights_version(*view_, engine.model, options_.node.weights_due, now);
@@ -161,6 +166,7 @@
         if (server.get() == choice.server) {
             offer.server = server;
             offer.wait_ms = expected_wait_ms(*server, terms);
+            offer.prompt_ms = terms.prompt_ms;
             note_sent(*server, terms);
         }
     }
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -32,6 +32,7 @@
     std::shared_ptr<server_state> server; ///< nullptr: none
     choice_obstacle obstacle{choice_obstacle::none};
     double busy{0};    ///< requests that the choice assumed to run there
+    double prompt_ms{0}; ///< time that the server takes to read the prompt
     double wait_ms{0}; ///< time that the choice assumed until the answer begins
 };
 
--- a/src/programs/sidecar/engine_watch.cpp
+++ b/src/programs/sidecar/engine_watch.cpp
@@ -6,8 +6,8 @@
 namespace citronseam {
 namespace {
 
-/// The load of an engine changes by a place every 60 ms or so; gateways add what they sent since.
-constexpr milliseconds read_interval{200};
+/// The engine is on the same machine; a read costs it nothing.
+constexpr milliseconds read_interval{50};
 constexpr std::size_t largest_state = 256 * kibibyte;
 /// Reads that fail in a row until the engine counts as unreachable.
 constexpr int failures_until_lost = 2;
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -27,6 +27,10 @@
 constexpr std::uint32_t most_requests = 3;
 /// Part of the instance's link that weights may take. The rest is for live requests.
 constexpr std::uint64_t weights_percent = 75;
+/// Gateways add what they sent since a report, so they need no more of them while little changes.
+constexpr milliseconds tell_interval{200};
+/// Requests by which the load must change to be told at once.
+constexpr std::uint32_t notable_change = 3;
 /// Versions of weights begin with this; it holds until the operator names another.
 constexpr std::uint64_t first_weights_version = 1;
 
@@ -213,7 +217,22 @@
         swarm_->set_members(std::move(members), options_.node.region, origin_region_);
     }
 
+    /// Tells the gateways at regular intervals, and at once when the load changed much.
     void tell_gateways() {
+        const auto now = std::chrono::steady_clock::now();
+        const auto& seen = engine_.state();
+        const std::uint32_t busy = seen ? seen->running + seen->waiting : 0;
+        const bool is_loading = loader_->is_loading() || (seen && seen->is_executing_order);
+        const bool is_change = seen.has_value() != told_reachable_ || is_loading != told_loading_ ||
+                               busy >= told_busy_ + notable_change ||
+                               busy + notable_change <= told_busy_;
+        if (!is_change && now - told_at_ < tell_interval) {
+            return;
+        }
+        told_at_ = now;
+        told_busy_ = busy;
+        told_loading_ = is_loading;
+        told_reachable_ = seen.has_value();
         wire::member_beatT beat;
         beat.is_ready = engine_.state().has_value();
         beat.operator_version = links_.operator_version();
@@ -224,13 +243,13 @@
         if (engine_.state()) {
             const platform::engine_state& state = *engine_.state();
             beat.engine->weights_version = state.weights_version;
-            beat.engine->busy = state.running + state.waiting;
+            beat.engine->busy = busy;
             if (const auto planned = loader_->planned_at()) {
                 beat.engine->is_load_planned = true;
                 beat.engine->load_in_ms =
                     elapsed_ms(std::chrono::steady_clock::now(), *planned);
             }
-            beat.engine->is_loading = loader_->is_loading() || state.is_executing_order;
+            beat.engine->is_loading = is_loading;
         }
         links_.mesh().broadcast(std::move(beat));
     }
@@ -249,6 +268,10 @@
     std::string model_;                          ///< of the engine beside this process
     std::string origin_region_;
     std::size_t asked_{0};
+    time_point told_at_; ///< what the gateways were told last, and when
+    std::uint32_t told_busy_{0};
+    bool told_loading_{false};
+    bool told_reachable_{false};
     std::unique_ptr<http_server> operator_server_;
 };
 
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -49,13 +49,6 @@
            terms.excluded.end();
 }
 
-/// @return time to read what is still unread of the prompts that this process sent
-double unread_at(const server_state& server, const choice_terms& terms) noexcept {
-    const double passed =
-        std::chrono::duration<double, std::milli>(terms.now - server.unread_at).count();
-    return std::max(0.0, server.unread_ms - passed * terms.reading_share);
-}
-
 bool is_report_fresh(const server_state& server, time_point now) noexcept {
     return server.has_report && now - server.reported_at <= report_lifetime;
 }
@@ -89,6 +82,10 @@
     return count_recent(server.sent, terms.now, one_second) < allowed;
 }
 
+bool is_wait_too_long(const server_state& server, const choice_terms& terms) noexcept {
+    return terms.longest_wait_ms > 0 && expected_wait_ms(server, terms) > terms.longest_wait_ms;
+}
+
 candidate_standing standing_of(server_state& server, const choice_terms& terms) {
     const bool is_down = is_report_fresh(server, terms.now) &&
                          (server.report.is_loading || !server.report.is_reachable);
@@ -101,6 +98,7 @@
     }
     const bool is_full = terms.now < server.full_until ||
                          estimate_busy(server, terms.now) >= room_of(server, terms) ||
+                         is_wait_too_long(server, terms) ||
                          !is_within_cold_bound(server, terms);
     return is_full ? candidate_standing::full : candidate_standing::usable;
 }
@@ -196,14 +194,18 @@
 double expected_wait_ms(const server_state& server, const choice_terms& terms) noexcept {
     const double busy = estimate_busy(server, terms.now);
     const double waiting = std::max(0.0, busy + 1 - server.entry.slots);
-    return unread_at(server, terms) + waiting * terms.turnover_ms + busy * running_ms;
+    return server.unread_ms * terms.senders_alike + waiting * terms.turnover_ms +
+           busy * running_ms;
+}
+
+void note_prompt_read(server_state& server, double prompt_ms) noexcept {
+    server.unread_ms = std::max(0.0, server.unread_ms - prompt_ms);
 }
 
 void note_sent(server_state& server, const choice_terms& terms) {
     ++server.own_running;
     ++server.sent_since_report;
-    server.unread_ms = unread_at(server, terms) + terms.prompt_ms;
-    server.unread_at = terms.now;
+    server.unread_ms += terms.prompt_ms;
     add_event(server.sent, terms.now);
 }
 
