--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -87,6 +87,9 @@
 /// Age at which a report is not used any more: several intervals of reports were lost.
 constexpr milliseconds report_lifetime{1000};
 
+/// @return version of the whole model that a server holds, as last heard; 0 for none
+std::uint64_t held_weights(const server_state& server, time_point now) noexcept;
+
 /// @return requests that are assumed to run or wait at a server
 double estimate_busy(const server_state& server, time_point now) noexcept;
 
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -451,19 +451,34 @@
         end_late();
         return;
     }
+    if (attempt_.server != nullptr && events_passed_ == 0 &&
+        !context_.pool.may_begin(*attempt_.server, service_, now)) {
+        move("weights_replaced", now);
+        return;
+    }
     const bool is_stalled =
         attempt_.server != nullptr && now - attempt_.heard_at > patience_for_part();
-    if (!is_stalled || !is_repeatable(*rule_) || !may_send_again(now)) {
-        return;
+    if (is_stalled && is_repeatable(*rule_) && may_send_again(now)) {
+        move("stalled", now);
     }
-    log_event(log_level::info, "attempt_stalled",
+}
+
+/// Takes the request from its server and sends it to another one, or gives it up.
+void gateway_exchange::move(std::string_view why, time_point now) {
+    log_event(log_level::info, "attempt_left",
               {{"request", terms_.attempt},
                {"server", attempt_.server->entry.id},
+               {"reason", why},
                {"events", events_passed_},
                {"silent_ms", elapsed_ms(attempt_.heard_at, now)}});
-    cancel_attempt(exchange_standing::broken);
+    const bool is_stalled = why == "stalled";
+    cancel_attempt(is_stalled ? exchange_standing::broken : exchange_standing::ended);
     verdict_ = combine(verdict_, run_verdict::may_have_run);
-    send_next();
+    if (is_stalled || may_send_again(now)) {
+        send_next();
+    } else {
+        give_up_broken(why);
+    }
 }
 
 void gateway_exchange::finish(std::string_view outcome, int status) {
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -84,6 +84,7 @@
     void refuse(const refusal_terms& terms);
     void refuse_for(choice_obstacle obstacle);
     void end_late();
+    void move(std::string_view why, time_point now);
     void hang_up();
     void finish(std::string_view outcome, int status);
     milliseconds time_left(time_point now) const;
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -132,7 +132,7 @@
         std::max(1.0, static_cast<double>(terms.sharers) * part_of_senders);
     terms.needs_weights = service.has_engine;
     terms.least_weights_version =
-        least_weights_version(*view_, engine.model, options_.node.weights_due, now);
+        least_weights_to_send(*view_, engine.model, options_.node.weights_due, now);
     terms.exact_weights_version = wish.exact_weights;
     for (const auto& id : wish.tried) {
         terms.excluded.emplace_back(id);
@@ -173,6 +173,18 @@
     return offer;
 }
 
+bool server_pool::may_begin(const server_state& server, const std::string& service,
+                            time_point now) const {
+    const auto& services = view_->routes->rules->services;
+    const auto found = services.find(service);
+    if (found == services.end() || !found->second.has_engine) {
+        return true;
+    }
+    return held_weights(server, now) >=
+           least_weights_to_begin(*view_, found->second.engine.model, options_.node.weights_due,
+                                  now);
+}
+
 void server_pool::note_request(const std::string& service, time_point now) {
     citronseam::note_request(services_[service].repeats, bound_, now);
 }
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -51,6 +51,10 @@
     /// Chooses a server and notes that the request goes there.
     server_offer choose(const server_wish& wish, time_point now);
 
+    /// @return whether a request that waits at a server may still begin there: not on weights that
+    /// newer ones have replaced by now
+    bool may_begin(const server_state& server, const std::string& service, time_point now) const;
+
     /// Notes a caller's request for a service.
     void note_request(const std::string& service, time_point now);
     /// Takes leave to send a request to one more server.
--- a/src/programs/gateway/traffic_view.h
+++ b/src/programs/gateway/traffic_view.h
@@ -36,7 +36,12 @@
 
 /// @param due time within which weights are in force after they were named
 /// @return the oldest version of a model that a request may begin on at `now`
-std::uint64_t least_weights_version(const traffic_view& view, const std::string& model,
+std::uint64_t least_weights_to_begin(const traffic_view& view, const std::string& model,
+                                     milliseconds due, time_point now);
+
+/// @return the oldest version of a model whose engines a request may be sent to at `now`: it begins
+/// a while later
+std::uint64_t least_weights_to_send(const traffic_view& view, const std::string& model,
                                     milliseconds due, time_point now);
 
 } // namespace citronseam
--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds longest_verified_age{1000};
 /// The last turn comes this long before the weights are due: gateways use no older weights then,
 /// and an engine that still has them would stand idle.
-constexpr milliseconds due_margin{600};
+constexpr milliseconds due_margin{900};
 /// An order whose load has not begun after this time may have been lost.
 constexpr milliseconds order_patience{1500};
 
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -53,13 +53,8 @@
     return server.has_report && now - server.reported_at <= report_lifetime;
 }
 
-std::uint64_t weights_of(const server_state& server, time_point now) noexcept {
-    return is_report_fresh(server, now) ? server.report.weights_version
-                                        : server.entry.weights_version;
-}
-
 bool has_right_weights(const server_state& server, const choice_terms& terms) {
-    const std::uint64_t held = weights_of(server, terms.now);
+    const std::uint64_t held = held_weights(server, terms.now);
     if (terms.needs_weights && held == 0) {
         return false;
     }
@@ -131,6 +126,11 @@
     return find_name(obstacle_names, obstacle);
 }
 
+std::uint64_t held_weights(const server_state& server, time_point now) noexcept {
+    return is_report_fresh(server, now) ? server.report.weights_version
+                                        : server.entry.weights_version;
+}
+
 double estimate_busy(const server_state& server, time_point now) noexcept {
     if (!is_report_fresh(server, now)) {
         return server.own_running;
