Finish a version that is nearly whole, serve the earlier one, take lists from other sidecars

Nine sidecars dropped the first with a third of it at hand, five went on with it and found no one to serve it; then the origin failed, and five never read the newer list. Nobody loaded the first version, so no engine could be used.

Change: a version that needs 3 s or less is finished first; the earlier version is served on; lists come from other sidecars when the origin does not answer.

--- a/include/citronseam/version/chunk_store.h
+++ b/include/citronseam/version/chunk_store.h
@@ -27,8 +27,8 @@
 bool add_chunk(chunk_store& store, const std::string& hash, chunk_content content);
 /// @return the chunk, or nullptr
 chunk_content find_chunk(const chunk_store& store, const std::string& hash);
-/// Drops all chunks that `kept` does not list.
-void keep_only(chunk_store& store, const manifest& kept);
+/// Drops all chunks that none of the manifests lists.
+void keep_only(chunk_store& store, const std::vector<const manifest*>& kept);
 /// @return number of the manifest's chunks that are held
 std::uint32_t count_held(const chunk_store& store, const manifest& list);
 
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -70,6 +70,9 @@
             rates.is_drawn_everywhere = true;
             rates.shortest_stall = shortest_stall;
             swarm_->set_rates(rates);
+            swarm_->on_list([this](const std::string& version, const manifest& list) {
+                fetcher_->take_list_of_member(version, list);
+            });
             swarm_->start();
             links_.start({});
             engine_.start([this] { tell_gateways(); });
@@ -125,7 +128,7 @@
             return instances;
         };
         surroundings.newest_version = [this] { return fetcher_->newest().version; };
-        surroundings.newest_progress = [this] { return fetcher_->progress(); };
+        surroundings.newest_remaining = [this] { return fetcher_->newest_remaining(); };
         return surroundings;
     }
 
--- a/src/programs/sidecar/weights_fetcher.cpp
+++ b/src/programs/sidecar/weights_fetcher.cpp
@@ -20,9 +20,11 @@
 constexpr milliseconds pause_after_failure{200};
 constexpr milliseconds progress_interval{500};
 constexpr std::size_t largest_list = mebibyte;
-/// An older version is finished before a newer one begins when this share of it is here: it is due
-/// before the newer one can come.
-constexpr double share_to_finish = 0.5;
+/// A version that needs longer than this is left for a newer one, which then still comes in time.
+constexpr milliseconds longest_finish{3000};
+/// Time of a whole fetch on a link that live requests share, where none was observed yet.
+constexpr milliseconds usual_fetch{4000};
+constexpr milliseconds shortest_observation{500};
 
 } // namespace
 
@@ -54,20 +56,26 @@
     reconcile();
 }
 
+/// A version that will be whole soon is finished before a newer one begins: it is due earlier, its
+/// pieces are on their way, and the origin may fail before the newer ones are here.
 bool weights_fetcher::must_finish_first() const {
-    const bool is_over =
-        std::chrono::steady_clock::now() - wanted_.named_at > context_.options.node.weights_due;
-    return !is_over && step_ == fetch_step::fetch &&
-           count_held(swarm_->chunks(), list_) >=
-               share_to_finish * static_cast<double>(list_.chunks.size());
+    const auto now = std::chrono::steady_clock::now();
+    const bool is_over = now - wanted_.named_at > context_.options.node.weights_due;
+    return !is_over && step_ == fetch_step::fetch && remaining(now) <= longest_finish;
 }
 
-double weights_fetcher::progress() const {
-    if (next_ || list_.chunks.empty()) {
-        return 0;
+milliseconds weights_fetcher::remaining(time_point now) const {
+    const std::size_t held = count_held(swarm_->chunks(), list_);
+    const std::size_t missing = list_.chunks.size() - held;
+    const auto passed = std::chrono::duration_cast<milliseconds>(now - fetch_began_at_);
+    if (step_ == fetch_step::done || held == 0 || passed < shortest_observation) {
+        return step_ == fetch_step::done ? milliseconds(0) : usual_fetch;
     }
-    return static_cast<double>(count_held(swarm_->chunks(), list_)) /
-           static_cast<double>(list_.chunks.size());
+    return passed * static_cast<std::int64_t>(missing) / static_cast<std::int64_t>(held);
+}
+
+milliseconds weights_fetcher::newest_remaining() const {
+    return next_ ? usual_fetch : remaining(std::chrono::steady_clock::now());
 }
 
 void weights_fetcher::begin(const wanted_weights& wanted) {
@@ -135,7 +143,11 @@
                             ? platform::parse_piece_list(answer.body)
                             : result<platform::piece_list>(
                                   failure(error_code::unavailable, answer.outcome.message));
+    if (step_ != fetch_step::list) {
+        return;
+    }
     if (!pieces || pieces->version != wanted_.version) {
+        swarm_->ask_list(swarm_version(wanted_));
         log_event(log_level::warning, "piece_list_unread",
                   {{"version", wanted_.version},
                    {"status", answer.outcome.status},
@@ -143,12 +155,25 @@
         next_try_ = std::chrono::steady_clock::now() + pause_after_failure;
         return;
     }
-    list_.source = wanted_.model;
-    list_.chunk_size = pieces->piece_size;
-    list_.total_size = pieces->piece_size * pieces->digests.size();
+    manifest list;
+    list.chunk_size = pieces->piece_size;
+    list.total_size = pieces->piece_size * pieces->digests.size();
     for (const auto& digest : pieces->digests) {
-        list_.chunks.push_back({digest, static_cast<std::uint32_t>(pieces->piece_size)});
+        list.chunks.push_back({digest, static_cast<std::uint32_t>(pieces->piece_size)});
     }
+    set_list(std::move(list));
+}
+
+void weights_fetcher::take_list_of_member(const std::string& version, const manifest& list) {
+    if (step_ == fetch_step::list && version == swarm_version(wanted_) && !list.chunks.empty()) {
+        log_event(log_level::info, "piece_list_from_member", {{"version", wanted_.version}});
+        set_list(list);
+    }
+}
+
+void weights_fetcher::set_list(manifest list) {
+    list_ = std::move(list);
+    list_.source = wanted_.model;
     enter(fetch_step::adopt);
     begin_adopting();
 }
@@ -192,6 +217,7 @@
 
 void weights_fetcher::begin_fetch() {
     enter(fetch_step::fetch);
+    fetch_began_at_ = std::chrono::steady_clock::now();
     swarm_->fetch(swarm_version(wanted_), list_, [this, epoch = epoch_] {
         if (epoch == epoch_) {
             finish();
--- a/src/programs/sidecar/weights_fetcher.h
+++ b/src/programs/sidecar/weights_fetcher.h
@@ -37,6 +37,8 @@
 
     /// Takes the weights that the operator named.
     void set_wanted(const wanted_weights& wanted);
+    /// Takes a list of pieces that another sidecar sent.
+    void take_list_of_member(const std::string& version, const manifest& list);
     /// Takes the origin's address; empty: not known.
     void set_origin(const std::string& address) { origin_ = address; }
     /// Takes the next step. Call it again and again.
@@ -44,8 +46,8 @@
 
     /// @return the newest weights that were named
     const wanted_weights& newest() const noexcept { return next_ ? *next_ : wanted_; }
-    /// @return share of the newest weights' pieces that are here
-    double progress() const;
+    /// @return time until the newest weights are whole, by their progress so far
+    milliseconds newest_remaining() const;
     /// @return the request that draws a piece from the origin
     http_request make_draw(std::size_t piece) const;
 
@@ -55,6 +57,7 @@
 
     void begin(const wanted_weights& wanted);
     bool must_finish_first() const;
+    void set_list(manifest list);
     void enter(fetch_step step);
     void read_list();
     void take_list(const http_answer& answer);
@@ -62,6 +65,7 @@
     void adopt_next(std::size_t piece);
     void begin_fetch();
     void finish();
+    milliseconds remaining(time_point now) const;
     void note_progress(time_point now);
 
     sidecar_context& context_;
@@ -76,6 +80,7 @@
     std::uint64_t epoch_{0}; ///< counts changes of the step; answers to earlier steps are dropped
     bool is_busy_{false};    ///< an answer is awaited
     time_point next_try_;
+    time_point fetch_began_at_;
     time_point progress_noted_at_;
 };
 
--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -25,6 +25,8 @@
 /// The last turn comes this long before the weights are due: gateways use no older weights then,
 /// and an engine that still has them would stand idle.
 constexpr milliseconds due_margin{900};
+/// An engine may stand idle this long between two versions; a load takes longer.
+constexpr milliseconds longest_idle{1000};
 /// An order whose load has not begun after this time may have been lost.
 constexpr milliseconds order_patience{1500};
 
@@ -182,10 +184,8 @@
     const std::size_t turn =
         turn_of(swarm_version(weights_->wanted), context_.options.instance, instances);
     const bool is_in_later_half = turn * 2 >= instances.size();
-    const bool is_due =
-        now >= weights_->wanted.named_at + context_.options.node.weights_due - due_margin;
-    constexpr double nearly_whole = 0.7;
-    return is_in_later_half && (!is_due || surroundings_.newest_progress() >= nearly_whole);
+    const auto due = weights_->wanted.named_at + context_.options.node.weights_due - due_margin;
+    return is_in_later_half && now + surroundings_.newest_remaining() <= due + longest_idle;
 }
 
 void weights_loader::wait_for_turn() {
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -33,8 +33,8 @@
     std::function<std::vector<std::string>()> instances;
     /// @return the newest version that was named
     std::function<std::uint64_t()> newest_version;
-    /// @return share of the newest version's pieces that are here
-    std::function<double()> newest_progress;
+    /// @return time until the newest version is whole
+    std::function<milliseconds()> newest_remaining;
 };
 
 /// Loads the newest whole weights. Everything runs on the control thread.
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -73,9 +73,13 @@
 
 void chunk_swarm::fetch(const std::string& version, const manifest& list,
                         std::function<void()> on_whole) {
+    if (version != version_) {
+        earlier_version_ = std::move(version_);
+        earlier_manifest_ = std::move(manifest_);
+    }
     version_ = version;
     manifest_ = list;
-    keep_only(chunks_, manifest_);
+    keep_only(chunks_, {&manifest_, &earlier_manifest_});
     is_wanted_.assign(manifest_.chunks.size(), false);
     for (std::size_t i = 0; i < is_wanted_.size(); ++i) {
         is_wanted_[i] = find_chunk(chunks_, manifest_.chunks[i].hash) == nullptr;
--- a/src/programs/swarm/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -62,6 +62,11 @@
     /// Takes a chunk that was found elsewhere, if it is one of the version's. Control thread.
     /// @return whether it was
     bool adopt(std::size_t chunk, std::string content);
+    /// Asks the connected agents for the pieces of a version whose list the origin does not give.
+    /// The answer comes to on_list. Control thread.
+    void ask_list(const std::string& version);
+    /// Sets what takes lists that other agents sent.
+    void on_list(std::function<void(const std::string& version, const manifest& list)> take);
     /// Ends fetching; chunks that are held are still served. Control thread.
     void end_fetch();
     /// Takes the next steps. Call it again and again on the control thread.
@@ -92,6 +97,9 @@
     void handle_closed(const session_pointer& session);
     void take_inventory(std::uint64_t session, const std::string& version, const std::string& held,
                         bool is_question);
+    void serve_list(std::uint64_t session, const std::string& version);
+    void take_list(const wire::piece_list_replyT& reply);
+    const manifest* find_manifest(const std::string& version) const;
     void serve_request(std::uint64_t session, const std::string& version, std::size_t chunk);
     void send_paced(const connected_agent& agent, shared_frame frame);
     void take_chunk(std::uint64_t session, const std::string& version, std::size_t chunk,
@@ -130,6 +138,9 @@
 
     std::string version_;
     manifest manifest_;
+    std::string earlier_version_; ///< still served, for agents that are not done with it
+    manifest earlier_manifest_;
+    std::function<void(const std::string&, const manifest&)> on_list_;
     chunk_store chunks_;
     std::vector<bool> is_wanted_;
     std::vector<std::uint32_t> ranks_;
--- a/src/programs/swarm/chunk_swarm_links.cpp
+++ b/src/programs/swarm/chunk_swarm_links.cpp
@@ -79,6 +79,14 @@
         context_.control.post(
             [this, number, version = std::string(view(request->manifest())),
              chunk = std::size_t{request->index()}] { serve_request(number, version, chunk); });
+    } else if (const auto* question = message.body_as_piece_list_request()) {
+        context_.control.post([this, number, version = std::string(view(question->manifest()))] {
+            serve_list(number, version);
+        });
+    } else if (const auto* list = message.body_as_piece_list_reply()) {
+        wire::piece_list_replyT copy;
+        list->UnPackTo(&copy);
+        context_.control.post([this, copy = std::move(copy)] { take_list(copy); });
     } else if (const auto* reply = message.body_as_chunk_reply()) {
         context_.control.post([this, number, version = std::string(view(reply->manifest())),
                                chunk = std::size_t{reply->index()}, is_found = reply->found(),
@@ -154,8 +162,9 @@
     wire::chunk_replyT reply;
     reply.manifest = version;
     reply.index = static_cast<std::uint32_t>(chunk);
-    if (version == version_ && chunk < manifest_.chunks.size()) {
-        if (const chunk_content content = find_chunk(chunks_, manifest_.chunks[chunk].hash)) {
+    const manifest* list = find_manifest(version);
+    if (list != nullptr && chunk < list->chunks.size()) {
+        if (const chunk_content content = find_chunk(chunks_, list->chunks[chunk].hash)) {
             reply.found = true;
             reply.data.assign(content->begin(), content->end());
         }
@@ -163,6 +172,54 @@
     send_paced(found->second, make_frame(std::move(reply)));
 }
 
+const manifest* chunk_swarm::find_manifest(const std::string& version) const {
+    if (version == version_) {
+        return &manifest_;
+    }
+    return version == earlier_version_ ? &earlier_manifest_ : nullptr;
+}
+
+void chunk_swarm::ask_list(const std::string& version) {
+    wire::piece_list_requestT request;
+    request.manifest = version;
+    const shared_frame frame = make_frame(std::move(request));
+    for (const auto& [number, agent] : agents_) {
+        agent.session->send(frame);
+    }
+}
+
+void chunk_swarm::on_list(std::function<void(const std::string&, const manifest&)> take) {
+    on_list_ = std::move(take);
+}
+
+void chunk_swarm::serve_list(std::uint64_t session, const std::string& version) {
+    const auto found = agents_.find(session);
+    const manifest* list = find_manifest(version);
+    if (found == agents_.end() || list == nullptr || list->chunks.empty()) {
+        return;
+    }
+    wire::piece_list_replyT reply;
+    reply.manifest = version;
+    reply.chunk_size = list->chunk_size;
+    for (const auto& piece : list->chunks) {
+        reply.hashes.push_back(piece.hash);
+    }
+    found->second.session->send(make_frame(std::move(reply)));
+}
+
+void chunk_swarm::take_list(const wire::piece_list_replyT& reply) {
+    if (!on_list_) {
+        return;
+    }
+    manifest list;
+    list.chunk_size = reply.chunk_size;
+    for (const auto& hash : reply.hashes) {
+        list.chunks.push_back({hash, static_cast<std::uint32_t>(list.chunk_size)});
+    }
+    list.total_size = list.chunk_size * list.chunks.size();
+    on_list_(reply.manifest, list);
+}
+
 void chunk_swarm::send_paced(const connected_agent& agent, shared_frame frame) {
     const session_pointer session = agent.session;
     const std::string region = region_of_member(agent.instance);
--- a/src/version/chunk_store.cpp
+++ b/src/version/chunk_store.cpp
@@ -22,16 +22,21 @@
     return found == store.chunks.end() ? nullptr : found->second;
 }
 
-void keep_only(chunk_store& store, const manifest& kept) {
-    std::set<std::string> names;
-    for (const auto& piece : kept.chunks) {
-        names.insert(piece.hash);
+void keep_only(chunk_store& store, const std::vector<const manifest*>& kept) {
+    std::set<std::string_view> wanted;
+    for (const manifest* list : kept) {
+        for (const chunk& piece : list->chunks) {
+            wanted.insert(piece.hash);
+        }
+    }
+    for (auto entry = store.chunks.begin(); entry != store.chunks.end();) {
+        if (wanted.count(entry->first) > 0) {
+            ++entry;
+            continue;
+        }
+        store.used -= entry->second->size();
+        entry = store.chunks.erase(entry);
     }
-    std::erase_if(store.chunks, [&](const auto& entry) {
-        const bool is_dropped = names.count(entry.first) == 0;
-        store.used -= is_dropped ? entry.second->size() : 0;
-        return is_dropped;
-    });
 }
 
 std::uint32_t count_held(const chunk_store& store, const manifest& list) {
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -55,10 +55,10 @@
     EXPECT_FALSE(add_chunk(store, "b", std::make_shared<const std::string>("123456")));
     manifest next;
     next.chunks = {{"a", 5}, {"c", 5}};
-    keep_only(store, next);
+    keep_only(store, {&next});
     EXPECT_EQ(count_held(store, next), 1U);
     next.chunks = {{"c", 5}};
-    keep_only(store, next);
+    keep_only(store, {&next});
     EXPECT_EQ(store.used, 0U);
 }
 
