Leave no pieces to sidecars without an engine; return later while many are refused

Cause: after all machines lost power, pieces whose drawer had lost its engine arrived one at a time: each waited for a stall of 0.9 s, and every piece that came reset the clock (63 of 64 after 20 s).

--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -381,16 +381,16 @@
 }
 
 void gateway_exchange::refuse_for(choice_obstacle obstacle) {
-    milliseconds wait = no_server_wait;
-    if (obstacle == choice_obstacle::full) {
-        // Callers that come back within their latency objective may still be served in time.
-        constexpr int objective_parts = 3;
-        wait = std::max(context_.pool.turnover(service_), rule_->latency_objective / objective_parts);
+    // Callers that come back within their latency objective may still be served in time.
+    constexpr int objective_parts = 3;
+    milliseconds shortest = rule_->latency_objective / objective_parts;
+    if (obstacle == choice_obstacle::no_server) {
+        shortest = no_server_wait;
     } else if (obstacle == choice_obstacle::failing) {
-        wait = failing_wait;
+        shortest = failing_wait;
     }
     refuse({status_unavailable, name(obstacle), "no backend server has room",
-            retry_after(wait, context_.pool.random())});
+            context_.pool.return_after_refusal(service_, shortest)});
 }
 
 void gateway_exchange::refuse(const refusal_terms& terms) {
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "citronseam/process/log.h"
+#include "citronseam/request/retry_budget.h"
 
 namespace citronseam {
 namespace {
@@ -12,8 +12,11 @@
 constexpr double waiting_share = 0.4;
 /// Plain services tell nothing of their speed; a queue as long as their slots is taken as bearable.
 constexpr std::uint32_t plain_allowance_per_slot = 1;
-/// Time in which a place comes free where nothing is known of a service's speed.
-constexpr milliseconds default_turnover{50};
+/// Weight of the newest choice in the share of refused ones: about the last thirty count.
+constexpr double refusal_smoothing = 0.03;
+/// Longest time after which refused callers begin to return; they come within twice that time, which
+/// callers with a usual deadline of 6 s still honour.
+constexpr milliseconds longest_return{1000};
 /// Urgent requests may wait where others are refused, so that they are served first.
 constexpr double urgent_factor = 1.5;
 constexpr double patient_factor = 0.5;
@@ -82,22 +85,11 @@
     return static_cast<std::uint32_t>(waiting_share * factor_of(rank) * objective / turnover_ms);
 }
 
-milliseconds server_pool::turnover(const std::string& service) const {
-    if (view_ == nullptr || view_->routes == nullptr) {
-        return default_turnover;
-    }
-    const auto& services = view_->routes->rules->services;
-    const auto found = services.find(service);
-    const auto pool = services_.find(service);
-    if (found == services.end() || pool == services_.end() || pool->second.servers.empty()) {
-        return default_turnover;
-    }
-    const double turnover_ms = usual_turnover_ms(found->second.engine);
-    if (turnover_ms <= 0) {
-        return default_turnover;
-    }
-    const auto servers = static_cast<double>(pool->second.servers.size());
-    return milliseconds(static_cast<std::int64_t>(turnover_ms / servers));
+milliseconds server_pool::return_after_refusal(const std::string& service, milliseconds shortest) {
+    const auto found = services_.find(service);
+    const double share = found == services_.end() ? 0 : found->second.refused_share;
+    const auto longer = static_cast<double>((longest_return - shortest).count()) * share;
+    return retry_after(shortest + milliseconds(static_cast<std::int64_t>(longer)), random_);
 }
 
 choice_terms server_pool::make_terms(const server_wish& wish, const routed_service& service,
@@ -160,6 +152,8 @@
         candidates.push_back(server.get());
     }
     const server_choice choice = choose_server(candidates, terms, random_);
+    const double refused = choice.server == nullptr ? 1 : 0;
+    pool->second.refused_share += refusal_smoothing * (refused - pool->second.refused_share);
     offer.obstacle = choice.obstacle;
     offer.busy = choice.busy;
     for (const auto& server : pool->second.servers) {
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -64,13 +64,16 @@
     const std::shared_ptr<const traffic_view>& view() const noexcept { return view_; }
     /// @return generator of the traffic thread
     random_source& random() noexcept { return random_; }
-    /// @return time in which one place of a service's servers comes free, on average
-    milliseconds turnover(const std::string& service) const;
+    /// @return when a caller that is refused for lack of room should come back: soon while few are
+    /// refused, and spread over a longer time while many are
+    /// @param shortest used while none was refused lately
+    milliseconds return_after_refusal(const std::string& service, milliseconds shortest);
 
 private:
     struct service_pool_entry {
         std::vector<std::shared_ptr<server_state>> servers;
         shared_retry_budget repeats;
+        double refused_share{0}; ///< of the latest choices
     };
 
     void add_servers(const traffic_view& view);
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -19,6 +19,9 @@
 /// A piece waits behind those that the other neighbours asked for; without progress for longer the
 /// next sidecar steps in.
 constexpr milliseconds shortest_stall{900};
+/// A piece that was not seen anywhere for this long is drawn by the next sidecar: several times the
+/// time in which the origin sends all pieces once.
+constexpr milliseconds chunk_patience{2500};
 /// Pieces asked of the origin at once by one sidecar. Many sidecars draw at the same time, and the
 /// fewer pieces share the origin's link the sooner the first ones come and spread.
 constexpr std::uint32_t origin_parallel = 1;
@@ -27,6 +30,9 @@
 constexpr std::uint32_t most_requests = 3;
 /// Part of the instance's link that weights may take. The rest is for live requests.
 constexpr std::uint64_t weights_percent = 75;
+/// The same for an engine that serves nothing.
+constexpr std::uint32_t most_requests_idle = 6;
+constexpr std::uint64_t weights_percent_idle = 95;
 /// Gateways add what they sent since a report, so they need no more of them while little changes.
 constexpr milliseconds tell_interval{200};
 /// Requests by which the load must change to be told at once.
@@ -62,20 +68,16 @@
                  respond_error(*responder, 404, "unknown path");
              }});
         control_.post([this] {
-            swarm_rates rates;
-            rates.origin_parallel = origin_parallel;
-            rates.most_requests = most_requests;
-            rates.uplink = options_.peer_link * weights_percent / 100;
-            rates.downlink = rates.uplink;
-            rates.is_drawn_everywhere = true;
-            rates.shortest_stall = shortest_stall;
-            swarm_->set_rates(rates);
+            set_rates();
             swarm_->on_list([this](const std::string& version, const manifest& list) {
                 fetcher_->take_list_of_member(version, list);
             });
             swarm_->start();
             links_.start({});
-            engine_.start([this] { tell_gateways(); });
+            engine_.start([this] {
+                set_rates();
+                tell_gateways();
+            });
             repeat(control_, reconcile_interval, [this] {
                 fetcher_->reconcile();
                 loader_->reconcile();
@@ -118,6 +120,21 @@
         return parts;
     }
 
+    /// Weights leave room for live requests while the engine serves any.
+    void set_rates() {
+        const bool is_serving = !engine_.state() || engine_.state()->weights_version > 0;
+        swarm_rates rates;
+        rates.origin_parallel = origin_parallel;
+        rates.most_requests = is_serving ? most_requests : most_requests_idle;
+        rates.uplink =
+            options_.peer_link * (is_serving ? weights_percent : weights_percent_idle) / 100;
+        rates.downlink = rates.uplink;
+        rates.is_drawn_everywhere = true;
+        rates.shortest_stall = shortest_stall;
+        rates.chunk_patience = chunk_patience;
+        swarm_->set_rates(rates);
+    }
+
     loader_surroundings make_surroundings() {
         loader_surroundings surroundings;
         surroundings.instances = [this] {
@@ -211,6 +228,10 @@
         std::vector<swarm_member> members;
         if (reply.neighbours() != nullptr) {
             for (const auto* neighbour : *reply.neighbours()) {
+                // A sidecar without an engine fetches nothing, so no part may be left to it.
+                if (!neighbour->is_ready()) {
+                    continue;
+                }
                 members.push_back({std::string(view(neighbour->instance())),
                                    std::string(view(neighbour->peer_address())),
                                    region_of(std::string(view(neighbour->availability_zone()))),
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -93,7 +93,8 @@
     }
     origin_requests_ = 0;
     on_whole_ = std::move(on_whole);
-    last_progress_ = std::chrono::steady_clock::now();
+    fetch_began_at_ = std::chrono::steady_clock::now();
+    last_progress_ = fetch_began_at_;
     finish_if_whole();
     ask_all();
 }
@@ -155,6 +156,10 @@
     }
     state.senders = senders_.size();
     state.level = draw_level(milliseconds(elapsed_ms(last_progress_, now)), patience());
+    if (rates_.chunk_patience.count() > 0) {
+        const milliseconds passed(elapsed_ms(fetch_began_at_, now));
+        state.level = std::max(state.level, draw_level(passed, rates_.chunk_patience));
+    }
     state.is_origin_near =
         is_alone() || region_ == origin_region_ ||
         std::none_of(members_.begin(), members_.end(),
--- a/src/programs/swarm/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -33,6 +33,9 @@
     std::uint32_t origin_parallel{2}; ///< chunks asked of the origin at once
     /// Time without progress after which another agent steps in, at least.
     milliseconds shortest_stall{2000};
+    /// Time from the begin of a fetch after which a chunk that is still missing is left to the next
+    /// rank, even while others arrive; 0: only when nothing arrives.
+    milliseconds chunk_patience{0};
 };
 
 /// Fetches the chunks of one version at a time and serves those it holds. State changes on the
@@ -146,6 +149,7 @@
     std::vector<std::uint32_t> ranks_;
     std::vector<std::uint32_t> origin_ranks_; ///< when every region draws its part
     std::function<void()> on_whole_;
+    time_point fetch_began_at_;
     time_point last_progress_;
     bool has_news_{false};
     agent_map agents_; ///< by session
