--- a/include/citronseam/process/member.h
+++ b/include/citronseam/process/member.h
@@ -20,9 +20,9 @@
     process_role role{process_role::gateway};
     std::string zone;
     std::string region;
-    std::string peer_address;  ///< `host:port` for other processes of the system
-    std::string http_address;  ///< `host:port` for callers, gateways only
-    std::string service;       ///< of the engine beside it, sidecars only
+    std::string peer_address; ///< `host:port` for other processes of the system
+    std::string http_address; ///< `host:port` for callers, gateways only
+    std::string service;      ///< of the engine beside it, sidecars only
     std::uint64_t incarnation{0};
     bool operator==(const member&) const = default;
 };
--- a/include/citronseam/process/settings.h
+++ b/include/citronseam/process/settings.h
@@ -49,14 +49,14 @@
     std::vector<std::string> seed_addresses; ///< peer addresses of a few gateways, maybe stale
     std::string region;
     std::map<std::string, std::string, std::less<>> region_of_zone;
-    double retry_ratio{0.1};            ///< repeats per request of a service, over all processes
-    double retry_slack{10};             ///< repeats beyond that share, over all processes
-    milliseconds retry_window{10000};   ///< over which repeats are counted
-    double cold_factor{1};              ///< on the rate that a cold backend server bears
-    double cold_slack{0};               ///< requests a second beyond that
-    milliseconds weights_due{8000};     ///< after new weights were named no request begins on older
+    double retry_ratio{0.1};          ///< repeats per request of a service, over all processes
+    double retry_slack{10};           ///< repeats beyond that share, over all processes
+    milliseconds retry_window{10000}; ///< over which repeats are counted
+    double cold_factor{1};            ///< on the rate that a cold backend server bears
+    double cold_slack{0};             ///< requests a second beyond that
+    milliseconds weights_due{8000};   ///< after new weights were named no request begins on older
     milliseconds contact{3000}; ///< after a start or a fault, until bounds hold for the process
-    milliseconds grace_period{8000};    ///< from the signal to leave until the process is killed
+    milliseconds grace_period{8000};     ///< from the signal to leave until the process is killed
     milliseconds longest_lifetime{5000}; ///< that callers give to an answer of the directory
 };
 
@@ -80,8 +80,8 @@
     std::string peer_address; ///< `host:port` for other processes of the system
     std::string advertised_peer_address; ///< what others dial, when it differs from peer_address
     std::string operator_address; ///< `host:port` for operators: health, metrics, status, control
-    platform_settings platform; ///< entries and agents only
-    node_settings node;         ///< gateways and sidecars only
+    platform_settings platform;   ///< entries and agents only
+    node_settings node;           ///< gateways and sidecars only
     backend_server_settings backend_server; ///< agents only
     control_settings control;
     std::uint32_t traffic_threads{2};
--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -36,11 +36,11 @@
     std::uint32_t sent_since_report{0};
     std::uint32_t ended_since_report{0};
     double unread_ms{0}; ///< time to read the prompts of own requests that wait for a first event
-    sliding_count sent;         ///< requests of this process, for the bound of cold servers
-    double failure_share{0};    ///< recent share of exchanges that the server broke
+    sliding_count sent;  ///< requests of this process, for the bound of cold servers
+    double failure_share{0}; ///< recent share of exchanges that the server broke
     int failures_in_a_row{0};
-    time_point barred_until;    ///< no requests until then
-    time_point full_until;      ///< it refused a request for lack of room
+    time_point barred_until; ///< no requests until then
+    time_point full_until;   ///< it refused a request for lack of room
 };
 
 /// What binds the choice.
@@ -48,12 +48,12 @@
     time_point now;
     std::string_view own_zone;
     std::string_view own_region;
-    std::size_t sharers{1};            ///< processes that send to the same servers
+    std::size_t sharers{1};             ///< processes that send to the same servers
     std::uint32_t waiting_allowance{0}; ///< requests that may wait at a server beyond its slots
     double longest_wait_ms{0}; ///< a server that would begin to answer later is full; 0: no bound
     double cold_requests_per_second{0}; ///< of all processes together to one server; 0: no bound
-    milliseconds expected_duration{0}; ///< of the request
-    double prompt_ms{0};   ///< time that an engine takes to read the request's prompt
+    milliseconds expected_duration{0};  ///< of the request
+    double prompt_ms{0};                ///< time that an engine takes to read the request's prompt
     double turnover_ms{0}; ///< time in which a full server finishes one request after the other
     /// Processes that are taken to send as much to a server as this one does.
     double senders_alike{1};
--- a/include/citronseam/version/load_turn.h
+++ b/include/citronseam/version/load_turn.h
@@ -14,8 +14,8 @@
 
 /// What the turn depends on.
 struct load_turn_terms {
-    time_point named_at; ///< when the weights were named
-    time_point whole_at; ///< when this engine had all pieces
+    time_point named_at;  ///< when the weights were named
+    time_point whole_at;  ///< when this engine had all pieces
     milliseconds due{0};  ///< time from naming until the last engine must begin to load
     std::size_t index{0}; ///< place of this engine among those of the service
     std::size_t count{1}; ///< engines of the service
--- a/include/citronseam/version/routing.h
+++ b/include/citronseam/version/routing.h
@@ -53,22 +53,22 @@
 /// What is known in advance about the model engines of a service.
 struct engine_profile {
     std::string model;
-    std::uint32_t slots{0};           ///< requests in one batch
-    std::uint64_t memory_tokens{0};   ///< tokens that the memory for requests holds
-    std::uint32_t layers{0};          ///< of the model
-    std::uint32_t chunks{0};          ///< pieces of the weights
-    std::uint64_t chunk_bytes{0};     ///< size of a piece
-    milliseconds load_duration{0};    ///< from a start order until the weights are in force
-    double step_ms{0};                ///< one token step of an otherwise empty batch
-    double step_ms_per_sequence{0};   ///< added for each request in the batch
-    double prompt_tokens_per_ms{0};   ///< rate at which prompts are read
-    double usual_prompt_tokens{0};    ///< mean of the requests
-    double usual_output_tokens{0};    ///< mean of the requests
+    std::uint32_t slots{0};         ///< requests in one batch
+    std::uint64_t memory_tokens{0}; ///< tokens that the memory for requests holds
+    std::uint32_t layers{0};        ///< of the model
+    std::uint32_t chunks{0};        ///< pieces of the weights
+    std::uint64_t chunk_bytes{0};   ///< size of a piece
+    milliseconds load_duration{0};  ///< from a start order until the weights are in force
+    double step_ms{0};              ///< one token step of an otherwise empty batch
+    double step_ms_per_sequence{0}; ///< added for each request in the batch
+    double prompt_tokens_per_ms{0}; ///< rate at which prompts are read
+    double usual_prompt_tokens{0};  ///< mean of the requests
+    double usual_output_tokens{0};  ///< mean of the requests
 };
 
 /// @return time in which an engine with a full batch finishes one usual request after the other; 0
-/// when the profile does not tell. Prompts are read one after another, tokens are made for the whole
-/// batch at once.
+/// when the profile does not tell. Prompts are read one after another, tokens are made for the
+/// whole batch at once.
 double usual_turnover_ms(const engine_profile& engine) noexcept;
 
 /// @return time that a request is expected to take at an engine under load
@@ -81,12 +81,12 @@
 struct routed_service {
     std::string name;
     std::string health_path;
-    std::uint32_t most_connections{0}; ///< each backend server takes, from all callers together
-    milliseconds cold_duration{0};     ///< after a start
+    std::uint32_t most_connections{0};  ///< each backend server takes, from all callers together
+    milliseconds cold_duration{0};      ///< after a start
     double cold_requests_per_second{0}; ///< that a cold backend server bears; 0: no bound
-    std::string zone; ///< of an origin of weights
-    std::string origin_address;        ///< `host:port` of an origin of weights; empty for others
-    bool has_engine{false};            ///< whether its backend servers are model engines
+    std::string zone;                   ///< of an origin of weights
+    std::string origin_address;         ///< `host:port` of an origin of weights; empty for others
+    bool has_engine{false};             ///< whether its backend servers are model engines
     engine_profile engine;
 };
 
--- a/src/connection/http_responder.cpp
+++ b/src/connection/http_responder.cpp
@@ -102,7 +102,8 @@
         return;
     }
     state_ = state::streaming;
-    connection_->send(head_text(status, headers).append(closing_header()) + "Transfer-Encoding: chunked\r\n\r\n");
+    connection_->send(head_text(status, headers).append(closing_header()) +
+                      "Transfer-Encoding: chunked\r\n\r\n");
 }
 
 void http_responder::close_after_answer() {
--- a/src/process/member.cpp
+++ b/src/process/member.cpp
@@ -7,12 +7,11 @@
 namespace citronseam {
 namespace {
 
-void add_matching(std::vector<std::string>& chosen,
-                  const std::vector<reachable_gateway>& gateways,
+void add_matching(std::vector<std::string>& chosen, const std::vector<reachable_gateway>& gateways,
                   const std::string reachable_gateway::*place, std::string_view wanted) {
     for (const auto& gateway : gateways) {
-        const bool is_new = std::find(chosen.begin(), chosen.end(), gateway.http_address) ==
-                            chosen.end();
+        const bool is_new =
+            std::find(chosen.begin(), chosen.end(), gateway.http_address) == chosen.end();
         if (is_new && gateway.*place == wanted) {
             chosen.push_back(gateway.http_address);
         }
@@ -22,14 +21,10 @@
 } // namespace
 
 std::string to_json(const member& process) {
-    return nlohmann::json{{"instance", process.instance},
-                          {"role", name(process.role)},
-                          {"zone", process.zone},
-                          {"region", process.region},
-                          {"peer", process.peer_address},
-                          {"http", process.http_address},
-                          {"service", process.service},
-                          {"incarnation", process.incarnation}}
+    return nlohmann::json{{"instance", process.instance}, {"role", name(process.role)},
+                          {"zone", process.zone},         {"region", process.region},
+                          {"peer", process.peer_address}, {"http", process.http_address},
+                          {"service", process.service},   {"incarnation", process.incarnation}}
         .dump();
 }
 
@@ -66,8 +61,8 @@
     }
     if (chosen.size() < least_named_gateways) {
         for (const auto& gateway : shuffled) {
-            const bool is_new = std::find(chosen.begin(), chosen.end(), gateway.http_address) ==
-                                chosen.end();
+            const bool is_new =
+                std::find(chosen.begin(), chosen.end(), gateway.http_address) == chosen.end();
             if (is_new) {
                 chosen.push_back(gateway.http_address);
             }
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -3,8 +3,8 @@
 #include <charconv>
 
 #include "citronseam/process/enum_names.h"
-#include "citronseam/process/sizes.h"
 #include "citronseam/process/error.h"
+#include "citronseam/process/sizes.h"
 #include "citronseam/process/yaml_object.h"
 
 namespace citronseam {
--- a/src/programs/agent/agent.cpp
+++ b/src/programs/agent/agent.cpp
@@ -53,8 +53,8 @@
                  store_timeout),
           context_{options_, incarnation_, control_, traffic_, numbers_, hub_, gate_,
                    backend_, platform_,    store_,   {1},      {0},      {},   {}},
-          swarm_(std::make_shared<chunk_swarm>(make_swarm_context(),
-                                               [this] { return make_hello(); })),
+          swarm_(
+              std::make_shared<chunk_swarm>(make_swarm_context(), [this] { return make_hello(); })),
           keeper_(std::make_shared<version_keeper>(context_, swarm_)) {}
 
     int run() {
--- a/src/programs/agent/version_keeper.h
+++ b/src/programs/agent/version_keeper.h
@@ -10,9 +10,9 @@
 
 #include "citronseam/version/manifest.h"
 #include "programs/agent/agent_context.h"
-#include "programs/swarm/chunk_swarm.h"
 #include "programs/agent/engine_orders.h"
 #include "programs/agent/permit_holder.h"
+#include "programs/swarm/chunk_swarm.h"
 
 namespace citronseam {
 
--- a/src/programs/daemon/shutdown_signal.h
+++ b/src/programs/daemon/shutdown_signal.h
@@ -13,8 +13,8 @@
     reload ///< SIGHUP: the settings file changed
 };
 
-/// Blocks SIGTERM, SIGINT and SIGHUP for this thread and those it starts later, and ignores SIGPIPE.
-/// Call it before any other thread starts.
+/// Blocks SIGTERM, SIGINT and SIGHUP for this thread and those it starts later, and ignores
+/// SIGPIPE. Call it before any other thread starts.
 void block();
 
 /// Waits for one of these signals.
--- a/src/programs/gateway/belief_keeper.h
+++ b/src/programs/gateway/belief_keeper.h
@@ -18,7 +18,8 @@
 public:
     /// @param first_weights_age age that is assumed of weights that were named before the process
     ///                          first read the operator's table
-    explicit belief_keeper(milliseconds first_weights_age) : first_weights_age_(first_weights_age) {}
+    explicit belief_keeper(milliseconds first_weights_age)
+        : first_weights_age_(first_weights_age) {}
 
     /// Takes rows of the operator's table.
     void take_operator_rows(const std::vector<versioned_row>& changed, time_point now);
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -37,8 +37,8 @@
 class gateway {
 public:
     explicit gateway(const settings& options)
-        : options_(options), control_(1), pool_(options, numbers_),
-          context_{options_, control_, traffic_, numbers_, pool_},
+        : options_(options), control_(1),
+          pool_(options, numbers_), context_{options_, control_, traffic_, numbers_, pool_},
           links_(options_, control_, traffic_, numbers_, mesh_timing, make_observer()),
           server_rows_(control_, links_.store(), std::string(platform::servers_table),
                        follow_mode::poll, servers_interval),
@@ -252,9 +252,9 @@
     random_source random_; ///< control thread only
     time_point asked_servers_at_;
     std::atomic<bool> is_ready_{false};
-    bool is_leaving_{false}; ///< control thread only
+    bool is_leaving_{false};                               ///< control thread only
     std::list<std::weak_ptr<gateway_exchange>> exchanges_; ///< traffic thread only
-    http_client traffic_; ///< its exchanges hold what stands above
+    http_client traffic_;                                  ///< its exchanges hold what stands above
     std::unique_ptr<http_server> front_;
     std::unique_ptr<http_server> readiness_;
     std::unique_ptr<http_server> directory_;
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -422,8 +422,10 @@
         return;
     }
     const bool is_not_run = verdict_ == run_verdict::not_run && !is_under_way;
-    refuse({is_not_run ? status_unavailable : status_gateway_timeout, "out_of_time",
-            "the time for the request is over", {}});
+    refuse({is_not_run ? status_unavailable : status_gateway_timeout,
+            "out_of_time",
+            "the time for the request is over",
+            {}});
 }
 
 void gateway_exchange::hang_up() {
@@ -486,9 +488,9 @@
     const auto now = std::chrono::steady_clock::now();
     const std::string route_name = rule_ == nullptr ? "none" : rule_->name;
     const std::string workspace = workspace_ == nullptr ? "none" : workspace_->name;
-    context_.numbers.count("citronseam_requests_total", {{"service", service_},
-                                                         {"workspace", workspace},
-                                                         {"outcome", std::string(outcome)}});
+    context_.numbers.count(
+        "citronseam_requests_total",
+        {{"service", service_}, {"workspace", workspace}, {"outcome", std::string(outcome)}});
     const double total_s = elapsed_ms(received_at_, now) / 1000.0;
     context_.numbers.observe("citronseam_request_seconds", {{"workspace", workspace}}, total_s);
     if (events_passed_ > 0) {
@@ -514,9 +516,8 @@
                {"events", events_passed_},
                {"first_ms", events_passed_ > 0 ? elapsed_ms(received_at_, first_part_at_) : 0},
                {"total_ms", elapsed_ms(received_at_, now)},
-               {"configuration", view_ == nullptr || view_->routes == nullptr
-                                     ? 0
-                                     : view_->routes->rules->version}});
+               {"configuration",
+                view_ == nullptr || view_->routes == nullptr ? 0 : view_->routes->rules->version}});
 }
 
 } // namespace citronseam
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -46,7 +46,7 @@
         int status{0};
         std::vector<http_header> headers;
         platform::answer_terms terms;
-        std::string body;    ///< of an answer that is not passed on event by event
+        std::string body; ///< of an answer that is not passed on event by event
         event_buffer events;
         bool is_stream{false};
         bool is_unusable{false}; ///< cancelled, since the answer cannot be the request's own
@@ -111,7 +111,7 @@
     std::uint64_t stream_weights_{0};
     std::size_t events_passed_{0};
     time_point first_part_at_;
-    double chosen_busy_{0};          ///< what the last choice assumed to run at its server
+    double chosen_busy_{0}; ///< what the last choice assumed to run at its server
     double expected_wait_ms_{0};
     std::uint32_t report_age_ms_{0}; ///< how old the report behind it was
     bool is_done_{false};
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -14,8 +14,8 @@
 constexpr std::uint32_t plain_allowance_per_slot = 1;
 /// Weight of the newest choice in the share of refused ones: about the last thirty count.
 constexpr double refusal_smoothing = 0.03;
-/// Longest time after which refused callers begin to return; they come within twice that time, which
-/// callers with a usual deadline of 6 s still honour.
+/// Longest time after which refused callers begin to return; they come within twice that time,
+/// which callers with a usual deadline of 6 s still honour.
 constexpr milliseconds longest_return{1000};
 /// Urgent requests may wait where others are refused, so that they are served first.
 constexpr double urgent_factor = 1.5;
@@ -34,8 +34,9 @@
 } // namespace
 
 server_pool::server_pool(const settings& options, metrics& numbers)
-    : options_(options), numbers_(numbers),
-      bound_{options.node.retry_ratio, options.node.retry_slack, options.node.retry_window},
+    : options_(options),
+      numbers_(numbers), bound_{options.node.retry_ratio, options.node.retry_slack,
+                                options.node.retry_window},
       random_(seeded_random_source()) {}
 
 std::string_view server_pool::region_of(std::string_view zone) const {
@@ -112,16 +113,14 @@
     terms.expected_duration =
         milliseconds(static_cast<std::int64_t>(expected_duration_ms(engine, prompt, output)));
     if (service.has_engine) {
-        terms.longest_wait_ms = waiting_share *
-                                factor_of(rank_of(*wish.rule, wish.workspace)) *
+        terms.longest_wait_ms = waiting_share * factor_of(rank_of(*wish.rule, wish.workspace)) *
                                 static_cast<double>(wish.rule->latency_objective.count());
     }
     terms.turnover_ms = usual_turnover_ms(engine);
     if (engine.prompt_tokens_per_ms > 0) {
         terms.prompt_ms = prompt / engine.prompt_tokens_per_ms;
     }
-    terms.senders_alike =
-        std::max(1.0, static_cast<double>(terms.sharers) * part_of_senders);
+    terms.senders_alike = std::max(1.0, static_cast<double>(terms.sharers) * part_of_senders);
     terms.needs_weights = service.has_engine;
     terms.least_weights_version =
         least_weights_to_send(*view_, engine.model, options_.node.weights_due, now);
@@ -174,9 +173,8 @@
     if (found == services.end() || !found->second.has_engine) {
         return true;
     }
-    return held_weights(server, now) >=
-           least_weights_to_begin(*view_, found->second.engine.model, options_.node.weights_due,
-                                  now);
+    return held_weights(server, now) >= least_weights_to_begin(*view_, found->second.engine.model,
+                                                               options_.node.weights_due, now);
 }
 
 void server_pool::note_request(const std::string& service, time_point now) {
@@ -184,8 +182,8 @@
 }
 
 bool server_pool::take_repeat(const std::string& service, time_point now) {
-    const bool is_granted = citronseam::take_repeat(services_[service].repeats, bound_,
-                                                    view_->gateways, now);
+    const bool is_granted =
+        citronseam::take_repeat(services_[service].repeats, bound_, view_->gateways, now);
     numbers_.count("citronseam_repeats_total",
                    {{"service", service}, {"granted", is_granted ? "yes" : "no"}});
     return is_granted;
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -21,19 +21,19 @@
     const route* rule{nullptr};
     const routed_workspace* workspace{nullptr};
     std::string service;
-    std::vector<std::string> tried;   ///< identifiers of servers that had the request
+    std::vector<std::string> tried; ///< identifiers of servers that had the request
     std::uint64_t prompt_tokens{0};
-    std::uint64_t output_tokens{0};   ///< expected, 0: not known
-    std::uint64_t exact_weights{0};   ///< a stream goes on with these weights; 0: any
+    std::uint64_t output_tokens{0}; ///< expected, 0: not known
+    std::uint64_t exact_weights{0}; ///< a stream goes on with these weights; 0: any
 };
 
 /// What the pool answers.
 struct server_offer {
     std::shared_ptr<server_state> server; ///< nullptr: none
     choice_obstacle obstacle{choice_obstacle::none};
-    double busy{0};    ///< requests that the choice assumed to run there
+    double busy{0};      ///< requests that the choice assumed to run there
     double prompt_ms{0}; ///< time that the server takes to read the prompt
-    double wait_ms{0}; ///< time that the choice assumed until the answer begins
+    double wait_ms{0};   ///< time that the choice assumed until the answer begins
 };
 
 /// Keeps the load of each server and chooses among them. Everything runs on the traffic thread.
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -74,8 +74,8 @@
     listener_ = std::make_shared<peer_listener>(
         control_.context(), address, [weak = weak_from_this()](asio::ip::tcp::socket socket) {
             if (const auto self = weak.lock()) {
-                std::make_shared<peer_session>(std::move(socket), self->make_hello(),
-                                               self->timing_, self->make_observer())
+                std::make_shared<peer_session>(std::move(socket), self->make_hello(), self->timing_,
+                                               self->make_observer())
                     ->start();
             }
         });
@@ -85,7 +85,8 @@
 void member_mesh::set_targets(std::map<std::string, std::string> targets) {
     if (dialer_ == nullptr) {
         dialer_ = std::make_shared<dialer>(
-            control_.context(), [weak = weak_from_this()] {
+            control_.context(),
+            [weak = weak_from_this()] {
                 const auto self = weak.lock();
                 return self == nullptr ? make_frame(wire::helloT{}) : self->make_hello();
             },
--- a/src/programs/node/node_links.cpp
+++ b/src/programs/node/node_links.cpp
@@ -112,17 +112,17 @@
         return;
     }
     asked_at_ = now;
-    control_.post_after(feed_patience, [this, instance = from.process.instance,
-                                        version = from.operator_version] {
-        if (version <= operator_version_) {
-            return;
-        }
-        for (const connected_member* connected : mesh_->members()) {
-            if (connected->process.instance == instance) {
-                mesh_->ask_rows(*connected, operator_rows_.table(), operator_version_);
+    control_.post_after(
+        feed_patience, [this, instance = from.process.instance, version = from.operator_version] {
+            if (version <= operator_version_) {
+                return;
             }
-        }
-    });
+            for (const connected_member* connected : mesh_->members()) {
+                if (connected->process.instance == instance) {
+                    mesh_->ask_rows(*connected, operator_rows_.table(), operator_version_);
+                }
+            }
+        });
 }
 
 void node_links::take_member_rows(const std::vector<versioned_row>& changed) {
@@ -148,16 +148,14 @@
 }
 
 void node_links::register_self() {
-    store_.write_row(members_table, self_.instance, to_json(self_),
-                     [this](platform::store_outcome outcome) {
-                         if (outcome != platform::store_outcome::done) {
-                             control_.post_after(pause_before_registering_again,
-                                                 [this] { register_self(); });
-                             return;
-                         }
-                         log_event(log_level::info, "registered",
-                                   {{"incarnation", self_.incarnation}});
-                     });
+    store_.write_row(
+        members_table, self_.instance, to_json(self_), [this](platform::store_outcome outcome) {
+            if (outcome != platform::store_outcome::done) {
+                control_.post_after(pause_before_registering_again, [this] { register_self(); });
+                return;
+            }
+            log_event(log_level::info, "registered", {{"incarnation", self_.incarnation}});
+        });
 }
 
 /// One connection for each pair: of two gateways the one with the lesser name dials, and sidecars
@@ -165,9 +163,9 @@
 void node_links::update_targets() {
     std::map<std::string, std::string> targets;
     for (const auto& [instance, process] : registered_) {
-        const bool is_dialled =
-            process.role == process_role::gateway && instance != self_.instance &&
-            (self_.role == process_role::sidecar || self_.instance < instance);
+        const bool is_dialled = process.role == process_role::gateway &&
+                                instance != self_.instance &&
+                                (self_.role == process_role::sidecar || self_.instance < instance);
         if (is_dialled) {
             targets[instance] = process.peer_address;
         }
--- a/src/programs/sidecar/engine_watch.cpp
+++ b/src/programs/sidecar/engine_watch.cpp
@@ -30,9 +30,8 @@
 
 void engine_watch::take(const http_answer& answer) {
     if (!answer.outcome.is_complete || answer.outcome.status != 200) {
-        note_lost(answer.outcome.is_complete
-                      ? "status " + std::to_string(answer.outcome.status)
-                      : answer.outcome.message);
+        note_lost(answer.outcome.is_complete ? "status " + std::to_string(answer.outcome.status)
+                                             : answer.outcome.message);
         return;
     }
     auto state = platform::parse_engine_state(answer.body);
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -46,9 +46,8 @@
     explicit sidecar(const settings& options)
         : options_(options), control_(1), context_{options_, control_, http_, numbers_},
           links_(options_, control_, http_, numbers_, mesh_timing, make_observer()),
-          engine_(context_),
-          swarm_(std::make_shared<chunk_swarm>(make_swarm_context(),
-                                               [this] { return make_swarm_hello(); })),
+          engine_(context_), swarm_(std::make_shared<chunk_swarm>(
+                                 make_swarm_context(), [this] { return make_swarm_hello(); })),
           loader_(std::make_shared<weights_loader>(context_, engine_, make_surroundings())),
           fetcher_(std::make_shared<weights_fetcher>(
               context_, engine_, swarm_, [this](std::shared_ptr<const whole_weights> weights) {
@@ -270,8 +269,7 @@
             beat.engine->busy = busy;
             if (const auto planned = loader_->planned_at()) {
                 beat.engine->is_load_planned = true;
-                beat.engine->load_in_ms =
-                    elapsed_ms(std::chrono::steady_clock::now(), *planned);
+                beat.engine->load_in_ms = elapsed_ms(std::chrono::steady_clock::now(), *planned);
             }
             beat.engine->is_loading = is_loading;
         }
--- a/src/programs/sidecar/weights_fetcher.cpp
+++ b/src/programs/sidecar/weights_fetcher.cpp
@@ -34,8 +34,8 @@
 
 weights_fetcher::weights_fetcher(sidecar_context& context, engine_watch& engine,
                                  std::shared_ptr<chunk_swarm> swarm, whole_handler on_whole)
-    : context_(context), engine_(engine), swarm_(std::move(swarm)),
-      on_whole_(std::move(on_whole)) {}
+    : context_(context), engine_(engine), swarm_(std::move(swarm)), on_whole_(std::move(on_whole)) {
+}
 
 template<typename Function>
 auto weights_fetcher::guarded(Function function) {
@@ -133,9 +133,9 @@
 
 void weights_fetcher::read_list() {
     is_busy_ = true;
-    fetch_on_control(
-        context_, platform::read_piece_list(origin_, wanted_.model, wanted_.version), largest_list,
-        guarded([this](const http_answer& answer) { take_list(answer); }));
+    fetch_on_control(context_, platform::read_piece_list(origin_, wanted_.model, wanted_.version),
+                     largest_list,
+                     guarded([this](const http_answer& answer) { take_list(answer); }));
 }
 
 void weights_fetcher::take_list(const http_answer& answer) {
@@ -204,15 +204,15 @@
         return;
     }
     is_busy_ = true;
-    fetch_on_control(context_,
-                     platform::read_staged_piece(context_.options.backend_server.address,
-                                                 wanted_.model, piece),
-                     largest_chunk_size, guarded([this, piece](const http_answer& answer) {
-                         if (answer.outcome.is_complete && answer.outcome.status == 200) {
-                             swarm_->adopt(piece, answer.body);
-                         }
-                         adopt_next(piece + 1);
-                     }));
+    fetch_on_control(
+        context_,
+        platform::read_staged_piece(context_.options.backend_server.address, wanted_.model, piece),
+        largest_chunk_size, guarded([this, piece](const http_answer& answer) {
+            if (answer.outcome.is_complete && answer.outcome.status == 200) {
+                swarm_->adopt(piece, answer.body);
+            }
+            adopt_next(piece + 1);
+        }));
 }
 
 void weights_fetcher::begin_fetch() {
--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -116,10 +116,9 @@
         stage_next(piece + 1);
         return;
     }
-    log_event(log_level::warning, "piece_not_staged",
-              {{"piece", piece},
-               {"status", answer.outcome.status},
-               {"reason", answer.outcome.message}});
+    log_event(
+        log_level::warning, "piece_not_staged",
+        {{"piece", piece}, {"status", answer.outcome.status}, {"reason", answer.outcome.message}});
     next_try_ = std::chrono::steady_clock::now() + pause_after_failure;
     enter(load_step::idle);
 }
@@ -132,12 +131,12 @@
         return;
     }
     is_busy_ = true;
-    fetch_on_control(
-        context_,
-        platform::read_staged_piece(context_.options.backend_server.address,
-                                    weights_->wanted.model, piece),
-        largest_chunk_size,
-        guarded([this, piece](const http_answer& answer) { take_read_back(piece, answer); }));
+    fetch_on_control(context_,
+                     platform::read_staged_piece(context_.options.backend_server.address,
+                                                 weights_->wanted.model, piece),
+                     largest_chunk_size, guarded([this, piece](const http_answer& answer) {
+                         take_read_back(piece, answer);
+                     }));
 }
 
 void weights_loader::take_read_back(std::size_t piece, const http_answer& answer) {
@@ -148,9 +147,7 @@
         return;
     }
     log_event(log_level::warning, "staged_piece_bad",
-              {{"piece", piece},
-               {"status", answer.outcome.status},
-               {"bytes", answer.body.size()}});
+              {{"piece", piece}, {"status", answer.outcome.status}, {"bytes", answer.body.size()}});
     is_busy_ = true;
     fetch_on_control(context_, stage_request(piece), largest_chunk_size,
                      guarded([this, piece](const http_answer&) { verify_next(piece); }));
@@ -159,8 +156,7 @@
 time_point weights_loader::turn_at() const {
     const auto instances = surroundings_.instances();
     const load_turn_terms terms{
-        weights_->wanted.named_at,
-        weights_->whole_at,
+        weights_->wanted.named_at, weights_->whole_at,
         context_.options.node.weights_due - due_margin,
         turn_of(swarm_version(weights_->wanted), context_.options.instance, instances),
         std::max<std::size_t>(instances.size(), 1)};
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -36,9 +36,8 @@
         targets.emplace(member.instance, member.peer_address);
     }
     dialer_->set_targets(std::move(targets));
-    senders_ = rates_.is_drawn_everywhere
-                   ? std::vector<swarm_member>{}
-                   : region_senders(region_, origin_region_, members_);
+    senders_ = rates_.is_drawn_everywhere ? std::vector<swarm_member>{}
+                                          : region_senders(region_, origin_region_, members_);
 }
 
 void chunk_swarm::set_rates(const swarm_rates& rates) {
@@ -66,8 +65,7 @@
         origin_ranks_[i] = origin_rank(version_, i, context_.instance, members_);
     }
     for (std::size_t i = 0; i < ranks_.size(); ++i) {
-        ranks_[i] =
-            is_alone() ? 0 : draw_rank(version_, i, context_.instance, region_, members_);
+        ranks_[i] = is_alone() ? 0 : draw_rank(version_, i, context_.instance, region_, members_);
     }
 }
 
@@ -208,13 +206,13 @@
     ++origin_requests_;
     http_request request = context_.make_draw(manifest_, chunk);
     request.receive_rate = rates_.origin;
-    context_.http.fetch(
-        std::move(request), largest_chunk_size,
-        [self = shared_from_this(), version = version_, chunk](http_answer answer) {
-            self->context_.control.post([self, version, chunk, answer = std::move(answer)] {
-                self->take_drawn(version, chunk, answer);
-            });
-        });
+    context_.http.fetch(std::move(request), largest_chunk_size,
+                        [self = shared_from_this(), version = version_, chunk](http_answer answer) {
+                            self->context_.control.post(
+                                [self, version, chunk, answer = std::move(answer)] {
+                                    self->take_drawn(version, chunk, answer);
+                                });
+                        });
 }
 
 void chunk_swarm::take_drawn(const std::string& version, std::size_t chunk,
--- a/src/programs/swarm/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -23,13 +23,13 @@
 /// Bounds of the weight traffic of one agent; rates in bytes a second, 0 is unlimited.
 struct swarm_rates {
     spread_policy spread{spread_policy::peers};
-    std::uint64_t own_link{0};    ///< to agents of the same region
-    std::uint64_t uplink{0};      ///< of everything that is sent
-    std::uint64_t downlink{0};    ///< of everything that is asked for
-    std::uint32_t most_requests{0}; ///< chunks asked for at once; 0 is unlimited
-    bool is_drawn_everywhere{false}; ///< every region draws its part from the origin
-    std::uint64_t region_link{0}; ///< this agent's share of the link to each other region
-    std::uint64_t origin{0};      ///< drawn from the origin
+    std::uint64_t own_link{0};        ///< to agents of the same region
+    std::uint64_t uplink{0};          ///< of everything that is sent
+    std::uint64_t downlink{0};        ///< of everything that is asked for
+    std::uint32_t most_requests{0};   ///< chunks asked for at once; 0 is unlimited
+    bool is_drawn_everywhere{false};  ///< every region draws its part from the origin
+    std::uint64_t region_link{0};     ///< this agent's share of the link to each other region
+    std::uint64_t origin{0};          ///< drawn from the origin
     std::uint32_t origin_parallel{2}; ///< chunks asked of the origin at once
     /// Time without progress after which another agent steps in, at least.
     milliseconds shortest_stall{2000};
--- a/src/programs/swarm/chunk_swarm_links.cpp
+++ b/src/programs/swarm/chunk_swarm_links.cpp
@@ -53,8 +53,7 @@
 }
 
 void chunk_swarm::handle_hello(const session_pointer& session, const wire::hello& hello) {
-    if (hello.role() != context_.role ||
-        view(hello.service()) != context_.service) {
+    if (hello.role() != context_.role || view(hello.service()) != context_.service) {
         session->close(close_reason::wrong_protocol);
         return;
     }
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -93,8 +93,7 @@
     }
     const bool is_full = terms.now < server.full_until ||
                          estimate_busy(server, terms.now) >= room_of(server, terms) ||
-                         is_wait_too_long(server, terms) ||
-                         !is_within_cold_bound(server, terms);
+                         is_wait_too_long(server, terms) || !is_within_cold_bound(server, terms);
     return is_full ? candidate_standing::full : candidate_standing::usable;
 }
 
@@ -194,8 +193,7 @@
 double expected_wait_ms(const server_state& server, const choice_terms& terms) noexcept {
     const double busy = estimate_busy(server, terms.now);
     const double waiting = std::max(0.0, busy + 1 - server.entry.slots);
-    return server.unread_ms * terms.senders_alike + waiting * terms.turnover_ms +
-           busy * running_ms;
+    return server.unread_ms * terms.senders_alike + waiting * terms.turnover_ms + busy * running_ms;
 }
 
 void note_prompt_read(server_state& server, double prompt_ms) noexcept {
@@ -220,8 +218,7 @@
         return;
     }
     const bool is_broken = standing == exchange_standing::broken;
-    server.failure_share +=
-        failure_smoothing * ((is_broken ? 1.0 : 0.0) - server.failure_share);
+    server.failure_share += failure_smoothing * ((is_broken ? 1.0 : 0.0) - server.failure_share);
     if (!is_broken) {
         server.failures_in_a_row = 0;
         return;
--- a/tests/control_logic_test.cpp
+++ b/tests/control_logic_test.cpp
@@ -142,8 +142,9 @@
 TEST(settings, problems_name_file_line_field_and_the_closest_key) {
     const auto read = parse_settings("role: entri\ninstance: a\navailabilty_zone: z\n", "s.yaml");
     const std::string text = describe(read.problems);
-    EXPECT_NE(text.find("s.yaml:1: role: expected one of entry, agent, gateway, sidecar, found 'entri'"),
-              std::string::npos)
+    EXPECT_NE(
+        text.find("s.yaml:1: role: expected one of entry, agent, gateway, sidecar, found 'entri'"),
+        std::string::npos)
         << text;
     EXPECT_NE(text.find("s.yaml:3: availabilty_zone: unknown key; the closest is "
                         "'availability_zone'"),
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -25,7 +25,9 @@
         : server_({{"127.0.0.1", 0}, 1, mebibyte},
                   [this](const server_request& request,
                          const std::shared_ptr<http_responder>& responder) {
-                      if (request.path == "/stream") {
+                      if (request.path == "/target") {
+                          responder->respond(200, {}, request.target);
+                      } else if (request.path == "/stream") {
                           writer_.post([responder] { stream(*responder); });
                       } else {
                           responder->respond(200, {}, request.method + " " + request.body);
@@ -124,6 +126,15 @@
     EXPECT_EQ(server.exchange("NONSENSE\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
 }
 
+TEST(http_server, the_target_arrives_as_the_caller_wrote_it) {
+    streaming_server server;
+    const std::string target = "/target?z=%2F1&a=2&z=3&b=";
+    const std::string answer = server.exchange("GET " + target +
+                                               " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                                               "GET /again HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_NE(answer.find(target), std::string::npos) << answer;
+}
+
 TEST(http_server, a_pipelined_request_sees_an_answer_or_a_closed_connection) {
     streaming_server server;
     const std::string one = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,203 @@
+// The adapter to the users' platform: what it reads and what it writes.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/decode.h"
+#include "platform/directory.h"
+#include "platform/engine.h"
+#include "platform/exchange.h"
+#include "platform/store.h"
+
+namespace {
+
+using namespace citronseam;
+
+const std::string configuration = R"({"version":7,"routes":[
+ {"name":"r-1","host":"a.example","prefix":"/x/","type":"streaming","timeout_ms":6000,"slo_ms":400,
+  "priority":1,"service":"drafts","max_attempts":2,"no_auth":false,"sticky":true,"resumable":true,
+  "gap_slo_ms":300,"allowed_regions":["north"]},
+ {"name":"r-2","host":"b.example","prefix":"/y/","type":"non_idempotent","timeout_ms":800,
+  "slo_ms":100,"priority":2,"weighted_services":[{"service":"old","weight":90},
+  {"service":"new","weight":10}],"max_attempts":1,"no_auth":true}],
+ "services":[{"name":"drafts","health_path":"/healthz","max_conns":424,"cold_s":3.0,
+  "cold_per_s":36.0,"engine":{"slots":16,"kv_cache_tokens":685000,"step_ms":7.4,
+  "per_seq_ms":0.0387,"read_per_s":31900.0,"layers":16,"chunks":64,"chunk_bytes":32768,
+  "models":[{"name":"m","warm_s":0.3}],"usual":{"prompt":973,"answer":106}}},
+  {"name":"ledger","origin":"172.20.0.3:8006","zone":"z","max_conns":48}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+  "idle_timeout_ms":15000},
+ "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"allowed_regions":[]}]})";
+
+TEST(decode, a_configuration_is_read_into_types) {
+    const auto rules = platform::decode_routing(configuration);
+    ASSERT_TRUE(rules.has_value()) << rules.error().message;
+    EXPECT_EQ(rules->version, 7U);
+    ASSERT_EQ(rules->routes.size(), 2U);
+    EXPECT_EQ(rules->routes[0].kind, repetition::streaming);
+    EXPECT_TRUE(is_repeatable(rules->routes[0]));
+    EXPECT_EQ(rules->routes[0].event_gap_objective, milliseconds(300));
+    EXPECT_EQ(rules->routes[1].services[1].weight, 10U);
+    EXPECT_FALSE(rules->routes[1].needs_key);
+    EXPECT_EQ(rules->services.at("drafts").engine.load_duration, milliseconds(300));
+    EXPECT_NEAR(rules->services.at("drafts").engine.prompt_tokens_per_ms, 31.9, 0.001);
+    EXPECT_EQ(find_origin(*rules)->origin_address, "172.20.0.3:8006");
+    EXPECT_EQ(rules->workspaces[0].keys.size(), 2U);
+    EXPECT_EQ(rules->limits.largest_head, 16384U);
+}
+
+TEST(decode, a_kind_that_is_not_known_gets_the_strictest_rule) {
+    std::string text = configuration;
+    text.replace(text.find("\"streaming\""), 11, "\"whatever\"");
+    const auto rules = platform::decode_routing(text);
+    ASSERT_TRUE(rules.has_value());
+    EXPECT_EQ(rules->routes[0].kind, repetition::non_idempotent);
+    EXPECT_FALSE(is_repeatable(rules->routes[0]));
+}
+
+versioned_row server_row(const std::string& value) {
+    return {"i-1", value, 9, false};
+}
+
+TEST(decode, entries_of_other_writers_name_no_server) {
+    const std::string sound = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",
+        "slots":16,"state":"ready","cold_ms":0,"sequence":4})";
+    ASSERT_TRUE(platform::decode_server(server_row(sound)).has_value());
+    for (const std::string& bad :
+         {std::string("not json"), std::string("{}"), std::string("[]"),
+          std::string(R"({"service":"s","address":7,"zone":"z","slots":1,"state":"ready",
+                          "cold_ms":0})"),
+          std::string(R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"odd",
+                          "cold_ms":0})"),
+          std::string(R"({"service":"s","address":"a:1","zone":"z","slots":"x","state":"ready",
+                          "cold_ms":0})")}) {
+        EXPECT_FALSE(platform::decode_server(server_row(bad)).has_value()) << bad;
+    }
+}
+
+std::uint64_t weights_of(const std::string& layers) {
+    const std::string text =
+        R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"ready","cold_ms":0,
+            "models":[{"name":"m","version":3,"adapters":[]}],"layers":)" +
+        layers + "}";
+    return platform::decode_server(server_row(text)).value().weights_version;
+}
+
+TEST(decode, only_one_version_over_all_layers_is_a_whole_model) {
+    EXPECT_EQ(weights_of(R"([{"from":0,"target":16,"version":3}])"), 3U);
+    EXPECT_EQ(weights_of(R"([{"from":0,"target":8,"version":3},
+                             {"from":8,"target":16,"version":3}])"),
+              3U);
+    EXPECT_EQ(weights_of(R"([{"from":0,"target":8,"version":3},
+                             {"from":8,"target":16,"version":2}])"),
+              0U);
+    EXPECT_EQ(weights_of(R"([{"from":4,"target":16,"version":3}])"), 0U);
+    EXPECT_EQ(weights_of("[]"), 0U);
+}
+
+TEST(decode, rows_of_the_operator_are_told_apart) {
+    const auto zone = platform::decode_operator_row({"evacuate/z1", "{}", 4, false});
+    EXPECT_EQ(zone->evacuated_zone, "z1");
+    EXPECT_FALSE(zone->is_removed);
+    EXPECT_TRUE(platform::decode_operator_row({"evacuate/z1", "", 5, true})->is_removed);
+    const auto weights =
+        platform::decode_operator_row({"version/m", R"({"model":"m","version":3})", 6, false});
+    EXPECT_EQ(weights->weights->version, 3U);
+    EXPECT_FALSE(platform::decode_operator_row({"config", "{", 7, false}).has_value());
+}
+
+TEST(exchange, what_concerns_one_connection_or_only_this_system_is_not_passed_on) {
+    const std::vector<http_header> caller{{"Host", "a.example"},
+                                          {"Connection", "keep-alive"},
+                                          {"Authorization", "Token secret"},
+                                          {"X-Citronseam-Tenant", "forged"},
+                                          {"X-Citronseam-Expect-Instance", "forged"},
+                                          {"X-Citronseam-Request-Priority", "0"},
+                                          {"X-Citronseam-Deadline-Ms", "6000"},
+                                          {"X-Citronseam-Attempt-Id", "9c41"},
+                                          {"X-Other", "kept"}};
+    platform::dispatch_terms terms;
+    terms.patience = milliseconds(5000);
+    terms.server = "i-1";
+    terms.workspace = "t";
+    const auto headers = platform::write_dispatch_headers(caller, terms);
+    EXPECT_EQ(find_header(headers, "X-Citronseam-Tenant"), "t");
+    EXPECT_EQ(find_header(headers, "X-Citronseam-Expect-Instance"), "i-1");
+    EXPECT_EQ(find_header(headers, "X-Citronseam-Deadline-Ms"), "5000");
+    EXPECT_EQ(find_header(headers, "X-Citronseam-Attempt-Id"), "9c41");
+    EXPECT_EQ(find_header(headers, "X-Other"), "kept");
+    EXPECT_EQ(find_header(headers, "Authorization"), "");
+    EXPECT_EQ(find_header(headers, "Connection"), "");
+    EXPECT_EQ(find_header(headers, "X-Citronseam-Request-Priority"), "");
+}
+
+TEST(exchange, a_server_says_that_it_did_not_run_a_request) {
+    EXPECT_TRUE(platform::read_answer_terms(421, {}).is_not_run);
+    EXPECT_TRUE(platform::read_answer_terms(503, {{"X-Citronseam-Not-Executed", "1"}}).is_not_run);
+    EXPECT_FALSE(platform::read_answer_terms(503, {}).is_not_run) << "it may have run";
+}
+
+TEST(exchange, a_refusal_says_when_to_come_back) {
+    const auto answer = platform::write_refusal(503, "full \"now\"", milliseconds(250));
+    EXPECT_EQ(find_header(answer.headers, "Retry-After"), "0.250");
+    EXPECT_EQ(nlohmann::json::parse(answer.body).at("error_message"), "full \"now\"");
+    EXPECT_EQ(find_header(platform::write_refusal(404, "", {}).headers, "Retry-After"), "");
+}
+
+http_answer answer_with(int status, bool is_complete = true) {
+    http_answer answer;
+    answer.outcome.status = status;
+    answer.outcome.is_complete = is_complete;
+    return answer;
+}
+
+TEST(store, outcomes_tell_whether_something_was_done) {
+    using platform::store_outcome;
+    EXPECT_EQ(platform::outcome_of(answer_with(200)), store_outcome::done);
+    EXPECT_EQ(platform::outcome_of(answer_with(412)), store_outcome::condition_failed);
+    EXPECT_EQ(platform::outcome_of(answer_with(410)), store_outcome::history_lost);
+    EXPECT_EQ(platform::outcome_of(answer_with(429)), store_outcome::refused);
+    EXPECT_EQ(platform::outcome_of(answer_with(503)), store_outcome::refused);
+    EXPECT_EQ(platform::outcome_of(answer_with(0, false)), store_outcome::unknown);
+    EXPECT_EQ(platform::outcome_of(answer_with(500)), store_outcome::unknown);
+}
+
+TEST(store, rows_are_read_with_their_bytes) {
+    const auto page = platform::parse_rows(
+        R"({"records":[{"table":"t","part":"","key":"a","value":"bm9kZS0x","ver":4},
+            {"table":"t","part":"","key":"b","tombstone":true,"ver":5}],"has_more":true,"ver":9})");
+    ASSERT_TRUE(page.has_value());
+    EXPECT_TRUE(page->has_more);
+    EXPECT_EQ(page->batch.version, 9U);
+    EXPECT_EQ(page->batch.rows[0].value, "node-1");
+    EXPECT_TRUE(page->batch.rows[1].is_removed);
+    EXPECT_FALSE(platform::parse_rows("{}").has_value());
+    const auto write = platform::write_row("http://s", "t", "k", "node-1");
+    EXPECT_EQ(nlohmann::json::parse(write.body).at("set_keys")[0].at("value"), "bm9kZS0x");
+}
+
+TEST(engine, an_order_that_gets_no_answer_may_have_been_accepted) {
+    using platform::order_outcome;
+    EXPECT_EQ(platform::outcome_of_order(answer_with(202)), order_outcome::begun);
+    EXPECT_EQ(platform::outcome_of_order(answer_with(200)), order_outcome::in_force);
+    EXPECT_EQ(platform::outcome_of_order(answer_with(409)), order_outcome::not_fitting);
+    EXPECT_EQ(platform::outcome_of_order(answer_with(412)), order_outcome::overtaken);
+    EXPECT_EQ(platform::outcome_of_order(answer_with(0, false)), order_outcome::unknown);
+}
+
+TEST(directory, a_question_names_host_zone_and_region) {
+    server_request request;
+    request.method = "GET";
+    request.path = "/resolve";
+    request.target = "/resolve?name=a.example&region=north&zone=z1";
+    const auto question = platform::read_address_question(request);
+    ASSERT_TRUE(question.has_value());
+    EXPECT_EQ(question->zone, "z1");
+    EXPECT_EQ(question->region, "north");
+    request.path = "/other";
+    EXPECT_FALSE(platform::read_address_question(request).has_value());
+    EXPECT_EQ(platform::write_addresses({"10.1.0.40:8005"}, std::chrono::seconds(2)),
+              R"({"addresses":["10.1.0.40:8005"],"ttl_s":2})");
+}
+
+} // namespace
--- /dev/null
+++ b/tests/routing_logic_test.cpp
@@ -0,0 +1,401 @@
+// Decision logic of gateways: routes, choice of a server, retries, events, copies of tables.
+#include <gtest/gtest.h>
+
+#include "citronseam/process/member.h"
+#include "citronseam/process/versioned_row.h"
+#include "citronseam/request/event_stream.h"
+#include "citronseam/request/route_table.h"
+#include "citronseam/request/server_choice.h"
+#include "citronseam/request/shared_retry_budget.h"
+#include "citronseam/version/load_turn.h"
+#include "citronseam/version/routing.h"
+
+namespace {
+
+using namespace citronseam;
+
+constexpr std::uint64_t seed = 20261203;
+const time_point start = time_point{} + std::chrono::hours(1);
+
+route make_route(const std::string& name, const std::string& host, const std::string& prefix) {
+    route rule;
+    rule.name = name;
+    rule.host = host;
+    rule.prefix = prefix;
+    rule.services = {{"service", 1}};
+    return rule;
+}
+
+std::shared_ptr<const route_table> make_table(std::vector<route> routes,
+                                              std::vector<routed_workspace> workspaces = {}) {
+    auto rules = std::make_shared<routing>();
+    rules->routes = std::move(routes);
+    rules->workspaces = std::move(workspaces);
+    return make_route_table(std::move(rules));
+}
+
+TEST(route_table, the_longest_prefix_of_the_host_wins) {
+    const auto table = make_table({make_route("short", "a.example", "/x/"),
+                                   make_route("long", "a.example", "/x/y/"),
+                                   make_route("other", "b.example", "/x/y/z/")});
+    EXPECT_EQ(find_route(*table, "a.example", "/x/y/z/1")->name, "long");
+    EXPECT_EQ(find_route(*table, "a.example", "/x/1")->name, "short");
+    EXPECT_EQ(find_route(*table, "a.example", "/x"), nullptr) << "a prefix ends with a slash";
+    EXPECT_EQ(find_route(*table, "c.example", "/x/"), nullptr);
+}
+
+TEST(route_table, weights_decide_how_often_a_service_is_chosen) {
+    route rule = make_route("split", "a", "/");
+    rule.services = {{"old", 90}, {"new", 10}};
+    random_source random(seed);
+    int chosen = 0;
+    constexpr int draws = 10000;
+    for (int i = 0; i < draws; ++i) {
+        chosen += choose_service(rule, random) == "new" ? 1 : 0;
+    }
+    EXPECT_NEAR(chosen, draws / 10, draws / 100);
+}
+
+TEST(route_table, regions_of_route_and_workspace_both_bind) {
+    route rule = make_route("r", "a", "/");
+    rule.allowed_regions = {"north", "south"};
+    routed_workspace workspace;
+    workspace.allowed_regions = {"south"};
+    EXPECT_TRUE(is_region_allowed(rule, &workspace, "south"));
+    EXPECT_FALSE(is_region_allowed(rule, &workspace, "north"));
+    EXPECT_TRUE(is_region_allowed(rule, nullptr, "north"));
+    EXPECT_FALSE(is_region_allowed(rule, nullptr, "west"));
+}
+
+TEST(route_table, only_idempotent_requests_and_resumable_streams_are_repeatable) {
+    route rule = make_route("r", "a", "/");
+    EXPECT_FALSE(is_repeatable(rule));
+    rule.kind = repetition::streaming;
+    EXPECT_FALSE(is_repeatable(rule));
+    rule.is_resumable = true;
+    EXPECT_TRUE(is_repeatable(rule));
+    rule.kind = repetition::non_idempotent;
+    EXPECT_FALSE(is_repeatable(rule)) << "a booking is never resumed";
+}
+
+TEST(shared_retry_budget, all_processes_together_stay_within_the_bound) {
+    const retry_bound bound{0.2, 20, milliseconds(10000)};
+    constexpr std::size_t sharers = 5;
+    constexpr int requests = 100;
+    std::size_t granted = 0;
+    for (std::size_t process = 0; process < sharers; ++process) {
+        shared_retry_budget budget;
+        for (int i = 0; i < requests; ++i) {
+            note_request(budget, bound, start);
+        }
+        for (int i = 0; i < requests; ++i) {
+            granted += take_repeat(budget, bound, sharers, start) ? 1 : 0;
+        }
+    }
+    EXPECT_LE(granted, 0.2 * requests * sharers + 20);
+    EXPECT_GT(granted, 50U);
+}
+
+TEST(shared_retry_budget, it_recovers_as_the_window_slides) {
+    const retry_bound bound{0, 2, milliseconds(1000)};
+    shared_retry_budget budget;
+    EXPECT_TRUE(take_repeat(budget, bound, 1, start));
+    EXPECT_FALSE(take_repeat(budget, bound, 1, start + milliseconds(999)));
+    EXPECT_TRUE(take_repeat(budget, bound, 1, start + milliseconds(1000)));
+}
+
+TEST(event_stream, events_come_out_whole_however_the_bytes_are_cut) {
+    const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+    for (std::size_t step = 1; step < text.size(); ++step) {
+        event_buffer buffer;
+        std::vector<std::uint64_t> ids;
+        for (std::size_t at = 0; at < text.size(); at += step) {
+            ASSERT_TRUE(feed(buffer, std::string_view(text).substr(at, step)));
+            while (const auto event = next_event(buffer)) {
+                ids.push_back(event->id.value());
+            }
+        }
+        EXPECT_EQ(ids, (std::vector<std::uint64_t>{1, 2}));
+        EXPECT_EQ(buffer.pending, "id: 3\nda") << "the last one is cut";
+    }
+}
+
+TEST(event_stream, an_event_without_end_is_not_collected_for_ever) {
+    event_buffer buffer;
+    EXPECT_FALSE(feed(buffer, std::string(largest_event + 1, 'x')));
+}
+
+TEST(event_stream, gaps_and_repeats_are_told_from_the_next_event) {
+    EXPECT_EQ(standing_of(std::nullopt, 0), event_standing::next);
+    EXPECT_EQ(standing_of(4, 5), event_standing::next);
+    EXPECT_EQ(standing_of(4, 4), event_standing::repeated);
+    EXPECT_EQ(standing_of(4, 6), event_standing::gap);
+    EXPECT_EQ(standing_of(4, std::nullopt), event_standing::next);
+}
+
+/// Servers of one zone with choices that follow each other.
+class choice : public ::testing::Test {
+protected:
+    choice() : random_(seed) {
+        terms_.now = start;
+        terms_.own_zone = "zone-a";
+        terms_.own_region = "region-a";
+        terms_.turnover_ms = 84;
+        terms_.is_zone_allowed = [](std::string_view) { return true; };
+        terms_.region_of = [](std::string_view zone) {
+            return zone == "zone-a" ? std::string_view("region-a") : std::string_view("region-b");
+        };
+    }
+
+    server_state& add(const std::string& id, const std::string& zone = "zone-a") {
+        auto server = std::make_unique<server_state>();
+        server->entry.id = id;
+        server->entry.zone = zone;
+        server->entry.slots = 16;
+        server->entry.weights_version = 1;
+        servers_.push_back(std::move(server));
+        return *servers_.back();
+    }
+
+    server_choice choose() {
+        std::vector<server_state*> all;
+        for (const auto& server : servers_) {
+            all.push_back(server.get());
+        }
+        return choose_server(all, terms_, random_);
+    }
+
+    choice_terms terms_;
+    random_source random_;
+    std::vector<std::unique_ptr<server_state>> servers_;
+};
+
+TEST_F(choice, a_draining_excluded_or_forbidden_server_is_never_chosen) {
+    add("draining").entry.is_draining = true;
+    add("tried");
+    add("elsewhere", "zone-b");
+    terms_.excluded = {"tried"};
+    terms_.is_zone_allowed = [](std::string_view zone) { return zone != "zone-b"; };
+    const server_choice chosen = choose();
+    EXPECT_EQ(chosen.server, nullptr);
+    EXPECT_EQ(chosen.obstacle, choice_obstacle::no_server);
+}
+
+TEST_F(choice, weights_that_are_too_old_or_not_exact_do_not_serve) {
+    add("old");
+    terms_.least_weights_version = 2;
+    EXPECT_EQ(choose().server, nullptr);
+    add("new").entry.weights_version = 3;
+    EXPECT_EQ(choose().server->entry.id, "new");
+    terms_.exact_weights_version = 2;
+    EXPECT_EQ(choose().server, nullptr) << "a stream goes on with the weights that it began with";
+}
+
+// The pattern: an engine comes back from a load with no requests while all others are full. Every
+// gateway sees it idle at the same moment.
+TEST_F(choice, gateways_do_not_all_rush_to_an_engine_that_comes_back) {
+    constexpr std::size_t gateways = 7;
+    constexpr int arrivals_each = 6;
+    constexpr double prompt_ms = 31;
+    terms_.sharers = gateways;
+    terms_.senders_alike = gateways;
+    terms_.prompt_ms = prompt_ms;
+    terms_.waiting_allowance = 2;
+    terms_.longest_wait_ms = 160;
+    std::size_t sent = 0;
+    for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+        servers_.clear();
+        server_state& idle = add("back");
+        take_report(idle, {0, 1, false, true, std::nullopt}, start);
+        for (int i = 0; i < arrivals_each; ++i) {
+            const server_choice chosen = choose();
+            if (chosen.server != nullptr) {
+                note_sent(*chosen.server, terms_);
+                ++sent;
+            }
+        }
+    }
+    EXPECT_LE(static_cast<double>(sent) * prompt_ms, 2 * 217)
+        << "what all send at once is read within about the latency objective";
+    EXPECT_GE(sent, gateways);
+}
+
+TEST_F(choice, requests_without_a_first_event_make_a_server_slower) {
+    server_state& busy = add("reading");
+    add("free");
+    terms_.prompt_ms = 60;
+    note_sent(busy, terms_);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(choose().server->entry.id, "free");
+    }
+    note_prompt_read(busy, 60);
+    note_ended(busy, exchange_standing::sound, start);
+    EXPECT_DOUBLE_EQ(expected_wait_ms(busy, terms_), 0);
+}
+
+// The pattern: overload. A request that would begin too late takes the place of one in time.
+TEST_F(choice, a_server_that_would_answer_too_late_is_full) {
+    server_state& server = add("a");
+    terms_.longest_wait_ms = 100;
+    terms_.prompt_ms = 80;
+    note_sent(server, terms_);
+    EXPECT_NE(choose().server, nullptr);
+    note_sent(server, terms_);
+    const server_choice chosen = choose();
+    EXPECT_EQ(chosen.server, nullptr);
+    EXPECT_EQ(chosen.obstacle, choice_obstacle::full);
+}
+
+TEST_F(choice, traffic_stays_near_until_near_servers_are_slower) {
+    server_state& near = add("near");
+    add("far", "zone-b");
+    EXPECT_EQ(choose().server->entry.id, "near");
+    take_report(near, {17, 1, false, true, std::nullopt}, start);
+    terms_.waiting_allowance = 4;
+    EXPECT_EQ(choose().server->entry.id, "far");
+}
+
+// The pattern: a warm server turns cold without notice while it has the usual load.
+TEST_F(choice, all_processes_together_stay_within_what_a_cold_server_bears) {
+    constexpr std::size_t gateways = 7;
+    constexpr double bound = 59;
+    terms_.sharers = gateways;
+    terms_.cold_requests_per_second = bound;
+    std::size_t sent = 0;
+    for (std::size_t gateway = 0; gateway < gateways; ++gateway) {
+        servers_.clear();
+        add("cold");
+        for (int i = 0; i < 100; ++i) {
+            terms_.now = start + milliseconds(i * 9);
+            const server_choice chosen = choose();
+            if (chosen.server != nullptr) {
+                note_sent(*chosen.server, terms_);
+                note_ended(*chosen.server, exchange_standing::sound, terms_.now);
+                ++sent;
+            }
+        }
+    }
+    EXPECT_LE(static_cast<double>(sent), bound);
+    EXPECT_GT(sent, 35U);
+}
+
+TEST_F(choice, long_requests_avoid_an_engine_that_loads_soon) {
+    server_state& soon = add("soon");
+    add("later", "zone-b");
+    take_report(soon, {0, 1, false, true, milliseconds(300)}, start);
+    terms_.expected_duration = milliseconds(200);
+    EXPECT_EQ(choose().server->entry.id, "soon");
+    terms_.expected_duration = milliseconds(900);
+    EXPECT_EQ(choose().server->entry.id, "later");
+}
+
+TEST_F(choice, a_server_that_breaks_its_answers_is_barred_and_taken_back) {
+    server_state& bad = add("bad");
+    for (int i = 0; i < 2; ++i) {
+        note_sent(bad, terms_);
+        note_ended(bad, exchange_standing::broken, start);
+    }
+    EXPECT_EQ(choose().obstacle, choice_obstacle::failing);
+    terms_.now = start + milliseconds(101);
+    EXPECT_EQ(choose().server, &bad) << "one request finds out whether it is sound again";
+}
+
+TEST_F(choice, a_report_that_is_old_is_not_used) {
+    server_state& server = add("a");
+    take_report(server, {16, 1, true, true, std::nullopt}, start);
+    EXPECT_EQ(choose().server, nullptr) << "it loads";
+    terms_.now = start + report_lifetime + milliseconds(1);
+    EXPECT_EQ(choose().server, &server);
+}
+
+TEST(versioned_row, the_newer_state_of_a_row_stays_in_whatever_order_batches_come) {
+    row_cache cache;
+    merge(cache, {{{"a", "new", 7, false}}, 7, false});
+    EXPECT_TRUE(merge(cache, {{{"a", "old", 5, false}}, 6, true}).empty());
+    EXPECT_EQ(cache.rows.at("a").value, "new");
+    EXPECT_EQ(cache.version, 7U);
+}
+
+TEST(versioned_row, a_whole_read_removes_what_it_does_not_list) {
+    row_cache cache;
+    merge(cache, {{{"a", "1", 3, false}, {"b", "1", 4, false}}, 5, true});
+    const auto changed = merge(cache, {{{"a", "1", 3, false}}, 9, true});
+    ASSERT_EQ(changed.size(), 1U);
+    EXPECT_EQ(changed[0].key, "b");
+    EXPECT_TRUE(changed[0].is_removed);
+    EXPECT_EQ(rows_after(cache, 4).size(), 1U) << "another process hears of the removal";
+}
+
+TEST(versioned_row, a_row_written_after_a_whole_read_survives_it) {
+    row_cache cache;
+    merge(cache, {{{"a", "1", 12, false}}, 12, false});
+    EXPECT_TRUE(merge(cache, {{}, 10, true}).empty());
+    EXPECT_FALSE(cache.rows.at("a").is_removed);
+}
+
+TEST(member, a_row_reads_back_as_it_was_written) {
+    member process;
+    process.instance = "edge-1";
+    process.role = process_role::sidecar;
+    process.zone = "zone-a";
+    process.region = "region-a";
+    process.peer_address = "10.0.0.1:7701";
+    process.service = "drafts";
+    process.incarnation = 42;
+    EXPECT_EQ(parse_member(to_json(process)).value(), process);
+    EXPECT_FALSE(parse_member("{}").has_value());
+}
+
+TEST(member, callers_are_sent_to_their_zone_and_further_only_when_it_has_too_few) {
+    random_source random(seed);
+    const std::vector<reachable_gateway> gateways{{"a1", "zone-a", "north"},
+                                                  {"a2", "zone-a", "north"},
+                                                  {"b1", "zone-b", "north"},
+                                                  {"c1", "zone-c", "south"}};
+    EXPECT_EQ(choose_addresses(gateways, "zone-a", "north", 64, random).size(), 2U);
+    EXPECT_EQ(choose_addresses(gateways, "zone-b", "north", 64, random).size(), 3U);
+    EXPECT_EQ(choose_addresses(gateways, "zone-c", "south", 64, random).size(), 4U);
+    EXPECT_EQ(choose_addresses(gateways, "zone-x", "west", 3, random).size(), 3U);
+}
+
+TEST(load_turn, turns_fill_the_time_until_the_weights_are_due) {
+    load_turn_terms terms{start, start + seconds(3), seconds(7), 0, 5};
+    EXPECT_EQ(load_moment(terms), start + seconds(3));
+    terms.index = 2;
+    EXPECT_EQ(load_moment(terms), start + seconds(5));
+    terms.index = 4;
+    EXPECT_EQ(load_moment(terms), start + seconds(7));
+}
+
+TEST(load_turn, with_no_time_left_the_load_begins_at_once) {
+    const load_turn_terms terms{start, start + seconds(8), seconds(7), 3, 5};
+    EXPECT_EQ(load_moment(terms), start + seconds(8));
+}
+
+TEST(load_turn, each_engine_has_a_place_of_its_own_that_differs_by_version) {
+    const std::vector<std::string> instances{"a", "b", "c", "d", "e", "f"};
+    std::vector<std::size_t> first;
+    std::vector<std::size_t> second;
+    for (const auto& instance : instances) {
+        first.push_back(turn_of("m:1", instance, instances));
+        second.push_back(turn_of("m:2", instance, instances));
+    }
+    EXPECT_NE(first, second);
+    std::sort(first.begin(), first.end());
+    EXPECT_EQ(first, (std::vector<std::size_t>{0, 1, 2, 3, 4, 5}));
+}
+
+TEST(engine_profile, durations_follow_from_the_profile) {
+    engine_profile engine;
+    EXPECT_EQ(usual_turnover_ms(engine), 0) << "nothing is known";
+    engine.slots = 16;
+    engine.step_ms = 7.4;
+    engine.step_ms_per_sequence = 0.0387;
+    engine.prompt_tokens_per_ms = 31.9;
+    engine.usual_prompt_tokens = 973;
+    engine.usual_output_tokens = 106;
+    EXPECT_NEAR(usual_turnover_ms(engine), 83.6, 0.5);
+    EXPECT_GT(expected_duration_ms(engine, 973, 300), expected_duration_ms(engine, 973, 100));
+}
+
+} // namespace
