--- a/src/programs/gateway/belief_keeper.h
+++ b/src/programs/gateway/belief_keeper.h
@@ -30,7 +30,7 @@
     /// @return whether it changed
     bool set_gateways(std::size_t count);
     /// Notes that the process is on its way out.
-    void set_leaving() { view_.is_leaving = true; }
+    void set_leaving(time_point leaves_at) { view_.leaves_at = leaves_at; }
 
     /// @return a copy for the traffic thread
     std::shared_ptr<const traffic_view> publish() const;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -219,12 +219,12 @@
     /// Says that it leaves, serves callers that have not heard of it yet, and ends.
     void leave() {
         const auto began = std::chrono::steady_clock::now();
-        control_.post([this] {
+        const milliseconds latest = options_.node.grace_period - grace_margin;
+        control_.post([this, leaves_at = began + latest] {
             is_leaving_ = true;
-            beliefs_.set_leaving();
+            beliefs_.set_leaving(leaves_at);
             publish();
         });
-        const milliseconds latest = options_.node.grace_period - grace_margin;
         const milliseconds linger = std::min<milliseconds>(
             latest, std::chrono::duration_cast<milliseconds>(answer_lifetime) * lifetimes_kept);
         while (true) {
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "citronseam/process/log.h"
+#include "citronseam/request/leaving.h"
 #include "citronseam/request/retry_budget.h"
 
 namespace citronseam {
@@ -33,6 +34,7 @@
 /// When callers should come back.
 constexpr milliseconds configuration_wait{300}; ///< a process that starts reads it within this
 constexpr milliseconds no_server_wait{500};     ///< servers that load weights are back within this
+constexpr milliseconds leaving_wait{50};        ///< other processes take requests now
 constexpr milliseconds failing_wait{200};       ///< length of a usual bar after failures
 
 std::optional<std::uint64_t> parse_event(const std::optional<std::string>& text) {
@@ -87,7 +89,7 @@
                 retry_after(configuration_wait, context_.pool.random())});
         return false;
     }
-    if (view_->is_leaving) {
+    if (view_->leaves_at) {
         responder_->close_after_answer();
     }
     rule_ = find_route(*view_->routes, terms_.host, request_.path);
@@ -102,6 +104,12 @@
         return false;
     }
     service_ = choose_service(*rule_, context_.pool.random());
+    if (!may_take(received_at_, view_->leaves_at,
+                  context_.pool.longest_duration(*rule_, service_, terms_.output_tokens))) {
+        refuse({status_unavailable, "leaving", "this process is on its way out",
+                retry_after(leaving_wait, context_.pool.random())});
+        return false;
+    }
     const milliseconds patience = terms_.patience.value_or(rule_->timeout);
     deadline_ = received_at_ + std::min(patience, rule_->timeout);
     return true;
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -12,6 +12,8 @@
 constexpr double waiting_share = 0.4;
 /// Plain services tell nothing of their speed; a queue as long as their slots is taken as bearable.
 constexpr std::uint32_t plain_allowance_per_slot = 1;
+/// An engine under the heaviest load is slower than its profile tells.
+constexpr double duration_margin = 1.3;
 /// Weight of the newest choice in the share of refused ones: about the last thirty count.
 constexpr double refusal_smoothing = 0.03;
 /// Longest time after which refused callers begin to return; they come within twice that time,
@@ -166,6 +168,19 @@
     return offer;
 }
 
+milliseconds server_pool::longest_duration(const route& rule, const std::string& service,
+                                           std::uint64_t output_tokens) const {
+    const auto& services = view_->routes->rules->services;
+    const auto found = services.find(service);
+    if (found == services.end() || !found->second.has_engine || output_tokens == 0) {
+        return rule.timeout;
+    }
+    const double duration = expected_duration_ms(found->second.engine, 0,
+                                                 static_cast<double>(output_tokens));
+    const auto scaled = milliseconds(static_cast<std::int64_t>(duration * duration_margin));
+    return std::min(rule.timeout, rule.latency_objective + scaled);
+}
+
 bool server_pool::may_begin(const server_state& server, const std::string& service,
                             time_point now) const {
     const auto& services = view_->routes->rules->services;
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -55,6 +55,11 @@
     /// newer ones have replaced by now
     bool may_begin(const server_state& server, const std::string& service, time_point now) const;
 
+    /// @return time that a request of a route takes at most, or nearly so
+    /// @param output_tokens that a stream may have, 0: not known
+    milliseconds longest_duration(const route& rule, const std::string& service,
+                                  std::uint64_t output_tokens) const;
+
     /// Notes a caller's request for a service.
     void note_request(const std::string& service, time_point now);
     /// Takes leave to send a request to one more server.
--- a/src/programs/gateway/traffic_view.h
+++ b/src/programs/gateway/traffic_view.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,7 +32,7 @@
     std::vector<listed_server> servers;
     bool has_servers{false}; ///< the list was read
     std::size_t gateways{1}; ///< processes that share the bounds
-    bool is_leaving{false};
+    std::optional<time_point> leaves_at; ///< end of the process, once it is on its way out
 };
 
 /// @param due time within which weights are in force after they were named
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -4,6 +4,7 @@
 #include "citronseam/process/member.h"
 #include "citronseam/process/versioned_row.h"
 #include "citronseam/request/event_stream.h"
+#include "citronseam/request/leaving.h"
 #include "citronseam/request/route_table.h"
 #include "citronseam/request/server_choice.h"
 #include "citronseam/request/shared_retry_budget.h"
@@ -78,6 +79,17 @@
     EXPECT_FALSE(is_repeatable(rule)) << "a booking is never resumed";
 }
 
+// A stream that was taken 5.4 s after the signal was cut when the process ended at 7 s.
+TEST(leaving, a_request_that_would_be_cut_is_not_taken) {
+    const time_point end = start + milliseconds(7000);
+    const milliseconds longest(4300);
+    EXPECT_TRUE(may_take(start, std::nullopt, longest));
+    EXPECT_TRUE(may_take(start + milliseconds(2000), end, longest));
+    EXPECT_FALSE(may_take(start + milliseconds(5400), end, longest));
+    EXPECT_TRUE(may_take(start + milliseconds(5400), end, milliseconds(800)))
+        << "a short one still ends in time";
+}
+
 TEST(shared_retry_budget, all_processes_together_stay_within_the_bound) {
     const retry_bound bound{0.2, 20, milliseconds(10000)};
     constexpr std::size_t sharers = 5;
