--- a/include/citronseam/process/versioned_row.h
+++ b/include/citronseam/process/versioned_row.h
@@ -38,6 +38,9 @@
 /// @return the rows that changed
 std::vector<versioned_row> merge(row_cache& cache, const row_batch& batch);
 
+/// @return the highest version of a row, 0 when there is none
+std::uint64_t newest_version(const row_cache& cache) noexcept;
+
 /// @return the rows with a higher version than `after`
 std::vector<versioned_row> rows_after(const row_cache& cache, std::uint64_t after);
 
--- a/src/process/versioned_row.cpp
+++ b/src/process/versioned_row.cpp
@@ -50,6 +50,14 @@
     return changed;
 }
 
+std::uint64_t newest_version(const row_cache& cache) noexcept {
+    std::uint64_t newest = 0;
+    for (const auto& [key, row] : cache.rows) {
+        newest = std::max(newest, row.version);
+    }
+    return newest;
+}
+
 std::vector<versioned_row> rows_after(const row_cache& cache, std::uint64_t after) {
     std::vector<versioned_row> newer;
     for (const auto& [key, row] : cache.rows) {
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -20,6 +20,9 @@
 /// The list of servers changes with every heartbeat of a server, so a feed would answer all the
 /// time. Read this often, a server that leaves is known well within the bound on sending to it.
 constexpr milliseconds servers_interval{400};
+/// The same where another gateway reads for the zone: a safeguard.
+constexpr milliseconds servers_interval_of_others{5000};
+constexpr milliseconds reader_check_interval{200};
 /// Granularity of time limits on requests.
 constexpr milliseconds sweep_interval{50};
 /// Lifetime of an answer of the directory. Some callers keep it three times as long, and a process
@@ -55,12 +58,9 @@
         control_.post([this] {
             links_.start({&server_rows_});
             server_rows_.start([this](const std::vector<versioned_row>& changed) {
-                const bool is_news = beliefs_.take_server_rows(changed);
-                update_beat();
-                if (is_news) {
-                    publish();
-                }
+                take_server_rows(changed);
             });
+            repeat(control_, reader_check_interval, [this] { choose_interval(); });
         });
         sweep();
         log_event(log_level::info, "started",
@@ -71,6 +71,30 @@
                    {"store", options_.node.store_address}});
     }
 
+    void take_server_rows(const std::vector<versioned_row>& changed) {
+        const bool is_news = beliefs_.take_server_rows(changed);
+        update_beat();
+        if (!is_news) {
+            return;
+        }
+        publish();
+        if (is_reader_) {
+            links_.share_rows(process_role::gateway, server_rows_.table(), changed,
+                              server_rows_.rows().version);
+        }
+    }
+
+    /// One gateway of each zone reads the list of servers often; it sends the others what changed.
+    void choose_interval() {
+        const bool is_reader = links_.is_zone_reader();
+        if (is_reader != is_reader_) {
+            log_event(log_level::info, is_reader ? "reads_for_zone" : "leaves_reading",
+                      {{"zone", options_.availability_zone}});
+        }
+        is_reader_ = is_reader;
+        server_rows_.set_interval(is_reader ? servers_interval : servers_interval_of_others);
+    }
+
     void open_servers() {
         server_options front;
         front.address = *parse_host_port(options_.http_address);
@@ -251,6 +275,7 @@
     belief_keeper beliefs_;
     random_source random_; ///< control thread only
     time_point asked_servers_at_;
+    bool is_reader_{true}; ///< control thread only
     std::atomic<bool> is_ready_{false};
     bool is_leaving_{false};                               ///< control thread only
     std::list<std::weak_ptr<gateway_exchange>> exchanges_; ///< traffic thread only
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -24,6 +24,31 @@
     return process;
 }
 
+shared_frame make_rows_frame(const std::string& table, const row_batch& batch) {
+    wire::rows_replyT reply;
+    reply.table = table;
+    reply.version = batch.version;
+    reply.is_whole = batch.is_whole;
+    for (const auto& row : batch.rows) {
+        auto written = std::make_unique<wire::table_rowT>();
+        written->key = row.key;
+        written->value.assign(row.value.begin(), row.value.end());
+        written->version = row.version;
+        written->is_removed = row.is_removed;
+        reply.rows.push_back(std::move(written));
+    }
+    return make_frame(std::move(reply));
+}
+
+std::unique_ptr<wire::neighbourT> to_neighbour(const member& process, bool is_ready) {
+    auto neighbour = std::make_unique<wire::neighbourT>();
+    neighbour->instance = process.instance;
+    neighbour->peer_address = process.peer_address;
+    neighbour->availability_zone = process.zone;
+    neighbour->is_ready = is_ready;
+    return neighbour;
+}
+
 } // namespace
 
 member_mesh::member_mesh(io_threads& control, member self, session_timing timing,
@@ -177,7 +202,10 @@
         const bool is_change = from.is_ready != beat->is_ready();
         from.is_ready = beat->is_ready();
         from.operator_version = beat->operator_version();
-        from.servers_version = beat->servers_version();
+        if (beat->servers_version() > from.servers_version) {
+            from.servers_version = beat->servers_version();
+            from.servers_version_at = std::chrono::steady_clock::now();
+        }
         observer_.on_beat(from, *beat);
         if (is_change) {
             observer_.on_members();
@@ -200,15 +228,14 @@
     wire::neighbours_replyT reply;
     for (const connected_member* connected : members()) {
         const member& process = connected->process;
-        if (process.role != process_role::sidecar || process.service != view(request.service())) {
+        if (process.role == process_role::gateway) {
+            reply.gateways.push_back(to_neighbour(process, connected->is_ready));
             continue;
         }
-        auto neighbour = std::make_unique<wire::neighbourT>();
-        neighbour->instance = process.instance;
-        neighbour->peer_address = process.peer_address;
-        neighbour->availability_zone = process.zone;
-        neighbour->is_ready = connected->is_ready;
-        reply.neighbours.push_back(std::move(neighbour));
+        if (process.service != view(request.service())) {
+            continue;
+        }
+        reply.neighbours.push_back(to_neighbour(process, connected->is_ready));
     }
     session->send(make_frame(std::move(reply)));
 }
@@ -229,20 +256,12 @@
         return;
     }
     const std::string table(view(request.table()));
-    const row_batch batch = observer_.on_rows_wanted(table, request.after());
-    wire::rows_replyT reply;
-    reply.table = table;
-    reply.version = batch.version;
-    reply.is_whole = batch.is_whole;
-    for (const auto& row : batch.rows) {
-        auto written = std::make_unique<wire::table_rowT>();
-        written->key = row.key;
-        written->value.assign(row.value.begin(), row.value.end());
-        written->version = row.version;
-        written->is_removed = row.is_removed;
-        reply.rows.push_back(std::move(written));
-    }
-    session->send(make_frame(std::move(reply)));
+    session->send(make_rows_frame(table, observer_.on_rows_wanted(table, request.after())));
+}
+
+void member_mesh::send_rows(const connected_member& to, const std::string& table,
+                            const row_batch& rows) {
+    to.session->send(make_rows_frame(table, rows));
 }
 
 void member_mesh::take_rows(const wire::rows_reply& reply) {
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -28,6 +28,7 @@
     bool is_ready{false};
     std::uint64_t operator_version{0}; ///< newest row of the operator's table that it holds
     std::uint64_t servers_version{0};  ///< of its newest read of the list of servers
+    time_point servers_version_at;     ///< when that last rose
 };
 
 /// What the owner of a mesh wants to hear. All functions run on the control thread.
@@ -64,6 +65,8 @@
     void broadcast(wire::member_beatT beat);
     /// Asks a gateway who the sidecars of a service are.
     void ask_neighbours(const connected_member& from, const std::string& service);
+    /// Sends rows to a process that did not ask.
+    void send_rows(const connected_member& to, const std::string& table, const row_batch& rows);
     /// Asks a process for rows.
     void ask_rows(const connected_member& from, const std::string& table, std::uint64_t after);
     /// Closes all connections.
--- a/src/programs/node/node_links.cpp
+++ b/src/programs/node/node_links.cpp
@@ -13,6 +13,12 @@
 /// A feed that heard nothing for this long is begun anew, so that a connection that lost its way is
 /// found out. Until then the other processes' messages tell of newer rows.
 constexpr milliseconds feed_wait{8000};
+/// The table is read anew this often; in between processes hear of each other directly.
+constexpr milliseconds members_interval{10000};
+/// A process that has just started connects to all gateways, so that they hear of it.
+constexpr milliseconds introduction{6000};
+/// A gateway whose reads of the list of servers bring nothing for this long is not relied on.
+constexpr milliseconds reader_patience{1300};
 constexpr milliseconds pause_before_registering_again{400};
 /// Rows are asked of another process when the own feed has not brought them within this time.
 constexpr milliseconds feed_patience{250};
@@ -40,9 +46,11 @@
       mesh_(std::make_shared<member_mesh>(control, self_, timing, make_mesh_observer())),
       operator_rows_(control, store_, std::string(platform::operator_table), follow_mode::feed,
                      feed_wait),
-      member_rows_(control, store_, members_table, follow_mode::feed, feed_wait) {}
+      member_rows_(control, store_, members_table, follow_mode::poll, members_interval) {}
 
 void node_links::start(std::vector<table_follower*> tables) {
+    started_at_ = std::chrono::steady_clock::now();
+    control_.post_after(introduction, [this] { update_targets(); });
     shared_tables_[operator_rows_.table()] = &operator_rows_;
     for (table_follower* table : tables) {
         shared_tables_[table->table()] = table;
@@ -52,6 +60,9 @@
     }
     update_targets();
     register_self();
+    if (self_.role == process_role::sidecar) {
+        operator_rows_.set_needed([this] { return mesh_->members().empty(); });
+    }
     operator_rows_.start(
         [this](const std::vector<versioned_row>& changed) { take_operator_rows(changed); });
     member_rows_.start(
@@ -65,6 +76,9 @@
 mesh_observer node_links::make_mesh_observer() {
     mesh_observer observer;
     observer.on_members = [this] {
+        for (const connected_member* connected : mesh_->members()) {
+            learn(connected->process);
+        }
         update_targets();
         observer_.on_members();
     };
@@ -103,6 +117,9 @@
                    {"bytes", row.value.size()}});
     }
     observer_.on_operator_rows(changed);
+    if (self_.role == process_role::gateway && is_zone_reader()) {
+        share_rows(process_role::sidecar, operator_rows_.table(), changed, 0);
+    }
 }
 
 /// Asks a process that knows more, once the own feed had time to bring it.
@@ -161,11 +178,14 @@
 /// One connection for each pair: of two gateways the one with the lesser name dials, and sidecars
 /// dial gateways. Seeds stand in until the table of members was read.
 void node_links::update_targets() {
+    const bool introduces_itself =
+        std::chrono::steady_clock::now() - started_at_ < introduction;
     std::map<std::string, std::string> targets;
     for (const auto& [instance, process] : registered_) {
         const bool is_dialled = process.role == process_role::gateway &&
                                 instance != self_.instance &&
-                                (self_.role == process_role::sidecar || self_.instance < instance);
+                                (self_.role == process_role::sidecar || introduces_itself ||
+             self_.instance < instance);
         if (is_dialled) {
             targets[instance] = process.peer_address;
         }
@@ -180,6 +200,58 @@
     mesh_->set_targets(std::move(targets));
 }
 
+void node_links::learn(const member& process) {
+    const auto known = registered_.find(process.instance);
+    if (known == registered_.end() || known->second.incarnation < process.incarnation) {
+        registered_[process.instance] = process;
+    }
+}
+
+void node_links::take_gateways(const wire::neighbours_reply& reply) {
+    if (reply.gateways() == nullptr) {
+        return;
+    }
+    bool is_news = false;
+    for (const auto* gateway : *reply.gateways()) {
+        const std::string instance(view(gateway->instance()));
+        if (registered_.count(instance) > 0) {
+            continue;
+        }
+        member process;
+        process.instance = instance;
+        process.zone = view(gateway->availability_zone());
+        process.peer_address = view(gateway->peer_address());
+        registered_[instance] = std::move(process);
+        is_news = true;
+    }
+    if (is_news) {
+        update_targets();
+    }
+}
+
+bool node_links::is_zone_reader() const {
+    const auto now = std::chrono::steady_clock::now();
+    for (const connected_member* connected : mesh_->members()) {
+        const member& other = connected->process;
+        const bool is_reading = connected->is_ready &&
+                                now - connected->servers_version_at <= reader_patience;
+        if (other.role == process_role::gateway && other.zone == self_.zone && is_reading &&
+            other.instance < self_.instance) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void node_links::share_rows(process_role role, const std::string& table,
+                            const std::vector<versioned_row>& rows, std::uint64_t version) {
+    for (const connected_member* connected : mesh_->members()) {
+        if (connected->process.role == role && connected->process.zone == self_.zone) {
+            mesh_->send_rows(*connected, table, {rows, version, false});
+        }
+    }
+}
+
 std::size_t node_links::known_gateways() const {
     std::size_t count = self_.role == process_role::gateway ? 1 : 0;
     for (const auto& [instance, process] : registered_) {
--- a/src/programs/node/node_links.h
+++ b/src/programs/node/node_links.h
@@ -57,6 +57,15 @@
     time_point operator_read_at() const noexcept { return operator_rows_.read_at(); }
     /// @return gateways that ever registered, this process included: those who share bounds
     std::size_t known_gateways() const;
+    /// @return whether this process reads the store for its zone: of the gateways there whose reads
+    /// succeed the one with the least name. The others hear from it.
+    bool is_zone_reader() const;
+    /// Sends rows to the processes of the own zone that leave reading to this one.
+    /// @param role of those processes
+    void share_rows(process_role role, const std::string& table,
+                    const std::vector<versioned_row>& rows, std::uint64_t version);
+    /// Takes gateways that another process named.
+    void take_gateways(const wire::neighbours_reply& reply);
     /// @return this process
     const member& self() const noexcept { return self_; }
 
@@ -64,6 +73,7 @@
     mesh_observer make_mesh_observer();
     void take_operator_rows(const std::vector<versioned_row>& changed);
     void take_member_rows(const std::vector<versioned_row>& changed);
+    void learn(const member& process);
     void register_self();
     void update_targets();
     void catch_up(const connected_member& from);
@@ -79,6 +89,7 @@
     std::map<std::string, table_follower*> shared_tables_;
     std::map<std::string, member> registered_; ///< by instance
     std::uint64_t operator_version_{0};
+    time_point started_at_;
     time_point asked_at_; ///< when rows were last asked of another process
 };
 
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -8,6 +8,10 @@
 /// Pause after a failed call: well below the bounds within which a change must be in force, and few
 /// enough calls that all processes together stay within the store's rates.
 constexpr milliseconds pause_after_failure{250};
+/// How often is asked whether the table must be read after all.
+constexpr milliseconds pause_while_not_needed{500};
+/// Granularity of the time between reads.
+constexpr milliseconds poll_tick{100};
 
 } // namespace
 
@@ -33,7 +37,17 @@
     control_.post_after(delay, [this, step] { (this->*step)(); });
 }
 
+/// Reads when the interval is over.
+void table_follower::poll() {
+    if (std::chrono::steady_clock::now() - asked_at_ >= interval_) {
+        read_whole();
+    } else {
+        later(poll_tick, &table_follower::poll);
+    }
+}
+
 void table_follower::read_whole() {
+    asked_at_ = std::chrono::steady_clock::now();
     store_.read_table(table_, [this](platform::store_outcome outcome, const row_batch& batch) {
         handle_whole(outcome, batch);
     });
@@ -48,13 +62,19 @@
     feed_version_ = batch.version;
     take(batch);
     if (mode_ == follow_mode::poll) {
-        later(interval_, &table_follower::read_whole);
+        later(poll_tick, &table_follower::poll);
     } else {
         wait_for_changes();
     }
 }
 
 void table_follower::wait_for_changes() {
+    if (is_needed_ && !is_needed_()) {
+        // The feed goes on where the other process's rows ended.
+        feed_version_ = std::max(feed_version_, newest_version(cache_));
+        later(pause_while_not_needed, &table_follower::wait_for_changes);
+        return;
+    }
     store_.await_changes(table_, feed_version_, interval_,
                          [this](platform::store_outcome outcome, const row_batch& batch) {
                              handle_feed(outcome, batch);
--- a/src/programs/node/table_follower.h
+++ b/src/programs/node/table_follower.h
@@ -32,6 +32,10 @@
 
     /// Begins to follow.
     void start(change_handler handle);
+    /// Sets whether the table is read at all; another process may send the rows instead.
+    void set_needed(std::function<bool()> is_needed) { is_needed_ = std::move(is_needed); }
+    /// Changes the time between two reads; a longer wait under way is cut short.
+    void set_interval(milliseconds interval) { interval_ = interval; }
     /// Takes rows that another process read.
     void take(const row_batch& batch);
 
@@ -44,6 +48,7 @@
 
 private:
     void read_whole();
+    void poll();
     void wait_for_changes();
     void handle_whole(platform::store_outcome outcome, const row_batch& batch);
     void handle_feed(platform::store_outcome outcome, const row_batch& batch);
@@ -55,9 +60,11 @@
     follow_mode mode_;
     milliseconds interval_;
     change_handler handle_;
+    std::function<bool()> is_needed_;
     row_cache cache_;
     std::uint64_t feed_version_{0}; ///< where the feed goes on
     time_point read_at_;
+    time_point asked_at_; ///< when the last read began
 };
 
 } // namespace citronseam
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -237,6 +237,7 @@
                                    neighbour->is_ready()});
             }
         }
+        links_.take_gateways(reply);
         swarm_->set_members(std::move(members), options_.node.region, origin_region_);
     }
 
