--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -27,9 +27,11 @@
 constexpr std::uint32_t origin_parallel = 1;
 /// Pieces asked for at once. On a link that carries a piece in 35 ms more of them would delay the
 /// engine's live requests by a third of their latency objective.
-constexpr std::uint32_t most_requests = 3;
+constexpr std::uint32_t most_requests = 4;
 /// Part of the instance's link that weights may take. The rest is for live requests.
 constexpr std::uint64_t weights_percent = 75;
+/// More may be sent than is asked for, or requests that meet at one sender would wait there.
+constexpr std::uint64_t weights_percent_up = 92;
 /// The same for an engine that serves nothing.
 constexpr std::uint32_t most_requests_idle = 6;
 constexpr std::uint64_t weights_percent_idle = 95;
@@ -125,9 +127,9 @@
         swarm_rates rates;
         rates.origin_parallel = origin_parallel;
         rates.most_requests = is_serving ? most_requests : most_requests_idle;
-        rates.uplink =
+        rates.uplink = options_.peer_link * weights_percent_up / 100;
+        rates.downlink =
             options_.peer_link * (is_serving ? weights_percent : weights_percent_idle) / 100;
-        rates.downlink = rates.uplink;
         rates.is_drawn_everywhere = true;
         rates.shortest_stall = shortest_stall;
         rates.chunk_patience = chunk_patience;
--- a/src/programs/sidecar/weights_fetcher.cpp
+++ b/src/programs/sidecar/weights_fetcher.cpp
@@ -128,6 +128,7 @@
                {"pieces", count_held(swarm_->chunks(), list_)},
                {"of", list_.chunks.size()},
                {"members", swarm_->members().size()},
+               {"missing", swarm_->describe_missing()},
                {"after_ms", elapsed_ms(wanted_.named_at, now)}});
 }
 
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -7,6 +7,16 @@
 
 /// Part of a second for which may be asked at once after a pause.
 constexpr std::uint64_t asking_burst_share = 20;
+/// Weight of the newest answer in a neighbour's time to answer.
+constexpr double answer_smoothing = 0.3;
+
+void note_answer(neighbour_state& neighbour, std::uint32_t took_ms) {
+    const double newest = std::max<double>(took_ms, 1);
+    neighbour.answer_ms = neighbour.answer_ms > 0
+                              ? neighbour.answer_ms +
+                                    answer_smoothing * (newest - neighbour.answer_ms)
+                              : newest;
+}
 
 } // namespace
 
@@ -91,6 +101,7 @@
     }
     origin_requests_ = 0;
     on_whole_ = std::move(on_whole);
+    far_since_.clear();
     fetch_began_at_ = std::chrono::steady_clock::now();
     last_progress_ = fetch_began_at_;
     finish_if_whole();
@@ -142,11 +153,38 @@
     return stall_timeout(manifest_.chunk_size, slowest, rates_.shortest_stall);
 }
 
-fetch_state chunk_swarm::make_state(std::vector<std::uint64_t>& sessions, time_point now) const {
+/// Notes which chunks are held by agents of other regions only.
+/// @return by chunk how long that has been so
+std::vector<milliseconds> chunk_swarm::note_far_chunks(time_point now) {
+    std::vector<milliseconds> far_for(is_wanted_.size(), milliseconds(0));
+    far_since_.resize(is_wanted_.size(), time_point{});
+    for (std::size_t chunk = 0; chunk < is_wanted_.size(); ++chunk) {
+        bool is_far = false;
+        bool is_near = false;
+        for (const auto& [number, agent] : agents_) {
+            const bool is_held = chunk < agent.state.held.size() && agent.state.held[chunk];
+            is_near = is_near || (is_held && agent.state.is_same_region);
+            is_far = is_far || (is_held && !agent.state.is_same_region);
+        }
+        if (is_near || !is_far) {
+            far_since_[chunk] = {};
+        } else if (far_since_[chunk] == time_point{}) {
+            far_since_[chunk] = now;
+        } else {
+            far_for[chunk] = std::chrono::duration_cast<milliseconds>(now - far_since_[chunk]);
+        }
+    }
+    return far_for;
+}
+
+fetch_state chunk_swarm::make_state(std::vector<std::uint64_t>& sessions, time_point now) {
     fetch_state state;
     state.wanted = is_wanted_;
     state.ranks = ranks_;
     state.origin_ranks = origin_ranks_;
+    if (rates_.is_drawn_everywhere) {
+        state.far_for = note_far_chunks(now);
+    }
     state.most_requests = rates_.most_requests;
     for (const auto& [number, agent] : agents_) {
         sessions.push_back(number);
@@ -236,13 +274,19 @@
 void chunk_swarm::take_chunk(std::uint64_t session, const std::string& version, std::size_t chunk,
                              bool is_found, std::string content) {
     const auto found = agents_.find(session);
-    if (found == agents_.end() || version != version_ || chunk >= is_wanted_.size() ||
-        found->second.asked.erase(chunk) == 0) {
+    if (found == agents_.end() || version != version_ || chunk >= is_wanted_.size()) {
+        context_.numbers.count("citronseam_late_chunks_total");
+        return;
+    }
+    const auto asked = found->second.asked.find(chunk);
+    if (asked == found->second.asked.end()) {
         context_.numbers.count("citronseam_late_chunks_total");
         return;
     }
     connected_agent& agent = found->second;
     agent.state.requested -= agent.state.requested > 0 ? 1 : 0;
+    note_answer(agent.state, elapsed_ms(asked->second, std::chrono::steady_clock::now()));
+    agent.asked.erase(asked);
     if (is_found && is_chunk_valid(manifest_, chunk, content)) {
         agent.state.late = 0;
         add_valid(chunk, std::move(content));
@@ -278,6 +322,29 @@
     ask_all();
 }
 
+std::string chunk_swarm::describe_missing() const {
+    for (std::size_t chunk = 0; chunk < is_wanted_.size(); ++chunk) {
+        if (find_chunk(chunks_, manifest_.chunks[chunk].hash) != nullptr) {
+            continue;
+        }
+        std::size_t near = 0;
+        std::size_t far = 0;
+        for (const auto& [number, agent] : agents_) {
+            const bool is_held = chunk < agent.state.held.size() && agent.state.held[chunk];
+            near += is_held && agent.state.is_same_region ? 1 : 0;
+            far += is_held && !agent.state.is_same_region ? 1 : 0;
+        }
+        std::string text = "piece " + std::to_string(chunk);
+        text += is_wanted_[chunk] ? " wanted" : " asked for";
+        text += ", origin rank " +
+                std::to_string(chunk < origin_ranks_.size() ? origin_ranks_[chunk] : 0);
+        text += ", held by " + std::to_string(near) + " near and " + std::to_string(far) + " far of " +
+                std::to_string(agents_.size());
+        return text;
+    }
+    return {};
+}
+
 void chunk_swarm::tick() {
     give_up_late(std::chrono::steady_clock::now());
     send_inventories();
--- a/src/programs/swarm/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -75,6 +75,8 @@
     /// Takes the next steps. Call it again and again on the control thread.
     void tick();
 
+    /// @return a chunk that is missing and what is known of it, for logs; empty when none is
+    std::string describe_missing() const;
     /// @return the chunks held. Control thread.
     const chunk_store& chunks() const noexcept { return chunks_; }
     /// @return bytes drawn from the origin since the process started
@@ -118,7 +120,8 @@
     void finish_if_whole();
     void rank_chunks();
     void choose_targets();
-    fetch_state make_state(std::vector<std::uint64_t>& sessions, time_point now) const;
+    std::vector<milliseconds> note_far_chunks(time_point now);
+    fetch_state make_state(std::vector<std::uint64_t>& sessions, time_point now);
     milliseconds patience() const;
     std::string region_of_member(const std::string& instance) const;
     void place(connected_agent& agent) const;
@@ -149,6 +152,7 @@
     std::vector<std::uint32_t> ranks_;
     std::vector<std::uint32_t> origin_ranks_; ///< when every region draws its part
     std::function<void()> on_whole_;
+    std::vector<time_point> far_since_; ///< by chunk: first seen in another region
     time_point fetch_began_at_;
     time_point last_progress_;
     bool has_news_{false};
--- a/src/version/chunk_plan.cpp
+++ b/src/version/chunk_plan.cpp
@@ -53,6 +53,9 @@
     if (neighbour.is_same_region) {
         return true;
     }
+    if (!state.far_for.empty()) {
+        return state.far_for[chunk] >= import_patience * state.ranks[chunk];
+    }
     return state.ranks[chunk] <= state.level && is_its_turn(state, chunk, neighbour);
 }
 
@@ -66,6 +69,13 @@
            state.ranks[chunk] + delay <= state.level;
 }
 
+/// @return time that one more chunk from a neighbour is expected to take
+double expected_ms(const neighbour_state& neighbour) noexcept {
+    constexpr double first_answer_ms = 50;
+    const double answer = neighbour.answer_ms > 0 ? neighbour.answer_ms : first_answer_ms;
+    return answer * (neighbour.requested + 1);
+}
+
 struct holder_count {
     std::uint32_t holders{0};
     std::optional<std::size_t> best; ///< the least asked neighbour that has the chunk
@@ -82,7 +92,7 @@
         if (!may_ask(neighbour) || !is_from_near(state, chunk, neighbour)) {
             continue;
         }
-        if (!count.best || neighbour.requested < state.neighbours[*count.best].requested) {
+        if (!count.best || expected_ms(neighbour) < expected_ms(state.neighbours[*count.best])) {
             count.best = i;
         }
     }
