--- a/include/citronseam/connection/peer_session.h
+++ b/include/citronseam/connection/peer_session.h
@@ -35,6 +35,9 @@
     std::function<shared_frame(const std::shared_ptr<peer_session>&)> make_heartbeat;
 };
 
+/// Bytes read at once. A process may have a hundred sessions, most of them with small frames.
+constexpr std::size_t read_buffer_size = 16 * kibibyte;
+
 /// Timing of a session.
 struct session_timing {
     milliseconds heartbeat_interval{500};
@@ -98,7 +101,7 @@
     std::uint64_t number_;
 
     frame_decoder decoder_;
-    std::array<std::uint8_t, 64 * kibibyte> read_buffer_{};
+    std::array<std::uint8_t, read_buffer_size> read_buffer_{};
     bool has_hello_{false};
 
     std::mutex queue_mutex_;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -115,8 +115,9 @@
             });
         questions.address = *parse_host_port(options_.node.directory_address);
         directory_ = std::make_unique<http_server>(
-            questions, [this](server_request request, std::shared_ptr<http_responder> responder) {
-                control_.post([this, request = std::move(request), responder] {
+            questions, [this](const server_request& request,
+                              const std::shared_ptr<http_responder>& responder) {
+                control_.post([this, request, responder] {
                     handle_question(request, *responder);
                 });
             });
@@ -227,7 +228,7 @@
             is_ready_ = is_ready;
             log_event(log_level::info, is_ready ? "ready" : "not_ready",
                       {{"configuration", beliefs_.configuration_version()}});
-            links_.mesh().broadcast(update_beat());
+            links_.mesh().broadcast(update_beat(), false);
         }
     }
 
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -124,10 +124,12 @@
     beat_ = make_frame(wire::member_beatT(beat));
 }
 
-void member_mesh::broadcast(wire::member_beatT beat) {
+void member_mesh::broadcast(wire::member_beatT beat, bool is_near_only) {
     const shared_frame frame = make_frame(std::move(beat));
     for (const auto& [number, connected] : sessions_) {
-        connected.session->send(frame);
+        if (!is_near_only || connected.process.region == self_.region) {
+            connected.session->send(frame);
+        }
     }
 }
 
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -61,8 +61,9 @@
     void set_targets(std::map<std::string, std::string> targets);
     /// Replaces the regular message.
     void set_beat(const wire::member_beatT& beat);
-    /// Sends a message to all connected processes at once.
-    void broadcast(wire::member_beatT beat);
+    /// Sends a message at once.
+    /// @param is_near_only whether only processes of the own region get it
+    void broadcast(wire::member_beatT beat, bool is_near_only);
     /// Asks a gateway who the sidecars of a service are.
     void ask_neighbours(const connected_member& from, const std::string& service);
     /// Sends rows to a process that did not ask.
--- a/src/programs/node/node_links.cpp
+++ b/src/programs/node/node_links.cpp
@@ -48,7 +48,7 @@
                      feed_wait),
       member_rows_(control, store_, members_table, follow_mode::poll, members_interval) {}
 
-void node_links::start(std::vector<table_follower*> tables) {
+void node_links::start(const std::vector<table_follower*>& tables) {
     started_at_ = std::chrono::steady_clock::now();
     control_.post_after(introduction, [this] { update_targets(); });
     shared_tables_[operator_rows_.table()] = &operator_rows_;
--- a/src/programs/node/node_links.h
+++ b/src/programs/node/node_links.h
@@ -43,7 +43,7 @@
 
     /// Begins: listens, registers, follows the operator's table and finds the others.
     /// @param tables further tables whose rows are given to processes that ask
-    void start(std::vector<table_follower*> tables);
+    void start(const std::vector<table_follower*>& tables);
     /// Closes all connections.
     void stop();
 
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -27,16 +27,17 @@
 constexpr std::uint32_t origin_parallel = 1;
 /// Pieces asked for at once. On a link that carries a piece in 35 ms more of them would delay the
 /// engine's live requests by a third of their latency objective.
-constexpr std::uint32_t most_requests = 4;
+constexpr std::uint32_t most_requests = 3;
 /// Part of the instance's link that weights may take. The rest is for live requests.
 constexpr std::uint64_t weights_percent = 75;
 /// More may be sent than is asked for, or requests that meet at one sender would wait there.
-constexpr std::uint64_t weights_percent_up = 92;
+constexpr std::uint64_t weights_percent_up = 78;
 /// The same for an engine that serves nothing.
 constexpr std::uint32_t most_requests_idle = 6;
 constexpr std::uint64_t weights_percent_idle = 95;
 /// Gateways add what they sent since a report, so they need no more of them while little changes.
 constexpr milliseconds tell_interval{200};
+constexpr milliseconds tell_far_interval{500};
 /// Requests by which the load must change to be told at once.
 constexpr std::uint32_t notable_change = 3;
 /// Versions of weights begin with this; it holds until the operator names another.
@@ -255,6 +256,11 @@
         if (!is_change && now - told_at_ < tell_interval) {
             return;
         }
+        // Links between regions are scarce, and far gateways send here only when theirs are full.
+        const bool is_for_all = is_loading != told_loading_ ||
+                                seen.has_value() != told_reachable_ ||
+                                now - told_all_at_ >= tell_far_interval;
+        told_all_at_ = is_for_all ? now : told_all_at_;
         told_at_ = now;
         told_busy_ = busy;
         told_loading_ = is_loading;
@@ -276,7 +282,7 @@
             }
             beat.engine->is_loading = is_loading;
         }
-        links_.mesh().broadcast(std::move(beat));
+        links_.mesh().broadcast(std::move(beat), !is_for_all);
     }
 
     const settings& options_;
@@ -293,6 +299,7 @@
     std::string model_;                          ///< of the engine beside this process
     std::string origin_region_;
     std::size_t asked_{0};
+    time_point told_all_at_;
     time_point told_at_; ///< what the gateways were told last, and when
     std::uint32_t told_busy_{0};
     bool told_loading_{false};
