--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -10,6 +10,7 @@
 #include "citronseam/request/shared_retry_budget.h"
 #include "citronseam/version/load_turn.h"
 #include "citronseam/version/routing.h"
+#include "programs/gateway/traffic_view.h"
 
 namespace {
 
@@ -371,6 +372,19 @@
     EXPECT_EQ(choose_addresses(gateways, "zone-x", "west", 3, random).size(), 3U);
 }
 
+// A request sent 7.4 s after newer weights were named began 8.1 s after it, on the older ones.
+TEST(traffic_view, requests_stop_going_to_older_weights_well_before_the_newer_ones_are_due) {
+    constexpr milliseconds due(8000);
+    traffic_view view;
+    view.weights["m"] = {{2, start}, {3, start + seconds(4)}};
+    EXPECT_EQ(least_weights_to_send(view, "m", due, start + milliseconds(7000)), 0U);
+    EXPECT_EQ(least_weights_to_send(view, "m", due, start + milliseconds(7400)), 2U);
+    EXPECT_EQ(least_weights_to_begin(view, "m", due, start + milliseconds(7400)), 0U);
+    EXPECT_EQ(least_weights_to_begin(view, "m", due, start + milliseconds(7800)), 2U);
+    EXPECT_EQ(least_weights_to_send(view, "m", due, start + milliseconds(11400)), 3U);
+    EXPECT_EQ(least_weights_to_send(view, "other", due, start + seconds(60)), 0U);
+}
+
 TEST(load_turn, turns_fill_the_time_until_the_weights_are_due) {
     load_turn_terms terms{start, start + seconds(3), seconds(7), 0, 5};
     EXPECT_EQ(load_moment(terms), start + seconds(3));
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -458,7 +458,7 @@
 }
 
 std::string platform_world::write_file(const std::string& name, const std::string& content) {
-    const std::string path = folder_ + "/" + name;
+    std::string path = folder_ + "/" + name;
     std::ofstream(path) << content;
     return path;
 }
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -138,6 +138,56 @@
     return state;
 }
 
+TEST(chunk_plan, each_chunk_has_one_drawer_over_all_regions) {
+    std::vector<swarm_member> members;
+    for (int i = 0; i < 9; ++i) {
+        members.push_back({"s" + std::to_string(i), "", "r" + std::to_string(i % 3), true});
+    }
+    for (std::size_t chunk = 0; chunk < 64; ++chunk) {
+        std::set<std::uint32_t> ranks;
+        for (const auto& member : members) {
+            ranks.insert(origin_rank("m:2", chunk, member.instance, members));
+        }
+        EXPECT_EQ(ranks.size(), members.size());
+    }
+}
+
+// The pattern: the first rank for a chunk has no neighbour in the other region that holds it.
+TEST(chunk_plan, the_next_rank_brings_a_chunk_in_soon) {
+    random_source random(seed);
+    fetch_state state = state_of(1, 1);
+    state.neighbours[0].held = {true};
+    state.neighbours[0].is_same_region = false;
+    state.ranks = {2};
+    state.origin_ranks = {5};
+    state.far_for = {import_patience};
+    EXPECT_FALSE(choose_fetch(state, random).has_value()) << "the turn of the first two ranks";
+    state.far_for = {import_patience * 2};
+    EXPECT_TRUE(choose_fetch(state, random).has_value());
+}
+
+TEST(chunk_plan, no_more_is_asked_for_than_the_link_bears) {
+    random_source random(seed);
+    fetch_state state = state_of(4, 1);
+    state.neighbours[0].held.assign(4, true);
+    state.most_requests = 3;
+    state.neighbours[0].requested = 2;
+    EXPECT_TRUE(choose_fetch(state, random).has_value());
+    state.origin_requests = 1;
+    EXPECT_FALSE(choose_fetch(state, random).has_value());
+}
+
+TEST(chunk_plan, a_quick_neighbour_is_asked_before_a_slow_one) {
+    random_source random(seed);
+    fetch_state state = state_of(1, 2);
+    state.neighbours[0].held = {true};
+    state.neighbours[1].held = {true};
+    state.neighbours[0].answer_ms = 400;
+    state.neighbours[1].answer_ms = 60;
+    state.neighbours[1].requested = 2;
+    EXPECT_EQ(choose_fetch(state, random)->neighbour, std::optional<std::size_t>(1));
+}
+
 TEST(chunk_plan, fetches_the_rarest_chunk_first) {
     random_source random(seed);
     fetch_state state = state_of(3, 3);
