Keep chunks that come after they were given up on, forgive neighbours that were late

Cause: after a loss of power one sidecar still had all pieces, and all others asked it. Its answers came after more than 0.9 s; the askers had given them up, dropped them and asked again, so the same pieces went over its link for ten seconds (45 of 64 after 13 s). Three late answers shut a neighbour out until it had news, and nobody had any.

Ruled out: the origin, the count of requests under way, the tables of members.

--- a/include/citronseam/version/chunk_plan.h
+++ b/include/citronseam/version/chunk_plan.h
@@ -73,8 +73,16 @@
 
 /// A neighbour with this many faults is asked no more for this version.
 constexpr std::uint32_t most_faults = 3;
-/// A neighbour with this many late chunks is asked again only after it gave a sign of life.
+/// A neighbour with this many late chunks is asked again only after it gave a sign of life, or
+/// after a while.
 constexpr std::uint32_t most_late = 3;
+
+/// Lets a neighbour that was late too often be asked for one chunk again. Its link may have been
+/// busy, and with all neighbours shut out nothing would move any more.
+/// @param since_late time since its last late chunk
+/// @param pause      how long it is left alone
+void forgive_late(neighbour_state& neighbour, milliseconds since_late, milliseconds pause) noexcept;
+
 /// Chunks asked of one neighbour at once.
 constexpr std::uint32_t requests_per_neighbour = 4;
 
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -287,7 +287,12 @@
     }
     const auto asked = found->second.asked.find(chunk);
     if (asked == found->second.asked.end()) {
+        // A chunk that was given up on is as good as any: dropped, a busy link would carry the same
+        // chunks again and again.
         context_.numbers.count("citronseam_late_chunks_total");
+        if (is_found && is_missing(chunk) && is_chunk_valid(manifest_, chunk, content)) {
+            add_valid(chunk, std::move(content));
+        }
         return;
     }
     connected_agent& agent = found->second;
@@ -336,13 +341,19 @@
         }
         std::size_t near = 0;
         std::size_t far = 0;
+        std::uint32_t requested = origin_requests_;
+        std::size_t late = 0;
         for (const auto& [number, agent] : agents_) {
+            requested += agent.state.requested;
+            late += agent.state.late >= most_late ? 1 : 0;
             const bool is_held = chunk < agent.state.held.size() && agent.state.held[chunk];
             near += is_held && agent.state.is_same_region ? 1 : 0;
             far += is_held && !agent.state.is_same_region ? 1 : 0;
         }
         std::string text = "piece " + std::to_string(chunk);
         text += is_wanted_[chunk] ? " wanted" : " asked for";
+        text += ", " + std::to_string(requested) + " under way, " + std::to_string(late) + " late";
+        text += ", " + std::to_string(origin_requests_) + " at the origin";
         text += ", origin rank " +
                 std::to_string(chunk < origin_ranks_.size() ? origin_ranks_[chunk] : 0);
         text += ", held by " + std::to_string(near) + " near and " + std::to_string(far) +
@@ -352,6 +363,10 @@
     return {};
 }
 
+bool chunk_swarm::is_missing(std::size_t chunk) const {
+    return find_chunk(chunks_, manifest_.chunks[chunk].hash) == nullptr;
+}
+
 void chunk_swarm::tick() {
     give_up_late(std::chrono::steady_clock::now());
     send_inventories();
@@ -361,12 +376,14 @@
 void chunk_swarm::give_up_late(time_point now) {
     const milliseconds longest = patience();
     for (auto& [number, agent] : agents_) {
+        forgive_late(agent.state, milliseconds(elapsed_ms(agent.late_at, now)), longest);
         for (auto entry = agent.asked.begin(); entry != agent.asked.end();) {
             if (now - entry->second <= longest) {
                 ++entry;
                 continue;
             }
             ++agent.state.late;
+            agent.late_at = now;
             agent.state.requested -= agent.state.requested > 0 ? 1 : 0;
             if (entry->first < is_wanted_.size()) {
                 is_wanted_[entry->first] = true;
--- a/src/programs/swarm/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -96,6 +96,7 @@
         std::string instance;
         neighbour_state state;
         std::map<std::size_t, time_point> asked; ///< chunks asked of it, and when
+        time_point late_at;                      ///< when its last late chunk was given up
     };
     using agent_map = std::map<std::uint64_t, connected_agent>;
 
@@ -113,6 +114,7 @@
     void take_chunk(std::uint64_t session, const std::string& version, std::size_t chunk,
                     bool is_found, std::string content);
     void take_drawn(const std::string& version, std::size_t chunk, const http_answer& answer);
+    bool is_missing(std::size_t chunk) const;
     void add_valid(std::size_t chunk, std::string content);
     void ask_all();
     void ask_neighbour(std::size_t chunk, std::uint64_t session);
--- a/src/version/chunk_plan.cpp
+++ b/src/version/chunk_plan.cpp
@@ -212,6 +212,13 @@
     return static_cast<std::uint32_t>(idle / timeout);
 }
 
+void forgive_late(neighbour_state& neighbour, milliseconds since_late,
+                  milliseconds pause) noexcept {
+    if (neighbour.late >= most_late && since_late >= pause) {
+        neighbour.late = most_late - 1;
+    }
+}
+
 milliseconds stall_timeout(std::uint64_t chunk_size, std::uint64_t rate,
                            milliseconds shortest) noexcept {
     if (rate == 0) {
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -166,6 +166,20 @@
     EXPECT_TRUE(choose_fetch(state, random).has_value());
 }
 
+// The pattern: after a loss of power all sidecars ask the one that still has the pieces. Every
+// neighbour was late three times, none had news, and nothing was asked for any more.
+TEST(chunk_plan, a_neighbour_that_was_late_is_asked_again_after_a_while) {
+    random_source random(seed);
+    fetch_state state = state_of(1, 1);
+    state.neighbours[0].held = {true};
+    state.neighbours[0].late = most_late;
+    EXPECT_FALSE(choose_fetch(state, random).has_value());
+    forgive_late(state.neighbours[0], milliseconds(899), milliseconds(900));
+    EXPECT_FALSE(choose_fetch(state, random).has_value());
+    forgive_late(state.neighbours[0], milliseconds(900), milliseconds(900));
+    EXPECT_TRUE(choose_fetch(state, random).has_value());
+}
+
 TEST(chunk_plan, no_more_is_asked_for_than_the_link_bears) {
     random_source random(seed);
     fetch_state state = state_of(4, 1);
