--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -139,8 +139,10 @@
 }
 
 TEST(chunk_plan, each_chunk_has_one_drawer_over_all_regions) {
+    constexpr int count = 9;
     std::vector<swarm_member> members;
-    for (int i = 0; i < 9; ++i) {
+    members.reserve(count);
+    for (int i = 0; i < count; ++i) {
         members.push_back({"s" + std::to_string(i), "", "r" + std::to_string(i % 3), true});
     }
     for (std::size_t chunk = 0; chunk < 64; ++chunk) {
