Take test ports below the range of outgoing connections

Cause: once in a whole run of the tests the gateways of one case did not become ready within 10 s. The ports were asked of the system and given back before the processes bound them, so another test's connection could take one. That it was this is likely and not shown: the case now prints the gateways' output when it fails again.

--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -14,7 +14,9 @@
 
 class platform : public ::testing::Test {
 protected:
-    void SetUp() override { ASSERT_TRUE(world.start()); }
+    void SetUp() override {
+        ASSERT_TRUE(world.start()) << world.gateway(0).output() << world.gateway(1).output();
+    }
 
     static std::string events(int first, int last, const std::string& server) {
         std::string text;
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -5,6 +5,8 @@
 
 #include <unistd.h>
 
+#include <asio.hpp>
+
 #include "citronseam/version/sha256.h"
 
 namespace citronseam::harness {
@@ -21,11 +23,24 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
+/// @return a port that nobody listens on. It lies below the range from which the system gives ports
+/// to connections, which other tests open all the time.
 std::uint16_t free_port() {
+    constexpr std::uint32_t first = 12000;
+    constexpr std::uint32_t count = 20000;
+    constexpr std::uint32_t stride = 37;
+    static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * stride;
     asio::io_context context;
-    const asio::ip::tcp::acceptor acceptor(
-        context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(first + next++ % count);
+        asio::ip::tcp::acceptor acceptor(context);
+        asio::error_code taken;
+        acceptor.open(asio::ip::tcp::v4(), taken);
+        acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, taken);
+        if (!taken) {
+            return port;
+        }
+    }
 }
 
 constexpr std::string_view base64_letters =
