Do not draw all chunks in a region that was just cut off

Cause: an agent outside the origin's region draws from the origin at once when no member of the origin's region is listed. While a region is cut off its entries list only its own agents, so all of them drew what the origin's region had already. Traced by a line at each draw: the members were agent-1 to agent-3 of region-b only, rank 0, 1.6 s after the last progress. Ruled out: the level of ranks, which rises after 9.3 s without progress.

--- a/include/citronseam/version/chunk_plan.h
+++ b/include/citronseam/version/chunk_plan.h
@@ -43,6 +43,15 @@
 std::vector<swarm_member> region_senders(std::string_view region, std::string_view origin_region,
                                          const std::vector<swarm_member>& members);
 
+/// Whether an agent draws from the origin without leaving that to agents of the origin's region: it
+/// is one of them, or there are none. Agents that were listed a moment ago count as there: the link
+/// between the regions may be cut, and all the others would draw what they have got already.
+/// @param since_listed time since a member of the origin's region was listed; nothing: none was yet
+/// @param patience     time without progress after which another agent steps in
+bool is_origin_near(std::string_view region, std::string_view origin_region,
+                    const std::vector<swarm_member>& members,
+                    std::optional<milliseconds> since_listed, milliseconds patience);
+
 /// Chooses the members that an agent keeps connections to: a bounded number in its own region, and
 /// when the region is not the origin's, the agents of the origin's region that send to it.
 std::vector<swarm_member> choose_neighbours(std::string_view self, std::string_view region,
@@ -99,7 +108,7 @@
     std::uint32_t most_requests{0};   ///< chunks asked for at once of all; 0 is unlimited
     std::size_t senders{0};           ///< to the own region; each sends every n-th chunk
     std::uint32_t level{0};           ///< ranks up to this one may use the scarce link
-    bool is_origin_near{true};        ///< own region is the origin's, or no member is there
+    bool is_origin_near{true};        ///< see is_origin_near()
     std::uint32_t origin_requests{0}; ///< chunks asked of the origin
     std::uint32_t origin_parallel{2}; ///< chunks asked of the origin at once at most
 };
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -23,6 +23,11 @@
 void chunk_swarm::set_members(std::vector<swarm_member> members, const std::string& region,
                               const std::string& origin_region) {
     const bool is_same = members == members_ && region == region_;
+    if (std::any_of(members.begin(), members.end(), [&origin_region](const auto& member) {
+            return member.region == origin_region;
+        })) {
+        origin_region_listed_at_ = std::chrono::steady_clock::now();
+    }
     members_ = std::move(members);
     region_ = region;
     origin_region_ = origin_region;
@@ -184,6 +189,14 @@
     return far_for;
 }
 
+/// @return time since a member of the origin's region was last known
+std::optional<milliseconds> chunk_swarm::since_origin_region(time_point now) const {
+    if (origin_region_listed_at_ == time_point{}) {
+        return std::nullopt;
+    }
+    return milliseconds(elapsed_ms(origin_region_listed_at_, now));
+}
+
 fetch_state chunk_swarm::make_state(std::vector<std::uint64_t>& sessions, time_point now) {
     fetch_state state;
     state.wanted = is_wanted_;
@@ -203,10 +216,8 @@
         const milliseconds passed(elapsed_ms(fetch_began_at_, now));
         state.level = std::max(state.level, draw_level(passed, rates_.chunk_patience));
     }
-    state.is_origin_near =
-        is_alone() || region_ == origin_region_ ||
-        std::none_of(members_.begin(), members_.end(),
-                     [this](const auto& member) { return member.region == origin_region_; });
+    state.is_origin_near = is_alone() || is_origin_near(region_, origin_region_, members_,
+                                                        since_origin_region(now), patience());
     state.origin_requests = origin_requests_;
     state.origin_parallel = rates_.origin_parallel;
     return state;
--- a/src/programs/swarm/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -128,6 +129,7 @@
     std::vector<milliseconds> note_far_chunks(time_point now);
     fetch_state make_state(std::vector<std::uint64_t>& sessions, time_point now);
     milliseconds patience() const;
+    std::optional<milliseconds> since_origin_region(time_point now) const;
     std::string region_of_member(const std::string& instance) const;
     void place(connected_agent& agent) const;
     bool is_alone() const noexcept;
@@ -142,7 +144,8 @@
     std::vector<swarm_member> members_;
     std::string region_;
     std::string origin_region_;
-    std::vector<swarm_member> senders_; ///< to this region, in their order
+    time_point origin_region_listed_at_; ///< when a member of it was last known
+    std::vector<swarm_member> senders_;  ///< to this region, in their order
     swarm_rates rates_;
     link_pacer pacer_;
     token_bucket asking_; ///< paces what is asked for
--- a/src/version/chunk_plan.cpp
+++ b/src/version/chunk_plan.cpp
@@ -135,6 +135,18 @@
     return closest(region, std::move(far), senders_per_link);
 }
 
+bool is_origin_near(std::string_view region, std::string_view origin_region,
+                    const std::vector<swarm_member>& members,
+                    std::optional<milliseconds> since_listed, milliseconds patience) {
+    if (region == origin_region) {
+        return true;
+    }
+    const bool is_listed =
+        std::any_of(members.begin(), members.end(),
+                    [&](const swarm_member& member) { return member.region == origin_region; });
+    return !is_listed && (!since_listed || *since_listed >= patience * far_origin_delay);
+}
+
 std::vector<swarm_member> choose_neighbours(std::string_view self, std::string_view region,
                                             std::string_view origin_region,
                                             const std::vector<swarm_member>& members) {
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -138,6 +138,19 @@
     return state;
 }
 
+TEST(chunk_plan, a_region_that_was_just_cut_off_does_not_draw_everything_itself) {
+    // Its agents see only one another, but the origin's region has most chunks already.
+    const std::vector<swarm_member> cut_off{{"b1", "", "b"}, {"b2", "", "b"}};
+    const milliseconds patience(1000);
+    EXPECT_FALSE(is_origin_near("b", "a", cut_off, milliseconds(900), patience));
+    EXPECT_TRUE(is_origin_near("b", "a", cut_off, milliseconds(2000), patience))
+        << "the origin's region is gone for good";
+    EXPECT_TRUE(is_origin_near("b", "a", cut_off, std::nullopt, patience)) << "it never had any";
+    EXPECT_TRUE(is_origin_near("a", "a", {}, milliseconds(0), patience));
+    const std::vector<swarm_member> joined{{"a1", "", "a"}, {"b1", "", "b"}};
+    EXPECT_FALSE(is_origin_near("b", "a", joined, std::nullopt, patience));
+}
+
 TEST(chunk_plan, each_chunk_has_one_drawer_over_all_regions) {
     constexpr int count = 9;
     std::vector<swarm_member> members;
