Give each test process ports of its own

Cause: process_platform_test took ports from a range that starts at 37 times its process id; three runs at once had overlapping ranges and took a port between the other's choice and its use. The gateway's output says so: event=failed reason="Address already in use". Change: a test process claims a block of 400 ports by listening on its first.

--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -23,24 +23,57 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-/// @return a port that nobody listens on. It lies below the range from which the system gives ports
-/// to connections, which other tests open all the time.
-std::uint16_t free_port() {
-    constexpr std::uint32_t first = 12000;
-    constexpr std::uint32_t count = 20000;
-    constexpr std::uint32_t stride = 37;
-    static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * stride;
-    asio::io_context context;
-    while (true) {
-        const auto port = static_cast<std::uint16_t>(first + next++ % count);
-        asio::ip::tcp::acceptor acceptor(context);
-        asio::error_code taken;
-        acceptor.open(asio::ip::tcp::v4(), taken);
-        acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, taken);
-        if (!taken) {
-            return port;
+/// Ports that no other test process takes. They lie below the range from which the system gives
+/// ports to connections. The first port of the block is listened on for as long as this process
+/// lives, which keeps other processes away from the rest.
+class port_block {
+public:
+    port_block() : keeper_(context_) {
+        for (std::uint32_t step = 0; step < block_count; ++step) {
+            first_ =
+                first_port + (static_cast<std::uint32_t>(getpid()) + step) % block_count * size;
+            if (try_bind(keeper_, first_)) {
+                keeper_.listen();
+                return;
+            }
+        }
+        throw std::runtime_error("no block of ports is free");
+    }
+
+    /// @return a port that nobody listens on
+    std::uint16_t next() {
+        while (true) {
+            used_ = used_ % (size - 1) + 1;
+            asio::ip::tcp::acceptor acceptor(context_);
+            if (try_bind(acceptor, first_ + used_)) {
+                return static_cast<std::uint16_t>(first_ + used_);
+            }
         }
     }
+
+private:
+    static constexpr std::uint32_t first_port = 12000;
+    static constexpr std::uint32_t size = 400;
+    static constexpr std::uint32_t block_count = 50;
+
+    static bool try_bind(asio::ip::tcp::acceptor& acceptor, std::uint32_t port) {
+        asio::error_code problem;
+        acceptor.close(problem);
+        acceptor.open(asio::ip::tcp::v4(), problem);
+        acceptor.bind({asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)},
+                      problem);
+        return !problem;
+    }
+
+    asio::io_context context_;
+    asio::ip::tcp::acceptor keeper_;
+    std::uint32_t first_{0};
+    std::uint32_t used_{0};
+};
+
+std::uint16_t free_port() {
+    static port_block block;
+    return block.next();
 }
 
 constexpr std::string_view base64_letters =
