Let answers outlive their HTTP server

Cause: a responder that is dropped after its server posts on a strand whose loop is destroyed; its mutex may lie in memory that is used again, and the process hangs. Shown by the stacks of four hung runs of process_platform_test: the stand-in's timers hold responders and end after the server. A gateway that ends holds responders in its timers in the same way.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,5 +1,6 @@
 #include "citronseam/connection/http_server.h"
 
+#include <mutex>
 #include <sstream>
 
 #include <pistache/endpoint.h>
@@ -68,14 +69,46 @@
     return converted;
 }
 
+/// The connections of a server. Answers may outlive it, and with them their connections.
+class connection_list {
+public:
+    void add(const std::shared_ptr<server_connection>& connection) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (connections_.size() >= 2 * live_) {
+            std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
+            live_ = std::max(connections_.size(), least_swept);
+        }
+        connections_.push_back(connection);
+    }
+
+    void release_all() {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const auto& weak : connections_) {
+            if (const auto connection = weak.lock()) {
+                connection->release();
+            }
+        }
+    }
+
+private:
+    /// Entries below which a sweep is not worth its time.
+    static constexpr std::size_t least_swept = 64;
+
+    std::mutex mutex_;
+    std::vector<std::weak_ptr<server_connection>> connections_;
+    std::size_t live_{least_swept}; ///< entries left by the last sweep
+};
+
 /// Stands between the socket and the library's parser: checks each head, feeds the parser with one
 /// request at a time and keeps the sockets' life span.
 class guarding_handler : public http::Handler {
     HTTP_PROTOTYPE(guarding_handler)
 
 public:
-    guarding_handler(asio::io_context& writers, request_handler handler, std::size_t largest_body)
-        : writers_(writers), handler_(std::move(handler)), largest_body_(largest_body) {}
+    guarding_handler(asio::io_context& writers, std::shared_ptr<connection_list> connections,
+                     request_handler handler, std::size_t largest_body)
+        : writers_(writers), connections_(std::move(connections)), handler_(std::move(handler)),
+          largest_body_(largest_body) {}
 
     /// The library calls this from its own input function, which onInput() replaces.
     void onRequest(const http::Request&, http::ResponseWriter) override {}
@@ -85,6 +118,7 @@
                       std::make_shared<http::RequestParser>(largest_body_ + largest_head));
         auto input = std::make_shared<connection_input>();
         input->connection = std::make_shared<server_connection>(writers_, peer->fd());
+        connections_->add(input->connection);
         peer->putData(connection_key, input);
     }
 
@@ -190,6 +224,7 @@
     }
 
     asio::io_context& writers_;
+    std::shared_ptr<connection_list> connections_;
     request_handler handler_;
     std::size_t largest_body_;
 };
@@ -212,7 +247,7 @@
                 .keepaliveTimeout(library_timeout);
         endpoint_.init(settings);
         endpoint_.setHandler(std::make_shared<guarding_handler>(
-            writers_.context(), std::move(handler), options.largest_body));
+            writers_.context(), connections_, std::move(handler), options.largest_body));
         // This binds as well; a call of bind() before it would take the port from itself.
         endpoint_.serveThreaded();
     }
@@ -220,6 +255,7 @@
     ~implementation() {
         endpoint_.shutdown();
         writers_.stop();
+        connections_->release_all();
     }
 
     implementation(const implementation&) = delete;
@@ -229,6 +265,7 @@
 
 private:
     io_threads writers_;
+    std::shared_ptr<connection_list> connections_{std::make_shared<connection_list>()};
     http::Endpoint endpoint_;
 };
 
--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -16,26 +16,29 @@
 } // namespace
 
 server_connection::server_connection(asio::io_context& loop, int descriptor)
-    : socket_(asio::make_strand(loop)) {
+    : socket_(std::in_place, asio::make_strand(loop)) {
     asio::error_code problem;
-    socket_.assign(asio::ip::tcp::v4(), ::dup(descriptor), problem);
+    socket_->assign(asio::ip::tcp::v4(), ::dup(descriptor), problem);
     is_open_ = !problem;
 }
 
+/// Runs a step on the loop. With the mutex held, so that the loop is there.
+void server_connection::post_locked(void (server_connection::*step)()) {
+    if (socket_) {
+        asio::post(socket_->get_executor(), [self = shared_from_this(), step] { (*self.*step)(); });
+    }
+}
+
 bool server_connection::send(std::string bytes) {
-    bool is_first = false;
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        if (!is_open_ || is_ending_) {
-            return false;
-        }
-        queued_bytes_ += bytes.size();
-        queue_.push_back(std::move(bytes));
-        is_first = !is_writing_;
-        is_writing_ = true;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!is_open_ || is_ending_) {
+        return false;
     }
-    if (is_first) {
-        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->write_queued(); });
+    queued_bytes_ += bytes.size();
+    queue_.push_back(std::move(bytes));
+    if (!is_writing_) {
+        is_writing_ = true;
+        post_locked(&server_connection::write_queued);
     }
     return true;
 }
@@ -59,7 +62,7 @@
     for (const auto& part : in_flight_) {
         buffers.emplace_back(part.data(), part.size());
     }
-    asio::async_write(socket_, buffers,
+    asio::async_write(*socket_, buffers,
                       [self = shared_from_this()](const asio::error_code& problem, std::size_t) {
                           self->handle_written(problem);
                       });
@@ -90,12 +93,20 @@
     }
     // The library's descriptor is shut down with this one and closes itself.
     asio::error_code ignored;
-    socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-    socket_.close(ignored);
+    socket_->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    socket_->close(ignored);
 }
 
 void server_connection::cut() {
-    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close_socket(); });
+    const std::lock_guard<std::mutex> lock(mutex_);
+    post_locked(&server_connection::close_socket);
+}
+
+void server_connection::release() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_open_ = false;
+    queue_.clear();
+    socket_.reset();
 }
 
 bool server_connection::begin_request() {
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
     bool send(std::string bytes);
     /// Cuts the connection at once.
     void cut();
+    /// Gives the socket back after the loop's threads ended and before the loop does. Whoever still
+    /// holds the connection may go on calling it; nothing is written any more.
+    void release();
     /// Notes that a request came. @return false when an answer is still under way
     bool begin_request();
     /// Notes that an answer ended; closes the connection after it when another request came too
@@ -49,11 +53,12 @@
     void on_closed(std::function<void()> callback);
 
 private:
+    void post_locked(void (server_connection::*step)());
     void write_queued();
     void handle_written(const asio::error_code& problem);
     void close_socket();
 
-    asio::ip::tcp::socket socket_;
+    std::optional<asio::ip::tcp::socket> socket_; ///< nothing after release()
     mutable std::mutex mutex_;
     std::deque<std::string> queue_;
     std::vector<std::string> in_flight_;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -126,6 +126,29 @@
     EXPECT_EQ(server.exchange("NONSENSE\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
 }
 
+TEST(http_server, an_answer_that_outlives_the_server_can_be_dropped) {
+    for (int round = 0; round < 20; ++round) {
+        std::shared_ptr<http_responder> kept;
+        std::atomic<bool> is_here{false};
+        asio::io_context client;
+        asio::ip::tcp::socket socket(client);
+        {
+            http_server server({{"127.0.0.1", 0}, 1, mebibyte},
+                               [&](const server_request&, const auto& responder) {
+                                   kept = responder;
+                                   is_here = true;
+                               });
+            socket.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+            asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+            while (!is_here) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+        }
+        kept->respond(200, {}, "too late");
+        kept.reset();
+    }
+}
+
 TEST(http_server, the_target_arrives_as_the_caller_wrote_it) {
     streaming_server server;
     const std::string target = "/target?z=%2F1&a=2&z=3&b=";
