Draw from the origin only once the other sidecars are known

Cause: a sidecar hears of the others within 0.5 s of its start; until then the origin's chunks all rank as its own. Weights named just after the start were drawn 1.4 to 1.6 times (22 and 26 pieces of 16). Ruled out: lost frames between sidecars; the log shows members=0 and then whole weights 5 ms after the first gateway's list of neighbours.

--- a/include/citronseam/version/chunk_plan.h
+++ b/include/citronseam/version/chunk_plan.h
@@ -43,6 +43,14 @@
 std::vector<swarm_member> region_senders(std::string_view region, std::string_view origin_region,
                                          const std::vector<swarm_member>& members);
 
+/// Whether an agent knows the others well enough to draw. One that has just started hears of them
+/// one after the other, and takes the chunks of those it has not heard of yet for its own.
+/// @param since_start  time since the process started
+/// @param since_change time since the list of members last changed
+/// @param settling     time without a change after which the list is taken to be whole; 0: at once
+bool is_membership_settled(milliseconds since_start, milliseconds since_change,
+                           milliseconds settling) noexcept;
+
 /// Whether an agent draws from the origin without leaving that to agents of the origin's region: it
 /// is one of them, or there are none. Agents that were listed a moment ago count as there: the link
 /// between the regions may be cut, and all the others would draw what they have got already.
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -22,6 +22,8 @@
 /// A piece that was not seen anywhere for this long is drawn by the next sidecar: several times the
 /// time in which the origin sends all pieces once.
 constexpr milliseconds chunk_patience{2500};
+/// A new process hears of the others within the interval at which it reads the table of members.
+constexpr milliseconds settling{500};
 /// Pieces asked of the origin at once by one sidecar. Many sidecars draw at the same time, and the
 /// fewer pieces share the origin's link the sooner the first ones come and spread.
 constexpr std::uint32_t origin_parallel = 1;
@@ -134,6 +136,7 @@
         rates.is_drawn_everywhere = true;
         rates.shortest_stall = shortest_stall;
         rates.chunk_patience = chunk_patience;
+        rates.settling = settling;
         swarm_->set_rates(rates);
     }
 
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -34,6 +34,7 @@
     if (is_same) {
         return;
     }
+    members_changed_at_ = std::chrono::steady_clock::now();
     choose_targets();
     for (auto& [number, agent] : agents_) {
         place(agent);
@@ -219,7 +220,10 @@
     state.is_origin_near = is_alone() || is_origin_near(region_, origin_region_, members_,
                                                         since_origin_region(now), patience());
     state.origin_requests = origin_requests_;
-    state.origin_parallel = rates_.origin_parallel;
+    const bool is_settled =
+        is_membership_settled(milliseconds(elapsed_ms(started_at_, now)),
+                              milliseconds(elapsed_ms(members_changed_at_, now)), rates_.settling);
+    state.origin_parallel = is_settled ? rates_.origin_parallel : 0;
     return state;
 }
 
--- a/src/programs/swarm/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -37,6 +37,8 @@
     /// Time from the begin of a fetch after which a chunk that is still missing is left to the next
     /// rank, even while others arrive; 0: only when nothing arrives.
     milliseconds chunk_patience{0};
+    /// After a start: time without news of other agents after which chunks are drawn.
+    milliseconds settling{0};
 };
 
 /// Fetches the chunks of one version at a time and serves those it holds. State changes on the
@@ -144,6 +146,8 @@
     std::vector<swarm_member> members_;
     std::string region_;
     std::string origin_region_;
+    time_point started_at_{std::chrono::steady_clock::now()};
+    time_point members_changed_at_{started_at_};
     time_point origin_region_listed_at_; ///< when a member of it was last known
     std::vector<swarm_member> senders_;  ///< to this region, in their order
     swarm_rates rates_;
--- a/src/version/chunk_plan.cpp
+++ b/src/version/chunk_plan.cpp
@@ -135,6 +135,13 @@
     return closest(region, std::move(far), senders_per_link);
 }
 
+bool is_membership_settled(milliseconds since_start, milliseconds since_change,
+                           milliseconds settling) noexcept {
+    /// A start is over by then, even if members go on changing.
+    constexpr int longest_start = 4;
+    return since_change >= settling || since_start >= settling * longest_start;
+}
+
 bool is_origin_near(std::string_view region, std::string_view origin_region,
                     const std::vector<swarm_member>& members,
                     std::optional<milliseconds> since_listed, milliseconds patience) {
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -138,6 +138,16 @@
     return state;
 }
 
+TEST(chunk_plan, an_agent_that_just_started_draws_once_it_knows_the_others) {
+    constexpr milliseconds settling(500);
+    EXPECT_FALSE(is_membership_settled(milliseconds(20), milliseconds(20), settling));
+    EXPECT_FALSE(is_membership_settled(milliseconds(900), milliseconds(400), settling));
+    EXPECT_TRUE(is_membership_settled(milliseconds(1000), milliseconds(500), settling));
+    EXPECT_TRUE(is_membership_settled(milliseconds(2000), milliseconds(0), settling))
+        << "members come and go later too";
+    EXPECT_TRUE(is_membership_settled(milliseconds(0), milliseconds(0), milliseconds(0)));
+}
+
 TEST(chunk_plan, a_region_that_was_just_cut_off_does_not_draw_everything_itself) {
     // Its agents see only one another, but the origin's region has most chunks already.
     const std::vector<swarm_member> cut_off{{"b1", "", "b"}, {"b2", "", "b"}};
