Ask the only holder for what it answers in time, draw own pieces meanwhile

Cause: after a loss of power one engine still had all 64 pieces. 14 others asked it for four each, the answers took two seconds, were given up on after 0.9 s and asked for again; as a holder was known, nobody drew from the origin (origin_bytes=0 everywhere, "1 late" at the holder, whole after 9.5 s). Ruled out: the origin (its lists came at once) and lost members (12 of 15 known after 1.1 s). Tests of spread, rollout, region and the platform passed (5 of 5 programs).

--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -1,5 +1,7 @@
 #include "programs/swarm/chunk_swarm.h"
 
+#include <set>
+
 #include "citronseam/process/log.h"
 
 namespace citronseam {
@@ -207,9 +209,13 @@
         state.far_for = note_far_chunks(now);
     }
     state.most_requests = rates_.most_requests;
-    for (const auto& [number, agent] : agents_) {
-        sessions.push_back(number);
-        state.neighbours.push_back(agent.state);
+    std::set<std::string_view> listed;
+    // Two agents may have connected to each other at once; the newer connection is asked on.
+    for (auto entry = agents_.rbegin(); entry != agents_.rend(); ++entry) {
+        if (listed.insert(entry->second.instance).second) {
+            sessions.push_back(entry->first);
+            state.neighbours.push_back(entry->second.state);
+        }
     }
     state.senders = senders_.size();
     state.level = draw_level(milliseconds(elapsed_ms(last_progress_, now)), patience());
@@ -399,6 +405,7 @@
             }
             ++agent.state.late;
             agent.late_at = now;
+            note_answer(agent.state, elapsed_ms(entry->second, now));
             agent.state.requested -= agent.state.requested > 0 ? 1 : 0;
             if (entry->first < is_wanted_.size()) {
                 is_wanted_[entry->first] = true;
--- a/src/version/chunk_plan.cpp
+++ b/src/version/chunk_plan.cpp
@@ -25,9 +25,21 @@
     return candidates;
 }
 
+/// @return chunks that may be asked of a neighbour at once: as many as it answers in time
+std::uint32_t most_asked(const neighbour_state& neighbour) noexcept {
+    constexpr double longest_answer_ms = 400;
+    constexpr std::uint32_t first_requests = 2;
+    if (neighbour.answer_ms == 0) {
+        return first_requests;
+    }
+    // Its answers take that long because of what others ask, too; all of them ask for less then.
+    const auto in_time = static_cast<std::uint32_t>(longest_answer_ms / neighbour.answer_ms);
+    return std::clamp(in_time, 1U, requests_per_neighbour);
+}
+
 bool may_ask(const neighbour_state& neighbour) noexcept {
     return neighbour.faults < most_faults && neighbour.late < most_late &&
-           neighbour.requested < requests_per_neighbour;
+           neighbour.requested < most_asked(neighbour);
 }
 
 /// Whether the sender whose turn the chunk is can be asked, now or when it is less busy.
@@ -212,7 +224,11 @@
             continue;
         }
         const holder_count count = count_holders(state, chunk);
-        const bool is_drawn = count.holders == 0 && may_draw(state, chunk);
+        // After a loss of most copies all ask the few holders; each draws its own chunks beside
+        // that.
+        const bool is_own = !state.origin_ranks.empty() && state.origin_ranks[chunk] == 0;
+        const bool is_drawn =
+            !count.best && (count.holders == 0 || is_own) && may_draw(state, chunk);
         if (!count.best && !is_drawn) {
             continue;
         }
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -205,11 +205,36 @@
     EXPECT_TRUE(choose_fetch(state, random).has_value());
 }
 
+// The pattern: after a loss of power one sidecar still has all pieces, and 14 others ask it for
+// four each. Its answers then take two seconds, and all of them are given up on and asked for
+// again.
+TEST(chunk_plan, the_only_holder_is_asked_for_as_much_as_it_answers_in_time) {
+    random_source random(seed);
+    fetch_state state = state_of(8, 1);
+    state.neighbours[0].held.assign(8, true);
+    state.origin_ranks = {0, 1, 2, 3, 4, 5, 6, 7};
+    state.far_for.assign(8, milliseconds(0));
+    state.neighbours[0].requested = 2;
+    const auto drawn = choose_fetch(state, random);
+    ASSERT_TRUE(drawn.has_value()) << "its own chunk comes from the origin meanwhile";
+    EXPECT_EQ(drawn->chunk, 0U);
+    EXPECT_FALSE(drawn->neighbour.has_value());
+    state.wanted[0] = false;
+    EXPECT_FALSE(choose_fetch(state, random).has_value()) << "how fast it answers is not known yet";
+    state.neighbours[0].answer_ms = 130;
+    EXPECT_TRUE(choose_fetch(state, random).has_value());
+    state.neighbours[0].answer_ms = 900;
+    EXPECT_FALSE(choose_fetch(state, random).has_value());
+    state.neighbours[0].requested = 0;
+    EXPECT_TRUE(choose_fetch(state, random).has_value());
+}
+
 TEST(chunk_plan, no_more_is_asked_for_than_the_link_bears) {
     random_source random(seed);
     fetch_state state = state_of(4, 1);
     state.neighbours[0].held.assign(4, true);
     state.most_requests = 3;
+    state.neighbours[0].answer_ms = 60;
     state.neighbours[0].requested = 2;
     EXPECT_TRUE(choose_fetch(state, random).has_value());
     state.origin_requests = 1;
