Move long streams off an engine that waits to load

Cause: an engine loads new weights once all that runs there has ended and takes nothing meanwhile. With 20 engines and three seconds between whole weights and their due time, 16 of them stood with a few last streams each: a load took 1.5 to 2.8 s, of which 0.35 s were the load. Change: a resumable stream that is expected to go on for 0.4 s or more leaves for another engine with the same weights, if one has room and the retry budget of all processes allows it.

--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -90,6 +90,12 @@
 /// @return version of the whole model that a server holds, as last heard; 0 for none
 std::uint64_t held_weights(const server_state& server, time_point now) noexcept;
 
+/// Whether a request keeps an engine from loading new weights: the engine takes nothing new until
+/// all that runs there has ended, so that the last request holds up a whole batch.
+/// @param rest time that the request is expected to go on; a short one is not worth reading its
+/// prompt at another engine
+bool keeps_from_loading(const server_state& server, milliseconds rest, time_point now) noexcept;
+
 /// @return requests that are assumed to run or wait at a server
 double estimate_busy(const server_state& server, time_point now) noexcept;
 
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -21,6 +21,8 @@
 /// A stream is moved after a pause of this length at least; a busy engine may preempt a request for
 /// several hundred milliseconds.
 constexpr milliseconds shortest_stream_patience{1000};
+/// Pause between two looks for another engine.
+constexpr milliseconds leave_check_interval{100};
 constexpr std::size_t largest_answer = 8 * mebibyte;
 
 constexpr int status_ok = 200;
@@ -119,12 +121,7 @@
     return std::chrono::duration_cast<milliseconds>(deadline_ - now);
 }
 
-void gateway_exchange::send_next() {
-    const auto now = std::chrono::steady_clock::now();
-    if (time_left(now) < least_time_to_send) {
-        end_late();
-        return;
-    }
+server_wish gateway_exchange::make_wish() const {
     server_wish wish;
     wish.rule = rule_;
     wish.workspace = workspace_;
@@ -133,7 +130,16 @@
     wish.prompt_tokens = terms_.prompt_tokens;
     wish.output_tokens = terms_.expected_output_tokens;
     wish.exact_weights = events_passed_ > 0 ? stream_weights_ : 0;
-    const server_offer offer = context_.pool.choose(wish, now);
+    return wish;
+}
+
+void gateway_exchange::send_next() {
+    const auto now = std::chrono::steady_clock::now();
+    if (time_left(now) < least_time_to_send) {
+        end_late();
+        return;
+    }
+    const server_offer offer = context_.pool.choose(make_wish(), now);
     if (offer.server != nullptr) {
         send_to(offer);
     } else if (verdict_ == run_verdict::not_run) {
@@ -466,6 +472,9 @@
         move("weights_replaced", now);
         return;
     }
+    if (leave_before_load(now)) {
+        return;
+    }
     const bool is_stalled =
         attempt_.server != nullptr && now - attempt_.heard_at > patience_for_part();
     if (is_stalled && is_repeatable(*rule_) && may_send_again(now)) {
@@ -473,6 +482,46 @@
     }
 }
 
+/// An engine loads new weights once all that runs there has ended, and takes nothing meanwhile. A
+/// stream that would keep it from loading goes on at another engine with the same weights.
+bool gateway_exchange::leave_before_load(time_point now) {
+    if (attempt_.server == nullptr || rule_->kind != repetition::streaming ||
+        !is_repeatable(*rule_) || sendings_ >= rule_->most_attempts || now < next_leave_check_) {
+        return false;
+    }
+    const milliseconds rest =
+        context_.pool.expected_rest(*rule_, service_, terms_.expected_output_tokens,
+                                    milliseconds(elapsed_ms(attempt_.began_at, now)));
+    if (!keeps_from_loading(*attempt_.server, rest, now)) {
+        return false;
+    }
+    next_leave_check_ = now + leave_check_interval;
+    server_wish wish = make_wish();
+    wish.is_optional = true;
+    if (events_passed_ == 0) {
+        wish.exact_weights = 0;
+    }
+    const server_offer offer = context_.pool.choose(wish, now);
+    if (offer.server == nullptr) {
+        return false;
+    }
+    if (!context_.pool.take_repeat(service_, now)) {
+        note_prompt_read(*offer.server, offer.prompt_ms);
+        note_ended(*offer.server, exchange_standing::ended, now);
+        return false;
+    }
+    log_event(log_level::info, "attempt_left",
+              {{"request", terms_.attempt},
+               {"server", attempt_.server->entry.id},
+               {"reason", "engine_loads"},
+               {"events", events_passed_},
+               {"rest_ms", rest.count()}});
+    cancel_attempt(exchange_standing::ended);
+    verdict_ = combine(verdict_, run_verdict::may_have_run);
+    send_to(offer);
+    return true;
+}
+
 /// Takes the request from its server and sends it to another one, or gives it up.
 void gateway_exchange::move(std::string_view why, time_point now) {
     log_event(log_level::info, "attempt_left",
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -85,6 +85,8 @@
     void refuse_for(choice_obstacle obstacle);
     void end_late();
     void move(std::string_view why, time_point now);
+    bool leave_before_load(time_point now);
+    server_wish make_wish() const;
     void hang_up();
     void finish(std::string_view outcome, int status);
     milliseconds time_left(time_point now) const;
@@ -111,6 +113,7 @@
     std::uint64_t stream_weights_{0};
     std::size_t events_passed_{0};
     time_point first_part_at_;
+    time_point next_leave_check_;
     double chosen_busy_{0}; ///< what the last choice assumed to run at its server
     double expected_wait_ms_{0};
     std::uint32_t report_age_ms_{0}; ///< how old the report behind it was
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -153,8 +153,10 @@
         candidates.push_back(server.get());
     }
     const server_choice choice = choose_server(candidates, terms, random_);
-    const double refused = choice.server == nullptr ? 1 : 0;
-    pool->second.refused_share += refusal_smoothing * (refused - pool->second.refused_share);
+    if (!wish.is_optional) {
+        const double refused = choice.server == nullptr ? 1 : 0;
+        pool->second.refused_share += refusal_smoothing * (refused - pool->second.refused_share);
+    }
     offer.obstacle = choice.obstacle;
     offer.busy = choice.busy;
     for (const auto& server : pool->second.servers) {
@@ -168,6 +170,21 @@
     return offer;
 }
 
+milliseconds server_pool::expected_rest(const route& rule, const std::string& service,
+                                        std::uint64_t output_tokens, milliseconds passed) const {
+    const auto& services = view_->routes->rules->services;
+    const auto found = services.find(service);
+    if (found == services.end() || !found->second.has_engine) {
+        return rule.timeout;
+    }
+    const engine_profile& engine = found->second.engine;
+    const double output =
+        output_tokens > 0 ? static_cast<double>(output_tokens) : engine.usual_output_tokens;
+    const auto whole =
+        milliseconds(static_cast<std::int64_t>(expected_duration_ms(engine, 0, output)));
+    return std::max(whole - passed, milliseconds(0));
+}
+
 milliseconds server_pool::longest_duration(const route& rule, const std::string& service,
                                            std::uint64_t output_tokens) const {
     const auto& services = view_->routes->rules->services;
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -25,6 +25,7 @@
     std::uint64_t prompt_tokens{0};
     std::uint64_t output_tokens{0}; ///< expected, 0: not known
     std::uint64_t exact_weights{0}; ///< a stream goes on with these weights; 0: any
+    bool is_optional{false};        ///< the request stays where it is when there is no room
 };
 
 /// What the pool answers.
@@ -55,6 +56,11 @@
     /// newer ones have replaced by now
     bool may_begin(const server_state& server, const std::string& service, time_point now) const;
 
+    /// @return time that a request which was sent a while ago is expected to go on
+    /// @param output_tokens expected, 0: not known
+    milliseconds expected_rest(const route& rule, const std::string& service,
+                               std::uint64_t output_tokens, milliseconds passed) const;
+
     /// @return time that a request of a route takes at most, or nearly so
     /// @param output_tokens that a stream may have, 0: not known
     milliseconds longest_duration(const route& rule, const std::string& service,
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -130,6 +130,12 @@
                                         : server.entry.weights_version;
 }
 
+bool keeps_from_loading(const server_state& server, milliseconds rest, time_point now) noexcept {
+    constexpr milliseconds least_rest{400};
+    return rest >= least_rest && is_report_fresh(server, now) && server.report.is_reachable &&
+           server.report.is_loading;
+}
+
 double estimate_busy(const server_state& server, time_point now) noexcept {
     if (!is_report_fresh(server, now)) {
         return server.own_running;
