Count the token steps between prompts in the time to read one

Cause: requests sent to an engine within 0.6 s of its return waited 350 to 650 ms (p50) for their first event though 0 to 4 requests ran there: 13 prompts came within half a second. The choice took 31 ms for a prompt, the rate of reading alone; an engine makes six tokens for each request after every 2,048 tokens read, so it is 51 ms. Ruled out: stale reports (the same at reports younger than 100 ms) and the engines' count of waiting requests (0 meanwhile).

--- a/include/citronseam/version/routing.h
+++ b/include/citronseam/version/routing.h
@@ -53,17 +53,19 @@
 /// What is known in advance about the model engines of a service.
 struct engine_profile {
     std::string model;
-    std::uint32_t slots{0};         ///< requests in one batch
-    std::uint64_t memory_tokens{0}; ///< tokens that the memory for requests holds
-    std::uint32_t layers{0};        ///< of the model
-    std::uint32_t chunks{0};        ///< pieces of the weights
-    std::uint64_t chunk_bytes{0};   ///< size of a piece
-    milliseconds load_duration{0};  ///< from a start order until the weights are in force
-    double step_ms{0};              ///< one token step of an otherwise empty batch
-    double step_ms_per_sequence{0}; ///< added for each request in the batch
-    double prompt_tokens_per_ms{0}; ///< rate at which prompts are read
-    double usual_prompt_tokens{0};  ///< mean of the requests
-    double usual_output_tokens{0};  ///< mean of the requests
+    std::uint32_t slots{0};                  ///< requests in one batch
+    std::uint64_t memory_tokens{0};          ///< tokens that the memory for requests holds
+    std::uint32_t layers{0};                 ///< of the model
+    std::uint32_t chunks{0};                 ///< pieces of the weights
+    std::uint64_t chunk_bytes{0};            ///< size of a piece
+    milliseconds load_duration{0};           ///< from a start order until the weights are in force
+    double step_ms{0};                       ///< one token step of an otherwise empty batch
+    double step_ms_per_sequence{0};          ///< added for each request in the batch
+    double prompt_tokens_per_ms{0};          ///< rate at which prompts are read
+    std::uint32_t prompt_tokens_per_pass{0}; ///< at most; 0: no bound
+    std::uint32_t steps_per_pass{0};         ///< token steps between two readings
+    double usual_prompt_tokens{0};           ///< mean of the requests
+    double usual_output_tokens{0};           ///< mean of the requests
 };
 
 /// @return time in which an engine with a full batch finishes one usual request after the other; 0
@@ -77,6 +79,9 @@
 double expected_duration_ms(const engine_profile& engine, double prompt_tokens,
                             double output_tokens) noexcept;
 
+/// @return time until a prompt is read at an engine that makes tokens for others in between
+double reading_ms(const engine_profile& engine, double prompt_tokens) noexcept;
+
 /// A service: a set of backend servers that serve the same requests.
 struct routed_service {
     std::string name;
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -119,9 +119,7 @@
                                 static_cast<double>(wish.rule->latency_objective.count());
     }
     terms.turnover_ms = usual_turnover_ms(engine);
-    if (engine.prompt_tokens_per_ms > 0) {
-        terms.prompt_ms = prompt / engine.prompt_tokens_per_ms;
-    }
+    terms.prompt_ms = reading_ms(engine, prompt);
     terms.senders_alike = std::max(1.0, static_cast<double>(terms.sharers) * part_of_senders);
     terms.needs_weights = service.has_engine;
     terms.least_weights_version =
--- a/src/version/routing.cpp
+++ b/src/version/routing.cpp
@@ -46,6 +46,16 @@
            output_tokens * step * turnover / (turnover - reading);
 }
 
+double reading_ms(const engine_profile& engine, double prompt_tokens) noexcept {
+    if (engine.prompt_tokens_per_ms <= 0) {
+        return 0;
+    }
+    const double steps = engine.steps_per_pass * engine.step_ms;
+    const double passes =
+        engine.prompt_tokens_per_pass == 0 ? 0 : prompt_tokens / engine.prompt_tokens_per_pass;
+    return prompt_tokens / engine.prompt_tokens_per_ms + passes * steps;
+}
+
 const routed_service* find_origin(const routing& rules) noexcept {
     for (const auto& [key, service] : rules.services) {
         if (!service.origin_address.empty()) {
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -425,4 +425,34 @@
     EXPECT_GT(expected_duration_ms(engine, 973, 300), expected_duration_ms(engine, 973, 100));
 }
 
+// The pattern: a full engine reads 2,048 tokens of prompts, makes six tokens for each request and
+// reads on. Thirteen prompts sent to an engine that just returned took a second, not 0.4 s.
+TEST(engine_profile, prompts_are_read_between_token_steps) {
+    engine_profile engine;
+    EXPECT_EQ(reading_ms(engine, 1000), 0) << "nothing is known";
+    engine.prompt_tokens_per_ms = 32;
+    EXPECT_NEAR(reading_ms(engine, 1024), 32, 0.1);
+    engine.step_ms = 7.4;
+    engine.steps_per_pass = 6;
+    engine.prompt_tokens_per_pass = 2048;
+    EXPECT_NEAR(reading_ms(engine, 1024), 32 + 22.2, 0.1);
+}
+
+// The pattern: new weights are due in three seconds and each of 20 engines waits two seconds for
+// its streams to end, most of them idle meanwhile.
+TEST(server_choice, long_streams_leave_an_engine_that_waits_to_load) {
+    const time_point now{};
+    server_state server;
+    constexpr milliseconds rest(1000);
+    EXPECT_FALSE(keeps_from_loading(server, rest, now)) << "nothing is known of it";
+    engine_report report;
+    take_report(server, report, now);
+    EXPECT_FALSE(keeps_from_loading(server, rest, now));
+    report.is_loading = true;
+    take_report(server, report, now);
+    EXPECT_TRUE(keeps_from_loading(server, rest, now));
+    EXPECT_FALSE(keeps_from_loading(server, milliseconds(200), now)) << "it ends soon by itself";
+    EXPECT_FALSE(keeps_from_loading(server, rest, now + report_lifetime + milliseconds(1)));
+}
+
 } // namespace
