Enforce the configuration's limits on heads, bodies and idle connections

Change: sizes and times of the configuration in force hold on every connection: 408 for a head or body that does not come, 413 and 431 for sizes, an idle connection is closed. caller_limits became connection_limits, one type for both.

--- a/include/citronseam/connection/http_server.h
+++ b/include/citronseam/connection/http_server.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "citronseam/connection/connection_limits.h"
 #include "citronseam/connection/http_responder.h"
 #include "citronseam/process/settings.h"
 #include "citronseam/process/sizes.h"
@@ -50,6 +51,8 @@
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
+    /// Replaces the limits on callers; before that only sizes are limited. Any thread.
+    void set_limits(const connection_limits& limits);
     /// @return the port, also when 0 was asked for
     std::uint16_t port() const;
 
--- a/include/citronseam/connection/request_guard.h
+++ b/include/citronseam/connection/request_guard.h
@@ -38,7 +38,9 @@
 
 /// @param bytes        what came so far, from the first byte of the request
 /// @param largest_body bytes a body may have
-guard_result check_head(std::string_view bytes, std::uint64_t largest_body) noexcept;
+/// @param longest_head bytes a head may have, largest_head at most
+guard_result check_head(std::string_view bytes, std::uint64_t largest_body,
+                        std::size_t longest_head = largest_head) noexcept;
 
 /// @return the HTTP status for a finding that is not accepted
 int http_status(guard_finding finding) noexcept;
--- a/include/citronseam/version/routing.h
+++ b/include/citronseam/version/routing.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "citronseam/connection/connection_limits.h"
 #include "citronseam/process/clock.h"
 #include "citronseam/process/sizes.h"
 
@@ -103,21 +104,13 @@
     std::vector<std::string> allowed_regions; ///< empty: all
 };
 
-/// What callers may send.
-struct caller_limits {
-    std::size_t largest_head{16 * kibibyte};
-    std::size_t largest_body{4 * mebibyte};
-    milliseconds header_timeout{3000};
-    milliseconds idle_timeout{15000};
-};
-
 /// One version of the configuration.
 struct routing {
     std::uint64_t version{0};
     std::vector<route> routes;
     std::map<std::string, routed_service, std::less<>> services;
     std::vector<routed_workspace> workspaces;
-    caller_limits limits;
+    connection_limits limits; ///< of callers
 };
 
 /// @return the service that is the origin of weights, or nullptr
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,5 +1,6 @@
 #include "citronseam/connection/http_server.h"
 
+#include <algorithm>
 #include <mutex>
 #include <sstream>
 
@@ -23,6 +24,9 @@
 /// above the longest answer; deadlines are kept by the handler of the request.
 constexpr std::chrono::hours library_timeout{24};
 
+/// Granularity of the time that callers may take; limits are seconds.
+constexpr milliseconds time_check_interval{250};
+
 /// State of one connection while requests are read from it.
 struct connection_input {
     std::shared_ptr<server_connection> connection;
@@ -81,6 +85,25 @@
         connections_.push_back(connection);
     }
 
+    void set_limits(const connection_limits& limits) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        limits_ = limits;
+    }
+
+    connection_limits limits() const {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return limits_;
+    }
+
+    void check_time(time_point now) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const auto& weak : connections_) {
+            if (const auto connection = weak.lock()) {
+                connection->check_time(limits_, now);
+            }
+        }
+    }
+
     void release_all() {
         const std::lock_guard<std::mutex> lock(mutex_);
         for (const auto& weak : connections_) {
@@ -94,7 +117,8 @@
     /// Entries below which a sweep is not worth its time.
     static constexpr std::size_t least_swept = 64;
 
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
+    connection_limits limits_;
     std::vector<std::weak_ptr<server_connection>> connections_;
     std::size_t live_{least_swept}; ///< entries left by the last sweep
 };
@@ -141,11 +165,15 @@
             return;
         }
         if (input->is_in_body) {
+            input->connection->note_input(connection_phase::body);
             feed_body({buffer, size}, *input, peer);
             return;
         }
+        input->connection->note_input(connection_phase::head);
         input->head.append(buffer, size);
-        const guard_result checked = check_head(input->head, largest_body_);
+        const connection_limits limits = connections_->limits();
+        const guard_result checked =
+            check_head(input->head, std::min(largest_body_, limits.body), limits.head);
         if (checked.finding == guard_finding::incomplete) {
             return;
         }
@@ -157,6 +185,7 @@
         input->target = target_of(bytes);
         input->head.clear();
         input->is_in_body = true;
+        input->connection->note_input(connection_phase::body);
         input->is_chunked = checked.is_chunked;
         input->body_remaining = checked.head_size + checked.body_size;
         feed_body(bytes, *input, peer);
@@ -248,6 +277,8 @@
         endpoint_.init(settings);
         endpoint_.setHandler(std::make_shared<guarding_handler>(
             writers_.context(), connections_, std::move(handler), options.largest_body));
+        repeat(writers_, time_check_interval,
+               [this] { connections_->check_time(std::chrono::steady_clock::now()); });
         // This binds as well; a call of bind() before it would take the port from itself.
         endpoint_.serveThreaded();
     }
@@ -262,6 +293,7 @@
     implementation& operator=(const implementation&) = delete;
 
     std::uint16_t port() const { return endpoint_.getPort(); }
+    void set_limits(const connection_limits& limits) { connections_->set_limits(limits); }
 
 private:
     io_threads writers_;
@@ -278,6 +310,10 @@
     return implementation_->port();
 }
 
+void http_server::set_limits(const connection_limits& limits) {
+    implementation_->set_limits(limits);
+}
+
 std::string query_parameter(const server_request& request, std::string_view name) {
     const auto mark = request.target.find('?');
     if (mark == std::string::npos) {
--- a/src/connection/request_guard.cpp
+++ b/src/connection/request_guard.cpp
@@ -1,5 +1,7 @@
 #include "citronseam/connection/request_guard.h"
 
+#include <algorithm>
+
 #include <charconv>
 #include <optional>
 
@@ -63,11 +65,13 @@
 
 } // namespace
 
-guard_result check_head(std::string_view bytes, std::uint64_t largest_body) noexcept {
+guard_result check_head(std::string_view bytes, std::uint64_t largest_body,
+                        std::size_t longest_head) noexcept {
+    longest_head = std::min(longest_head, largest_head);
     guard_result checked;
     const auto end = bytes.find(head_end);
-    if (end == std::string_view::npos || end > largest_head) {
-        const bool is_large = bytes.size() > largest_head;
+    if (end == std::string_view::npos || end > longest_head) {
+        const bool is_large = bytes.size() > longest_head;
         checked.finding = is_large ? guard_finding::head_too_large : guard_finding::incomplete;
         return checked;
     }
--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -109,13 +109,40 @@
     socket_.reset();
 }
 
+void server_connection::note_input(connection_phase phase) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    // A caller that sends its next request too early is dealt with by begin_request().
+    const bool is_same_head = phase == connection_phase::head && phase_ == phase;
+    if (phase_ == connection_phase::answering || is_same_head) {
+        return;
+    }
+    phase_ = phase;
+    phase_since_ = std::chrono::steady_clock::now();
+}
+
+void server_connection::check_time(const connection_limits& limits, time_point now) {
+    time_verdict verdict{};
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        verdict = is_open_ ? judge_time(phase_, milliseconds(elapsed_ms(phase_since_, now)), limits)
+                           : time_verdict::keep;
+    }
+    if (verdict == time_verdict::refuse && begin_request()) {
+        close_after_answer();
+        send("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        end_answer();
+    } else if (verdict == time_verdict::close) {
+        cut();
+    }
+}
+
 bool server_connection::begin_request() {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (is_answering_) {
+    if (phase_ == connection_phase::answering) {
         is_last_answer_ = true;
         return false;
     }
-    is_answering_ = true;
+    phase_ = connection_phase::answering;
     return true;
 }
 
@@ -128,7 +155,8 @@
     bool is_written = false;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        is_answering_ = false;
+        phase_ = connection_phase::idle;
+        phase_since_ = std::chrono::steady_clock::now();
         callback_ = nullptr;
         is_ending_ = is_last_answer_;
         is_written = is_ending_ && !is_writing_;
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -13,6 +13,9 @@
 
 #include <asio.hpp>
 
+#include "citronseam/connection/connection_limits.h"
+#include "citronseam/process/clock.h"
+
 namespace citronseam {
 
 /// Writes to a caller's socket through a descriptor of its own.
@@ -36,6 +39,11 @@
     /// Gives the socket back after the loop's threads ended and before the loop does. Whoever still
     /// holds the connection may go on calling it; nothing is written any more.
     void release();
+    /// Notes that bytes of a request came.
+    /// @param phase head or body
+    void note_input(connection_phase phase);
+    /// Refuses or closes when the caller takes too long.
+    void check_time(const connection_limits& limits, time_point now);
     /// Notes that a request came. @return false when an answer is still under way
     bool begin_request();
     /// Notes that an answer ended; closes the connection after it when another request came too
@@ -66,7 +74,8 @@
     std::function<void()> callback_;
     bool is_open_{true};
     bool is_writing_{false};
-    bool is_answering_{false};
+    connection_phase phase_{connection_phase::idle};
+    time_point phase_since_{std::chrono::steady_clock::now()};
     bool is_last_answer_{false};
     bool is_ending_{false};
 };
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -219,7 +219,11 @@
 
     /// Hands the present beliefs to the traffic thread. Control thread.
     void publish() {
-        traffic_.post([this, view = beliefs_.publish()] { pool_.take_view(view); });
+        const auto view = beliefs_.publish();
+        if (front_ != nullptr && view->routes != nullptr) {
+            front_->set_limits(view->routes->rules->limits);
+        }
+        traffic_.post([this, view] { pool_.take_view(view); });
         const bool is_ready = beliefs_.is_complete() && !is_leaving_;
         if (is_ready != is_ready_) {
             is_ready_ = is_ready;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -34,6 +34,8 @@
                       }
                   }) {}
 
+    void set_limits(const connection_limits& limits) { server_.set_limits(limits); }
+
     asio::ip::tcp::socket connect() {
         asio::ip::tcp::socket socket(client_);
         socket.connect({asio::ip::make_address("127.0.0.1"), server_.port()});
@@ -126,6 +128,46 @@
     EXPECT_EQ(server.exchange("NONSENSE\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
 }
 
+TEST(connection_limits, what_has_begun_is_refused_and_what_is_idle_is_closed) {
+    connection_limits limits;
+    const milliseconds long_time(60000);
+    EXPECT_EQ(judge_time(connection_phase::head, long_time, limits), time_verdict::keep)
+        << "no limit is set";
+    limits.head_time = milliseconds(300);
+    limits.idle_time = milliseconds(1000);
+    EXPECT_EQ(judge_time(connection_phase::head, milliseconds(299), limits), time_verdict::keep);
+    EXPECT_EQ(judge_time(connection_phase::head, milliseconds(300), limits), time_verdict::refuse);
+    EXPECT_EQ(judge_time(connection_phase::body, milliseconds(999), limits), time_verdict::keep);
+    EXPECT_EQ(judge_time(connection_phase::body, milliseconds(1000), limits), time_verdict::refuse);
+    EXPECT_EQ(judge_time(connection_phase::idle, milliseconds(1000), limits), time_verdict::close);
+    EXPECT_EQ(judge_time(connection_phase::answering, long_time, limits), time_verdict::keep);
+}
+
+TEST(http_server, callers_that_take_too_long_are_refused_or_closed) {
+    streaming_server server;
+    connection_limits limits;
+    limits.head_time = milliseconds(300);
+    limits.idle_time = milliseconds(600);
+    limits.body = 4;
+    limits.head = 200;
+    server.set_limits(limits);
+    EXPECT_EQ(server.exchange("GET / HTTP/1.1\r\nHost:").substr(0, 12), "HTTP/1.1 408");
+    EXPECT_EQ(server.exchange(""), "") << "an idle connection is closed";
+    EXPECT_EQ(
+        server.exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab").substr(0, 12),
+        "HTTP/1.1 408");
+    EXPECT_EQ(server.exchange("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nabcde")
+                  .substr(0, 12),
+              "HTTP/1.1 413");
+    EXPECT_EQ(
+        server
+            .exchange("GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(300, 'x') + "\r\n\r\n")
+            .substr(0, 12),
+        "HTTP/1.1 431");
+    const std::string answer = server.exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(answer.substr(0, 15), "HTTP/1.1 200 OK") << "then the idle connection is closed";
+}
+
 TEST(http_server, an_answer_that_outlives_the_server_can_be_dropped) {
     for (int round = 0; round < 20; ++round) {
         std::shared_ptr<http_responder> kept;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -43,7 +43,7 @@
     EXPECT_NEAR(rules->services.at("drafts").engine.prompt_tokens_per_ms, 31.9, 0.001);
     EXPECT_EQ(find_origin(*rules)->origin_address, "172.20.0.3:8006");
     EXPECT_EQ(rules->workspaces[0].keys.size(), 2U);
-    EXPECT_EQ(rules->limits.largest_head, 16384U);
+    EXPECT_EQ(rules->limits.head, 16384U);
 }
 
 TEST(decode, a_kind_that_is_not_known_gets_the_strictest_rule) {
