Split what held two jobs, one copy of each loop over rows

gateway_exchange.cpp: its answers have a file of their own; the stand-in of the platform is a store, an origin, servers and a world. The reading of a page of rows and the loop over the operator's rows exist once.

--- /dev/null
+++ b/src/programs/gateway/answer_status.h
@@ -0,0 +1,18 @@
+/// @file
+/// HTTP statuses that a gateway tells apart or sends.
+#ifndef CITRONSEAM_PROGRAMS_GATEWAY_ANSWER_STATUS_H
+#define CITRONSEAM_PROGRAMS_GATEWAY_ANSWER_STATUS_H
+
+namespace citronseam {
+
+constexpr int status_ok = 200;
+constexpr int status_unauthorized = 401;
+constexpr int status_not_found = 404;
+constexpr int first_server_error = 500;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+
+} // namespace citronseam
+
+#endif
--- a/src/programs/gateway/belief_keeper.cpp
+++ b/src/programs/gateway/belief_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include "citronseam/process/log.h"
 #include "platform/decode.h"
+#include "programs/node/operator_rows.h"
 
 namespace citronseam {
 
@@ -33,28 +34,21 @@
 void belief_keeper::take_operator_rows(const std::vector<versioned_row>& changed, time_point now) {
     const time_point named_at = has_operator_rows_ ? now : now - first_weights_age_;
     has_operator_rows_ = true;
-    for (const auto& row : changed) {
-        auto decoded = platform::decode_operator_row(row);
-        if (!decoded) {
-            log_event(log_level::error, "operator_row_unreadable",
-                      {{"row", row.key}, {"reason", decoded.error().message}});
-            continue;
-        }
-        if (decoded->rules) {
-            take_rules(std::move(*decoded->rules));
-        } else if (decoded->evacuated_zone) {
-            const std::string& zone = *decoded->evacuated_zone;
-            log_event(log_level::info, decoded->is_removed ? "zone_back" : "zone_evacuated",
-                      {{"zone", zone}, {"row_version", row.version}});
-            if (decoded->is_removed) {
-                view_.evacuated_zones.erase(zone);
+    decode_operator_rows(changed, [&](platform::operator_row row, std::uint64_t version) {
+        if (row.rules) {
+            take_rules(std::move(*row.rules));
+        } else if (row.evacuated_zone) {
+            log_event(log_level::info, row.is_removed ? "zone_back" : "zone_evacuated",
+                      {{"zone", *row.evacuated_zone}, {"row_version", version}});
+            if (row.is_removed) {
+                view_.evacuated_zones.erase(*row.evacuated_zone);
             } else {
-                view_.evacuated_zones.insert(zone);
+                view_.evacuated_zones.insert(*row.evacuated_zone);
             }
-        } else if (decoded->weights) {
-            take_weights(decoded->weights->model, decoded->weights->version, named_at);
+        } else if (row.weights) {
+            take_weights(row.weights->model, row.weights->version, named_at);
         }
-    }
+    });
 }
 
 bool belief_keeper::take_server_rows(const std::vector<versioned_row>& changed) {
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -35,6 +35,9 @@
     bool is_done() const noexcept { return is_done_; }
 
 private:
+    /// With less than this left a backend server cannot finish anything.
+    static constexpr milliseconds least_time_to_send{20};
+
     /// One sending to one backend server.
     struct attempt {
         std::uint64_t number{0}; ///< of the HTTP exchange
--- a/src/programs/node/store_client.cpp
+++ b/src/programs/node/store_client.cpp
@@ -1,6 +1,7 @@
 #include "programs/node/store_client.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "citronseam/process/log.h"
 #include "citronseam/process/sizes.h"
@@ -29,6 +30,24 @@
     return "unknown";
 }
 
+/// @param[out] outcome of the call
+/// @return the rows of an answer; nothing when there are none or they cannot be read
+std::optional<platform::row_page> take_page(const std::string& table, const http_answer& answer,
+                                            store_outcome& outcome) {
+    outcome = platform::outcome_of(answer);
+    if (outcome != store_outcome::done) {
+        return std::nullopt;
+    }
+    auto page = platform::parse_rows(answer.body);
+    if (!page) {
+        log_event(log_level::warning, "store_answer_unreadable",
+                  {{"table", table}, {"reason", page.error().message}});
+        outcome = store_outcome::unknown;
+        return std::nullopt;
+    }
+    return std::move(*page);
+}
+
 } // namespace
 
 store_client::store_client(io_threads& control, http_client& http, metrics& numbers,
@@ -72,16 +91,10 @@
     call("read", platform::read_rows(base_, table, first, ""),
          [this, table, collected = std::move(collected),
           done = std::move(done)](const http_answer& answer) mutable {
-             const store_outcome outcome = platform::outcome_of(answer);
-             if (outcome != store_outcome::done) {
-                 done(outcome, {});
-                 return;
-             }
-             const auto page = platform::parse_rows(answer.body);
+             store_outcome outcome{};
+             const auto page = take_page(table, answer, outcome);
              if (!page) {
-                 log_event(log_level::warning, "store_answer_unreadable",
-                           {{"table", table}, {"reason", page.error().message}});
-                 done(store_outcome::unknown, {});
+                 done(outcome, {});
                  return;
              }
              // Pages are read one after another; the whole is as old as the first of them.
@@ -105,16 +118,10 @@
                                  batch_handler done) {
     call("feed", platform::await_changes(base_, table, after, wait),
          [table, done = std::move(done)](const http_answer& answer) {
-             const store_outcome outcome = platform::outcome_of(answer);
-             if (outcome != store_outcome::done) {
-                 done(outcome, {});
-                 return;
-             }
-             const auto page = platform::parse_rows(answer.body);
+             store_outcome outcome{};
+             const auto page = take_page(table, answer, outcome);
              if (!page) {
-                 log_event(log_level::warning, "store_answer_unreadable",
-                           {{"table", table}, {"reason", page.error().message}});
-                 done(store_outcome::unknown, {});
+                 done(outcome, {});
                  return;
              }
              done(store_outcome::done, page->batch);
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -5,6 +5,7 @@
 #include "programs/daemon/operator_server.h"
 #include "programs/daemon/role_run.h"
 #include "programs/node/node_links.h"
+#include "programs/node/operator_rows.h"
 #include "programs/sidecar/engine_watch.h"
 #include "programs/sidecar/weights_fetcher.h"
 #include "programs/sidecar/weights_loader.h"
@@ -181,19 +182,13 @@
 
     void take_operator_rows(const std::vector<versioned_row>& changed) {
         const auto now = std::chrono::steady_clock::now();
-        for (const auto& row : changed) {
-            auto decoded = platform::decode_operator_row(row);
-            if (!decoded) {
-                log_event(log_level::error, "operator_row_unreadable",
-                          {{"row", row.key}, {"reason", decoded.error().message}});
-                continue;
+        decode_operator_rows(changed, [this](platform::operator_row row, std::uint64_t) {
+            if (row.rules) {
+                take_rules(*row.rules);
+            } else if (row.weights) {
+                named_[row.weights->model] = row.weights->version;
             }
-            if (decoded->rules) {
-                take_rules(*decoded->rules);
-            } else if (decoded->weights) {
-                named_[decoded->weights->model] = decoded->weights->version;
-            }
-        }
+        });
         if (!model_.empty()) {
             const auto named = named_.find(model_);
             const std::uint64_t version =
--- /dev/null
+++ b/tests/support/platform_server.cpp
@@ -0,0 +1,154 @@
+#include "support/platform_server.h"
+
+#include "citronseam/connection/http_client.h"
+
+#include "support/standin_http.h"
+#include "support/weight_origin.h"
+
+namespace citronseam::harness {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds event_gap{30};
+constexpr milliseconds load_time{200};
+
+} // namespace
+
+platform_server::platform_server(std::string id, bool is_engine)
+    : id_(std::move(id)), is_engine_(is_engine),
+      server_(serve(
+          [this](const server_request& request, const std::shared_ptr<http_responder>& responder) {
+              handle(request, responder);
+          })) {
+    for (std::size_t i = 0; is_engine && i < weight_origin::piece_count; ++i) {
+        staged_[i] = weight_origin::piece(1, i);
+    }
+}
+
+std::string platform_server::address() const {
+    return local_address(server_->port());
+}
+
+std::uint64_t platform_server::version() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return version_;
+}
+
+std::map<std::string, int> platform_server::runs() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return runs_;
+}
+
+std::vector<http_header> platform_server::last_headers() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return last_headers_;
+}
+
+void platform_server::handle(const server_request& request,
+                             const std::shared_ptr<http_responder>& responder) {
+    if (handle_control(request, *responder)) {
+        return;
+    }
+    const std::string expected = find_header(request.headers, "X-Citronseam-Expect-Instance");
+    if (!expected.empty() && expected != id_) {
+        responder->respond(421, {{"X-Citronseam-Instance-Id", id_}}, "");
+    } else if (is_full) {
+        responder->respond(503, {{"X-Citronseam-Not-Executed", "1"}}, "");
+    } else {
+        run(request, responder);
+    }
+}
+
+bool platform_server::handle_control(const server_request& request, http_responder& responder) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto piece = number_of(query_parameter(request, "sample_count"));
+    if (request.path == "/report") {
+        send_json(responder, 200,
+                  {{"stage", "colocated"},
+                   {"models", json::array({{{"name", standin_model}, {"version", version_}}})},
+                   {"layers", json::array({{{"from", 0}, {"target", 1}, {"version", version_}}})},
+                   {"busy", false},
+                   {"sequence", orders_},
+                   {"num_waiting", 0},
+                   {"num_running", 0},
+                   {"born", 1}});
+    } else if (request.path == "/order") {
+        take_order(json::parse(request.body), responder);
+    } else if (request.path == std::string("/stage-put/") + standin_model) {
+        staged_[piece] = request.body;
+        responder.respond(200, {}, "");
+    } else if (request.path == std::string("/stage-get/") + standin_model) {
+        const auto found = staged_.find(piece);
+        responder.respond(found == staged_.end() ? 404 : 200, {},
+                          found == staged_.end() ? "" : found->second);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+void platform_server::take_order(const json& order, http_responder& responder) {
+    const auto version = order.at("version").get<std::uint64_t>();
+    bool is_whole = true;
+    for (std::size_t i = 0; i < weight_origin::piece_count; ++i) {
+        is_whole = is_whole && staged_[i] == weight_origin::piece(version, i);
+    }
+    const bool fits = order.at("expected_revision").get<std::uint64_t>() == orders_ && is_whole;
+    if (!fits) {
+        responder.respond(409, {}, "");
+        return;
+    }
+    ++orders_;
+    timers_.post_after(load_time, [this, version] {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        version_ = version;
+    });
+    responder.respond(202, {}, "");
+}
+
+std::vector<http_header> platform_server::answer_headers(const server_request& request) const {
+    return {{"X-Citronseam-Attempt-Id", find_header(request.headers, "X-Citronseam-Attempt-Id")},
+            {"X-Citronseam-Response-Seal", "seal-of-" + id_},
+            {"X-Citronseam-Weight-Versions", std::to_string(version())}};
+}
+
+void platform_server::run(const server_request& request,
+                          const std::shared_ptr<http_responder>& responder) {
+    const auto headers = answer_headers(request);
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        ++runs_[find_header(request.headers, "X-Citronseam-Attempt-Id")];
+        last_headers_ = request.headers;
+    }
+    if (lost_answers > 0) {
+        --lost_answers;
+        responder->abort();
+    } else if (!is_engine_) {
+        responder->respond(200, headers, "booked " + request.target);
+    } else {
+        const std::string last = find_header(request.headers, "Last-Event-Id");
+        const int first = last.empty() ? 1 : static_cast<int>(number_of(last)) + 1;
+        responder->begin(200, headers);
+        const bool is_cut = cut_streams > 0;
+        cut_streams -= is_cut ? 1 : 0;
+        send_event(first, is_cut ? first + 2 : event_count, is_cut, responder);
+    }
+}
+
+void platform_server::send_event(int event, int last, bool is_cut,
+                                 const std::shared_ptr<http_responder>& responder) {
+    responder->write("id: " + std::to_string(event) + "\ndata: " + id_ + "\n\n");
+    if (event < last) {
+        timers_.post_after(event_gap, [this, event, last, is_cut, responder] {
+            send_event(event + 1, last, is_cut, responder);
+        });
+    } else if (is_cut) {
+        responder->write("id: 99\nda");
+        responder->abort();
+    } else {
+        responder->finish();
+    }
+}
+
+} // namespace citronseam::harness
--- /dev/null
+++ b/tests/support/row_store.cpp
@@ -0,0 +1,142 @@
+#include "support/row_store.h"
+
+#include "support/standin_http.h"
+
+namespace citronseam::harness {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds feed_poll{20};
+
+constexpr std::string_view base64_letters =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+std::string encode(const std::string& bytes) {
+    std::string text;
+    for (std::size_t i = 0; i < bytes.size(); i += 3) {
+        std::uint32_t group = 0;
+        const std::size_t count = std::min<std::size_t>(3, bytes.size() - i);
+        for (std::size_t j = 0; j < 3; ++j) {
+            group = group << 8U | (j < count ? static_cast<unsigned char>(bytes[i + j]) : 0U);
+        }
+        for (std::size_t j = 0; j < 4; ++j) {
+            text += j <= count ? base64_letters[group >> (18 - 6 * j) & 63U] : '=';
+        }
+    }
+    return text;
+}
+
+std::string decode(const std::string& text) {
+    std::string bytes;
+    std::uint32_t bits = 0;
+    int count = 0;
+    for (const char letter : text) {
+        const auto value = base64_letters.find(letter);
+        if (value == std::string_view::npos) {
+            break;
+        }
+        bits = bits << 6U | static_cast<std::uint32_t>(value);
+        count += 6;
+        if (count >= 8) {
+            count -= 8;
+            bytes += static_cast<char>(bits >> static_cast<unsigned>(count) & 255U);
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+row_store::row_store()
+    : server_(serve(
+          [this](const server_request& request, const std::shared_ptr<http_responder>& responder) {
+              handle(request, responder);
+          })) {}
+
+std::string row_store::address() const {
+    return local_address(server_->port());
+}
+
+void row_store::put(const std::string& table, const std::string& key, const std::string& value) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    tables_[table][key] = {value, ++version_, false};
+}
+
+void row_store::remove(const std::string& table, const std::string& key) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    tables_[table][key] = {"", ++version_, true};
+}
+
+json row_store::list(const std::string& table, std::uint64_t after, bool with_removed) const {
+    json records = json::array();
+    const auto found = tables_.find(table);
+    if (found != tables_.end()) {
+        for (const auto& [key, row] : found->second) {
+            if (row.version <= after || (row.is_removed && !with_removed)) {
+                continue;
+            }
+            json record = {{"table", table}, {"part", ""}, {"key", key}, {"ver", row.version}};
+            if (row.is_removed) {
+                record["tombstone"] = true;
+            } else {
+                record["value"] = encode(row.value);
+            }
+            records.push_back(std::move(record));
+        }
+    }
+    return {{"records", records}, {"has_more", false}, {"ver", version_}, {"server_time_ms", 1}};
+}
+
+void row_store::write(const json& body) {
+    for (const auto& row : body.at("set_keys")) {
+        put(row.at("table"), row.at("key"), decode(row.at("value")));
+    }
+}
+
+void row_store::answer_feed(const std::string& table, std::uint64_t after, int polls_left,
+                            const std::shared_ptr<http_responder>& responder) {
+    json found;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        found = list(table, after, true);
+    }
+    if (!found.at("records").empty() || polls_left == 0) {
+        send_json(*responder, 200, found);
+        return;
+    }
+    timers_.post_after(feed_poll, [this, table, after, polls_left, responder] {
+        answer_feed(table, after, polls_left - 1, responder);
+    });
+}
+
+void row_store::handle(const server_request& request,
+                       const std::shared_ptr<http_responder>& responder) {
+    ++calls;
+    const std::string table = query_parameter(request, "table");
+    if (is_down) {
+        responder->respond(503, {}, "");
+    } else if (request.path == "/rows-get") {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        send_json(*responder, 200, list(table, 0, false));
+    } else if (request.path == "/rows-feed" && !has_history) {
+        responder->respond(410, {}, "");
+    } else if (request.path == "/rows-feed") {
+        const auto polls = number_of(query_parameter(request, "wait_timeout_ms")) /
+                           static_cast<std::uint64_t>(feed_poll.count());
+        answer_feed(table, number_of(query_parameter(request, "after")), static_cast<int>(polls),
+                    responder);
+    } else if (request.path == "/rows-tx") {
+        write(json::parse(request.body));
+        if (lost_writes > 0) {
+            --lost_writes;
+            responder->abort();
+        } else {
+            send_json(*responder, 200, {{"ver", version_}, {"server_time_ms", 1}});
+        }
+    } else {
+        responder->respond(404, {}, "");
+    }
+}
+
+} // namespace citronseam::harness
--- /dev/null
+++ b/tests/support/row_store.h
@@ -0,0 +1,59 @@
+/// @file
+/// Stand-in of the store of the users' platform, by its published protocol.
+#ifndef CITRONSEAM_TESTS_SUPPORT_ROW_STORE_H
+#define CITRONSEAM_TESTS_SUPPORT_ROW_STORE_H
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "citronseam/connection/http_server.h"
+#include "citronseam/connection/io_threads.h"
+
+namespace citronseam::harness {
+
+/// The platform's store: rows, transactions and feeds.
+class row_store {
+public:
+    row_store();
+
+    /// @return `host:port`
+    std::string address() const;
+    /// Writes a row as the operator or a server would.
+    void put(const std::string& table, const std::string& key, const std::string& value);
+    /// Removes a row.
+    void remove(const std::string& table, const std::string& key);
+
+    std::atomic<bool> is_down{false};    ///< answers 503
+    std::atomic<int> lost_writes{0};     ///< that many writes are done and not answered
+    std::atomic<bool> has_history{true}; ///< false: feeds are answered with 410
+    std::atomic<int> calls{0};           ///< taken so far
+
+private:
+    struct row {
+        std::string value;
+        std::uint64_t version{0};
+        bool is_removed{false};
+    };
+    using table_rows = std::map<std::string, row>;
+
+    void handle(const server_request& request, const std::shared_ptr<http_responder>& responder);
+    void answer_feed(const std::string& table, std::uint64_t after, int polls_left,
+                     const std::shared_ptr<http_responder>& responder);
+    void write(const nlohmann::json& body);
+    nlohmann::json list(const std::string& table, std::uint64_t after, bool with_removed) const;
+
+    mutable std::mutex mutex_;
+    std::map<std::string, table_rows> tables_;
+    std::uint64_t version_{0};
+    io_threads timers_{1};
+    std::unique_ptr<http_server> server_;
+};
+
+} // namespace citronseam::harness
+
+#endif
--- /dev/null
+++ b/tests/support/weight_origin.cpp
@@ -0,0 +1,53 @@
+#include "support/weight_origin.h"
+
+#include "citronseam/version/sha256.h"
+#include "support/standin_http.h"
+
+namespace citronseam::harness {
+namespace {
+
+using nlohmann::json;
+
+} // namespace
+
+weight_origin::weight_origin()
+    : server_(serve(
+          [this](const server_request& request, const std::shared_ptr<http_responder>& responder) {
+              handle(request, *responder);
+          })) {}
+
+std::string weight_origin::address() const {
+    return local_address(server_->port());
+}
+
+std::string weight_origin::piece(std::uint64_t version, std::size_t index) {
+    // All pieces have the same size.
+    constexpr std::size_t piece_size = 1024;
+    std::string content = std::to_string(version) + ":" + std::to_string(index) + ":";
+    content.resize(piece_size, static_cast<char>('a' + (version + index) % 26));
+    return content;
+}
+
+void weight_origin::handle(const server_request& request, http_responder& responder) {
+    const std::uint64_t version = number_of(query_parameter(request, "version"));
+    if (is_down) {
+        responder.abort();
+    } else if (request.path == std::string("/manifest/") + standin_model) {
+        json digests = json::array();
+        for (std::size_t i = 0; i < piece_count; ++i) {
+            digests.push_back(sha256_hex(piece(version, i)));
+        }
+        send_json(responder, 200,
+                  {{"model", standin_model},
+                   {"version", version},
+                   {"chunk_bytes", piece(version, 0).size()},
+                   {"layers", 1},
+                   {"digests", digests}});
+    } else {
+        ++pieces_sent;
+        responder.respond(200, {},
+                          piece(version, number_of(query_parameter(request, "sample_count"))));
+    }
+}
+
+} // namespace citronseam::harness
