--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -124,6 +124,7 @@
 enum class exchange_standing : std::uint8_t {
     sound,   ///< it answered
     refused, ///< it said that it has no room
+    other,   ///< another server answers at its address
     broken,  ///< no answer, or one that cannot be used
     ended    ///< the caller left, or the request's time was over
 };
--- a/src/programs/gateway/belief_keeper.cpp
+++ b/src/programs/gateway/belief_keeper.cpp
@@ -1,5 +1,7 @@
 #include "programs/gateway/belief_keeper.h"
 
+#include <numeric>
+
 #include "citronseam/process/log.h"
 #include "platform/decode.h"
 #include "programs/node/operator_rows.h"
@@ -14,11 +16,16 @@
     if (rules.version <= configuration_version()) {
         return;
     }
+    const std::size_t keys = std::accumulate(
+        rules.workspaces.begin(), rules.workspaces.end(), std::size_t{0},
+        [](std::size_t sum, const auto& workspace) { return sum + workspace.keys.size(); });
+    // Keys that are taken away show as refused callers and nowhere else.
     log_event(log_level::info, "configuration_in_force",
               {{"version", rules.version},
                {"before", configuration_version()},
                {"routes", rules.routes.size()},
-               {"workspaces", rules.workspaces.size()}});
+               {"workspaces", rules.workspaces.size()},
+               {"keys", keys}});
     view_.routes = make_route_table(std::make_shared<const routing>(std::move(rules)));
 }
 
--- a/src/programs/gateway/gateway_exchange_answers.cpp
+++ b/src/programs/gateway/gateway_exchange_answers.cpp
@@ -119,8 +119,10 @@
 
 void gateway_exchange::handle_answer(const http_outcome& outcome) {
     if (attempt_.terms.is_not_run) {
-        end_attempt(exchange_standing::refused);
-        handle_not_run("server_refused");
+        // A stream that goes on also names the weights, which may be what does not fit.
+        const bool is_other = outcome.status == status_misdirected && events_passed_ == 0;
+        end_attempt(is_other ? exchange_standing::other : exchange_standing::refused);
+        handle_not_run(is_other ? "server_replaced" : "server_refused");
         return;
     }
     const bool is_cut = attempt_.is_stream && !attempt_.events.pending.empty();
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -1,6 +1,6 @@
 #include "programs/swarm/chunk_swarm.h"
 
-#include <set>
+#include <map>
 
 #include "citronseam/process/log.h"
 
@@ -210,12 +210,16 @@
         state.far_for = note_far_chunks(now);
     }
     state.most_requests = rates_.most_requests;
-    std::set<std::string_view> listed;
-    // Two agents may have connected to each other at once; the newer connection is asked on.
-    for (auto entry = agents_.rbegin(); entry != agents_.rend(); ++entry) {
-        if (listed.insert(entry->second.instance).second) {
-            sessions.push_back(entry->first);
-            state.neighbours.push_back(entry->second.state);
+    std::map<std::string_view, std::size_t> places;
+    for (const auto& [number, agent] : agents_) {
+        const auto [place, is_first] = places.emplace(agent.instance, sessions.size());
+        if (is_first) {
+            sessions.push_back(number);
+            state.neighbours.push_back(agent.state);
+        } else {
+            // Two agents may have connected to each other at once; the newer connection counts.
+            sessions[place->second] = number;
+            state.neighbours[place->second] = agent.state;
         }
     }
     state.senders = senders_.size();
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -37,6 +37,9 @@
 constexpr milliseconds one_second{1000};
 /// A refusal says that the server is full for about as long as one of its requests takes to end.
 constexpr milliseconds refusal_memory{60};
+/// A server that restarted under another identifier leaves its old entry in the list, which looks
+/// idle, for up to three of its heartbeats.
+constexpr milliseconds replaced_bar{1000};
 /// Pause after a broken exchange, doubled for each in a row.
 constexpr milliseconds first_bar{100};
 constexpr milliseconds longest_bar{3200};
@@ -223,6 +226,10 @@
         server.full_until = now + refusal_memory;
         return;
     }
+    if (standing == exchange_standing::other) {
+        server.barred_until = now + replaced_bar;
+        return;
+    }
     const bool is_broken = standing == exchange_standing::broken;
     server.failure_share += failure_smoothing * ((is_broken ? 1.0 : 0.0) - server.failure_share);
     if (!is_broken) {
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -455,4 +455,25 @@
     EXPECT_FALSE(keeps_from_loading(server, rest, now + report_lifetime + milliseconds(1)));
 }
 
+// The pattern: an engine crashes and comes back under another identifier. Its old entry looks idle
+// for three heartbeats and draws most requests of every process.
+TEST(server_choice, the_entry_of_a_server_that_was_replaced_is_left_alone_for_a_while) {
+    random_source random(1);
+    server_state replaced;
+    replaced.entry.id = "old";
+    replaced.entry.slots = 4;
+    server_state busy = replaced;
+    busy.entry.id = "busy";
+    busy.own_running = 3;
+    choice_terms terms;
+    terms.is_zone_allowed = [](std::string_view) { return true; };
+    terms.region_of = [](std::string_view) { return std::string_view{}; };
+    terms.now = time_point{} + milliseconds(5000);
+    note_ended(replaced, exchange_standing::other, terms.now);
+    EXPECT_EQ(choose_server({&replaced, &busy}, terms, random).server, &busy);
+    EXPECT_EQ(replaced.failure_share, 0) << "the server itself did nothing wrong";
+    terms.now += milliseconds(1001);
+    EXPECT_EQ(choose_server({&replaced, &busy}, terms, random).server, &replaced);
+}
+
 } // namespace
