Measure what gateways and sidecars cost on the stand-in

system_benchmark platform: processor time, wake-ups and memory of a gateway and a sidecar, idle and under streams, and the store's calls.

--- a/benchmark/capacity_measurement.cpp
+++ b/benchmark/capacity_measurement.cpp
@@ -1,11 +1,9 @@
-#include <fstream>
 #include <iostream>
 #include <sstream>
 #include <thread>
 
-#include <unistd.h>
-
 #include "measurements.h"
+#include "process_usage.h"
 #include "support/requests.h"
 
 namespace citronseam::measurement {
@@ -15,36 +13,6 @@
 
 constexpr seconds observed{10};
 
-/// What one process used.
-struct usage {
-    double processor_s{0};
-    double memory_mib{0};
-};
-
-usage read_usage(int pid) {
-    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-    std::string text;
-    std::getline(stat, text);
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::string skipped;
-    constexpr int fields_before_times = 11;
-    for (int i = 0; i < fields_before_times; ++i) {
-        fields >> skipped;
-    }
-    double user = 0;
-    double system = 0;
-    fields >> user >> system;
-    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-    usage used;
-    used.processor_s = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-    for (std::string line; std::getline(status, line);) {
-        if (line.rfind("VmRSS:", 0) == 0) {
-            used.memory_mib = std::stod(line.substr(6)) / 1024;
-        }
-    }
-    return used;
-}
-
 double counter(deployment& system, const std::string& process, const std::string& name) {
     const auto text =
         system.ask("GET", "http://" + system.address(process, "operator") + "/metrics").body;
--- a/benchmark/measurements.h
+++ b/benchmark/measurements.h
@@ -20,6 +20,8 @@
 void measure_rollout_load();
 /// Slopes for docs/CAPACITY.md: processor time, memory and bytes of control by size.
 void measure_capacity();
+/// Processor time, wake-ups and memory of gateways and sidecars, idle and under streams.
+void measure_platform();
 
 } // namespace citronseam::measurement
 
--- a/benchmark/system_benchmark.cpp
+++ b/benchmark/system_benchmark.cpp
@@ -16,6 +16,7 @@
         {"rollout-peers", measure_rollout_peers},
         {"rollout-load", measure_rollout_load},
         {"capacity", measure_capacity},
+        {"platform", measure_platform},
     };
     for (int i = 1; i < argc; ++i) {
         const auto found = all.find(argv[i]);
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -4,6 +4,7 @@
 #ifndef CITRONSEAM_TESTS_SUPPORT_PLATFORM_WORLD_H
 #define CITRONSEAM_TESTS_SUPPORT_PLATFORM_WORLD_H
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -67,7 +68,7 @@
     std::vector<std::uint16_t> sidecar_ports_;
     std::vector<std::unique_ptr<child_process>> gateways_;
     std::vector<std::unique_ptr<child_process>> sidecars_;
-    int attempts_{0};
+    std::atomic<int> attempts_{0};
 };
 
 /// Calls a condition until it holds or the bound is over. @return whether it held
