--- a/benchmark/platform_measurement.cpp
+++ b/benchmark/platform_measurement.cpp
@@ -55,6 +55,7 @@
     std::atomic<bool> is_over{false};
     std::atomic<int> answered{0};
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int i = 0; i < callers; ++i) {
         threads.emplace_back([&] {
             const http_header key{"Authorization", std::string("Token ") + platform_world::key};
