Log who sent rows, copies that change nothing, and how late the traffic thread is

The record of the incident shows 13 to 17 copies of each operator row at a sidecar, but not who sent them nor their bytes, and nothing tells how late a gateway's traffic thread runs, so that the hypotheses (copies fill the engine's link; the gateway decides late) can only be told apart by the bytes of a whole machine.

rows_from_member now names the sender, the bytes and how many rows changed; the metric citronseam_member_rows_bytes_total counts bytes of new and of known rows. citronseam_traffic_lag_seconds and traffic_thread_late tell how late the thread is on which sends and cancellations wait, and attempt_cancelled how long ago the attempt was sent.

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds reader_check_interval{200};
 /// Granularity of time limits on requests.
 constexpr milliseconds sweep_interval{50};
+/// A traffic thread that is later than this is logged.
+constexpr milliseconds max_traffic_lag{100};
 /// Lifetime of a directory response. Some callers cache it three times as long, so a process that
 /// shuts down must keep serving until then.
 constexpr std::chrono::seconds directory_ttl{2};
@@ -141,8 +143,10 @@
 
     /// Checks the time limits of requests and drops finished ones. Traffic thread.
     void sweep_exchanges() {
-        traffic_.post_after(sweep_interval, [this] {
+        const auto due = std::chrono::steady_clock::now() + sweep_interval;
+        traffic_.post_after(sweep_interval, [this, due] {
             const auto now = std::chrono::steady_clock::now();
+            record_traffic_lag(due, now);
             for (auto entry = exchanges_.begin(); entry != exchanges_.end();) {
                 const auto exchange = entry->lock();
                 if (exchange == nullptr || exchange->is_done()) {
@@ -156,6 +160,15 @@
         });
     }
 
+    /// Sends and cancellations wait on the traffic thread as long as this timer is late.
+    void record_traffic_lag(time_point due, time_point now) {
+        const std::uint32_t lag_ms = elapsed_ms(due, now);
+        metrics_.observe("citronseam_traffic_lag_seconds", {}, lag_ms / 1000.0);
+        if (lag_ms > max_traffic_lag.count()) {
+            log_event(log_level::warning, "traffic_thread_late", {{"late_ms", lag_ms}});
+        }
+    }
+
     void handle_address_query(const server_request& request, http_responder& responder) {
         const auto query = platform::parse_address_query(request);
         if (!query) {
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -310,6 +310,7 @@
                {"server", attempt_.server->entry.id},
                {"reason", reason},
                {"events", events_forwarded_},
+               {"sent_ms_ago", elapsed_ms(attempt_.started_at, now)},
                {"silent_ms", elapsed_ms(attempt_.last_data_at, now)}});
     const bool is_stalled = reason == "stalled";
     cancel_attempt(is_stalled ? exchange_outcome::failed : exchange_outcome::abandoned);
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -1,6 +1,7 @@
 #include "programs/node/cluster_node.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "citronseam/process/log.h"
 
@@ -46,7 +47,8 @@
 cluster_node::cluster_node(const settings& options, io_thread_pool& control, http_client& http,
                            metrics& metric_registry, session_timing timing,
                            cluster_observer observer)
-    : options_(options), control_(control), observer_(std::move(observer)),
+    : options_(options), control_(control), metrics_(metric_registry),
+      observer_(std::move(observer)),
       store_(control, http, metric_registry, options.node.store_address), self_(make_self(options)),
       mesh_(std::make_shared<member_mesh>(control, self_, timing, make_mesh_observer())),
       operator_rows_(control, store_, std::string(platform::operator_table), follow_mode::feed,
@@ -103,17 +105,34 @@
         return batch;
     };
     observer.on_neighbours_reply = observer_.on_neighbours_reply;
-    observer.on_rows = [this](const std::string& table, const row_batch& rows) {
-        const auto found = shared_tables_.find(table);
-        if (found != shared_tables_.end()) {
-            log_event(log_level::info, "rows_from_member",
-                      {{"table", table}, {"rows", rows.rows.size()}, {"version", rows.version}});
-            found->second->apply(rows);
-        }
-    };
+    observer.on_rows = [this](const connected_member& from, const std::string& table,
+                              const row_batch& rows) { apply_member_batch(from, table, rows); };
     return observer;
 }
 
+void cluster_node::apply_member_batch(const connected_member& from, const std::string& table,
+                                      const row_batch& batch) {
+    const auto found = shared_tables_.find(table);
+    if (found == shared_tables_.end()) {
+        return;
+    }
+    const std::size_t bytes =
+        std::accumulate(batch.rows.begin(), batch.rows.end(), std::size_t{0},
+                        [](std::size_t sum, const auto& row) { return sum + row.value.size(); });
+    const std::size_t changed = found->second->apply(batch);
+    // Bytes of rows that were known already took bandwidth from live requests for nothing.
+    metrics_.count("citronseam_member_rows_bytes_total",
+                   {{"table", table}, {"use", changed > 0 ? "new" : "known"}},
+                   static_cast<double>(bytes));
+    log_event(log_level::info, "rows_from_member",
+              {{"table", table},
+               {"member", from.process.instance},
+               {"rows", batch.rows.size()},
+               {"changed", changed},
+               {"bytes", bytes},
+               {"version", batch.version}});
+}
+
 void cluster_node::apply_operator_rows(const std::vector<versioned_row>& changed) {
     for (const auto& row : changed) {
         operator_version_ = std::max(operator_version_, row.version);
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -74,6 +74,8 @@
 
 private:
     mesh_observer make_mesh_observer();
+    void apply_member_batch(const connected_member& from, const std::string& table,
+                            const row_batch& batch);
     void apply_operator_rows(const std::vector<versioned_row>& changed);
     void apply_member_rows(const std::vector<versioned_row>& changed);
     void add_member(const member& process);
@@ -84,6 +86,7 @@
 
     const settings& options_;
     io_thread_pool& control_;
+    metrics& metrics_;
     cluster_observer observer_;
     store_client store_;
     member self_;
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -215,7 +215,7 @@
     } else if (const auto* request = message.body_as_rows_request()) {
         send_rows_reply(session, *request);
     } else if (const auto* reply = message.body_as_rows_reply()) {
-        handle_rows_reply(*reply);
+        handle_rows_reply(found->second, *reply);
     } else if (const auto* wanted = message.body_as_neighbours_request()) {
         send_neighbours_reply(session, *wanted);
     } else if (const auto* neighbours = message.body_as_neighbours_reply()) {
@@ -267,7 +267,7 @@
     to.session->send(make_rows_frame(table, rows));
 }
 
-void member_mesh::handle_rows_reply(const wire::rows_reply& reply) {
+void member_mesh::handle_rows_reply(const connected_member& from, const wire::rows_reply& reply) {
     row_batch batch;
     batch.version = reply.version();
     batch.is_whole = reply.is_whole();
@@ -278,7 +278,7 @@
         }
     }
     if (observer_.on_rows) {
-        observer_.on_rows(std::string(view(reply.table())), batch);
+        observer_.on_rows(from, std::string(view(reply.table())), batch);
     }
 }
 
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -43,7 +43,9 @@
     /// A gateway listed the sidecars of a service.
     std::function<void(const wire::neighbours_reply&)> on_neighbours_reply;
     /// A process sent rows.
-    std::function<void(const std::string& table, const row_batch& rows)> on_rows;
+    std::function<void(const connected_member& from, const std::string& table,
+                       const row_batch& rows)>
+        on_rows;
 };
 
 /// Keeps one connection to each target process and accepts connections from others. A connection
@@ -90,7 +92,7 @@
     void send_rows_reply(const session_pointer& session, const wire::rows_request& request);
     void send_neighbours_reply(const session_pointer& session,
                                const wire::neighbours_request& request);
-    void handle_rows_reply(const wire::rows_reply& reply);
+    void handle_rows_reply(const connected_member& from, const wire::rows_reply& reply);
 
     io_thread_pool& control_;
     member self_;
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -25,12 +25,13 @@
     read_full_table();
 }
 
-void table_follower::apply(const row_batch& batch) {
+std::size_t table_follower::apply(const row_batch& batch) {
     const bool is_first = cache_.version == 0;
     const auto changed = merge(cache_, batch);
     if (handle_ && (!changed.empty() || is_first)) {
         handle_(changed);
     }
+    return changed.size();
 }
 
 void table_follower::schedule(milliseconds delay, void (table_follower::*step)()) {
--- a/src/programs/node/table_follower.h
+++ b/src/programs/node/table_follower.h
@@ -38,7 +38,8 @@
     /// Changes the time between two reads. A longer wait in progress is cut short.
     void set_interval(milliseconds interval) { interval_ = interval; }
     /// Merges rows into the copy, also those that another process read.
-    void apply(const row_batch& batch);
+    /// @return number of rows that changed the copy
+    std::size_t apply(const row_batch& batch);
 
     /// @return the copy
     const row_cache& rows() const noexcept { return cache_; }
