Show that all gateways of a zone act as its reader when the store is quiet

By reading: a gateway takes another one for reading only if the version of its server list increased in the last 1.3 s, which it does not while nobody writes to the server list.

Two tests with three gateways in each of two zones. The list changes every 0.2 s until each zone has one reader; then nothing is written for 3 s.

- A configuration written then must reach each sidecar once.
- No gateway may take over, and in 3 s more the list may be read 20 times: by each of the two readers every 0.4 s (8 times at most), by each of the four others every 5 s (once at most).

The stand-in store counts reads by table, and platform_world can start several gateways in a zone; the present tests of process_platform_test are unchanged.

--- /dev/null
+++ b/tests/process_rows_test.cpp
@@ -0,0 +1,175 @@
+// How gateways share the rows of the store within a zone.
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+#include <gtest/gtest.h>
+
+#include "support/platform_world.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+constexpr std::size_t gateways_per_zone = 3;
+/// Longer than the 6 s during which started processes connect to all others to introduce
+/// themselves.
+constexpr milliseconds settling_time{7000};
+/// Shorter than the 1.3 s without a new version after which a gateway may count as not reading.
+constexpr milliseconds server_row_interval{200};
+constexpr milliseconds quiet_time{3000};
+/// How often the zone's reader and the other gateways read the server list.
+constexpr milliseconds reader_interval{400};
+constexpr milliseconds backup_interval{5000};
+
+std::vector<std::string> lines_with(const std::string& text,
+                                    const std::vector<std::string>& words) {
+    std::vector<std::string> found;
+    std::istringstream input(text);
+    for (std::string line; std::getline(input, line);) {
+        const bool has_all = std::all_of(words.begin(), words.end(), [&](const std::string& word) {
+            return line.find(word) != std::string::npos;
+        });
+        if (has_all) {
+            found.push_back(line);
+        }
+    }
+    return found;
+}
+
+/// @return lines of a process that received operator rows from another one
+std::vector<std::string> operator_rows_received(const child_process& process) {
+    auto lines = lines_with(process.output(), {"event=rows_from_member", "table=op"});
+    lines.erase(
+        std::remove_if(lines.begin(), lines.end(),
+                       [](const auto& line) { return log_field_value(line, "rows") == "0"; }),
+        lines.end());
+    return lines;
+}
+
+/// Waits until a process has applied the configuration with a version of the store.
+bool wait_for_configuration(const child_process& process, std::uint64_t version,
+                            milliseconds timeout) {
+    const std::string wanted = std::to_string(version);
+    return wait_until(
+        [&] {
+            const auto lines = lines_with(process.output(), {"event=operator_row", "row=config"});
+            return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
+                return log_field_value(line, "version") == wanted;
+            });
+        },
+        timeout);
+}
+
+/// Three gateways and one sidecar in each of two zones, all connected to each other.
+class zone_rows : public ::testing::Test {
+protected:
+    void SetUp() override {
+        ASSERT_TRUE(world.start());
+        ASSERT_TRUE(wait_until([this] { return is_connected(); }, milliseconds(10000)));
+        ASSERT_NO_FATAL_FAILURE(settle());
+    }
+
+    /// @return whether each gateway knows all gateways, and each sidecar is connected to all
+    bool is_connected() {
+        for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+            for (const char* zone : {"zone-a", "zone-b"}) {
+                const auto answer = nlohmann::json::parse(world.resolve(i, zone).body);
+                if (answer.at("addresses").size() != gateways_per_zone) {
+                    return false;
+                }
+            }
+            for (std::size_t j = 0; j < platform_world::zone_count; ++j) {
+                const std::string member = "member=gateway-" + std::to_string(i);
+                if (lines_with(world.sidecar(j).output(), {"event=member_connected", member})
+                        .empty()) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    /// Changes a row of the server list as often as the heartbeats of a few servers would, until
+    /// one gateway of each zone reads the list for its zone.
+    void settle() {
+        const auto settled_at = std::chrono::steady_clock::now() + settling_time;
+        while (std::chrono::steady_clock::now() < settled_at) {
+            world.put_server_row(*world.engines[0], "drafts", "zone-a");
+            std::this_thread::sleep_for(server_row_interval);
+        }
+        ASSERT_EQ(reader_counts(), one_reader_each) << zone_reader_lines();
+    }
+
+    /// @return number of gateways in each zone that take themselves for its reader, which they do
+    /// from their start
+    std::array<int, platform_world::zone_count> reader_counts() {
+        std::array<int, platform_world::zone_count> counts{};
+        for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+            const auto lines = lines_with(world.gateway(i).output(), {"event=zone_reader_"});
+            const bool is_reader =
+                lines.empty() || lines.back().find("zone_reader_started") != std::string::npos;
+            counts[i % platform_world::zone_count] += is_reader ? 1 : 0;
+        }
+        return counts;
+    }
+
+    std::string zone_reader_lines() {
+        std::string text;
+        for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+            for (const auto& line : lines_with(world.gateway(i).output(), {"event=zone_reader_"})) {
+                text += "gateway-" + std::to_string(i) + " " + line + "\n";
+            }
+        }
+        return text;
+    }
+
+    /// Leaves the store unwritten for a while.
+    void keep_store_quiet() {
+        const auto version = world.store.version();
+        std::this_thread::sleep_for(quiet_time);
+        ASSERT_EQ(world.store.version(), version) << "a process wrote to the store";
+    }
+
+    static constexpr std::array<int, platform_world::zone_count> one_reader_each{1, 1};
+    platform_world world{gateways_per_zone};
+};
+
+// Guards against each gateway of a zone sending every operator row to all sidecars of the zone.
+TEST_F(zone_rows, operator_row_is_sent_once_to_each_sidecar_while_the_store_is_quiet) {
+    ASSERT_NO_FATAL_FAILURE(keep_store_quiet());
+    std::vector<std::size_t> received_before;
+    for (std::size_t i = 0; i < platform_world::zone_count; ++i) {
+        received_before.push_back(operator_rows_received(world.sidecar(i)).size());
+    }
+    const auto version = world.put_configuration(2, true);
+    for (std::size_t i = 0; i < platform_world::zone_count; ++i) {
+        ASSERT_TRUE(wait_for_configuration(world.sidecar(i), version, milliseconds(3000)));
+    }
+    std::this_thread::sleep_for(milliseconds(1000));
+    for (std::size_t i = 0; i < platform_world::zone_count; ++i) {
+        EXPECT_EQ(operator_rows_received(world.sidecar(i)).size() - received_before[i], 1U)
+            << "sidecar-" << i << " received the row this often";
+    }
+}
+
+// Guards against all gateways of a zone polling the server list often when it does not change.
+TEST_F(zone_rows, one_gateway_of_each_zone_reads_the_server_list_while_the_store_is_quiet) {
+    const auto lines_before = zone_reader_lines();
+    ASSERT_NO_FATAL_FAILURE(keep_store_quiet());
+    EXPECT_EQ(reader_counts(), one_reader_each) << zone_reader_lines();
+    const auto count_started_at = std::chrono::steady_clock::now();
+    const int reads_before = world.store.read_count("servers");
+    ASSERT_NO_FATAL_FAILURE(keep_store_quiet());
+    const int reads = world.store.read_count("servers") - reads_before;
+    const auto counted_for = std::chrono::steady_clock::now() - count_started_at;
+    const auto max_reads_of_one = [&](milliseconds interval) { return counted_for / interval + 1; };
+    const auto max_reads =
+        platform_world::zone_count * (max_reads_of_one(reader_interval) +
+                                      (gateways_per_zone - 1) * max_reads_of_one(backup_interval));
+    EXPECT_LE(reads, max_reads);
+    EXPECT_EQ(zone_reader_lines(), lines_before) << "a gateway took over or gave up the reading";
+}
+
+} // namespace
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -1,5 +1,6 @@
 #include "support/platform_world.h"
 
+#include <array>
 #include <filesystem>
 #include <fstream>
 
@@ -14,6 +15,8 @@
 
 using nlohmann::json;
 
+constexpr std::array<const char*, platform_world::zone_count> zone_names{"zone-a", "zone-b"};
+
 /// A block of ports reserved for this test process. The blocks lie below the kernel's ephemeral
 /// port range. The first port of the block stays bound for the lifetime of the process, so that
 /// other test processes skip the whole block.
@@ -69,18 +72,20 @@
 
 } // namespace
 
-platform_world::platform_world()
+platform_world::platform_world(std::size_t gateways_per_zone)
     : directory_(std::filesystem::temp_directory_path() /
                  ("citronseam-platform-" + std::to_string(getpid()))) {
     std::filesystem::create_directories(directory_);
-    for (const std::string zone : {"zone-a", "zone-b"}) {
+    for (const std::string zone : zone_names) {
         engines.push_back(std::make_unique<platform_server>("engine-" + zone, true));
         plain_servers.push_back(std::make_unique<platform_server>("desk-" + zone, false));
-        ports_.push_back({free_port(), free_port(), free_port(), free_port(), free_port()});
         sidecar_ports_.push_back(free_port());
         put_server_row(*engines.back(), "drafts", zone);
         put_server_row(*plain_servers.back(), "desk", zone);
     }
+    for (std::size_t i = 0; i < zone_count * gateways_per_zone; ++i) {
+        ports_.push_back({free_port(), free_port(), free_port(), free_port(), free_port()});
+    }
     put_configuration(1);
 }
 
@@ -104,7 +109,7 @@
     store.put("servers", server.id(), entry.dump());
 }
 
-void platform_world::put_configuration(std::uint64_t version, bool has_second_route) {
+std::uint64_t platform_world::put_configuration(std::uint64_t version, bool has_second_route) {
     json routes = json::array({{{"name", "draft"},
                                 {"host", "a.example"},
                                 {"prefix", "/draft/"},
@@ -143,13 +148,14 @@
         json::array({{{"name", "drafts"}, {"cold_s", 1.0}, {"cold_per_s", 0.0}, {"engine", engine}},
                      {{"name", "desk"}},
                      {{"name", "ledger"}, {"origin", origin.address()}, {"zone", "zone-a"}}});
-    store.put("op", "config",
-              json{{"version", version},
-                   {"routes", routes},
-                   {"services", services},
-                   {"tenants",
-                    json::array({{{"name", "team"}, {"api_keys", {api_key}}, {"priority", 1}}})}}
-                  .dump());
+    return store.put(
+        "op", "config",
+        json{{"version", version},
+             {"routes", routes},
+             {"services", services},
+             {"tenants",
+              json::array({{{"name", "team"}, {"api_keys", {api_key}}, {"priority", 1}}})}}
+            .dump());
 }
 
 void platform_world::set_weights_version(std::uint64_t version) {
@@ -159,7 +165,7 @@
 
 std::string platform_world::gateway_settings(std::size_t index) const {
     const ports& own_ports = ports_[index];
-    const std::string zone = index == 0 ? "zone-a" : "zone-b";
+    const std::string zone = zone_names[index % zone_count];
     return "role: gateway\ninstance: gateway-" + std::to_string(index) +
            "\navailability_zone: " + zone + "\nregion: region-a\nstore: " + store.address() +
            "\nzones:\n  - name: zone-a\n    region: region-a\n  - name: zone-b\n    region: "
@@ -173,7 +179,7 @@
 }
 
 std::string platform_world::sidecar_settings(std::size_t index) const {
-    const std::string zone = index == 0 ? "zone-a" : "zone-b";
+    const std::string zone = zone_names[index % zone_count];
     return "role: sidecar\ninstance: sidecar-" + std::to_string(index) +
            "\navailability_zone: " + zone + "\nregion: region-a\nstore: " + store.address() +
            "\nbounds:\n  weights_due: 5s\nbackend_server:\n  service: drafts\n  address: " +
@@ -195,12 +201,22 @@
         gateways_.push_back(std::make_unique<child_process>(std::vector<std::string>{
             daemon_path, "--settings",
             write_file("gateway-" + number + ".yaml", gateway_settings(i))}));
-        sidecars_.push_back(std::make_unique<child_process>(std::vector<std::string>{
-            daemon_path, "--settings",
-            write_file("sidecar-" + number + ".yaml", sidecar_settings(i))}));
+        if (i < sidecar_ports_.size()) {
+            sidecars_.push_back(std::make_unique<child_process>(std::vector<std::string>{
+                daemon_path, "--settings",
+                write_file("sidecar-" + number + ".yaml", sidecar_settings(i))}));
+        }
     }
-    return wait_until([this] { return readiness(0) == 200 && readiness(1) == 200; },
-                      milliseconds(10000));
+    return wait_until(
+        [this] {
+            for (std::size_t i = 0; i < ports_.size(); ++i) {
+                if (readiness(i) != 200) {
+                    return false;
+                }
+            }
+            return true;
+        },
+        milliseconds(10000));
 }
 
 http_response platform_world::execute(http_request request) {
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -17,10 +17,12 @@
 
 namespace citronseam::harness {
 
-/// A complete deployment: two zones, each with an engine, a plain server, a gateway and a sidecar.
+/// A complete deployment: two zones, each with an engine, a plain server, a sidecar and gateways.
 class platform_world {
 public:
-    platform_world();
+    /// @param gateways_per_zone gateways alternate between the zones: the first one is in zone-a,
+    /// the second one in zone-b
+    explicit platform_world(std::size_t gateways_per_zone = 1);
     ~platform_world();
     platform_world(const platform_world&) = delete;
     platform_world& operator=(const platform_world&) = delete;
@@ -29,7 +31,8 @@
     /// @return false on timeout
     bool start();
     /// Writes the configuration to the store. Each call needs a higher version.
-    void put_configuration(std::uint64_t version, bool has_second_route = false);
+    /// @return version of the row
+    std::uint64_t put_configuration(std::uint64_t version, bool has_second_route = false);
     /// Writes the weights version that the engines must load to the store.
     void set_weights_version(std::uint64_t version);
     /// Writes a backend server's row to the store.
@@ -43,6 +46,7 @@
     http_response resolve(std::size_t gateway, const std::string& zone);
     /// @return HTTP status of a gateway's readiness check
     int readiness(std::size_t gateway);
+    std::size_t gateway_count() const { return ports_.size(); }
     child_process& gateway(std::size_t index) { return *gateways_.at(index); }
     child_process& sidecar(std::size_t index) { return *sidecars_.at(index); }
 
@@ -52,6 +56,7 @@
     std::vector<std::unique_ptr<platform_server>> plain_servers;
 
     static constexpr const char* api_key = "key-1";
+    static constexpr std::size_t zone_count = 2;
 
 private:
     struct ports {
--- a/tests/support/row_store.cpp
+++ b/tests/support/row_store.cpp
@@ -58,9 +58,11 @@
     return loopback_address(server_->port());
 }
 
-void row_store::put(const std::string& table, const std::string& key, const std::string& value) {
+std::uint64_t row_store::put(const std::string& table, const std::string& key,
+                             const std::string& value) {
     const std::lock_guard<std::mutex> lock(mutex_);
     tables_[table][key] = {value, ++version_, false};
+    return version_;
 }
 
 void row_store::remove(const std::string& table, const std::string& key) {
@@ -68,6 +70,17 @@
     tables_[table][key] = {"", ++version_, true};
 }
 
+std::uint64_t row_store::version() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return version_;
+}
+
+int row_store::read_count(const std::string& table) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = read_counts_.find(table);
+    return found == read_counts_.end() ? 0 : found->second;
+}
+
 json row_store::list(const std::string& table, std::uint64_t after, bool with_removed) const {
     json records = json::array();
     const auto found = tables_.find(table);
@@ -118,6 +131,7 @@
         responder->respond(503, {}, "");
     } else if (request.path == "/rows-get") {
         const std::lock_guard<std::mutex> lock(mutex_);
+        ++read_counts_[table];
         send_json(*responder, 200, list(table, 0, false));
     } else if (request.path == "/rows-feed" && !has_feed_history) {
         responder->respond(410, {}, "");
--- a/tests/support/row_store.h
+++ b/tests/support/row_store.h
@@ -24,9 +24,14 @@
     /// @return `host:port`
     std::string address() const;
     /// Writes a row directly, as an operator or a backend server would.
-    void put(const std::string& table, const std::string& key, const std::string& value);
+    /// @return version of the row
+    std::uint64_t put(const std::string& table, const std::string& key, const std::string& value);
     /// Removes a row.
     void remove(const std::string& table, const std::string& key);
+    /// @return version of the last write to any table
+    std::uint64_t version() const;
+    /// @return number of reads of a table received so far; feeds are not counted
+    int read_count(const std::string& table) const;
 
     std::atomic<bool> is_down{false};            ///< answers all calls with 503
     std::atomic<int> write_responses_to_drop{0}; ///< next writes to apply without a response
@@ -50,6 +55,7 @@
     mutable std::mutex mutex_;
     std::map<std::string, table_rows> tables_;
     std::uint64_t version_{0};
+    std::map<std::string, int> read_counts_; ///< by table
     io_thread_pool timers_{1};
     std::unique_ptr<http_server> server_;
 };
