Show that a large operator row is sent twice over a slow link

A sidecar that hears of a newer row requests it after 250 ms, from the process whose heartbeat named it, whether or not a copy is on its way. A row that needs longer than that is sent again, and the copies delay each other and the requests behind them.

The test has one gateway in each of two zones. A sidecar reaches both through relays that pass 256 KiB/s, and a configuration of about 1 MB is written, so that a copy takes about 4 s. The sidecar must receive it once. By reading, the second copy is the one it requests from the other zone's gateway, as the heartbeats of its own zone's gateway wait behind the first copy.

The relay can limit the rate of what the target sends. A sidecar can use a store of its own, in which the test lists the relays as addresses of the gateways.

--- a/tests/process_rows_test.cpp
+++ b/tests/process_rows_test.cpp
@@ -5,7 +5,10 @@
 
 #include <gtest/gtest.h>
 
+#include "citronseam/process/sizes.h"
+
 #include "support/platform_world.h"
+#include "support/relay.h"
 
 namespace {
 
@@ -172,4 +175,61 @@
     EXPECT_EQ(zone_reader_lines(), lines_before) << "a gateway took over or gave up the reading";
 }
 
+/// One gateway and one sidecar in each of two zones. The first sidecar reaches each gateway through
+/// a relay, because its own store lists the relays as addresses of the gateways.
+class slow_links : public ::testing::Test {
+protected:
+    void SetUp() override {
+        world.set_sidecar_store(0, sidecar_store.address());
+        ASSERT_TRUE(world.start());
+        for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+            ASSERT_NO_FATAL_FAILURE(add_link(i));
+        }
+        for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+            ASSERT_NE(world.sidecar(0).wait_for_line("event=member_connected member=gateway-" +
+                                                         std::to_string(i),
+                                                     milliseconds(5000)),
+                      "");
+        }
+        ASSERT_NE(
+            world.sidecar(0).wait_for_line("event=operator_row row=config", milliseconds(5000)),
+            "");
+    }
+
+    void add_link(std::size_t gateway) {
+        const std::string instance = "gateway-" + std::to_string(gateway);
+        ASSERT_TRUE(wait_until([&] { return !world.store.value(members, instance).empty(); },
+                               milliseconds(5000)));
+        auto row = nlohmann::json::parse(world.store.value(members, instance));
+        links.push_back(std::make_unique<relay>(row.at("peer").get<std::string>()));
+        row["peer"] = links.back()->address();
+        sidecar_store.put(members, instance, row.dump());
+    }
+
+    void set_link_rate(std::size_t bytes_per_second) {
+        for (const auto& link : links) {
+            link->set_target_rate(bytes_per_second);
+        }
+    }
+
+    static constexpr const char* members = "citronseam_members";
+    row_store sidecar_store;
+    std::vector<std::unique_ptr<relay>> links;
+    platform_world world;
+};
+
+// Guards against a sidecar that requests a large row again while the first copy is on its way.
+TEST_F(slow_links, large_operator_row_is_sent_once_to_a_sidecar_behind_a_slow_link) {
+    const auto received_before = operator_rows_received(world.sidecar(0)).size();
+    // About 1 MB takes 4 s, eight times the interval at which a sidecar may request rows.
+    constexpr std::size_t tenant_count = 14000;
+    set_link_rate(256 * kibibyte);
+    const auto version = world.put_configuration(2, true, tenant_count);
+    ASSERT_GE(world.store.value("op", "config").size(), 900 * kibibyte);
+    ASSERT_TRUE(wait_for_configuration(world.sidecar(0), version, milliseconds(10000)));
+    set_link_rate(0);
+    std::this_thread::sleep_for(milliseconds(1000));
+    EXPECT_EQ(operator_rows_received(world.sidecar(0)).size() - received_before, 1U);
+}
+
 } // namespace
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -80,6 +80,7 @@
         engines.push_back(std::make_unique<platform_server>("engine-" + zone, true));
         plain_servers.push_back(std::make_unique<platform_server>("desk-" + zone, false));
         sidecar_ports_.push_back(free_port());
+        sidecar_stores_.push_back(store.address());
         put_server_row(*engines.back(), "drafts", zone);
         put_server_row(*plain_servers.back(), "desk", zone);
     }
@@ -109,7 +110,12 @@
     store.put("servers", server.id(), entry.dump());
 }
 
-std::uint64_t platform_world::put_configuration(std::uint64_t version, bool has_second_route) {
+void platform_world::set_sidecar_store(std::size_t sidecar, std::string address) {
+    sidecar_stores_.at(sidecar) = std::move(address);
+}
+
+std::uint64_t platform_world::put_configuration(std::uint64_t version, bool has_second_route,
+                                                std::size_t tenant_count) {
     json routes = json::array({{{"name", "draft"},
                                 {"host", "a.example"},
                                 {"prefix", "/draft/"},
@@ -148,13 +154,15 @@
         json::array({{{"name", "drafts"}, {"cold_s", 1.0}, {"cold_per_s", 0.0}, {"engine", engine}},
                      {{"name", "desk"}},
                      {{"name", "ledger"}, {"origin", origin.address()}, {"zone", "zone-a"}}});
+    json tenants = json::array({{{"name", "team"}, {"api_keys", {api_key}}, {"priority", 1}}});
+    for (std::size_t i = 1; i < tenant_count; ++i) {
+        const std::string number = std::to_string(i);
+        tenants.push_back(
+            {{"name", "team-" + number}, {"api_keys", {"key-of-team-" + number}}, {"priority", 1}});
+    }
     return store.put(
         "op", "config",
-        json{{"version", version},
-             {"routes", routes},
-             {"services", services},
-             {"tenants",
-              json::array({{{"name", "team"}, {"api_keys", {api_key}}, {"priority", 1}}})}}
+        json{{"version", version}, {"routes", routes}, {"services", services}, {"tenants", tenants}}
             .dump());
 }
 
@@ -181,7 +189,7 @@
 std::string platform_world::sidecar_settings(std::size_t index) const {
     const std::string zone = zone_names[index % zone_count];
     return "role: sidecar\ninstance: sidecar-" + std::to_string(index) +
-           "\navailability_zone: " + zone + "\nregion: region-a\nstore: " + store.address() +
+           "\navailability_zone: " + zone + "\nregion: region-a\nstore: " + sidecar_stores_[index] +
            "\nbounds:\n  weights_due: 5s\nbackend_server:\n  service: drafts\n  address: " +
            engines[index]->address() +
            "\nlisten:\n  peer: " + loopback_address(sidecar_ports_[index]) +
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -27,12 +27,15 @@
     platform_world(const platform_world&) = delete;
     platform_world& operator=(const platform_world&) = delete;
 
+    /// Sets the address of the store that a sidecar uses from its start.
+    void set_sidecar_store(std::size_t sidecar, std::string address);
     /// Starts the gateways and sidecars and waits until all gateways are ready.
     /// @return false on timeout
     bool start();
     /// Writes the configuration to the store. Each call needs a higher version.
     /// @return version of the row
-    std::uint64_t put_configuration(std::uint64_t version, bool has_second_route = false);
+    std::uint64_t put_configuration(std::uint64_t version, bool has_second_route = false,
+                                    std::size_t tenant_count = 1);
     /// Writes the weights version that the engines must load to the store.
     void set_weights_version(std::uint64_t version);
     /// Writes a backend server's row to the store.
@@ -71,6 +74,7 @@
     http_client client_;
     std::vector<ports> ports_;
     std::vector<std::uint16_t> sidecar_ports_;
+    std::vector<std::string> sidecar_stores_;
     std::vector<std::unique_ptr<child_process>> gateways_;
     std::vector<std::unique_ptr<child_process>> sidecars_;
     std::atomic<int> attempt_count_{0};
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -107,14 +107,22 @@
                         std::size_t size) {
     auto& to = is_forward ? connection->target : connection->client;
     const auto& buffer = is_forward ? connection->client_buffer : connection->target_buffer;
-    asio::async_write(to, asio::buffer(buffer.data(), size),
-                      [this, connection, is_forward](const asio::error_code& error, std::size_t) {
-                          if (error) {
-                              connection->close();
-                              return;
-                          }
-                          forward_next_block(connection, is_forward);
-                      });
+    asio::async_write(
+        to, asio::buffer(buffer.data(), size),
+        [this, connection, is_forward](const asio::error_code& error, std::size_t written) {
+            if (error) {
+                connection->close();
+                return;
+            }
+            const std::size_t rate = target_rate_;
+            if (is_forward || rate == 0) {
+                forward_next_block(connection, is_forward);
+                return;
+            }
+            constexpr std::size_t microseconds_per_second = 1'000'000;
+            loop_.post_after(microseconds(written * microseconds_per_second / rate),
+                             [this, connection] { forward_next_block(connection, false); });
+        });
 }
 
 void relay::set_forwarding_paused(bool is_paused) {
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -35,6 +35,9 @@
     void set_forwarding_paused(bool is_paused);
     /// @return number of buffered blocks
     int paused_block_count() const { return paused_block_count_; }
+    /// Limits the rate at which each connection forwards what the target sends; 0 removes the
+    /// limit.
+    void set_target_rate(std::size_t bytes_per_second) { target_rate_ = bytes_per_second; }
     /// While true, closes all connections and refuses new ones.
     void set_disconnected(bool is_disconnected);
 
@@ -51,6 +54,7 @@
     std::atomic<int> blocks_to_corrupt_{0};
     std::atomic<bool> is_forwarding_paused_{false};
     std::atomic<int> paused_block_count_{0};
+    std::atomic<std::size_t> target_rate_{0};          ///< bytes per second
     std::vector<std::function<void()>> paused_writes_; ///< used on the event loop thread only
     std::vector<std::weak_ptr<proxied_connection>> connections_;
     io_thread_pool loop_{1};
--- a/tests/support/row_store.cpp
+++ b/tests/support/row_store.cpp
@@ -70,6 +70,16 @@
     tables_[table][key] = {"", ++version_, true};
 }
 
+std::string row_store::value(const std::string& table, const std::string& key) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto rows = tables_.find(table);
+    if (rows == tables_.end()) {
+        return "";
+    }
+    const auto row = rows->second.find(key);
+    return row == rows->second.end() ? "" : row->second.value;
+}
+
 std::uint64_t row_store::version() const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return version_;
--- a/tests/support/row_store.h
+++ b/tests/support/row_store.h
@@ -28,6 +28,8 @@
     std::uint64_t put(const std::string& table, const std::string& key, const std::string& value);
     /// Removes a row.
     void remove(const std::string& table, const std::string& key);
+    /// @return value of a row; empty if it is missing
+    std::string value(const std::string& table, const std::string& key) const;
     /// @return version of the last write to any table
     std::uint64_t version() const;
     /// @return number of reads of a table received so far; feeds are not counted
