Choose the reader of a zone by successful reads, not by changes of the table

In the seconds of every configuration engines answered half of the requests.

Cause: a gateway took another one for the reader of the zone only if the version of its server list had increased in the last 1.3 s. The version stands still while nobody writes to the table, although all reads succeed, so every gateway of a zone took over. Each of them then sent every operator row to each sidecar of the zone, and polled the list every 400 ms.

Change: a beat carries the number of the sender's own successful reads, and is_zone_reader() takes a gateway for reading while that number rises. A gateway whose reads fail is no longer recognised because others send it rows.

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -61,8 +61,10 @@
             cluster_.start({&server_rows_});
             server_rows_.start(
                 [this](const std::vector<versioned_row>& changed) { apply_server_rows(changed); });
-            run_periodically(control_, reader_check_interval,
-                             [this] { update_servers_interval(); });
+            run_periodically(control_, reader_check_interval, [this] {
+                update_heartbeat();
+                update_servers_interval();
+            });
         });
         sweep_exchanges();
         log_event(log_level::info, "started",
@@ -256,6 +258,7 @@
         heartbeat.is_ready = is_ready_;
         heartbeat.operator_version = cluster_.operator_version();
         heartbeat.servers_version = server_rows_.rows().version;
+        heartbeat.server_reads = server_rows_.read_count();
         cluster_.mesh().set_heartbeat(heartbeat);
         return heartbeat;
     }
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -4,6 +4,7 @@
 #include <numeric>
 
 #include "citronseam/process/log.h"
+#include "citronseam/process/zone_reader.h"
 
 namespace citronseam {
 namespace {
@@ -21,8 +22,6 @@
 constexpr milliseconds startup_period{2000};
 /// For this long after its start a process connects to all gateways, so that they learn of it.
 constexpr milliseconds introduction_period{6000};
-/// A gateway whose version of the server list has not increased for this long cannot be the reader.
-constexpr milliseconds max_reader_silence{1300};
 constexpr milliseconds registration_retry_delay{400};
 /// Rows are requested from another process when the own feed has not delivered them within this
 /// time.
@@ -257,17 +256,15 @@
 }
 
 bool cluster_node::is_zone_reader() const {
-    const auto now = std::chrono::steady_clock::now();
+    std::vector<reader_candidate> others;
     for (const connected_member* connected : mesh_->members()) {
         const member& other = connected->process;
-        const bool is_reading =
-            connected->is_ready && now - connected->servers_version_at <= max_reader_silence;
-        if (other.role == process_role::gateway && other.zone == self_.zone && is_reading &&
-            other.instance < self_.instance) {
-            return false;
+        if (other.role == process_role::gateway && other.zone == self_.zone &&
+            connected->is_ready) {
+            others.push_back({other.instance, connected->servers_read_at});
         }
     }
-    return true;
+    return citronseam::is_zone_reader(self_.instance, others, std::chrono::steady_clock::now());
 }
 
 void cluster_node::send_rows_to_zone(process_role role, const std::string& table,
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -204,9 +204,10 @@
         const bool is_changed = from.is_ready != heartbeat->is_ready();
         from.is_ready = heartbeat->is_ready();
         from.operator_version = heartbeat->operator_version();
-        if (heartbeat->servers_version() > from.servers_version) {
-            from.servers_version = heartbeat->servers_version();
-            from.servers_version_at = std::chrono::steady_clock::now();
+        from.servers_version = heartbeat->servers_version();
+        if (heartbeat->server_reads() > from.server_reads) {
+            from.server_reads = heartbeat->server_reads();
+            from.servers_read_at = std::chrono::steady_clock::now();
         }
         observer_.on_heartbeat(from, *heartbeat);
         if (is_changed) {
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -28,7 +28,8 @@
     bool is_ready{false};
     std::uint64_t operator_version{0}; ///< version of its newest row of the operator's table
     std::uint64_t servers_version{0};  ///< version of its copy of the server list
-    time_point servers_version_at;     ///< when servers_version last increased
+    std::uint64_t server_reads{0};     ///< number of its own reads of the server list
+    time_point servers_read_at;        ///< when server_reads last increased
 };
 
 /// Callbacks of a mesh. All run on the control thread.
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -34,6 +34,11 @@
     return changed.size();
 }
 
+void table_follower::record_read() {
+    last_read_at_ = std::chrono::steady_clock::now();
+    ++read_count_;
+}
+
 void table_follower::schedule(milliseconds delay, void (table_follower::*step)()) {
     control_.post_after(delay, [this, step] { (this->*step)(); });
 }
@@ -59,7 +64,7 @@
         schedule(retry_delay, &table_follower::read_full_table);
         return;
     }
-    last_read_at_ = std::chrono::steady_clock::now();
+    record_read();
     feed_version_ = batch.version;
     apply(batch);
     if (mode_ == follow_mode::poll) {
@@ -94,7 +99,7 @@
         schedule(retry_delay, &table_follower::read_full_table);
         return;
     }
-    last_read_at_ = std::chrono::steady_clock::now();
+    record_read();
     feed_version_ = std::max(feed_version_, batch.version);
     apply(batch);
     wait_for_changes();
--- a/src/programs/node/table_follower.h
+++ b/src/programs/node/table_follower.h
@@ -45,10 +45,13 @@
     const row_cache& rows() const noexcept { return cache_; }
     /// @return when the store last answered; time_point{} before the first response
     time_point last_read_at() const noexcept { return last_read_at_; }
+    /// @return number of this process's successful reads
+    std::uint64_t read_count() const noexcept { return read_count_; }
     /// @return name of the table
     const std::string& table() const noexcept { return table_; }
 
 private:
+    void record_read();
     void read_full_table();
     void poll();
     void wait_for_changes();
@@ -66,6 +69,7 @@
     row_cache cache_;
     std::uint64_t feed_version_{0}; ///< version after which the feed continues
     time_point last_read_at_;
+    std::uint64_t read_count_{0};
     time_point read_started_at_; ///< when the last read began
 };
 
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -3,6 +3,7 @@
 
 #include "citronseam/process/member.h"
 #include "citronseam/process/versioned_row.h"
+#include "citronseam/process/zone_reader.h"
 #include "citronseam/request/event_stream.h"
 #include "citronseam/request/route_table.h"
 #include "citronseam/request/shared_retry_budget.h"
@@ -173,6 +174,27 @@
     EXPECT_FALSE(cache.rows.at("a").is_removed);
 }
 
+// Guards against several readers of a zone at once: a table that nobody writes keeps its version,
+// while the reader still reads it.
+TEST(zone_reader, lowest_process_whose_reads_succeed_is_the_only_reader) {
+    const time_point now = start;
+    const auto reads_of = [now](std::string_view instance, milliseconds age) {
+        return reader_candidate{instance, now - age};
+    };
+    constexpr milliseconds reader_period{400};
+    constexpr milliseconds backup_period{5000};
+    EXPECT_TRUE(is_zone_reader("a", {reads_of("b", backup_period)}, now));
+    EXPECT_FALSE(is_zone_reader("b", {reads_of("a", reader_period)}, now));
+    EXPECT_FALSE(
+        is_zone_reader("c", {reads_of("a", reader_period), reads_of("b", backup_period)}, now));
+}
+
+TEST(zone_reader, next_process_takes_over_when_reads_fail) {
+    const time_point now = start;
+    EXPECT_TRUE(is_zone_reader("b", {{"a", now - milliseconds(1500)}}, now));
+    EXPECT_TRUE(is_zone_reader("b", {{"a", time_point{}}}, now)) << "it never read";
+}
+
 TEST(member, json_round_trip_preserves_fields) {
     member process;
     process.instance = "edge-1";
