Let each sidecar request operator rows once, from one gateway

Cause: rows were pushed to all sidecars of a zone by each process that took itself for the reader, and a process that was behind requested them again every 500 ms, from whichever process announced them next, while the first copy was on its way. A pushed batch also raised the version of the copy, whatever it left out, so a change that was lost with its sender was never requested; copies from other gateways hid that.

Change: gateways announce new operator rows with a beat at once, and a sidecar requests them from one gateway of its zone, chosen by rendezvous hashing; from another one after 250 ms. One request for a table is outstanding at a time; it ends with its reply or its session. Sidecars are asked for nothing. The reader of the server list sends what its own read changed. A batch says after which version it is complete, and only one without a gap raises the version of a copy (row_batch::after), so a missed change is requested.

Why it works: however many gateways hold or announce a row, it takes an engine's link once.

--- a/include/citronseam/process/versioned_row.h
+++ b/include/citronseam/process/versioned_row.h
@@ -25,21 +25,24 @@
     std::vector<versioned_row> rows;
     std::uint64_t version{0}; ///< version of the store when they were read
     bool is_whole{false};     ///< a full snapshot: rows not listed did not exist at that version
+    std::uint64_t after{0};   ///< all rows that changed after this version are listed
 };
 
 /// A process's copy of one table. Removed rows stay as tombstones, so that the removal can be sent
 /// to a process whose copy is behind.
 struct row_cache {
     std::map<std::string, versioned_row, std::less<>> rows;
-    std::uint64_t version{0}; ///< version of the store at the newest read; 0: nothing was read yet
+    std::uint64_t version{0}; ///< version of the store up to which no change is missing
+    bool is_complete{false};  ///< false until all rows were read once
 };
 
 /// Merges a batch into the cache. Batches may arrive in any order: of two states of a row the one
-/// with the higher version is kept.
+/// with the higher version is kept. A batch that begins after the cache's version may leave changes
+/// out, so it does not raise the version.
 /// @return the rows that changed
 std::vector<versioned_row> merge(row_cache& cache, const row_batch& batch);
 
-/// @return the highest version of any row, 0 when there is none
+/// @return the highest version of a row up to the cache's version, 0 when there is none
 std::uint64_t newest_row_version(const row_cache& cache) noexcept;
 
 /// @return the rows with a version higher than `after`, removed ones included
--- a/src/process/versioned_row.cpp
+++ b/src/process/versioned_row.cpp
@@ -46,14 +46,19 @@
     if (batch.is_whole) {
         remove_unlisted(cache, batch, changed);
     }
-    cache.version = std::max(cache.version, batch.version);
+    if (batch.is_whole || batch.after <= cache.version) {
+        cache.version = std::max(cache.version, batch.version);
+        cache.is_complete = true;
+    }
     return changed;
 }
 
 std::uint64_t newest_row_version(const row_cache& cache) noexcept {
     std::uint64_t newest = 0;
     for (const auto& [key, row] : cache.rows) {
-        newest = std::max(newest, row.version);
+        if (row.version <= cache.version) {
+            newest = std::max(newest, row.version);
+        }
     }
     return newest;
 }
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -35,8 +35,6 @@
 /// while it sends a response.
 constexpr milliseconds grace_margin{1000};
 constexpr milliseconds drain_check_interval{50};
-/// When the last own read of the server list is older than this, another gateway is asked for it.
-constexpr milliseconds stale_list_age{1500};
 
 /// Owns the components of a gateway process and connects them.
 class gateway {
@@ -59,8 +57,7 @@
         open_servers();
         control_.post([this] {
             cluster_.start({&server_rows_});
-            server_rows_.start(
-                [this](const std::vector<versioned_row>& changed) { apply_server_rows(changed); });
+            server_rows_.start([this](const table_change& change) { apply_server_rows(change); });
             run_periodically(control_, reader_check_interval, [this] {
                 update_heartbeat();
                 update_servers_interval();
@@ -75,16 +72,16 @@
                    {"store", options_.node.store_address}});
     }
 
-    void apply_server_rows(const std::vector<versioned_row>& changed) {
-        const bool is_changed = view_builder_.apply_server_rows(changed);
+    void apply_server_rows(const table_change& change) {
+        const bool is_changed = view_builder_.apply_server_rows(change.rows);
         update_heartbeat();
-        if (!is_changed) {
-            return;
+        if (is_changed) {
+            publish();
         }
-        publish();
-        if (is_zone_reader_) {
-            cluster_.send_rows_to_zone(process_role::gateway, server_rows_.table(), changed,
-                                       server_rows_.rows().version);
+        if (is_zone_reader_ && change.is_own_read) {
+            cluster_.send_rows_to_zone(
+                process_role::gateway, server_rows_.table(),
+                {change.rows, change.version, false, change.previous_version});
         }
     }
 
@@ -209,14 +206,14 @@
                 publish();
             }
         };
-        observer.on_heartbeat = [this](const connected_member& from,
+        observer.on_heartbeat = [this](const connected_member&,
                                        const wire::member_beat& heartbeat) {
-            handle_heartbeat(from, heartbeat);
+            handle_heartbeat(heartbeat);
         };
         return observer;
     }
 
-    void handle_heartbeat(const connected_member& from, const wire::member_beat& heartbeat) {
+    void handle_heartbeat(const wire::member_beat& heartbeat) {
         if (const auto* engine = heartbeat.engine()) {
             engine_report report{engine->busy(), engine->weights_version(), engine->is_loading(),
                                  engine->is_reachable(), std::nullopt};
@@ -227,14 +224,6 @@
                 pool_.apply_engine_report(address, report, std::chrono::steady_clock::now());
             });
         }
-        const auto now = std::chrono::steady_clock::now();
-        const bool is_behind = from.servers_version > server_rows_.rows().version &&
-                               now - server_rows_.last_read_at() > stale_list_age &&
-                               now - servers_requested_at_ > stale_list_age;
-        if (is_behind) {
-            servers_requested_at_ = now;
-            cluster_.mesh().request_rows(from, server_rows_.table(), 0);
-        }
     }
 
     /// Passes the current view to the traffic thread. Control thread.
@@ -299,8 +288,7 @@
     cluster_node cluster_;
     table_follower server_rows_;
     traffic_view_builder view_builder_;
-    random_source random_; ///< control thread only
-    time_point servers_requested_at_;
+    random_source random_;      ///< control thread only
     bool is_zone_reader_{true}; ///< control thread only
     std::atomic<bool> is_ready_{false};
     bool is_draining_{false};                              ///< control thread only
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
 
 #include "citronseam/process/log.h"
 #include "citronseam/process/zone_reader.h"
@@ -23,10 +24,11 @@
 /// For this long after its start a process connects to all gateways, so that they learn of it.
 constexpr milliseconds introduction_period{6000};
 constexpr milliseconds registration_retry_delay{400};
-/// Rows are requested from another process when the own feed has not delivered them within this
-/// time.
-constexpr milliseconds feed_grace_period{250};
-constexpr milliseconds rows_request_interval{500};
+/// Rows are requested from another process when they have not arrived within this time in the usual
+/// way: through the own feed, or from the gateway that sends them to this process.
+constexpr milliseconds operator_rows_grace{250};
+/// The reader of the zone sends changes of the server list, which it reads every 400 ms.
+constexpr milliseconds server_rows_grace{1500};
 
 member make_self(const settings& options) {
     member self;
@@ -70,10 +72,8 @@
     if (self_.role == process_role::sidecar) {
         operator_rows_.set_needed_check([this] { return mesh_->members().empty(); });
     }
-    operator_rows_.start(
-        [this](const std::vector<versioned_row>& changed) { apply_operator_rows(changed); });
-    member_rows_.start(
-        [this](const std::vector<versioned_row>& changed) { apply_member_rows(changed); });
+    operator_rows_.start([this](const table_change& change) { apply_operator_rows(change); });
+    member_rows_.start([this](const table_change& change) { apply_member_rows(change.rows); });
 }
 
 void cluster_node::stop() {
@@ -83,6 +83,7 @@
 mesh_observer cluster_node::make_mesh_observer() {
     mesh_observer observer;
     observer.on_members_changed = [this] {
+        forget_lost_requests();
         for (const connected_member* connected : mesh_->members()) {
             add_member(connected->process);
         }
@@ -91,7 +92,8 @@
     };
     observer.on_heartbeat = [this](const connected_member& from,
                                    const wire::member_beat& heartbeat) {
-        request_newer_rows(from);
+        handle_offer(from, std::string(platform::operator_table), from.operator_version);
+        handle_offer(from, std::string(platform::servers_table), from.servers_version);
         observer_.on_heartbeat(from, heartbeat);
     };
     observer.on_rows_request = [this](const std::string& table, std::uint64_t after) {
@@ -101,6 +103,7 @@
             batch.rows = rows_newer_than(found->second->rows(), after);
             batch.version = found->second->rows().version;
         }
+        batch.after = after;
         return batch;
     };
     observer.on_neighbours_reply = observer_.on_neighbours_reply;
@@ -118,7 +121,10 @@
     const std::size_t bytes =
         std::accumulate(batch.rows.begin(), batch.rows.end(), std::size_t{0},
                         [](std::size_t sum, const auto& row) { return sum + row.value.size(); });
-    const std::size_t changed = found->second->apply(batch);
+    if (rows_requests_[table].session == from.session->number()) {
+        rows_requests_[table] = {};
+    }
+    const std::size_t changed = found->second->apply_from_member(batch);
     // Bytes of rows that were known already took bandwidth from live requests for nothing.
     metrics_.count("citronseam_member_rows_bytes_total",
                    {{"table", table}, {"use", changed > 0 ? "new" : "known"}},
@@ -132,40 +138,98 @@
                {"version", batch.version}});
 }
 
-void cluster_node::apply_operator_rows(const std::vector<versioned_row>& changed) {
-    for (const auto& row : changed) {
-        operator_version_ = std::max(operator_version_, row.version);
+void cluster_node::apply_operator_rows(const table_change& change) {
+    if (change.rows.empty() && change.previous_version > 0) {
+        return;
+    }
+    for (const auto& row : change.rows) {
         log_event(log_level::info, "operator_row",
                   {{"row", row.key},
                    {"version", row.version},
                    {"removed", row.is_removed ? 1 : 0},
                    {"bytes", row.value.size()}});
     }
-    observer_.on_operator_rows(changed);
-    if (self_.role == process_role::gateway && is_zone_reader()) {
-        send_rows_to_zone(process_role::sidecar, operator_rows_.table(), changed, 0);
+    observer_.on_operator_rows(change.rows);
+    if (self_.role == process_role::gateway) {
+        // Sidecars do not follow the table. Each requests the rows from one gateway, so that they
+        // take its engine's link once.
+        mesh_->send_heartbeat_to_zone(process_role::sidecar);
     }
 }
 
-/// Requests newer rows from a process that has them, unless the own feed delivers them first.
-void cluster_node::request_newer_rows(const connected_member& from) {
-    const time_point now = std::chrono::steady_clock::now();
-    if (from.operator_version <= operator_version_ ||
-        now - rows_requested_at_ < rows_request_interval) {
+/// Requests rows that another process announced, if they do not arrive otherwise.
+void cluster_node::handle_offer(const connected_member& from, const std::string& table,
+                                std::uint64_t version) {
+    const auto found = shared_tables_.find(table);
+    // A sidecar's link is for its engine.
+    if (from.process.role != process_role::gateway || found == shared_tables_.end() ||
+        version <= found->second->rows().version) {
+        return;
+    }
+    const std::string& instance = from.process.instance;
+    if (self_.role == process_role::sidecar && instance == preferred_gateway()) {
+        request_rows(instance, table, version);
         return;
     }
-    rows_requested_at_ = now;
-    control_.post_after(feed_grace_period, [this, instance = from.process.instance,
-                                            version = from.operator_version] {
-        if (version <= operator_version_) {
-            return;
+    const milliseconds grace =
+        table == platform::servers_table ? server_rows_grace : operator_rows_grace;
+    control_.post_after(
+        grace, [this, instance, table, version] { request_rows(instance, table, version); });
+}
+
+void cluster_node::request_rows(const std::string& instance, const std::string& table,
+                                std::uint64_t version) {
+    const auto now = std::chrono::steady_clock::now();
+    const std::uint64_t known_version = shared_tables_.at(table)->rows().version;
+    if (version <= known_version || is_outstanding(rows_requests_[table], now)) {
+        return;
+    }
+    for (const connected_member* connected : mesh_->members()) {
+        if (connected->process.instance == instance) {
+            log_event(log_level::info, "rows_requested",
+                      {{"table", table},
+                       {"member", instance},
+                       {"after", known_version},
+                       {"offered", version}});
+            rows_requests_[table] = {connected->session->number(), now};
+            mesh_->request_rows(*connected, table, known_version);
         }
-        for (const connected_member* connected : mesh_->members()) {
-            if (connected->process.instance == instance) {
-                mesh_->request_rows(*connected, operator_rows_.table(), operator_version_);
-            }
+    }
+}
+
+/// Requests end with their session, so that the rows are requested from another process.
+void cluster_node::forget_lost_requests() {
+    std::set<std::uint64_t> sessions;
+    for (const connected_member* connected : mesh_->members()) {
+        sessions.insert(connected->session->number());
+    }
+    for (auto& [table, request] : rows_requests_) {
+        if (sessions.count(request.session) == 0) {
+            request = {};
         }
-    });
+    }
+}
+
+/// Spreads the sidecars of a zone over its gateways.
+std::string cluster_node::preferred_gateway() const {
+    std::string preferred;
+    std::uint64_t best_weight = 0;
+    for (const connected_member* connected : mesh_->members()) {
+        const member& process = connected->process;
+        if (process.role != process_role::gateway || process.zone != self_.zone) {
+            continue;
+        }
+        const std::uint64_t weight = rendezvous_weight(self_.instance, process.instance);
+        if (preferred.empty() || weight > best_weight) {
+            preferred = process.instance;
+            best_weight = weight;
+        }
+    }
+    return preferred;
+}
+
+std::uint64_t cluster_node::operator_version() const noexcept {
+    return newest_row_version(operator_rows_.rows());
 }
 
 void cluster_node::apply_member_rows(const std::vector<versioned_row>& changed) {
@@ -268,11 +332,10 @@
 }
 
 void cluster_node::send_rows_to_zone(process_role role, const std::string& table,
-                                     const std::vector<versioned_row>& rows,
-                                     std::uint64_t version) {
+                                     const row_batch& batch) {
     for (const connected_member* connected : mesh_->members()) {
         if (connected->process.role == role && connected->process.zone == self_.zone) {
-            mesh_->send_rows(*connected, table, {rows, version, false});
+            mesh_->send_rows(*connected, table, batch);
         }
     }
 }
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -14,6 +14,7 @@
 #include "citronseam/connection/io_thread_pool.h"
 #include "citronseam/process/member.h"
 #include "citronseam/process/metrics.h"
+#include "citronseam/process/pending_request.h"
 #include "citronseam/process/settings.h"
 #include "programs/node/member_mesh.h"
 #include "programs/node/store_client.h"
@@ -54,19 +55,18 @@
     /// @return connections to other processes
     member_mesh& mesh() noexcept { return *mesh_; }
     /// @return version of the newest known row of the operator's table
-    std::uint64_t operator_version() const noexcept { return operator_version_; }
+    std::uint64_t operator_version() const noexcept;
     /// @return when the store last answered about the operator's table
     time_point operator_read_at() const noexcept { return operator_rows_.last_read_at(); }
     /// @return number of gateways that ever registered, this process included: those that share the
     /// system-wide limits
     std::size_t gateway_count() const;
-    /// @return whether this process polls the server list for its zone: the gateway with the lowest
-    /// instance name among those in the zone whose reads succeed. It sends the rows to the others.
+    /// @return whether this process polls the server list for its zone and sends the changes to its
+    /// other gateways
     bool is_zone_reader() const;
     /// Sends rows to the connected processes of the own zone.
     /// @param role of those processes
-    void send_rows_to_zone(process_role role, const std::string& table,
-                           const std::vector<versioned_row>& rows, std::uint64_t version);
+    void send_rows_to_zone(process_role role, const std::string& table, const row_batch& batch);
     /// Adds gateways that another process listed.
     void add_gateways(const wire::neighbours_reply& reply);
     /// @return this process
@@ -76,13 +76,17 @@
     mesh_observer make_mesh_observer();
     void apply_member_batch(const connected_member& from, const std::string& table,
                             const row_batch& batch);
-    void apply_operator_rows(const std::vector<versioned_row>& changed);
+    void apply_operator_rows(const table_change& change);
     void apply_member_rows(const std::vector<versioned_row>& changed);
     void add_member(const member& process);
     void update_members_interval();
     void register_self();
     void update_targets();
-    void request_newer_rows(const connected_member& from);
+    void handle_offer(const connected_member& from, const std::string& table,
+                      std::uint64_t version);
+    void request_rows(const std::string& instance, const std::string& table, std::uint64_t version);
+    void forget_lost_requests();
+    std::string preferred_gateway() const;
 
     const settings& options_;
     io_thread_pool& control_;
@@ -94,10 +98,9 @@
     table_follower operator_rows_;
     table_follower member_rows_;
     std::map<std::string, table_follower*> shared_tables_;
-    std::map<std::string, member> known_members_; ///< by instance
-    std::uint64_t operator_version_{0};
+    std::map<std::string, member> known_members_;          ///< by instance
+    std::map<std::string, pending_request> rows_requests_; ///< requests for rows, by table
     time_point started_at_;
-    time_point rows_requested_at_; ///< when rows were last requested from another process
 };
 
 } // namespace citronseam
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -29,6 +29,7 @@
     reply.table = table;
     reply.version = batch.version;
     reply.is_whole = batch.is_whole;
+    reply.after = batch.after;
     for (const auto& row : batch.rows) {
         auto written = std::make_unique<wire::table_rowT>();
         written->key = row.key;
@@ -133,6 +134,14 @@
     }
 }
 
+void member_mesh::send_heartbeat_to_zone(process_role role) {
+    for (const auto& [number, connected] : sessions_) {
+        if (connected.process.role == role && connected.process.zone == self_.zone) {
+            connected.session->send(heartbeat_);
+        }
+    }
+}
+
 void member_mesh::request_neighbours(const connected_member& from, const std::string& service) {
     wire::neighbours_requestT request;
     request.service = service;
@@ -272,6 +281,7 @@
     row_batch batch;
     batch.version = reply.version();
     batch.is_whole = reply.is_whole();
+    batch.after = reply.after();
     if (reply.rows() != nullptr) {
         for (const auto* row : *reply.rows()) {
             batch.rows.push_back({std::string(view(row->key())), std::string(view(row->value())),
--- a/src/programs/node/store_client.cpp
+++ b/src/programs/node/store_client.cpp
@@ -118,13 +118,14 @@
 void store_client::await_changes(const std::string& table, std::uint64_t after, milliseconds wait,
                                  batch_handler done) {
     call("feed", platform::make_watch_request(base_url_, table, after, wait),
-         [table, done = std::move(done)](const http_response& response) {
+         [table, after, done = std::move(done)](const http_response& response) {
              store_outcome outcome{};
-             const auto page = parse_page(table, response, outcome);
+             auto page = parse_page(table, response, outcome);
              if (!page) {
                  done(outcome, {});
                  return;
              }
+             page->batch.after = after;
              done(store_outcome::done, page->batch);
          });
 }
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -25,13 +25,19 @@
     read_full_table();
 }
 
-std::size_t table_follower::apply(const row_batch& batch) {
-    const bool is_first = cache_.version == 0;
-    const auto changed = merge(cache_, batch);
-    if (handle_ && (!changed.empty() || is_first)) {
-        handle_(changed);
+std::size_t table_follower::apply(const row_batch& batch, bool is_own_read) {
+    const bool was_complete = cache_.is_complete;
+    const std::uint64_t previous_version = cache_.version;
+    table_change change{merge(cache_, batch), previous_version, cache_.version, is_own_read};
+    const std::size_t changed_count = change.rows.size();
+    if (!was_complete) {
+        change.rows = rows_newer_than(cache_, 0);
     }
-    return changed.size();
+    const bool is_change = !was_complete || changed_count > 0 || cache_.version > previous_version;
+    if (handle_ && cache_.is_complete && is_change) {
+        handle_(change);
+    }
+    return changed_count;
 }
 
 void table_follower::record_read() {
@@ -66,7 +72,7 @@
     }
     record_read();
     feed_version_ = batch.version;
-    apply(batch);
+    apply(batch, true);
     if (mode_ == follow_mode::poll) {
         schedule(poll_tick, &table_follower::poll);
     } else {
@@ -76,8 +82,8 @@
 
 void table_follower::wait_for_changes() {
     if (is_needed_ && !is_needed_()) {
-        // The feed continues after the newest row that the other process sent.
-        feed_version_ = std::max(feed_version_, newest_row_version(cache_));
+        // The feed continues after what the other process sent.
+        feed_version_ = std::max(feed_version_, cache_.version);
         schedule(needed_check_interval, &table_follower::wait_for_changes);
         return;
     }
@@ -101,7 +107,7 @@
     }
     record_read();
     feed_version_ = std::max(feed_version_, batch.version);
-    apply(batch);
+    apply(batch, true);
     wait_for_changes();
 }
 
--- a/src/programs/node/table_follower.h
+++ b/src/programs/node/table_follower.h
@@ -20,11 +20,19 @@
     poll  ///< the table is read periodically; for tables that change all the time
 };
 
+/// A change of the copy of a table.
+struct table_change {
+    std::vector<versioned_row> rows;   ///< empty when only the version rose
+    std::uint64_t previous_version{0}; ///< the rows are all changes since then; 0: all rows
+    std::uint64_t version{0};
+    bool is_own_read{false}; ///< read by this process, not sent by another one
+};
+
 /// Keeps a copy of a table. All functions run on the control thread.
 class table_follower {
 public:
-    /// Called with the changed rows.
-    using change_handler = std::function<void(const std::vector<versioned_row>&)>;
+    /// Called for changes once the copy is complete, first with all rows.
+    using change_handler = std::function<void(const table_change&)>;
 
     /// @param interval time between two reads, or the longest wait of a feed call
     table_follower(io_thread_pool& control, store_client& store, std::string table,
@@ -37,9 +45,9 @@
     void set_needed_check(std::function<bool()> is_needed) { is_needed_ = std::move(is_needed); }
     /// Changes the time between two reads. A longer wait in progress is cut short.
     void set_interval(milliseconds interval) { interval_ = interval; }
-    /// Merges rows into the copy, also those that another process read.
+    /// Merges rows that another process sent into the copy.
     /// @return number of rows that changed the copy
-    std::size_t apply(const row_batch& batch);
+    std::size_t apply_from_member(const row_batch& batch) { return apply(batch, false); }
 
     /// @return the copy
     const row_cache& rows() const noexcept { return cache_; }
@@ -51,6 +59,7 @@
     const std::string& table() const noexcept { return table_; }
 
 private:
+    std::size_t apply(const row_batch& batch, bool is_own_read);
     void record_read();
     void read_full_table();
     void poll();
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "citronseam/process/member.h"
+#include "citronseam/process/pending_request.h"
 #include "citronseam/process/versioned_row.h"
 #include "citronseam/process/zone_reader.h"
 #include "citronseam/request/event_stream.h"
@@ -174,6 +175,26 @@
     EXPECT_FALSE(cache.rows.at("a").is_removed);
 }
 
+// Guards against lost changes: a batch that skips earlier changes makes the copy look up to date.
+TEST(versioned_row, batch_with_a_gap_does_not_raise_the_version) {
+    row_cache cache;
+    merge(cache, {{{"a", "1", 10, false}}, 10, true});
+    const auto changed = merge(cache, {{{"b", "1", 12, false}}, 12, false, 11});
+    EXPECT_EQ(changed.size(), 1U) << "the newest rows apply at once";
+    EXPECT_EQ(cache.version, 10U) << "the change of version 11 is requested later";
+    EXPECT_EQ(newest_row_version(cache), 10U) << "the copy is not announced as newer than it is";
+    merge(cache, {{{"c", "1", 11, false}, {"b", "1", 12, false}}, 12, false, 10});
+    EXPECT_EQ(cache.version, 12U);
+}
+
+TEST(versioned_row, copy_is_complete_after_a_batch_of_all_rows) {
+    row_cache cache;
+    merge(cache, {{{"a", "1", 12, false}}, 12, false, 11});
+    EXPECT_FALSE(cache.is_complete);
+    merge(cache, {{{"a", "1", 12, false}}, 12, false, 0});
+    EXPECT_TRUE(cache.is_complete);
+}
+
 // Guards against several readers of a zone at once: a table that nobody writes keeps its version,
 // while the reader still reads it.
 TEST(zone_reader, lowest_process_whose_reads_succeed_is_the_only_reader) {
@@ -195,6 +216,16 @@
     EXPECT_TRUE(is_zone_reader("b", {{"a", time_point{}}}, now)) << "it never read";
 }
 
+// Guards against copies on a slow link: a request that is repeated while its reply is on the way
+// doubles the load that delays the reply.
+TEST(pending_request, only_one_request_is_outstanding) {
+    const time_point now = start;
+    EXPECT_FALSE(is_outstanding({}, now));
+    EXPECT_TRUE(is_outstanding({7, now - milliseconds(3000)}, now));
+    EXPECT_FALSE(is_outstanding({7, now - milliseconds(6000)}, now))
+        << "a peer that never replies is given up on";
+}
+
 TEST(member, json_round_trip_preserves_fields) {
     member process;
     process.instance = "edge-1";
