Move the order of two fetches into a pure function

No change of behaviour: should_finish_before_newer() in citronseam/version/fetch_order.h is the former weights_fetcher::should_finish_current(), without the clock, so that a test can ask it for many sidecars at once.

version_logic_test and process_platform_test pass.

--- a/src/programs/sidecar/weights_fetcher.cpp
+++ b/src/programs/sidecar/weights_fetcher.cpp
@@ -5,6 +5,7 @@
 
 #include "citronseam/process/enum_names.h"
 #include "citronseam/process/log.h"
+#include "citronseam/version/fetch_order.h"
 #include "platform/engine.h"
 
 namespace citronseam {
@@ -20,9 +21,6 @@
 constexpr milliseconds retry_delay{200};
 constexpr milliseconds progress_interval{500};
 constexpr std::size_t max_list_bytes = mebibyte;
-/// A version with more remaining time than this is abandoned for a newer one, which can then still
-/// be complete when it is due.
-constexpr milliseconds max_time_to_finish{3000};
 /// Estimated duration of a fetch on a link shared with live requests, until one was observed.
 constexpr milliseconds default_fetch_duration{4000};
 constexpr milliseconds min_observation{500};
@@ -57,15 +55,11 @@
     reconcile();
 }
 
-/// Whether to finish the current version before a newer one starts. A version that is nearly
-/// complete is due earlier, its chunks are in transit, and the origin may fail during the next
-/// fetch.
 bool weights_fetcher::should_finish_current() const {
     const auto now = std::chrono::steady_clock::now();
-    const bool is_past_deadline =
-        now - target_.announced_at > context_.options.node.weights_switch_deadline;
-    return !is_past_deadline && step_ == fetch_step::fetch &&
-           remaining_time(now) <= max_time_to_finish;
+    return should_finish_before_newer({now, target_.announced_at,
+                                       context_.options.node.weights_switch_deadline,
+                                       step_ == fetch_step::fetch, remaining_time(now)});
 }
 
 milliseconds weights_fetcher::remaining_time(time_point now) const {
