Test that sidecars agree on the version to fetch

The test gives 58 sidecars 8 to 25 of 64 chunks, as in the record, and announcements that reach them up to 0.12 s apart.

--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -1,4 +1,5 @@
 // Decision logic of model versions: manifests, chunk selection, rate limits, permits.
+#include <map>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -6,6 +7,7 @@
 #include "citronseam/version/chunk_bitmap.h"
 #include "citronseam/version/chunk_selection.h"
 #include "citronseam/version/chunk_store.h"
+#include "citronseam/version/fetch_order.h"
 #include "citronseam/version/link_pacer.h"
 #include "citronseam/version/permit.h"
 #include "citronseam/version/sha256.h"
@@ -350,6 +352,65 @@
     EXPECT_FALSE(choose_fetch(state, random).has_value());
 }
 
+/// A sidecar that fetches version 2 when version 3 is announced.
+struct fetching_sidecar {
+    milliseconds older_delay; ///< from the announcement of version 2 until it learns of it
+    milliseconds newer_delay; ///< likewise of version 3
+    int held_chunks;          ///< of version 2
+};
+
+/// @return sidecars that hold 8 to 25 of 64 chunks
+/// @param max_delay_ms maximum of the delays
+std::vector<fetching_sidecar> make_fetching_sidecars(std::uint64_t max_delay_ms) {
+    constexpr int count = 58;
+    random_source random(seed);
+    std::vector<fetching_sidecar> sidecars;
+    sidecars.reserve(count);
+    for (int i = 0; i < count; ++i) {
+        const milliseconds older_delay(random_below(random, max_delay_ms + 1));
+        const milliseconds newer_delay(random_below(random, max_delay_ms + 1));
+        sidecars.push_back({older_delay, newer_delay, 8 + i % 18});
+    }
+    return sidecars;
+}
+
+constexpr time_point first_announcement{std::chrono::seconds(100)};
+constexpr milliseconds switch_deadline{8000};
+/// Time to read the list of chunks before the first chunk is fetched.
+constexpr milliseconds list_duration{100};
+
+/// @return the version that a sidecar fetches once it has learned of version 3
+/// @param gap time between the announcements of versions 2 and 3
+std::uint64_t version_after_announcement(const fetching_sidecar& sidecar, milliseconds gap) {
+    const time_point learned_older = first_announcement + sidecar.older_delay;
+    const time_point learned_newer = first_announcement + gap + sidecar.newer_delay;
+    const auto elapsed =
+        std::chrono::duration_cast<milliseconds>(learned_newer - learned_older) - list_duration;
+    const milliseconds remaining_time = elapsed * (64 - sidecar.held_chunks) / sidecar.held_chunks;
+    return should_finish_before_newer(
+               {learned_newer, learned_older, switch_deadline, true, remaining_time})
+               ? 2
+               : 3;
+}
+
+/// @return number of sidecars by the version that they fetch
+std::map<std::uint64_t, int> count_versions(const std::vector<fetching_sidecar>& sidecars,
+                                            milliseconds gap) {
+    std::map<std::uint64_t, int> counts;
+    for (const auto& sidecar : sidecars) {
+        ++counts[version_after_announcement(sidecar, gap)];
+    }
+    return counts;
+}
+
+// Guards against a swarm that divides: each sidecar chose by its own progress, 17 of 58 finished
+// the older version and 41 turned to the newer one, and neither part got all chunks.
+TEST(fetch_order, sidecars_with_differing_progress_choose_the_same_version) {
+    auto counts = count_versions(make_fetching_sidecars(120), milliseconds(2000));
+    EXPECT_EQ(counts.size(), 1U) << counts[2] << " finish version 2, " << counts[3]
+                                 << " turn to version 3";
+}
+
 TEST(token_bucket, keeps_its_rate_for_any_message_size) {
     time_point now{};
     token_bucket bucket = make_bucket(1000, 100, now);
