Let all sidecars fetch announced versions in the same order

Callers saw nearly all requests refused for ten seconds: version 3 was announced 2 s after version 2, and no engine had version 2 when it was due.

Cause: each sidecar extrapolated its own progress, 8 to 25 of 64 chunks, and finished version 2 only if that took at most 3 s more. 41 of 58 turned to version 3. A chunk reaches the others through the sidecar that it is assigned to, so neither part of the swarm could get all chunks: 61 of 64 of version 2 at the 17, 20 of 64 at most of version 3 at the 41 when the origin failed.

Fix: the order follows from the times of the announcements, the deadline and the expected durations of a fetch (4 s) and of a load (1 s). The older version is finished first if a quarter of its fetch had passed and both can be complete in time; otherwise all turn to the newer one. A version that still waits when a third one comes is superseded, also by sidecars that began it early. A version that cannot be served any more when it is due is left. The first version that a process learns of was announced at an unknown time and most likely fetched by others long before, so it never holds up a newer one.

The order takes no chunks as input any more, so the sidecars of the test differ in the times at which they learned of the versions.

Learned times that differ by up to 0.2 s divide the sidecars if the announcements are 0.86 to 1.16 s apart (304 of 4000 gaps of 0 to 4 s, 58 sidecars); by up to 0.12 s, as recorded, 0.91 to 1.10 s (183).

--- a/src/programs/sidecar/weights_fetcher.cpp
+++ b/src/programs/sidecar/weights_fetcher.cpp
@@ -5,7 +5,6 @@
 
 #include "citronseam/process/enum_names.h"
 #include "citronseam/process/log.h"
-#include "citronseam/version/fetch_order.h"
 #include "platform/engine.h"
 
 namespace citronseam {
@@ -23,6 +22,8 @@
 constexpr std::size_t max_list_bytes = mebibyte;
 /// Estimated duration of a fetch on a link shared with live requests, until one was observed.
 constexpr milliseconds default_fetch_duration{4000};
+/// Estimated time from a complete fetch until the engine serves the version.
+constexpr milliseconds load_duration{1000};
 constexpr milliseconds min_observation{500};
 
 } // namespace
@@ -48,18 +49,30 @@
 }
 
 void weights_fetcher::set_target(const target_weights& target) {
-    if (target.model == newest().model && target.version <= newest().version) {
+    const bool is_same_model = target.model == newest_.model;
+    if (is_same_model && target.version <= newest_.version) {
         return;
     }
-    next_target_ = target;
+    if (!is_same_model) {
+        plan_.clear();
+    }
+    newest_ = target;
+    add_to_plan(
+        plan_, target.version, target.announced_at,
+        {context_.options.node.weights_switch_deadline, default_fetch_duration, load_duration});
     reconcile();
 }
 
-bool weights_fetcher::should_finish_current() const {
-    const auto now = std::chrono::steady_clock::now();
-    return should_finish_before_newer({now, target_.announced_at,
-                                       context_.options.node.weights_switch_deadline,
-                                       step_ == fetch_step::fetch, remaining_time(now)});
+/// Starts the version that the plan lists for now, unless it is the current one.
+void weights_fetcher::start_planned_version(time_point now) {
+    const bool is_same_model = target_.model == newest_.model;
+    // A version that was completed or left is not started again.
+    const std::uint64_t minimum =
+        is_same_model ? target_.version + (step_ == fetch_step::done ? 1 : 0) : 0;
+    const planned_fetch* planned = find_current_fetch(plan_, minimum, now);
+    if (planned != nullptr && (!is_same_model || planned->version != target_.version)) {
+        start_version({newest_.model, planned->version, planned->announced_at});
+    }
 }
 
 milliseconds weights_fetcher::remaining_time(time_point now) const {
@@ -73,7 +86,8 @@
 }
 
 milliseconds weights_fetcher::newest_remaining_time() const {
-    return next_target_ ? default_fetch_duration : remaining_time(std::chrono::steady_clock::now());
+    return newest_.version != target_.version ? default_fetch_duration
+                                              : remaining_time(std::chrono::steady_clock::now());
 }
 
 void weights_fetcher::start_version(const target_weights& target) {
@@ -100,9 +114,7 @@
 
 void weights_fetcher::reconcile() {
     const auto now = std::chrono::steady_clock::now();
-    if (next_target_ && !should_finish_current()) {
-        start_version(*std::exchange(next_target_, std::nullopt));
-    }
+    start_planned_version(now);
     if (target_.version == 0 || is_busy_ || now < retry_at_) {
         return;
     }
--- a/src/programs/sidecar/weights_fetcher.h
+++ b/src/programs/sidecar/weights_fetcher.h
@@ -6,9 +6,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
+#include <vector>
 
+#include "citronseam/version/fetch_order.h"
 #include "programs/sidecar/complete_weights.h"
 #include "programs/sidecar/engine_monitor.h"
 #include "programs/sidecar/sidecar_context.h"
@@ -45,7 +46,7 @@
     void reconcile();
 
     /// @return the newest weights that were announced
-    const target_weights& newest() const noexcept { return next_target_ ? *next_target_ : target_; }
+    const target_weights& newest() const noexcept { return newest_; }
     /// @return estimated time until the newest weights are complete, from the progress so far
     milliseconds newest_remaining_time() const;
     /// @return the request that fetches a chunk from the origin
@@ -56,8 +57,8 @@
     template<typename Function>
     auto make_step_handler(Function function);
 
+    void start_planned_version(time_point now);
     void start_version(const target_weights& target);
-    bool should_finish_current() const;
     void set_manifest(manifest list);
     void set_step(fetch_step step);
     void request_chunk_list();
@@ -75,7 +76,8 @@
     complete_handler on_complete_;
     std::string origin_;
     target_weights target_;
-    std::optional<target_weights> next_target_; ///< fetched after target_
+    target_weights newest_;           ///< fetched now or after target_
+    std::vector<planned_fetch> plan_; ///< of newest_.model
     manifest manifest_;
     fetch_step step_{fetch_step::done};
     std::uint64_t epoch_{0}; ///< incremented by each change of the step
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -356,10 +356,8 @@
 struct fetching_sidecar {
     milliseconds older_delay; ///< from the announcement of version 2 until it learns of it
     milliseconds newer_delay; ///< likewise of version 3
-    int held_chunks;          ///< of version 2
 };
 
-/// @return sidecars that hold 8 to 25 of 64 chunks
 /// @param max_delay_ms maximum of the delays
 std::vector<fetching_sidecar> make_fetching_sidecars(std::uint64_t max_delay_ms) {
     constexpr int count = 58;
@@ -369,36 +367,46 @@
     for (int i = 0; i < count; ++i) {
         const milliseconds older_delay(random_below(random, max_delay_ms + 1));
         const milliseconds newer_delay(random_below(random, max_delay_ms + 1));
-        sidecars.push_back({older_delay, newer_delay, 8 + i % 18});
+        sidecars.push_back({older_delay, newer_delay});
     }
     return sidecars;
 }
 
 constexpr time_point first_announcement{std::chrono::seconds(100)};
-constexpr milliseconds switch_deadline{8000};
-/// Time to read the list of chunks before the first chunk is fetched.
-constexpr milliseconds list_duration{100};
+constexpr fetch_order_params order_params{milliseconds(8000), milliseconds(4000),
+                                          milliseconds(1000)};
+
+/// @return the plan of a sidecar that started long ago with version 1
+/// @param learned when it learned of versions 2, 3, ..., after first_announcement
+std::vector<planned_fetch> make_plan(const std::vector<milliseconds>& learned,
+                                     const fetch_order_params& params = order_params) {
+    std::vector<planned_fetch> plan;
+    std::uint64_t version = 1;
+    add_to_plan(plan, version, time_point{}, params);
+    for (const milliseconds at : learned) {
+        add_to_plan(plan, ++version, first_announcement + at, params);
+    }
+    return plan;
+}
 
-/// @return the version that a sidecar fetches once it has learned of version 3
-/// @param gap time between the announcements of versions 2 and 3
-std::uint64_t version_after_announcement(const fetching_sidecar& sidecar, milliseconds gap) {
-    const time_point learned_older = first_announcement + sidecar.older_delay;
-    const time_point learned_newer = first_announcement + gap + sidecar.newer_delay;
-    const auto elapsed =
-        std::chrono::duration_cast<milliseconds>(learned_newer - learned_older) - list_duration;
-    const milliseconds remaining_time = elapsed * (64 - sidecar.held_chunks) / sidecar.held_chunks;
-    return should_finish_before_newer(
-               {learned_newer, learned_older, switch_deadline, true, remaining_time})
-               ? 2
-               : 3;
+/// @return the version that a sidecar fetches
+/// @param minimum lowest version that it may fetch
+/// @param at      time after first_announcement
+std::uint64_t version_at(const std::vector<planned_fetch>& plan, std::uint64_t minimum,
+                         milliseconds at) {
+    const planned_fetch* current = find_current_fetch(plan, minimum, first_announcement + at);
+    return current == nullptr ? 0 : current->version;
 }
 
 /// @return number of sidecars by the version that they fetch
+/// @param gap time between the announcements of versions 2 and 3
+/// @param at  time after the announcement of version 3, when all have learned of it
 std::map<std::uint64_t, int> count_versions(const std::vector<fetching_sidecar>& sidecars,
-                                            milliseconds gap) {
+                                            milliseconds gap, milliseconds at) {
     std::map<std::uint64_t, int> counts;
     for (const auto& sidecar : sidecars) {
-        ++counts[version_after_announcement(sidecar, gap)];
+        const auto plan = make_plan({sidecar.older_delay, gap + sidecar.newer_delay});
+        ++counts[version_at(plan, 2, gap + at)];
     }
     return counts;
 }
@@ -406,11 +414,93 @@
 // Guards against a swarm that divides: each sidecar chose by its own progress, 17 of 58 finished
 // the older version and 41 turned to the newer one, and neither part got all chunks.
 TEST(fetch_order, sidecars_with_differing_progress_choose_the_same_version) {
-    auto counts = count_versions(make_fetching_sidecars(120), milliseconds(2000));
+    constexpr milliseconds max_delay(120);
+    auto counts =
+        count_versions(make_fetching_sidecars(max_delay.count()), milliseconds(2000), max_delay);
     EXPECT_EQ(counts.size(), 1U) << counts[2] << " finish version 2, " << counts[3]
                                  << " turn to version 3";
 }
 
+// Guards against a swarm that divides by small differences in the times of learning.
+TEST(fetch_order, differences_in_learned_times_divide_sidecars_only_near_the_minimum) {
+    constexpr milliseconds max_delay(200);
+    constexpr milliseconds min_fetched(1000);
+    const auto sidecars = make_fetching_sidecars(max_delay.count());
+    for (milliseconds gap(0); gap <= order_params.switch_deadline; gap += milliseconds(10)) {
+        auto counts = count_versions(sidecars, gap, max_delay);
+        if (counts.size() > 1) {
+            // The older version may just have ended; sidecars notice it up to max_delay apart.
+            counts = count_versions(sidecars, gap, 2 * max_delay);
+        }
+        const bool is_near = gap > min_fetched - max_delay && gap < min_fetched + max_delay;
+        EXPECT_TRUE(counts.size() == 1 || is_near)
+            << "after " << gap.count() << " ms " << counts[2] << " finish version 2, " << counts[3]
+            << " turn to version 3";
+    }
+}
+
+// Guards against chunks of the older version that delay the newer one for nothing.
+TEST(fetch_order, a_version_that_has_just_begun_is_left) {
+    // Both could be complete in time.
+    constexpr fetch_order_params params{milliseconds(20000), milliseconds(4000),
+                                        milliseconds(1000)};
+    const auto plan = make_plan({milliseconds(0), milliseconds(900)}, params);
+    EXPECT_EQ(version_at(plan, 2, milliseconds(900)), 3U);
+    const auto later_plan = make_plan({milliseconds(0), milliseconds(1000)}, params);
+    EXPECT_EQ(version_at(later_plan, 2, milliseconds(1000)), 2U);
+}
+
+// Guards against chunks that the origin sent in vain.
+TEST(fetch_order, a_version_well_under_way_is_finished_first) {
+    const auto plan = make_plan({milliseconds(0), milliseconds(2000)});
+    EXPECT_EQ(version_at(plan, 2, milliseconds(2000)), 2U);
+    EXPECT_EQ(version_at(plan, 2, milliseconds(4000)), 2U);
+    EXPECT_EQ(version_at(plan, 3, milliseconds(4000)), 3U) << "version 2 is complete";
+}
+
+// Guards against a newer version that is late because an older one was finished first.
+TEST(fetch_order, a_version_is_left_when_the_newer_one_would_be_late) {
+    constexpr fetch_order_params params{milliseconds(6000), milliseconds(4000), milliseconds(1000)};
+    const auto plan = make_plan({milliseconds(0), milliseconds(2000)}, params);
+    EXPECT_EQ(version_at(plan, 2, milliseconds(2000)), 3U);
+}
+
+// Guards against a stalled version that holds up the newer one: the origin may be gone.
+TEST(fetch_order, a_stalled_version_is_left_when_it_cannot_be_served_in_time) {
+    const milliseconds end = order_params.switch_deadline - order_params.load_duration;
+    for (const milliseconds gap : {milliseconds(2000), milliseconds(6000)}) {
+        const auto plan = make_plan({milliseconds(0), gap});
+        EXPECT_EQ(version_at(plan, 2, end - milliseconds(1)), 2U);
+        EXPECT_EQ(version_at(plan, 2, end), 3U);
+    }
+}
+
+// Guards against a fetch slower than expected that is given up when it is nearly complete.
+TEST(fetch_order, a_slow_version_is_not_left_while_it_can_be_served_in_time) {
+    const auto plan = make_plan({milliseconds(0), milliseconds(2000)});
+    EXPECT_EQ(version_at(plan, 2, milliseconds(6500)), 2U);
+}
+
+// Guards against a swarm that divides when versions queue: some sidecars have begun the second one.
+TEST(fetch_order, a_version_that_still_waits_is_superseded) {
+    const auto plan = make_plan({milliseconds(0), milliseconds(2000), milliseconds(4000)});
+    EXPECT_EQ(version_at(plan, 2, milliseconds(4000)), 2U);
+    EXPECT_EQ(version_at(plan, 3, milliseconds(4000)), 4U) << "version 2 is complete";
+    const auto begun = make_plan({milliseconds(0), milliseconds(2000), milliseconds(6000)});
+    EXPECT_EQ(version_at(begun, 3, milliseconds(6000)), 3U) << "version 3 began at 4 s";
+    EXPECT_EQ(version_at(begun, 4, milliseconds(6000)), 4U) << "version 3 is complete";
+}
+
+// Guards against sidecars that fetch a version from the origin that the others turn away from.
+TEST(fetch_order, a_sidecar_that_has_just_started_turns_to_a_newer_version_at_once) {
+    std::vector<planned_fetch> plan;
+    add_to_plan(plan, 2, first_announcement, order_params);
+    EXPECT_EQ(version_at(plan, 0, milliseconds(0)), 2U);
+    add_to_plan(plan, 3, first_announcement + milliseconds(2000), order_params);
+    EXPECT_EQ(version_at(plan, 2, milliseconds(2000)), 3U);
+    EXPECT_EQ(plan.size(), 1U);
+}
+
 TEST(token_bucket, keeps_its_rate_for_any_message_size) {
     time_point now{};
     token_bucket bucket = make_bucket(1000, 100, now);
