Count the crashes that a request causes, not the servers left when it ends

What was seen: process_fault_test, case *crashes_its_servers*: two servers were running where one was expected, right after the response. 21 of 110 runs beside four busy processes, two runs at once.

Cause: the test. It counted processes at the moment of the response. An engine that exits closes its sockets first, which ends the request; its process can be reaped only when its last thread is gone.

Evidence: a trial copy read /proc/PID/task/*/stat when the count was off: 10 of 60 runs. Each time the second server had printed crashed_by_request and was left with one thread in state R, with or without its main thread as a zombie (Z), or was a zombie by then. It could be reaped 0.3 to 4.8 ms after the response. The third server was alive each time.

Change: the case waits for the exits and compares their causes: exactly two servers have exited with the engine's crash code, and each printed the ID of the first request as its cause. The comparison comes after the remaining server has answered another request, so a crash that is under way can't be missed. It is stricter than the count: it also fails if the retry at the other entry crashes the second or a third server, or if a server ends for another reason. The retry is sent as early as before.

With the limit of two losses changed to three the case fails with three causes, changed to one it fails with one.

--- a/tests/process_fault_test.cpp
+++ b/tests/process_fault_test.cpp
@@ -13,6 +13,21 @@
 constexpr milliseconds wait_timeout{8000};
 /// Silence timeout of the test deployments, plus time for the verdict to reach the caller.
 constexpr milliseconds verdict_time_limit{4000};
+/// Exit code of the stand-in engine after a request that crashes it.
+constexpr int crash_exit_code = 4;
+
+/// @return for each stand-in engine that has crashed, the ID of the request that crashed it
+std::vector<std::string> crash_causes(deployment& system, const std::vector<std::string>& servers) {
+    std::vector<std::string> causes;
+    for (const auto& server : servers) {
+        auto& process = system.process(server);
+        if (process.wait_for_exit(milliseconds(0)) == crash_exit_code) {
+            const auto line = process.wait_for_line("event=crashed_by_request", wait_timeout);
+            causes.push_back(log_field_value(line, "request"));
+        }
+    }
+    return causes;
+}
 
 TEST(process_fault, requests_on_a_connection_that_went_silent_get_a_verdict) {
     auto plan = small_deployment_plan();
@@ -129,11 +144,9 @@
     const auto first = system.call(0, "POST", "/v1/completions", body);
     EXPECT_GE(first.outcome.status, 400) << first.body;
     const auto runs = [&system] { return system.count_runs_of_service("pool", "event", "run"); };
-    int running = 0;
-    for (const auto* agent : {"agent-a", "agent-b", "agent-c"}) {
-        running += system.process(std::string(agent) + "-server").is_running() ? 1 : 0;
-    }
-    EXPECT_EQ(running, 1) << "one request must crash two servers and not a third";
+    const auto causes = [&system] {
+        return crash_causes(system, {"agent-a-server", "agent-b-server", "agent-c-server"});
+    };
     http_response retry;
     ASSERT_TRUE(wait_until(
         [&] {
@@ -144,10 +157,18 @@
         << retry.body;
     EXPECT_EQ(retry.outcome.status, 422);
     EXPECT_EQ(verdict_of(retry), "not_run");
+    // A crashing engine closes its sockets, which ends the request, before its process has exited.
+    EXPECT_TRUE(wait_until([&] { return causes().size() >= 2; }, wait_timeout))
+        << "one request must crash two servers, not " << causes().size();
     EXPECT_EQ(runs(), 0) << "the remaining server must not get the request";
     const auto other =
         system.call(1, "POST", "/v1/completions", completion_body("harmless", 4, true));
     EXPECT_EQ(other.outcome.status, 200) << other.body;
+    // The remaining server has just responded, so no crash is still under way.
+    const std::string first_id = find_header(first.headers, "X-Request-Id");
+    EXPECT_FALSE(first_id.empty());
+    EXPECT_EQ(causes(), std::vector<std::string>(2, first_id))
+        << "one request must crash two servers and not a third";
 
     const auto listed = system.run_tool({"quarantine", "list"});
     ASSERT_EQ(listed.status, 0) << listed.errors;
