Wait until a process that a test pauses has stopped

What was seen: process_once_test, case *paused_before_its_claim*: a booking at the other agent was answered 409 key_in_progress, "begun by agent-d", for 9 s though agent-d had been sent SIGSTOP before the first booking. 5 of 108 runs beside four busy processes.

Cause: the test harness. kill() returns before the process has stopped. The kernel wakes one thread to take the signal, and only that thread stops the others; until it is scheduled they go on, and agent-d claimed the key of the booking. A claim of a paused agent is meant to be answered 409.

Evidence: a trial copy sampled the thread states of agent-d from kill() on and read the key's row. In 49 of 110 runs the first sample found threads that had not stopped, mostly RSSSSSSSS: the main thread woken and not yet running, all others ready to take work, later some of them in state R. All were stopped 0.4 to 24 ms after kill() returned, after the booking had been sent. The failed runs, and no others, had a claim of agent-d in the store; by its expiry time, in whole milliseconds, it was made 0.5 to 6.7 ms after kill() returned.

Change: after SIGSTOP the harness waits until the process is reported as stopped, which is when all threads are. The case itself is unchanged; all tests that pause a process gain by it. The report is left in place (WNOWAIT), so that a second SIGSTOP doesn't wait for a report that was taken.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -76,8 +76,15 @@
 }
 
 void child_process::send_signal(int signal) {
-    if (is_running()) {
-        ::kill(pid_, signal);
+    if (!is_running()) {
+        return;
+    }
+    ::kill(pid_, signal);
+    if (signal == SIGSTOP) {
+        // Until the thread that takes the signal is scheduled, all other threads still run. WNOWAIT
+        // leaves an exit to reap().
+        siginfo_t stopped_or_exited{};
+        ::waitid(P_PID, static_cast<id_t>(pid_), &stopped_or_exited, WSTOPPED | WEXITED | WNOWAIT);
     }
 }
 
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -26,7 +26,8 @@
 
     /// @return process ID
     int pid() const noexcept { return pid_; }
-    /// Sends a signal if the process still runs.
+    /// Sends a signal if the process still runs. After SIGSTOP, waits until all its threads have
+    /// stopped.
     void send_signal(int signal);
     /// Waits until the process exits.
     /// @return exit code, 128 + signal number if a signal ended it, -1 on timeout
