Keep copies complete across restarts, one registration, and rows within the zone

- Since the change handler also runs when only the version rose, each poll of the members table started another chain of registrations while writes were refused.
One write is outstanding now, and the rows are looked at only when there are any.
- Rows that only other zones announce were requested after 250 ms by every process of a zone, over the link between regions.
The zone's reader requests them after 1 s, the others after 2.5 s, by when the reader has announced them.
A gateway announces new rows to its whole zone at once.

--- a/include/citronseam/process/versioned_row.h
+++ b/include/citronseam/process/versioned_row.h
@@ -32,8 +32,9 @@
 /// to a process whose copy is behind.
 struct row_cache {
     std::map<std::string, versioned_row, std::less<>> rows;
-    std::uint64_t version{0}; ///< version of the store up to which no change is missing
-    bool is_complete{false};  ///< false until all rows were read once
+    std::uint64_t version{0};        ///< version of the store up to which no change is missing
+    bool is_complete{false};         ///< false until all rows were read once
+    std::uint64_t removals_since{0}; ///< rows that were removed before this version are not listed
 };
 
 /// Merges a batch into the cache. Batches may arrive in any order: of two states of a row the one
@@ -48,6 +49,11 @@
 /// @return the rows with a version higher than `after`, removed ones included
 std::vector<versioned_row> rows_newer_than(const row_cache& cache, std::uint64_t after);
 
+/// @return what a process lacks whose copy is complete up to `after`: the changes since then, or
+/// all rows if removals since then are not known; an empty batch of version 0 if the cache is not
+/// complete
+row_batch changes_since(const row_cache& cache, std::uint64_t after);
+
 } // namespace citronseam
 
 #endif
--- a/src/process/versioned_row.cpp
+++ b/src/process/versioned_row.cpp
@@ -46,9 +46,13 @@
     if (batch.is_whole) {
         remove_unlisted(cache, batch, changed);
     }
-    if (batch.is_whole || batch.after <= cache.version) {
-        cache.version = std::max(cache.version, batch.version);
+    const bool has_all_rows = batch.is_whole || (batch.after == 0 && batch.version > 0);
+    if (has_all_rows && !cache.is_complete) {
         cache.is_complete = true;
+        cache.removals_since = batch.version;
+    }
+    if (cache.is_complete && (batch.is_whole || batch.after <= cache.version)) {
+        cache.version = std::max(cache.version, batch.version);
     }
     return changed;
 }
@@ -73,4 +77,12 @@
     return newer;
 }
 
+row_batch changes_since(const row_cache& cache, std::uint64_t after) {
+    if (!cache.is_complete) {
+        return {{}, 0, false, after};
+    }
+    const bool is_whole = after < cache.removals_since;
+    return {rows_newer_than(cache, is_whole ? 0 : after), cache.version, is_whole, after};
+}
+
 } // namespace citronseam
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -25,8 +25,12 @@
 constexpr milliseconds introduction_period{6000};
 constexpr milliseconds registration_retry_delay{400};
 /// Rows are requested from another process when they have not arrived within this time in the usual
-/// way: through the own feed, or from the gateway that sends them to this process.
+/// way: through the own feed, or from the gateway that a sidecar prefers.
 constexpr milliseconds operator_rows_grace{250};
+/// The same for rows that only processes of other zones announce. Links between regions are slow:
+/// the zone's reader fetches the rows over them, and the others get them from it.
+constexpr milliseconds remote_rows_grace{1000};
+constexpr milliseconds remote_rows_backup_grace{2500};
 /// The reader of the zone sends changes of the server list, which it reads every 400 ms.
 constexpr milliseconds server_rows_grace{1500};
 
@@ -73,7 +77,7 @@
         operator_rows_.set_needed_check([this] { return mesh_->members().empty(); });
     }
     operator_rows_.start([this](const table_change& change) { apply_operator_rows(change); });
-    member_rows_.start([this](const table_change& change) { apply_member_rows(change.rows); });
+    member_rows_.start([this](const table_change& change) { apply_member_rows(change); });
 }
 
 void cluster_node::stop() {
@@ -97,14 +101,9 @@
         observer_.on_heartbeat(from, heartbeat);
     };
     observer.on_rows_request = [this](const std::string& table, std::uint64_t after) {
-        row_batch batch;
         const auto found = shared_tables_.find(table);
-        if (found != shared_tables_.end()) {
-            batch.rows = rows_newer_than(found->second->rows(), after);
-            batch.version = found->second->rows().version;
-        }
-        batch.after = after;
-        return batch;
+        return changes_since(found == shared_tables_.end() ? row_cache{} : found->second->rows(),
+                             after);
     };
     observer.on_neighbours_reply = observer_.on_neighbours_reply;
     observer.on_rows = [this](const connected_member& from, const std::string& table,
@@ -152,8 +151,8 @@
     observer_.on_operator_rows(change.rows);
     if (self_.role == process_role::gateway) {
         // Sidecars do not follow the table. Each requests the rows from one gateway, so that they
-        // take its engine's link once.
-        mesh_->send_heartbeat_to_zone(process_role::sidecar);
+        // take its engine's link once. Gateways need them if their own feed is slow.
+        mesh_->send_heartbeat_to_zone();
     }
 }
 
@@ -171,10 +170,22 @@
         request_rows(instance, table, version);
         return;
     }
-    const milliseconds grace =
-        table == platform::servers_table ? server_rows_grace : operator_rows_grace;
-    control_.post_after(
-        grace, [this, instance, table, version] { request_rows(instance, table, version); });
+    control_.post_after(rows_grace(from, table), [this, instance, table, version] {
+        request_rows(instance, table, version);
+    });
+}
+
+/// @return how long rows that a process announced may take to arrive otherwise
+milliseconds cluster_node::rows_grace(const connected_member& from,
+                                      const std::string& table) const {
+    if (table == platform::servers_table) {
+        return server_rows_grace;
+    }
+    if (from.process.zone == self_.zone || preferred_gateway().empty()) {
+        return operator_rows_grace;
+    }
+    const bool is_reader = self_.role == process_role::gateway && is_zone_reader();
+    return is_reader ? remote_rows_grace : remote_rows_backup_grace;
 }
 
 void cluster_node::request_rows(const std::string& instance, const std::string& table,
@@ -232,8 +243,11 @@
     return newest_row_version(operator_rows_.rows());
 }
 
-void cluster_node::apply_member_rows(const std::vector<versioned_row>& changed) {
-    for (const auto& row : changed) {
+void cluster_node::apply_member_rows(const table_change& change) {
+    if (change.rows.empty() && change.previous_version > 0) {
+        return;
+    }
+    for (const auto& row : change.rows) {
         if (row.is_removed) {
             known_members_.erase(row.key);
             continue;
@@ -255,8 +269,13 @@
 }
 
 void cluster_node::register_self() {
+    if (is_registering_) {
+        return;
+    }
+    is_registering_ = true;
     store_.write_row(
         members_table, self_.instance, to_json(self_), [this](platform::store_outcome outcome) {
+            is_registering_ = false;
             if (outcome != platform::store_outcome::done) {
                 control_.post_after(registration_retry_delay, [this] { register_self(); });
                 return;
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -77,13 +77,14 @@
     void apply_member_batch(const connected_member& from, const std::string& table,
                             const row_batch& batch);
     void apply_operator_rows(const table_change& change);
-    void apply_member_rows(const std::vector<versioned_row>& changed);
+    void apply_member_rows(const table_change& change);
     void add_member(const member& process);
     void update_members_interval();
     void register_self();
     void update_targets();
     void handle_offer(const connected_member& from, const std::string& table,
                       std::uint64_t version);
+    milliseconds rows_grace(const connected_member& from, const std::string& table) const;
     void request_rows(const std::string& instance, const std::string& table, std::uint64_t version);
     void forget_lost_requests();
     std::string preferred_gateway() const;
@@ -100,6 +101,7 @@
     std::map<std::string, table_follower*> shared_tables_;
     std::map<std::string, member> known_members_;          ///< by instance
     std::map<std::string, pending_request> rows_requests_; ///< requests for rows, by table
+    bool is_registering_{false}; ///< a write of the own row is outstanding
     time_point started_at_;
 };
 
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -134,9 +134,9 @@
     }
 }
 
-void member_mesh::send_heartbeat_to_zone(process_role role) {
+void member_mesh::send_heartbeat_to_zone() {
     for (const auto& [number, connected] : sessions_) {
-        if (connected.process.role == role && connected.process.zone == self_.zone) {
+        if (connected.process.zone == self_.zone) {
             connected.session->send(heartbeat_);
         }
     }
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -70,8 +70,8 @@
     /// Sends a heartbeat to the connected processes at once.
     /// @param is_same_region_only whether only processes of the own region receive it
     void broadcast(wire::member_beatT heartbeat, bool is_same_region_only);
-    /// Sends the heartbeat at once to the connected processes of a role in the own zone.
-    void send_heartbeat_to_zone(process_role role);
+    /// Sends the heartbeat at once to the connected processes of the own zone.
+    void send_heartbeat_to_zone();
     /// Requests the sidecars of a service from a gateway.
     void request_neighbours(const connected_member& from, const std::string& service);
     /// Sends rows to a process without a request.
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -195,6 +195,28 @@
     EXPECT_TRUE(cache.is_complete);
 }
 
+// Guards against a removed row that stays: a process that started after the removal does not list
+// it.
+TEST(versioned_row, removals_before_the_first_read_are_passed_on_as_a_whole_table) {
+    row_cache started_later;
+    merge(started_later, {{{"a", "1", 10, false}}, 90, true});
+    row_cache behind;
+    merge(behind, {{{"a", "1", 10, false}, {"gone", "1", 20, false}}, 70, true});
+    const auto changed = merge(behind, changes_since(started_later, behind.version));
+    ASSERT_EQ(changed.size(), 1U);
+    EXPECT_EQ(changed[0].key, "gone");
+    EXPECT_TRUE(changed[0].is_removed);
+    EXPECT_EQ(behind.version, 90U);
+    EXPECT_FALSE(changes_since(started_later, 90).is_whole) << "only changes are sent afterwards";
+}
+
+// Guards against a process that knows nothing and passes as one that knows there is nothing.
+TEST(versioned_row, reply_of_a_process_without_a_copy_completes_nothing) {
+    row_cache cache;
+    merge(cache, changes_since(row_cache{}, 0));
+    EXPECT_FALSE(cache.is_complete);
+}
+
 // Guards against several readers of a zone at once: a table that nobody writes keeps its version,
 // while the reader still reads it.
 TEST(zone_reader, lowest_process_whose_reads_succeed_is_the_only_reader) {
@@ -216,6 +238,15 @@
     EXPECT_TRUE(is_zone_reader("b", {{"a", time_point{}}}, now)) << "it never read";
 }
 
+// Guards against a storm of reads: when the reader is slow, all others of the zone take over.
+TEST(zone_reader, processes_take_over_one_after_another) {
+    const time_point now = start;
+    const time_point last_read = now - milliseconds(1400);
+    EXPECT_TRUE(is_zone_reader("b", {{"a", last_read}, {"c", last_read}}, now));
+    EXPECT_FALSE(is_zone_reader("c", {{"a", last_read}, {"b", last_read}}, now));
+    EXPECT_TRUE(is_zone_reader("c", {{"a", last_read}, {"b", last_read}}, now + milliseconds(300)));
+}
+
 // Guards against copies on a slow link: a request that is repeated while its reply is on the way
 // doubles the load that delays the reply.
 TEST(pending_request, only_one_request_is_outstanding) {
