Show that every gateway of a zone reads a configuration from the store

The test counts the feed responses that carry a configuration, with three gateways in each of two zones: 8, from the 6 gateways and from the 2 sidecars, whose feed calls of 8 s began before they were connected. Two readers a zone, so that one may fail, make 4.

--- a/tests/process_rows_test.cpp
+++ b/tests/process_rows_test.cpp
@@ -175,6 +175,20 @@
     EXPECT_EQ(zone_reader_lines(), lines_before) << "a gateway took over or gave up the reading";
 }
 
+// Guards against copies of a configuration on the links between regions: each gateway of a zone
+// read it from the store.
+TEST_F(zone_rows, configuration_is_read_from_the_store_by_two_gateways_of_each_zone) {
+    constexpr int readers_per_zone = 2;
+    const int fed_before = world.store.feed_count("op");
+    const auto version = world.put_configuration(2, true);
+    for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+        ASSERT_TRUE(wait_for_configuration(world.gateway(i), version, milliseconds(3000)))
+            << "gateway-" << i;
+    }
+    EXPECT_LE(world.store.feed_count("op") - fed_before,
+              static_cast<int>(platform_world::zone_count) * readers_per_zone);
+}
+
 /// One gateway and one sidecar in each of two zones. The first sidecar reaches each gateway through
 /// a relay, because its own store lists the relays as addresses of the gateways.
 class slow_links : public ::testing::Test {
--- a/tests/support/row_store.cpp
+++ b/tests/support/row_store.cpp
@@ -91,6 +91,12 @@
     return found == read_counts_.end() ? 0 : found->second;
 }
 
+int row_store::feed_count(const std::string& table) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto found = feed_counts_.find(table);
+    return found == feed_counts_.end() ? 0 : found->second;
+}
+
 json row_store::list(const std::string& table, std::uint64_t after, bool with_removed) const {
     json records = json::array();
     const auto found = tables_.find(table);
@@ -123,6 +129,7 @@
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         found = list(table, after, true);
+        feed_counts_[table] += found.at("records").empty() ? 0 : 1;
     }
     if (!found.at("records").empty() || remaining_polls == 0) {
         send_json(*responder, 200, found);
--- a/tests/support/row_store.h
+++ b/tests/support/row_store.h
@@ -34,6 +34,8 @@
     std::uint64_t version() const;
     /// @return number of reads of a table received so far; feeds are not counted
     int read_count(const std::string& table) const;
+    /// @return number of feed responses so far that carried rows of a table
+    int feed_count(const std::string& table) const;
 
     std::atomic<bool> is_down{false};            ///< answers all calls with 503
     std::atomic<int> write_responses_to_drop{0}; ///< next writes to apply without a response
@@ -58,6 +60,7 @@
     std::map<std::string, table_rows> tables_;
     std::uint64_t version_{0};
     std::map<std::string, int> read_counts_; ///< by table
+    std::map<std::string, int> feed_counts_; ///< by table
     io_thread_pool timers_{1};
     std::unique_ptr<http_server> server_;
 };
