Let two gateways of each zone read the operator's table

Cause: each gateway read the configuration from the store, 17 and 14 times over one link of 24 Mbit/s between regions, on which requests travel as well. The same class as the copies to the sidecars.

Change: the two gateways of a zone with the lowest names whose reads succeed follow the feed, the others request the rows from a gateway of their zone that announces them. Feed calls last 1 s at most, so that each response shows that the reader reads; as two of 17 gateways make them, the calls do not increase. A failed read is repeated only by a process that has to read. is_zone_reader() takes the number of readers and the longest silence.

Why it works: a configuration crosses the link between regions twice, and one reader may fail without a delay.

--- a/include/citronseam/process/zone_reader.h
+++ b/include/citronseam/process/zone_reader.h
@@ -3,6 +3,7 @@
 #ifndef CITRONSEAM_PROCESS_ZONE_READER_H
 #define CITRONSEAM_PROCESS_ZONE_READER_H
 
+#include <cstddef>
 #include <string_view>
 #include <vector>
 
@@ -16,14 +17,20 @@
     time_point last_read_at; ///< when its number of successful reads was last seen to increase
 };
 
-/// Chooses the process with the lowest instance name among those whose reads succeed. Whether reads
-/// succeed does not follow from the version of the table, which stands still while nothing is
+/// How a zone's readers are chosen.
+struct reader_policy {
+    std::size_t readers{1};      ///< number of processes that read at a time
+    milliseconds max_silence{0}; ///< a process without a successful read for longer is not reading
+};
+
+/// Chooses the processes with the lowest instance names among those whose reads succeed. Whether
+/// reads succeed does not follow from the version of the table, which stands still while nothing is
 /// written.
 /// @param self   instance name of this process
 /// @param others the other candidates of the zone
 /// @return whether this process reads for the zone
 bool is_zone_reader(std::string_view self, const std::vector<reader_candidate>& others,
-                    time_point now) noexcept;
+                    const reader_policy& policy, time_point now) noexcept;
 
 } // namespace citronseam
 
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -87,7 +87,7 @@
 
     /// One gateway of each zone polls the server list often and sends the changes to the others.
     void update_servers_interval() {
-        const bool is_zone_reader = cluster_.is_zone_reader();
+        const bool is_zone_reader = cluster_.is_server_reader();
         if (is_zone_reader != is_zone_reader_) {
             log_event(log_level::info,
                       is_zone_reader ? "zone_reader_started" : "zone_reader_stopped",
@@ -248,6 +248,7 @@
         heartbeat.operator_version = cluster_.operator_version();
         heartbeat.servers_version = server_rows_.rows().version;
         heartbeat.server_reads = server_rows_.read_count();
+        heartbeat.operator_reads = cluster_.operator_reads();
         cluster_.mesh().set_heartbeat(heartbeat);
         return heartbeat;
     }
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -5,7 +5,6 @@
 #include <set>
 
 #include "citronseam/process/log.h"
-#include "citronseam/process/zone_reader.h"
 
 namespace citronseam {
 namespace {
@@ -13,9 +12,13 @@
 /// Table of the processes of the system, one row each.
 constexpr const char* members_table = "citronseam_members";
 
-/// Longest wait of one feed call, so that a dead connection is noticed. Until then the heartbeats
-/// of other processes reveal newer rows.
-constexpr milliseconds feed_wait{8000};
+/// Longest wait of one feed call. Each response shows that the reader still reads.
+constexpr milliseconds feed_wait{1000};
+/// Readers of the operator's table in a zone: two, so that one may fail unnoticed. Large rows take
+/// the links between regions once for each.
+constexpr reader_policy operator_readers{2, milliseconds(2000)};
+/// The server list is read every 400 ms, which is reported every 500 ms.
+constexpr reader_policy server_readers{1, milliseconds(1300)};
 /// Interval between reads of the members table; in between processes learn of each other directly.
 constexpr milliseconds members_interval{10000};
 /// The same just after the start, and while no other process is connected.
@@ -73,9 +76,10 @@
     }
     update_targets();
     register_self();
-    if (self_.role == process_role::sidecar) {
-        operator_rows_.set_needed_check([this] { return mesh_->members().empty(); });
-    }
+    operator_rows_.set_needed_check([this] {
+        return self_.role == process_role::gateway ? is_operator_reader()
+                                                   : mesh_->members().empty();
+    });
     operator_rows_.start([this](const table_change& change) { apply_operator_rows(change); });
     member_rows_.start([this](const table_change& change) { apply_member_rows(change); });
 }
@@ -181,11 +185,14 @@
     if (table == platform::servers_table) {
         return server_rows_grace;
     }
-    if (from.process.zone == self_.zone || preferred_gateway().empty()) {
+    const bool is_gateway = self_.role == process_role::gateway;
+    if (from.process.zone == self_.zone) {
+        return is_gateway && !is_operator_reader() ? milliseconds(0) : operator_rows_grace;
+    }
+    if (preferred_gateway().empty()) {
         return operator_rows_grace;
     }
-    const bool is_reader = self_.role == process_role::gateway && is_zone_reader();
-    return is_reader ? remote_rows_grace : remote_rows_backup_grace;
+    return is_gateway && is_operator_reader() ? remote_rows_grace : remote_rows_backup_grace;
 }
 
 void cluster_node::request_rows(const std::string& instance, const std::string& table,
@@ -338,16 +345,25 @@
     }
 }
 
-bool cluster_node::is_zone_reader() const {
+bool cluster_node::is_server_reader() const {
+    return is_reader(&connected_member::servers_read_at, server_readers);
+}
+
+bool cluster_node::is_operator_reader() const {
+    return is_reader(&connected_member::operator_read_at, operator_readers);
+}
+
+bool cluster_node::is_reader(time_point connected_member::*read_at,
+                             const reader_policy& policy) const {
     std::vector<reader_candidate> others;
     for (const connected_member* connected : mesh_->members()) {
         const member& other = connected->process;
         if (other.role == process_role::gateway && other.zone == self_.zone &&
             connected->is_ready) {
-            others.push_back({other.instance, connected->servers_read_at});
+            others.push_back({other.instance, connected->*read_at});
         }
     }
-    return citronseam::is_zone_reader(self_.instance, others, std::chrono::steady_clock::now());
+    return is_zone_reader(self_.instance, others, policy, std::chrono::steady_clock::now());
 }
 
 void cluster_node::send_rows_to_zone(process_role role, const std::string& table,
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -16,6 +16,7 @@
 #include "citronseam/process/metrics.h"
 #include "citronseam/process/pending_request.h"
 #include "citronseam/process/settings.h"
+#include "citronseam/process/zone_reader.h"
 #include "programs/node/member_mesh.h"
 #include "programs/node/store_client.h"
 #include "programs/node/table_follower.h"
@@ -63,7 +64,9 @@
     std::size_t gateway_count() const;
     /// @return whether this process polls the server list for its zone and sends the changes to its
     /// other gateways
-    bool is_zone_reader() const;
+    bool is_server_reader() const;
+    /// @return number of this process's successful reads of the operator's table
+    std::uint64_t operator_reads() const noexcept { return operator_rows_.read_count(); }
     /// Sends rows to the connected processes of the own zone.
     /// @param role of those processes
     void send_rows_to_zone(process_role role, const std::string& table, const row_batch& batch);
@@ -88,6 +91,8 @@
     void request_rows(const std::string& instance, const std::string& table, std::uint64_t version);
     void forget_lost_requests();
     std::string preferred_gateway() const;
+    bool is_operator_reader() const;
+    bool is_reader(time_point connected_member::*read_at, const reader_policy& policy) const;
 
     const settings& options_;
     io_thread_pool& control_;
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -214,9 +214,14 @@
         from.is_ready = heartbeat->is_ready();
         from.operator_version = heartbeat->operator_version();
         from.servers_version = heartbeat->servers_version();
+        const auto now = std::chrono::steady_clock::now();
         if (heartbeat->server_reads() > from.server_reads) {
             from.server_reads = heartbeat->server_reads();
-            from.servers_read_at = std::chrono::steady_clock::now();
+            from.servers_read_at = now;
+        }
+        if (heartbeat->operator_reads() > from.operator_reads) {
+            from.operator_reads = heartbeat->operator_reads();
+            from.operator_read_at = now;
         }
         observer_.on_heartbeat(from, *heartbeat);
         if (is_changed) {
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -30,6 +30,8 @@
     std::uint64_t servers_version{0};  ///< version of its copy of the server list
     std::uint64_t server_reads{0};     ///< number of its own reads of the server list
     time_point servers_read_at;        ///< when server_reads last increased
+    std::uint64_t operator_reads{0};   ///< number of its own reads of the operator's table
+    time_point operator_read_at;       ///< when operator_reads last increased
 };
 
 /// Callbacks of a mesh. All run on the control thread.
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -9,7 +9,7 @@
 /// enough that all processes together stay within the store's rate limits.
 constexpr milliseconds retry_delay{250};
 /// Interval between checks whether the table must be read after all.
-constexpr milliseconds needed_check_interval{500};
+constexpr milliseconds needed_check_interval{100};
 /// Granularity of the time between reads.
 constexpr milliseconds poll_tick{100};
 
@@ -67,7 +67,7 @@
 
 void table_follower::handle_full_table(platform::store_outcome outcome, const row_batch& batch) {
     if (outcome != platform::store_outcome::done) {
-        schedule(retry_delay, &table_follower::read_full_table);
+        schedule(retry_delay, &table_follower::read_again);
         return;
     }
     record_read();
@@ -80,6 +80,15 @@
     }
 }
 
+/// Reads the table after a failure, unless another process sends the rows.
+void table_follower::read_again() {
+    if (cache_.is_complete && is_needed_ && !is_needed_()) {
+        wait_for_changes();
+    } else {
+        read_full_table();
+    }
+}
+
 void table_follower::wait_for_changes() {
     if (is_needed_ && !is_needed_()) {
         // The feed continues after what the other process sent.
@@ -102,7 +111,7 @@
     }
     if (outcome != platform::store_outcome::done) {
         // Changes since then may have left the store's history, so the whole table is read again.
-        schedule(retry_delay, &table_follower::read_full_table);
+        schedule(retry_delay, &table_follower::read_again);
         return;
     }
     record_read();
--- a/src/programs/node/table_follower.h
+++ b/src/programs/node/table_follower.h
@@ -63,6 +63,7 @@
     void record_read();
     void read_full_table();
     void poll();
+    void read_again();
     void wait_for_changes();
     void handle_full_table(platform::store_outcome outcome, const row_batch& batch);
     void handle_feed(platform::store_outcome outcome, const row_batch& batch);
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -217,6 +217,8 @@
     EXPECT_FALSE(cache.is_complete);
 }
 
+constexpr reader_policy one_reader{1, milliseconds(1300)};
+
 // Guards against several readers of a zone at once: a table that nobody writes keeps its version,
 // while the reader still reads it.
 TEST(zone_reader, lowest_process_whose_reads_succeed_is_the_only_reader) {
@@ -226,25 +228,38 @@
     };
     constexpr milliseconds reader_period{400};
     constexpr milliseconds backup_period{5000};
-    EXPECT_TRUE(is_zone_reader("a", {reads_of("b", backup_period)}, now));
-    EXPECT_FALSE(is_zone_reader("b", {reads_of("a", reader_period)}, now));
-    EXPECT_FALSE(
-        is_zone_reader("c", {reads_of("a", reader_period), reads_of("b", backup_period)}, now));
+    EXPECT_TRUE(is_zone_reader("a", {reads_of("b", backup_period)}, one_reader, now));
+    EXPECT_FALSE(is_zone_reader("b", {reads_of("a", reader_period)}, one_reader, now));
+    EXPECT_FALSE(is_zone_reader("c", {reads_of("a", reader_period), reads_of("b", backup_period)},
+                                one_reader, now));
 }
 
 TEST(zone_reader, next_process_takes_over_when_reads_fail) {
     const time_point now = start;
-    EXPECT_TRUE(is_zone_reader("b", {{"a", now - milliseconds(1500)}}, now));
-    EXPECT_TRUE(is_zone_reader("b", {{"a", time_point{}}}, now)) << "it never read";
+    EXPECT_TRUE(is_zone_reader("b", {{"a", now - milliseconds(1500)}}, one_reader, now));
+    EXPECT_TRUE(is_zone_reader("b", {{"a", time_point{}}}, one_reader, now)) << "it never read";
 }
 
 // Guards against a storm of reads: when the reader is slow, all others of the zone take over.
 TEST(zone_reader, processes_take_over_one_after_another) {
     const time_point now = start;
     const time_point last_read = now - milliseconds(1400);
-    EXPECT_TRUE(is_zone_reader("b", {{"a", last_read}, {"c", last_read}}, now));
-    EXPECT_FALSE(is_zone_reader("c", {{"a", last_read}, {"b", last_read}}, now));
-    EXPECT_TRUE(is_zone_reader("c", {{"a", last_read}, {"b", last_read}}, now + milliseconds(300)));
+    EXPECT_TRUE(is_zone_reader("b", {{"a", last_read}, {"c", last_read}}, one_reader, now));
+    EXPECT_FALSE(is_zone_reader("c", {{"a", last_read}, {"b", last_read}}, one_reader, now));
+    EXPECT_TRUE(is_zone_reader("c", {{"a", last_read}, {"b", last_read}}, one_reader,
+                               now + milliseconds(300)));
+}
+
+// Guards against a change that waits until a failed reader is replaced.
+TEST(zone_reader, second_reader_reads_beside_the_first) {
+    const time_point now = start;
+    constexpr reader_policy two_readers{2, milliseconds(2000)};
+    const reader_candidate reading{"a", now};
+    const reader_candidate also_reading{"b", now};
+    const reader_candidate failed{"a", now - milliseconds(2100)};
+    EXPECT_TRUE(is_zone_reader("b", {reading}, two_readers, now));
+    EXPECT_FALSE(is_zone_reader("c", {reading, also_reading}, two_readers, now));
+    EXPECT_TRUE(is_zone_reader("c", {failed, also_reading}, two_readers, now));
 }
 
 // Guards against copies on a slow link: a request that is repeated while its reply is on the way
