Add a failing test: a resumed stream begins on replaced weights

Callers see: a stream breaks or is moved, goes on at a second engine shortly before its weights are due, waits in that engine's queue, and begins there after the weights were due.

Cause, by reading: gateway_exchange::check_time cancels an attempt that has not begun when its weights are about to be replaced, but only while no event was forwarded, that is only the first attempt of a stream.

The stand-in engine can hold a request in a queue, and the pause between its events can be set. A caller that goes away removes its request from the queue.

--- /dev/null
+++ b/tests/process_weights_test.cpp
@@ -0,0 +1,71 @@
+// Streams that move between engines shortly before their weights must be replaced.
+#include <gtest/gtest.h>
+
+#include "support/platform_world.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+/// With the gateways' bound of 5 s, the second version is due this long after its announcement.
+constexpr milliseconds weights_due{5000};
+/// Gateways send requests to the first version until 4.1 s after the announcement. A stream that
+/// begins now is resumed well before.
+constexpr milliseconds stream_start{3600};
+
+class weights : public ::testing::Test {
+protected:
+    void SetUp() override {
+        ASSERT_TRUE(world.start()) << world.gateway(0).output() << world.gateway(1).output();
+        // The engines keep the first version, so a resumed stream always finds its weights.
+        world.origin.is_down = true;
+        world.set_weights_version(2);
+        ASSERT_NE(world.gateway(0).wait_for_line("event=weights_named", milliseconds(3000)), "");
+        announced_at = std::chrono::steady_clock::now();
+    }
+
+    /// Calls for a stream that breaks at the first engine after three events.
+    http_response call_for_broken_stream() {
+        world.engines[0]->streams_to_truncate = 1;
+        std::this_thread::sleep_until(announced_at + stream_start);
+        return world.call(0, "POST", "/draft/1",
+                          {{"Authorization", std::string("Token ") + platform_world::api_key}});
+    }
+
+    static std::string make_events(int first, int last, const std::string& server) {
+        std::string text;
+        for (int i = first; i <= last; ++i) {
+            text += "id: " + std::to_string(i) + "\ndata: " + server + "\n\n";
+        }
+        return text;
+    }
+
+    platform_world world;
+    std::chrono::steady_clock::time_point announced_at;
+};
+
+// Guards against a resumed stream that begins at its second engine after its weights were due.
+TEST_F(weights, resumed_stream_in_a_queue_does_not_begin_on_replaced_weights) {
+    world.engines[1]->queue_delay_ms = 1800;
+    const auto stream = call_for_broken_stream();
+    EXPECT_FALSE(stream.outcome.is_complete);
+    EXPECT_EQ(stream.body, make_events(1, 3, "engine-zone-a"));
+    const std::string moved =
+        world.gateway(0).wait_for_line("event=request_moved", milliseconds(0));
+    EXPECT_NE(moved.find("engine-zone-b"), std::string::npos) << "the second engine was asked";
+    std::this_thread::sleep_until(announced_at + weights_due + milliseconds(1000));
+    EXPECT_TRUE(world.engines[1]->runs_per_attempt().empty()) << world.gateway(0).output();
+}
+
+// Guards against cancelling a resumed stream that began at its second engine in time.
+TEST_F(weights, resumed_stream_that_began_in_time_runs_past_the_due_time) {
+    world.engines[1]->event_interval_ms = 450;
+    const auto stream = call_for_broken_stream();
+    EXPECT_GT(std::chrono::steady_clock::now(), announced_at + weights_due);
+    EXPECT_TRUE(stream.outcome.is_complete) << world.gateway(0).output();
+    EXPECT_EQ(stream.body, make_events(1, 3, "engine-zone-a") +
+                               make_events(4, platform_server::events_per_stream, "engine-zone-b"));
+}
+
+} // namespace
--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -10,7 +10,6 @@
 
 using nlohmann::json;
 
-constexpr milliseconds event_interval{30};
 constexpr milliseconds weight_load_delay{200};
 
 } // namespace
@@ -55,6 +54,8 @@
         responder->respond(421, {{"X-Citronseam-Instance-Id", id_}}, "");
     } else if (is_overloaded) {
         responder->respond(503, {{"X-Citronseam-Not-Executed", "1"}}, "");
+    } else if (queue_delay_ms > 0) {
+        queue(request, responder);
     } else {
         run(request, responder);
     }
@@ -115,6 +116,17 @@
             {"X-Citronseam-Weight-Versions", std::to_string(version())}};
 }
 
+void platform_server::queue(const server_request& request,
+                            const std::shared_ptr<http_responder>& responder) {
+    const auto is_cancelled = std::make_shared<std::atomic<bool>>(false);
+    responder->on_disconnect([is_cancelled] { *is_cancelled = true; });
+    timers_.post_after(milliseconds(queue_delay_ms), [this, request, responder, is_cancelled] {
+        if (!*is_cancelled) {
+            run(request, responder);
+        }
+    });
+}
+
 void platform_server::run(const server_request& request,
                           const std::shared_ptr<http_responder>& responder) {
     const auto headers = response_headers(request);
@@ -142,9 +154,10 @@
                                  const std::shared_ptr<http_responder>& responder) {
     responder->write("id: " + std::to_string(event_id) + "\ndata: " + id_ + "\n\n");
     if (event_id < last) {
-        timers_.post_after(event_interval, [this, event_id, last, is_truncated, responder] {
-            send_event(event_id + 1, last, is_truncated, responder);
-        });
+        timers_.post_after(milliseconds(event_interval_ms),
+                           [this, event_id, last, is_truncated, responder] {
+                               send_event(event_id + 1, last, is_truncated, responder);
+                           });
     } else if (is_truncated) {
         responder->write("id: 99\nda");
         responder->abort();
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -36,6 +36,8 @@
     std::atomic<int> streams_to_truncate{0}; ///< next streams to abort after three events
     std::atomic<int> responses_to_drop{0};   ///< next requests to run without a response
     std::atomic<bool> is_overloaded{false};  ///< answers 503 "not executed" to requests
+    std::atomic<int> queue_delay_ms{0};      ///< requests wait this long before they begin to run
+    std::atomic<int> event_interval_ms{30};  ///< between two events of a stream
 
     static constexpr int events_per_stream = 8;
 
@@ -43,6 +45,7 @@
     void handle(const server_request& request, const std::shared_ptr<http_responder>& responder);
     bool handle_engine_call(const server_request& request, http_responder& responder);
     void handle_load_order(const nlohmann::json& order, http_responder& responder);
+    void queue(const server_request& request, const std::shared_ptr<http_responder>& responder);
     void run(const server_request& request, const std::shared_ptr<http_responder>& responder);
     void send_event(int event_id, int last, bool is_truncated,
                     const std::shared_ptr<http_responder>& responder);
