Cancel resumed streams that would begin on replaced weights

Callers saw: a stream was moved to a second engine 0.935 s before its weights were due, waited 0.94 s in that engine's queue, and began there on weights that had to be replaced by then.

Cause: check_time cancelled an attempt that had not begun only while the exchange had forwarded no event, so a resumed attempt was never covered.

Now the condition looks at the attempt: without data from its engine it has not begun, since an engine sends data from its first token on. This covers every way to a second engine: a broken, a stalled and a moved stream. A resumed stream needs exactly the weights that are replaced, so no other engine can take it; it is cut off without spending a retry, and the caller may resume it after the events that it has. It is never reported as refused, since it ran at the first engine. A first attempt of which the engine sent a part of an event is no longer cancelled: it has begun.

Evidence: process_weights_test. Before: resumed_stream_in_a_queue_does_not_begin_on_replaced_weights failed in 5 of 5 runs, the second engine began after the due time and the stream ended as complete. After: 5 of 5 runs pass. With the condition on data left out, resumed_stream_that_began_in_time_runs_past_the_due_time fails, as it should. process_platform_test passes 9 of 9 and process_rows_test 3 of 3, one run each.

That no retry is spent is by reading; no test covers it.

--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -248,7 +248,7 @@
         fail_deadline();
         return;
     }
-    if (attempt_.server != nullptr && events_forwarded_ == 0 &&
+    if (attempt_.server != nullptr && !attempt_.has_data &&
         !context_.pool.may_start_at(*attempt_.server, service_, now)) {
         move_to_other_server("weights_replaced", now);
         return;
@@ -315,7 +315,9 @@
     const bool is_stalled = reason == "stalled";
     cancel_attempt(is_stalled ? exchange_outcome::failed : exchange_outcome::abandoned);
     verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
-    if (is_stalled || may_retry(now)) {
+    // A resumed stream needs the weights that are replaced, so no server can take it.
+    const bool has_other_server = reason != "weights_replaced" || events_forwarded_ == 0;
+    if (is_stalled || (has_other_server && may_retry(now))) {
         send_next();
     } else {
         fail_broken(reason);
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -47,6 +47,7 @@
         time_point started_at;
         time_point last_data_at; ///< when the last part of the response arrived
         bool has_head{false};
+        bool has_data{false}; ///< the engine has begun: it sends data from its first token on
         int status{0};
         std::vector<http_header> headers;
         platform::response_parameters parameters;
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -56,6 +56,7 @@
     if (attempt_.is_unusable) {
         return false;
     }
+    attempt_.has_data = true;
     record_response_start();
     if (attempt_.is_stream) {
         attempt_.is_unusable = !feed(attempt_.events, data) || !forward_events();
