Show that a large configuration is sent to an agent by every entry

An agent requests the configuration from each entry whose heartbeat names a newer generation than its own, until one is applied. Behind slow links the whole body comes once from each entry, on the sessions that also carry requests and their cancellations.

The test has four entries and one agent, which reaches each entry through a relay that passes 256 KiB/s. A configuration of at least 300 KiB is applied, and the agent must receive its body once.

Each body that a process receives is logged as configuration_received, so that copies can be counted.

--- a/src/programs/daemon/control_state_sync.cpp
+++ b/src/programs/daemon/control_state_sync.cpp
@@ -151,6 +151,9 @@
 }
 
 void control_state_sync::handle_configuration(const wire::configuration_body& message) {
+    log_event(
+        log_level::info, "configuration_received",
+        {{"generation", message.generation()}, {"bytes", citronseam::view(message.body()).size()}});
     if (message.generation() <= accepted_generation(*view())) {
         return;
     }
--- /dev/null
+++ b/tests/process_configuration_test.cpp
@@ -0,0 +1,84 @@
+// How processes fetch the accepted configuration from their peers.
+#include <sstream>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "citronseam/process/sizes.h"
+#include "support/deployment.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+constexpr std::size_t workspace_count = 6000;
+/// A configuration takes about 1.5 s at this rate, six heartbeat intervals.
+constexpr std::size_t link_rate = 256 * kibibyte;
+/// Time in which further copies would arrive.
+constexpr milliseconds copies_wait{3000};
+
+/// @return a configuration of at least 300 KiB
+std::string large_configuration() {
+    std::string workspaces = "workspaces:\n";
+    for (std::size_t i = 0; i < workspace_count; ++i) {
+        workspaces +=
+            "  - name: workspace-" + std::to_string(i) + "\n    weight: 1\n    queue_limit: 64\n";
+    }
+    return test_configuration({{"workspaces:\n", workspaces}});
+}
+
+/// @return how many bodies of that generation a process received
+int bodies_received(const child_process& process, const std::string& generation) {
+    int count = 0;
+    std::istringstream output(process.output());
+    for (std::string line; std::getline(output, line);) {
+        const bool is_body = line.find("event=configuration_received") != std::string::npos;
+        count += is_body && log_field_value(line, "generation") == generation ? 1 : 0;
+    }
+    return count;
+}
+
+/// Four entries and one agent, which reaches each entry through a proxy.
+class configuration_fetch : public ::testing::Test {
+protected:
+    static deployment_plan make_plan() {
+        auto plan = small_deployment_plan();
+        plan.entry_zones = {"zone-a", "zone-a", "zone-b", "zone-b"};
+        plan.backend_servers = {{"agent-d", "desk", "zone-a", false, {}}};
+        plan.has_proxies = true;
+        return plan;
+    }
+
+    void SetUp() override {
+        system.start();
+        const std::string text = large_configuration();
+        ASSERT_GE(text.size(), 300 * kibibyte);
+        set_link_rate(link_rate);
+        system.apply(text);
+    }
+
+    void set_link_rate(std::size_t bytes_per_second) {
+        for (std::size_t i = 0; i < system.entry_count(); ++i) {
+            system.proxy("peer:entry-" + std::to_string(i)).set_target_rate(bytes_per_second);
+        }
+    }
+
+    child_process& agent() { return system.process("agent-d"); }
+    std::string wait_for_event(const std::string& event, milliseconds timeout) {
+        return agent().wait_for_line("event=" + event + " generation=2", timeout);
+    }
+
+    deployment system{make_plan()};
+};
+
+// Guards against an agent that requests a large configuration from all entries at once, and again
+// while the first copy is on its way.
+TEST_F(configuration_fetch, large_configuration_is_sent_once_to_an_agent_behind_slow_links) {
+    ASSERT_FALSE(wait_for_event("configuration_in_force", milliseconds(10000)).empty())
+        << agent().output();
+    std::this_thread::sleep_for(copies_wait);
+    EXPECT_EQ(bodies_received(agent(), "2"), 1);
+}
+
+} // namespace
