Let a process request the configuration from one peer at a time

What callers see: with every new configuration each agent gets its whole body from all of its entries at once.

Cause: control_state_sync requested the configuration from every peer whose heartbeat names a newer generation, until one was applied, whether or not a copy was on its way. Entries send that heartbeat to all agents as soon as a configuration is in force.

Change: one request is outstanding at a time, on the control thread (pending_request, as in the platform roles). It ends with its reply, with its session or after 5 s. The reply ends it after the configuration was applied, so that no heartbeat in between requests it again. Notices and evidence in heartbeats are handled as before. Requests are logged as configuration_requested.

Why it works: however many entries announce a generation, its body takes the agent's link once.

--- a/src/programs/daemon/control_state_sync.cpp
+++ b/src/programs/daemon/control_state_sync.cpp
@@ -85,6 +85,8 @@
         return true;
     case wire::body::configuration_body:
         handle_configuration(*message.body_as_configuration_body());
+        // Runs after the configuration was applied, so no heartbeat in between requests it again.
+        control_.post([this, peer = from->number()] { end_configuration_request(peer); });
         return true;
     default:
         return false;
@@ -121,9 +123,7 @@
             is_changed = apply_notice(state_, notice) || is_changed;
         }
         if (generation > accepted_generation(state_)) {
-            wire::configuration_requestT request;
-            request.after = accepted_generation(state_);
-            from->send(make_frame(request));
+            request_configuration(*from, generation);
         } else if (has_evidence) {
             // This process holds everything that the peer holds, so the peer's evidence applies
             // here.
@@ -136,6 +136,30 @@
     });
 }
 
+/// A body may take seconds on a slow link that also carries live requests, so one copy is requested
+/// at a time. Runs on the control thread.
+void control_state_sync::request_configuration(peer_session& from, std::uint64_t generation) {
+    const time_point now = std::chrono::steady_clock::now();
+    if (is_outstanding(configuration_request_, now)) {
+        return;
+    }
+    wire::configuration_requestT request;
+    request.after = accepted_generation(state_);
+    if (!from.send(make_frame(request))) {
+        return;
+    }
+    configuration_request_ = {from.number(), now};
+    log_event(log_level::info, "configuration_requested",
+              {{"generation", generation}, {"after", request.after}, {"session", from.number()}});
+}
+
+/// Runs on the control thread.
+void control_state_sync::end_configuration_request(std::uint64_t peer) {
+    if (configuration_request_.session == peer) {
+        configuration_request_ = {};
+    }
+}
+
 void control_state_sync::handle_configuration_request(
     const std::shared_ptr<peer_session>& from, const wire::configuration_request& message) const {
     const control_view current = view();
@@ -171,8 +195,11 @@
 }
 
 void control_state_sync::remove_session(std::uint64_t peer) {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    timestamps_by_session_.erase(peer);
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        timestamps_by_session_.erase(peer);
+    }
+    control_.post([this, peer] { end_configuration_request(peer); });
 }
 
 void control_state_sync::apply_configuration(
--- a/src/programs/daemon/control_state_sync.h
+++ b/src/programs/daemon/control_state_sync.h
@@ -14,6 +14,7 @@
 #include "citronseam/connection/peer_session.h"
 #include "citronseam/process/control_state.h"
 #include "citronseam/process/metrics.h"
+#include "citronseam/process/pending_request.h"
 
 namespace citronseam {
 
@@ -54,7 +55,8 @@
                                       const wire::configuration_request& message) const;
     /// Checks and applies a configuration that another process sent. May be called from any thread.
     void handle_configuration(const wire::configuration_body& message);
-    /// Drops the timestamps of a closed session.
+    /// Drops the timestamps of a closed session and ends its configuration request. May be called
+    /// from any thread.
     void remove_session(std::uint64_t peer);
 
     /// Applies an accepted configuration if it is newer. Runs on the control thread.
@@ -70,12 +72,15 @@
     time_point last_echo(std::uint64_t peer) const;
 
 private:
+    void request_configuration(peer_session& from, std::uint64_t generation);
+    void end_configuration_request(std::uint64_t peer);
     void publish();
 
     io_thread_pool& control_;
     metrics& metrics_;
     std::function<void(const control_view&)> change_callback_;
-    control_state state_; ///< control thread only
+    control_state state_;                   ///< control thread only
+    pending_request configuration_request_; ///< control thread only
 
     struct peer_timestamps {
         std::uint64_t received_ms{0}; ///< last timestamp of the peer
--- a/tests/process_configuration_test.cpp
+++ b/tests/process_configuration_test.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t link_rate = 256 * kibibyte;
 /// Time in which further copies would arrive.
 constexpr milliseconds copies_wait{3000};
+/// Shorter than the 5 s after which a request without a reply is given up on.
+constexpr milliseconds reconnect_bound{3000};
 
 /// @return a configuration of at least 300 KiB
 std::string large_configuration() {
@@ -64,6 +66,12 @@
         }
     }
 
+    void set_disconnected(bool is_disconnected) {
+        for (std::size_t i = 0; i < system.entry_count(); ++i) {
+            system.proxy("peer:entry-" + std::to_string(i)).set_disconnected(is_disconnected);
+        }
+    }
+
     child_process& agent() { return system.process("agent-d"); }
     std::string wait_for_event(const std::string& event, milliseconds timeout) {
         return agent().wait_for_line("event=" + event + " generation=2", timeout);
@@ -81,4 +89,17 @@
     EXPECT_EQ(bodies_received(agent(), "2"), 1);
 }
 
+// Guards against an agent that waits for a reply after the connection it requested it on was lost.
+TEST_F(configuration_fetch, configuration_is_requested_again_after_the_connection_is_lost) {
+    ASSERT_FALSE(wait_for_event("configuration_requested", milliseconds(5000)).empty())
+        << agent().output();
+    EXPECT_EQ(bodies_received(agent(), "2"), 0)
+        << "the reply arrived before the connection was cut";
+    set_link_rate(0);
+    set_disconnected(true);
+    set_disconnected(false);
+    EXPECT_FALSE(wait_for_event("configuration_in_force", reconnect_bound).empty())
+        << agent().output();
+}
+
 } // namespace
