Give up on a configuration request before evidence expires

is_outstanding() takes the reply timeout as a parameter: 2.5 s for the configuration of entries and agents, 5 s for rows as before. Several slow links then carry a copy each 2.5 s instead of one from every entry at once.

--- a/include/citronseam/process/pending_request.h
+++ b/include/citronseam/process/pending_request.h
@@ -17,8 +17,10 @@
 };
 
 /// A large reply may take seconds on a slow link; a repeated request would double the load there.
+/// @param reply_timeout time after which a peer that is alive but does not reply is given up on
 /// @return whether a request is outstanding at `now`, so that no other may be sent
-bool is_outstanding(const pending_request& request, time_point now) noexcept;
+bool is_outstanding(const pending_request& request, milliseconds reply_timeout,
+                    time_point now) noexcept;
 
 } // namespace citronseam
 
--- a/src/programs/daemon/control_state_sync.cpp
+++ b/src/programs/daemon/control_state_sync.cpp
@@ -5,6 +5,10 @@
 namespace citronseam {
 namespace {
 
+/// Shorter than the usual age up to which evidence allows requests: evidence does not advance while
+/// a newer configuration is missing.
+constexpr milliseconds configuration_reply_timeout{2500};
+
 /// Each process expires notices by its own clock; the bound limits a notice with a wrong duration.
 constexpr milliseconds max_notice_duration{3600000};
 
@@ -140,7 +144,7 @@
 /// at a time. Runs on the control thread.
 void control_state_sync::request_configuration(peer_session& from, std::uint64_t generation) {
     const time_point now = std::chrono::steady_clock::now();
-    if (is_outstanding(configuration_request_, now)) {
+    if (is_outstanding(configuration_request_, configuration_reply_timeout, now)) {
         return;
     }
     wire::configuration_requestT request;
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds remote_rows_backup_grace{2500};
 /// The reader of the zone sends changes of the server list, which it reads every 400 ms.
 constexpr milliseconds server_rows_grace{1500};
+/// Longer than a large reply takes on a slow link.
+constexpr milliseconds rows_reply_timeout{5000};
 
 member make_self(const settings& options) {
     member self;
@@ -199,7 +201,8 @@
                                 std::uint64_t version) {
     const auto now = std::chrono::steady_clock::now();
     const std::uint64_t known_version = shared_tables_.at(table)->rows().version;
-    if (version <= known_version || is_outstanding(rows_requests_[table], now)) {
+    if (version <= known_version ||
+        is_outstanding(rows_requests_[table], rows_reply_timeout, now)) {
         return;
     }
     for (const connected_member* connected : mesh_->members()) {
--- a/tests/process_configuration_test.cpp
+++ b/tests/process_configuration_test.cpp
@@ -17,8 +17,8 @@
 constexpr std::size_t link_rate = 256 * kibibyte;
 /// Time in which further copies would arrive.
 constexpr milliseconds copies_wait{3000};
-/// Shorter than the 5 s after which a request without a reply is given up on.
-constexpr milliseconds reconnect_bound{3000};
+/// Shorter than the 2.5 s after which a request without a reply is given up on.
+constexpr milliseconds reconnect_bound{2000};
 
 /// @return a configuration of at least 300 KiB
 std::string large_configuration() {
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -266,9 +266,10 @@
 // doubles the load that delays the reply.
 TEST(pending_request, only_one_request_is_outstanding) {
     const time_point now = start;
-    EXPECT_FALSE(is_outstanding({}, now));
-    EXPECT_TRUE(is_outstanding({7, now - milliseconds(3000)}, now));
-    EXPECT_FALSE(is_outstanding({7, now - milliseconds(6000)}, now))
+    constexpr milliseconds reply_timeout{5000};
+    EXPECT_FALSE(is_outstanding({}, reply_timeout, now));
+    EXPECT_TRUE(is_outstanding({7, now - milliseconds(3000)}, reply_timeout, now));
+    EXPECT_FALSE(is_outstanding({7, now - milliseconds(6000)}, reply_timeout, now))
         << "a peer that never replies is given up on";
 }
 
