--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -156,8 +156,8 @@
     }
     observer_.on_operator_rows(change.rows);
     if (self_.role == process_role::gateway) {
-        // Sidecars do not follow the table. Each requests the rows from one gateway, so that they
-        // take its engine's link once. Gateways need them if their own feed is slow.
+        // Sidecars and the gateways that do not read for the zone request the rows: each from one
+        // gateway, so that they take its link once.
         mesh_->send_heartbeat_to_zone();
     }
 }
