Log a fingerprint with each broken attempt of a gateway

The fingerprint covers host, workspace, method, target and body: not the service, which a configuration may change. No decision uses it yet.

--- a/include/citronseam/request/quarantine.h
+++ b/include/citronseam/request/quarantine.h
@@ -47,8 +47,9 @@
 /// @return the name of a status as shown to operators
 std::string_view name(quarantine_status status) noexcept;
 
-/// @return the fingerprint of a request, a hash of its service, method, target and body
-std::uint64_t request_fingerprint(std::string_view service, std::string_view method,
+/// @param scope what the target belongs to: a service, or a host and a workspace
+/// @return the fingerprint of a request, a hash of its scope, method, target and body
+std::uint64_t request_fingerprint(std::string_view scope, std::string_view method,
                                   std::string_view target, std::string_view body) noexcept;
 
 /// Records a loss; the same loss reported twice counts once.
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "citronseam/process/log.h"
+#include "citronseam/request/quarantine.h"
 #include "citronseam/request/retry_budget.h"
 #include "citronseam/request/shutdown_admission.h"
 #include "programs/gateway/http_status.h"
@@ -88,6 +89,9 @@
         refuse({status_unauthorized, "unknown_key", "the key is not known", {}});
         return false;
     }
+    fingerprint_ =
+        request_fingerprint(caller_.host + " " + (workspace_ == nullptr ? "" : workspace_->name),
+                            request_.method, request_.target, request_.body);
     service_ = choose_service(*rule_, context_.pool.random());
     if (!can_finish_before_exit(
             received_at_, view_->shutdown_at,
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -108,6 +108,7 @@
     const route* rule_{nullptr};
     const workspace_config* workspace_{nullptr};
     std::string service_;
+    std::uint64_t fingerprint_{0}; ///< equal for a request that a caller sends again
     time_point deadline_;
 
     attempt attempt_;
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -150,6 +150,7 @@
     const bool is_sent = outcome.verdict != run_verdict::not_run;
     log_event(log_level::info, "attempt_broken",
               {{"request", caller_.attempt},
+               {"fingerprint", fingerprint_},
                {"server", attempt_.server->entry.id},
                {"sent", is_sent ? 1 : 0},
                {"events", events_forwarded_},
--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -44,9 +44,9 @@
     return find_name(status_names, status);
 }
 
-std::uint64_t request_fingerprint(std::string_view service, std::string_view method,
+std::uint64_t request_fingerprint(std::string_view scope, std::string_view method,
                                   std::string_view target, std::string_view body) noexcept {
-    std::uint64_t hash = hash_text(service);
+    std::uint64_t hash = hash_text(scope);
     hash = hash_text(method, hash);
     hash = hash_text(target, hash);
     return hash_text(body, hash);
