Add a failing test: each gateway sends on a request that crashes servers

The stand-in for a backend server can now crash on a target: it closes its connections, refuses new ones for 0.3 s and starts again under another identifier.

--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -11,11 +11,13 @@
 using nlohmann::json;
 
 constexpr milliseconds weight_load_delay{200};
+/// From a crash until the server starts again.
+constexpr milliseconds restart_delay{300};
 
 } // namespace
 
 platform_server::platform_server(std::string id, bool is_engine)
-    : id_(std::move(id)), is_engine_(is_engine),
+    : name_(id), id_(std::move(id)), is_engine_(is_engine),
       server_(start_server(
           [this](const server_request& request, const std::shared_ptr<http_responder>& responder) {
               handle(request, responder);
@@ -25,8 +27,51 @@
     }
 }
 
+platform_server::~platform_server() {
+    timers_.stop();
+}
+
 std::string platform_server::address() const {
-    return loopback_address(server_->port());
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return front_ == nullptr ? loopback_address(server_->port()) : front_->address();
+}
+
+std::string platform_server::id() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return id_;
+}
+
+void platform_server::set_crash_target(std::string target,
+                                       std::function<void(const std::string&)> on_restart) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    crash_target_ = std::move(target);
+    on_restart_ = std::move(on_restart);
+    front_ = std::make_unique<relay>(loopback_address(server_->port()));
+}
+
+bool platform_server::is_crashing(const server_request& request) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return !crash_target_.empty() && request.target == crash_target_;
+}
+
+void platform_server::crash() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (front_ == nullptr) {
+        return;
+    }
+    ++crash_count_;
+    front_.reset();
+    timers_.post_after(restart_delay, [this] { restart(); });
+}
+
+void platform_server::restart() {
+    std::string previous_id;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        previous_id = std::exchange(id_, name_ + "-" + std::to_string(crash_count_));
+        front_ = std::make_unique<relay>(loopback_address(server_->port()));
+    }
+    on_restart_(previous_id);
 }
 
 std::uint64_t platform_server::version() const {
@@ -50,8 +95,8 @@
         return;
     }
     const std::string expected = find_header(request.headers, "X-Citronseam-Expect-Instance");
-    if (!expected.empty() && expected != id_) {
-        responder->respond(421, {{"X-Citronseam-Instance-Id", id_}}, "");
+    if (!expected.empty() && expected != id()) {
+        responder->respond(421, {{"X-Citronseam-Instance-Id", id()}}, "");
     } else if (is_overloaded) {
         responder->respond(503, {{"X-Citronseam-Not-Executed", "1"}}, "");
     } else if (queue_delay_ms > 0) {
@@ -112,7 +157,7 @@
 
 std::vector<http_header> platform_server::response_headers(const server_request& request) const {
     return {{"X-Citronseam-Attempt-Id", find_header(request.headers, "X-Citronseam-Attempt-Id")},
-            {"X-Citronseam-Response-Seal", "seal-of-" + id_},
+            {"X-Citronseam-Response-Seal", "seal-of-" + id()},
             {"X-Citronseam-Weight-Versions", std::to_string(version())}};
 }
 
@@ -135,7 +180,9 @@
         ++runs_per_attempt_[find_header(request.headers, "X-Citronseam-Attempt-Id")];
         last_headers_ = request.headers;
     }
-    if (responses_to_drop > 0) {
+    if (is_crashing(request)) {
+        crash();
+    } else if (responses_to_drop > 0) {
         --responses_to_drop;
         responder->abort();
     } else if (!is_engine_) {
@@ -152,7 +199,7 @@
 
 void platform_server::send_event(int event_id, int last, bool is_truncated,
                                  const std::shared_ptr<http_responder>& responder) {
-    responder->write("id: " + std::to_string(event_id) + "\ndata: " + id_ + "\n\n");
+    responder->write("id: " + std::to_string(event_id) + "\ndata: " + id() + "\n\n");
     if (event_id < last) {
         timers_.post_after(milliseconds(event_interval_ms),
                            [this, event_id, last, is_truncated, responder] {
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -4,6 +4,7 @@
 #define CITRONSEAM_TESTS_SUPPORT_PLATFORM_SERVER_H
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -15,6 +16,8 @@
 #include "citronseam/connection/http_server.h"
 #include "citronseam/connection/io_thread_pool.h"
 
+#include "support/relay.h"
+
 namespace citronseam::harness {
 
 /// A backend server: a model engine, or a plain server without a model.
@@ -23,9 +26,23 @@
     /// @param id instance identifier
     /// @param is_engine whether it streams its responses and loads weights
     platform_server(std::string id, bool is_engine);
+    /// Stops the server's timers before its other members are destroyed.
+    ~platform_server();
+    platform_server(const platform_server&) = delete;
+    platform_server& operator=(const platform_server&) = delete;
+
     /// @return `host:port`
     std::string address() const;
-    const std::string& id() const { return id_; }
+    /// @return instance identifier; a restart changes it
+    std::string id() const;
+    /// Lets requests for a target crash the server: it closes all connections, refuses new ones for
+    /// a while, and starts again under another identifier and address. Call it before the first
+    /// request; it changes the address.
+    /// @param on_restart called after each restart with the previous identifier
+    void set_crash_target(std::string target,
+                          std::function<void(const std::string& previous_id)> on_restart);
+    /// @return number of crashes so far
+    int crash_count() const { return crash_count_; }
     /// @return version of the loaded weights
     std::uint64_t version() const;
     /// @return number of runs by attempt identifier
@@ -50,7 +67,11 @@
     void send_event(int event_id, int last, bool is_truncated,
                     const std::shared_ptr<http_responder>& responder);
     std::vector<http_header> response_headers(const server_request& request) const;
+    bool is_crashing(const server_request& request) const;
+    void crash();
+    void restart();
 
+    const std::string name_;
     std::string id_;
     bool is_engine_;
     mutable std::mutex mutex_;
@@ -59,6 +80,10 @@
     std::map<std::size_t, std::string> staged_pieces_;
     std::map<std::string, int> runs_per_attempt_;
     std::vector<http_header> last_headers_;
+    std::string crash_target_;
+    std::function<void(const std::string&)> on_restart_;
+    std::atomic<int> crash_count_{0};
+    std::unique_ptr<relay> front_; ///< of a server that can crash; nullptr until it is back
     io_thread_pool timers_{1};
     std::unique_ptr<http_server> server_;
 };
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -135,7 +135,16 @@
                                 {"slo_ms", 100},
                                 {"priority", 2},
                                 {"service", "desk"},
-                                {"max_attempts", 1}}});
+                                {"max_attempts", 1}},
+                               {{"name", "look"},
+                                {"host", "a.example"},
+                                {"prefix", "/look/"},
+                                {"type", "idempotent"},
+                                {"timeout_ms", 1500},
+                                {"slo_ms", 100},
+                                {"priority", 2},
+                                {"service", "desk"},
+                                {"max_attempts", 3}}});
     if (has_second_route) {
         json second_route = routes[1];
         second_route["prefix"] = "/later/";
