Refuse requests that crash servers at all gateways

Callers saw: servers of berth-desk were down for seconds, again and again, and bookings were refused meanwhile.

Cause: a gateway forgot with the exchange what a request had done to a server, and told nobody. The quarantine existed for the role entry only.

Change: the registry of crashes serves both roles. A gateway records the server that was lost under a request's fingerprint and sends the loss to all gateways; a gateway that starts gets the records from the others. An entry refuses after two, since it runs a suspected request alone; a gateway cannot.

--- a/src/programs/entry/crash_registry.h
+++ b/src/programs/daemon/crash_registry.h
@@ -1,7 +1,7 @@
 /// @file
-/// Records of requests that crash backend servers, replicated between entries.
-#ifndef CITRONSEAM_PROGRAMS_ENTRY_CRASH_REGISTRY_H
-#define CITRONSEAM_PROGRAMS_ENTRY_CRASH_REGISTRY_H
+/// Records of requests that crash backend servers, replicated between entries or gateways.
+#ifndef CITRONSEAM_PROGRAMS_DAEMON_CRASH_REGISTRY_H
+#define CITRONSEAM_PROGRAMS_DAEMON_CRASH_REGISTRY_H
 
 #include <functional>
 #include <mutex>
@@ -23,12 +23,22 @@
 /// Thread-safe access to the quarantine records.
 class crash_registry {
 public:
-    /// Sets the function that sends a frame to all other entries.
+    /// @param losses_to_refuse number of lost servers from which on a request is refused
+    explicit crash_registry(std::size_t losses_to_refuse);
+
+    /// Sets the function that sends a frame to all other processes with a registry.
     void set_broadcast(std::function<void(const shared_frame&)> broadcast);
 
+    /// Records the loss of a server, and broadcasts it if it is new.
+    void record_loss(std::uint64_t fingerprint, const lost_server& loss);
+    /// Records that a server answered a request. Losses of the server since the request was sent
+    /// were none; this is broadcast.
+    void record_answer(const lost_server& server, time_point sent_at);
     /// Applies a report of an agent or another entry, and broadcasts it if it changed a record.
     void handle_report(const wire::crash_report& message);
-    /// Removes the record of a fingerprint here and at the other entries.
+    /// Applies a report of another gateway, which has sent it to all gateways.
+    void apply_report(const wire::crash_report& message);
+    /// Removes the record of a fingerprint here and at the other processes.
     /// @return whether there was a record here
     bool release(std::uint64_t fingerprint);
     /// @return how to handle a request with this fingerprint
@@ -37,10 +47,13 @@
     milliseconds expires_in(std::uint64_t fingerprint) const;
     /// @return all records that are in effect
     std::vector<crash_summary> list() const;
-    /// @return frames that send all records to another entry
+    /// @return frames that send all records to another process
     std::vector<shared_frame> make_report_frames() const;
 
 private:
+    bool add_loss(std::uint64_t fingerprint, const lost_server& loss);
+    bool remove_record(std::uint64_t fingerprint);
+
     mutable std::mutex mutex_;
     quarantine state_;
     std::function<void(const shared_frame&)> broadcast_;
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -372,7 +372,8 @@
     io_thread_pool control_;
     io_thread_pool traffic_;
     control_state_sync state_sync_;
-    crash_registry crashes_;
+    /// The second loss is of a server that ran nothing else.
+    crash_registry crashes_{2};
     trace_buffer traces_;
     latency_recorder latencies_;
     backend_server_directory directory_;
--- a/src/programs/entry/entry_context.h
+++ b/src/programs/entry/entry_context.h
@@ -12,7 +12,7 @@
 #include "citronseam/process/metrics.h"
 #include "citronseam/process/settings.h"
 #include "programs/daemon/control_state_sync.h"
-#include "programs/entry/crash_registry.h"
+#include "programs/daemon/crash_registry.h"
 #include "programs/entry/latency_recorder.h"
 #include "programs/entry/service_dispatcher.h"
 #include "programs/entry/trace_buffer.h"
--- a/src/programs/entry/entry_operator_api.h
+++ b/src/programs/entry/entry_operator_api.h
@@ -9,8 +9,8 @@
 
 #include "citronseam/connection/http_server.h"
 #include "programs/daemon/control_state_sync.h"
+#include "programs/daemon/crash_registry.h"
 #include "programs/entry/backend_server_directory.h"
-#include "programs/entry/crash_registry.h"
 #include "programs/entry/entry_mesh.h"
 #include "programs/entry/latency_recorder.h"
 #include "programs/entry/trace_buffer.h"
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -35,13 +35,16 @@
 /// while it sends a response.
 constexpr milliseconds grace_margin{1000};
 constexpr milliseconds drain_check_interval{50};
+/// One loss more than an entry needs: other requests may run on the same server.
+constexpr std::size_t losses_to_refuse = 3;
 
 /// Owns the components of a gateway process and connects them.
 class gateway {
 public:
     explicit gateway(const settings& options)
         : options_(options), control_(1),
-          pool_(options, metrics_), context_{options_, control_, traffic_, metrics_, pool_},
+          pool_(options, metrics_), context_{options_, control_, traffic_,
+                                             metrics_, pool_,    crashes_},
           cluster_(options_, control_, traffic_, metrics_, mesh_timing, make_observer()),
           server_rows_(control_, cluster_.store(), std::string(platform::servers_table),
                        follow_mode::poll, servers_interval),
@@ -54,6 +57,9 @@
 
 private:
     void start() {
+        crashes_.set_broadcast([this](const shared_frame& frame) {
+            control_.post([this, frame] { cluster_.mesh().send_to_gateways(frame); });
+        });
         open_servers();
         control_.post([this] {
             cluster_.start({&server_rows_});
@@ -210,6 +216,13 @@
                                        const wire::member_beat& heartbeat) {
             handle_heartbeat(heartbeat);
         };
+        observer.on_crash_report = [this](const wire::crash_report& report) {
+            crashes_.apply_report(report);
+        };
+        observer.make_greeting = [this](const member& process) {
+            return process.role == process_role::gateway ? crashes_.make_report_frames()
+                                                         : std::vector<shared_frame>{};
+        };
         return observer;
     }
 
@@ -285,6 +298,7 @@
     metrics metrics_;
     io_thread_pool control_;
     server_pool pool_;
+    crash_registry crashes_{losses_to_refuse};
     gateway_context context_;
     cluster_node cluster_;
     table_follower server_rows_;
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -10,6 +10,7 @@
 #include "citronseam/connection/io_thread_pool.h"
 #include "citronseam/process/metrics.h"
 #include "citronseam/process/settings.h"
+#include "programs/daemon/crash_registry.h"
 #include "programs/gateway/server_pool.h"
 
 namespace citronseam {
@@ -21,6 +22,7 @@
     http_client& traffic; ///< its thread is the traffic thread
     metrics& metric_registry;
     server_pool& pool;
+    crash_registry& crashes;
     std::atomic<std::uint32_t> requests_in_flight{0}; ///< of callers
 };
 
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -62,6 +62,11 @@
     if (!resolve_route()) {
         return;
     }
+    if (is_quarantined()) {
+        refuse({status_unavailable, "quarantined", "this request has crashed backend servers",
+                context_.crashes.expires_in(fingerprint_)});
+        return;
+    }
     last_event_id_ = parse_event_id(caller_.last_event_id);
     context_.pool.record_request(service_, received_at_);
     send_next();
@@ -105,6 +110,10 @@
     return true;
 }
 
+bool gateway_exchange::is_quarantined() const {
+    return context_.crashes.status_of(fingerprint_) == quarantine_status::refused;
+}
+
 milliseconds gateway_exchange::time_left(time_point now) const {
     return std::chrono::duration_cast<milliseconds>(deadline_ - now);
 }
@@ -209,7 +218,7 @@
 
 bool gateway_exchange::may_retry(time_point now) {
     return attempt_count_ < rule_->max_attempts && time_left(now) >= min_send_time &&
-           context_.pool.try_spend_retry(service_, now);
+           !is_quarantined() && context_.pool.try_spend_retry(service_, now);
 }
 
 void gateway_exchange::fail_deadline() {
@@ -271,7 +280,8 @@
 /// meanwhile. A stream that would delay the load is moved to another engine with the same weights.
 bool gateway_exchange::move_before_load(time_point now) {
     if (attempt_.server == nullptr || rule_->kind != retry_class::streaming ||
-        !is_retryable(*rule_) || attempt_count_ >= rule_->max_attempts || now < next_move_check_) {
+        !is_retryable(*rule_) || attempt_count_ >= rule_->max_attempts || now < next_move_check_ ||
+        is_quarantined()) {
         return false;
     }
     const milliseconds remaining =
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -11,6 +11,7 @@
 #include "citronseam/connection/http_server.h"
 #include "citronseam/process/clock.h"
 #include "citronseam/request/event_stream.h"
+#include "citronseam/request/quarantine.h"
 #include "citronseam/request/verdict.h"
 #include "platform/http_headers.h"
 #include "programs/gateway/gateway_context.h"
@@ -86,6 +87,10 @@
     void fail_not_run(std::string_view reason);
     void fail_broken(std::string_view reason);
     bool may_retry(time_point now);
+    /// @return whether the request has crashed too many servers to be sent again
+    bool is_quarantined() const;
+    lost_server attempted_server() const;
+    void record_server_answer();
     void deliver_response();
     void refuse(const refusal& details);
     void refuse_for(choice_failure failure_reason);
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -118,6 +118,17 @@
     }
 }
 
+lost_server gateway_exchange::attempted_server() const {
+    return {attempt_.server->entry.id, attempt_.server->entry.started_at_ms};
+}
+
+void gateway_exchange::record_server_answer() {
+    context_.crashes.record_answer(attempted_server(), attempt_.started_at);
+    if (context_.crashes.status_of(fingerprint_) != quarantine_status::clear) {
+        context_.crashes.release(fingerprint_);
+    }
+}
+
 void gateway_exchange::handle_response(const http_outcome& outcome) {
     if (attempt_.parameters.is_not_run) {
         // For a resumed stream, 421 may also mean that the required weights do not match.
@@ -134,6 +145,7 @@
         handle_broken(outcome);
         return;
     }
+    record_server_answer();
     const bool is_failure = outcome.status >= first_server_error;
     end_attempt(is_failure ? exchange_outcome::failed : exchange_outcome::succeeded);
     verdict_ = run_verdict::ran;
@@ -148,6 +160,8 @@
     const auto now = std::chrono::steady_clock::now();
     const bool is_out_of_time = outcome.is_timed_out && time_left(now) < min_send_time;
     const bool is_sent = outcome.verdict != run_verdict::not_run;
+    const bool is_connection_lost = is_sent && !attempt_.is_unusable && !outcome.is_timed_out &&
+                                    !outcome.is_cancelled && !outcome.is_complete;
     log_event(log_level::info, "attempt_broken",
               {{"request", caller_.attempt},
                {"fingerprint", fingerprint_},
@@ -156,6 +170,9 @@
                {"events", events_forwarded_},
                {"status", attempt_.status},
                {"reason", attempt_.is_unusable ? "unusable answer" : outcome.message}});
+    if (is_connection_lost) {
+        context_.crashes.record_loss(fingerprint_, attempted_server());
+    }
     end_attempt(is_out_of_time ? exchange_outcome::abandoned : exchange_outcome::failed);
     if (!is_sent) {
         --attempt_count_;
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -112,6 +112,8 @@
                              after);
     };
     observer.on_neighbours_reply = observer_.on_neighbours_reply;
+    observer.on_crash_report = observer_.on_crash_report;
+    observer.make_greeting = observer_.make_greeting;
     observer.on_rows = [this](const connected_member& from, const std::string& table,
                               const row_batch& rows) { apply_member_batch(from, table, rows); };
     return observer;
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -34,6 +34,10 @@
         on_heartbeat;
     /// A gateway listed the sidecars of a service; may be empty.
     std::function<void(const wire::neighbours_reply&)> on_neighbours_reply;
+    /// A gateway reported a loss of a backend server; may be empty.
+    std::function<void(const wire::crash_report&)> on_crash_report;
+    /// @return frames for a process that has just connected; may be empty
+    std::function<std::vector<shared_frame>(const member& process)> make_greeting;
 };
 
 /// Registers this process, follows the operator's table and connects to the other processes. All
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -134,6 +134,14 @@
     }
 }
 
+void member_mesh::send_to_gateways(const shared_frame& frame) {
+    for (const auto& [number, connected] : sessions_) {
+        if (connected.process.role == process_role::gateway) {
+            connected.session->send(frame);
+        }
+    }
+}
+
 void member_mesh::send_heartbeat_to_zone() {
     for (const auto& [number, connected] : sessions_) {
         if (connected.process.zone == self_.zone) {
@@ -199,6 +207,11 @@
               {{"member", connected.process.instance},
                {"zone", connected.process.zone},
                {"incarnation", connected.process.incarnation}});
+    if (observer_.make_greeting) {
+        for (const auto& frame : observer_.make_greeting(connected.process)) {
+            session->send(frame);
+        }
+    }
     sessions_[session->number()] = std::move(connected);
     observer_.on_members_changed();
 }
@@ -237,6 +250,10 @@
         if (observer_.on_neighbours_reply) {
             observer_.on_neighbours_reply(*neighbours);
         }
+    } else if (const auto* crash = message.body_as_crash_report()) {
+        if (observer_.on_crash_report) {
+            observer_.on_crash_report(*crash);
+        }
     }
 }
 
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -49,6 +49,10 @@
     std::function<void(const connected_member& from, const std::string& table,
                        const row_batch& rows)>
         on_rows;
+    /// A gateway reported a loss of a backend server; may be empty.
+    std::function<void(const wire::crash_report&)> on_crash_report;
+    /// @return frames for a process that has just connected; may be empty
+    std::function<std::vector<shared_frame>(const member& process)> make_greeting;
 };
 
 /// Keeps one connection to each target process and accepts connections from others. A connection
@@ -72,6 +76,8 @@
     /// Sends a heartbeat to the connected processes at once.
     /// @param is_same_region_only whether only processes of the own region receive it
     void broadcast(wire::member_beatT heartbeat, bool is_same_region_only);
+    /// Sends a frame to the connected gateways.
+    void send_to_gateways(const shared_frame& frame);
     /// Sends the heartbeat at once to the connected processes of the own zone.
     void send_heartbeat_to_zone();
     /// Requests the sidecars of a service from a gateway.
--- a/tests/process_quarantine_test.cpp
+++ b/tests/process_quarantine_test.cpp
@@ -48,6 +48,25 @@
             recovery_timeout);
     }
 
+    void set_dropped_responses(int count) {
+        for (const auto& server : world.plain_servers) {
+            server->responses_to_drop = count;
+        }
+    }
+
+    /// Sends the crashing request until it is refused.
+    /// @return status of the last response
+    int send_until_refused() {
+        constexpr std::size_t max_attempts = 6;
+        int status = 0;
+        for (std::size_t i = 0; i < max_attempts && status != 503; ++i) {
+            status = wait_for_servers()
+                         ? look(i % world.gateway_count(), crashing_target).outcome.status
+                         : 0;
+        }
+        return status;
+    }
+
     int crash_count() const {
         int total = 0;
         for (const auto& server : world.plain_servers) {
@@ -76,4 +95,34 @@
     ASSERT_TRUE(wait_for_servers()) << "other requests are served";
 }
 
+// Guards against BUDGET: a gateway that starts again knows nothing of the crashes before.
+TEST_F(crashing_requests, restarted_gateway_learns_the_crashes_from_the_others) {
+    ASSERT_EQ(send_until_refused(), 503);
+    const int crashes = crash_count();
+    ASSERT_TRUE(world.restart_gateway(0));
+    ASSERT_NE(world.gateway(0).wait_for_line("event=backend_server_lost", recovery_timeout), "");
+    ASSERT_TRUE(wait_for_servers());
+    EXPECT_TRUE(wait_until([&] { return look(0, crashing_target).outcome.status == 503; },
+                           recovery_timeout));
+    EXPECT_EQ(crash_count(), crashes);
+}
+
+// Guards against a quarantine of requests whose answers are lost on the way from running servers.
+TEST_F(crashing_requests, request_whose_answers_are_lost_is_served_while_its_servers_run) {
+    const auto lose_answers = [this] {
+        set_dropped_responses(2);
+        EXPECT_EQ(look(0, "/look/2").outcome.status, 502);
+        set_dropped_responses(0);
+    };
+    ASSERT_TRUE(wait_for_servers());
+    lose_answers();
+    ASSERT_TRUE(wait_for_servers());
+    look(0, crashing_target);
+    ASSERT_EQ(crash_count(), 2) << "both servers have new identifiers, so losses would count again";
+    ASSERT_TRUE(wait_for_servers());
+    lose_answers();
+    EXPECT_TRUE(
+        wait_until([&] { return look(0, "/look/2").outcome.status == 200; }, recovery_timeout));
+}
+
 } // namespace
--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds weight_load_delay{200};
 /// From a crash until the server starts again.
 constexpr milliseconds restart_delay{300};
+/// From the end of the connections until new ones are refused.
+constexpr milliseconds close_delay{20};
 
 } // namespace
 
@@ -56,11 +58,16 @@
 
 void platform_server::crash() {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (front_ == nullptr) {
+    if (is_crashed_) {
         return;
     }
+    is_crashed_ = true;
     ++crash_count_;
-    front_.reset();
+    front_->set_disconnected(true);
+    timers_.post_after(close_delay, [this] {
+        const std::lock_guard<std::mutex> guard(mutex_);
+        front_.reset();
+    });
     timers_.post_after(restart_delay, [this] { restart(); });
 }
 
@@ -70,6 +77,7 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         previous_id = std::exchange(id_, name_ + "-" + std::to_string(crash_count_));
         front_ = std::make_unique<relay>(loopback_address(server_->port()));
+        is_crashed_ = false;
     }
     on_restart_(previous_id);
 }
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -83,6 +83,7 @@
     std::string crash_target_;
     std::function<void(const std::string&)> on_restart_;
     std::atomic<int> crash_count_{0};
+    bool is_crashed_{false};
     std::unique_ptr<relay> front_; ///< of a server that can crash; nullptr until it is back
     io_thread_pool timers_{1};
     std::unique_ptr<http_server> server_;
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -15,6 +15,8 @@
 
 using nlohmann::json;
 
+const std::string daemon_path = std::string(CITRONSEAM_BIN_DIR) + "/citronseamd";
+constexpr milliseconds start_timeout{10000};
 constexpr std::array<const char*, platform_world::zone_count> zone_names{"zone-a", "zone-b"};
 
 /// A block of ports reserved for this test process. The blocks lie below the kernel's ephemeral
@@ -211,17 +213,25 @@
     return path;
 }
 
+std::unique_ptr<child_process> platform_world::make_gateway(std::size_t index) {
+    return std::make_unique<child_process>(std::vector<std::string>{
+        daemon_path, "--settings",
+        write_file("gateway-" + std::to_string(index) + ".yaml", gateway_settings(index))});
+}
+
+bool platform_world::restart_gateway(std::size_t index) {
+    gateways_.at(index).reset();
+    gateways_.at(index) = make_gateway(index);
+    return wait_until([&] { return readiness(index) == 200; }, start_timeout);
+}
+
 bool platform_world::start() {
-    const std::string daemon_path = std::string(CITRONSEAM_BIN_DIR) + "/citronseamd";
     for (std::size_t i = 0; i < ports_.size(); ++i) {
-        const std::string number = std::to_string(i);
-        gateways_.push_back(std::make_unique<child_process>(std::vector<std::string>{
-            daemon_path, "--settings",
-            write_file("gateway-" + number + ".yaml", gateway_settings(i))}));
+        gateways_.push_back(make_gateway(i));
         if (i < sidecar_ports_.size()) {
             sidecars_.push_back(std::make_unique<child_process>(std::vector<std::string>{
                 daemon_path, "--settings",
-                write_file("sidecar-" + number + ".yaml", sidecar_settings(i))}));
+                write_file("sidecar-" + std::to_string(i) + ".yaml", sidecar_settings(i))}));
         }
     }
     return wait_until(
@@ -233,7 +243,7 @@
             }
             return true;
         },
-        milliseconds(10000));
+        start_timeout);
 }
 
 http_response platform_world::execute(http_request request) {
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -32,6 +32,9 @@
     /// Starts the gateways and sidecars and waits until all gateways are ready.
     /// @return false on timeout
     bool start();
+    /// Kills a gateway, starts it again and waits until it is ready.
+    /// @return false on timeout
+    bool restart_gateway(std::size_t index);
     /// Writes the configuration to the store. Each call needs a higher version.
     /// @return version of the row
     std::uint64_t put_configuration(std::uint64_t version, bool has_second_route = false,
@@ -67,6 +70,7 @@
     };
     std::string gateway_settings(std::size_t index) const;
     std::string sidecar_settings(std::size_t index) const;
+    std::unique_ptr<child_process> make_gateway(std::size_t index);
     std::string write_file(const std::string& name, const std::string& content);
     http_response execute(http_request request);
 
