Send a request once to each server that a gateway chooses

Cause: when a kept connection ends before the first byte of a response, libcurl connects again and sends the request once more. No retry budget, attempt limit or server limit counts that. Requests that may not be repeated use connections of their own and were not affected.

Change: a callback before each sending ends the exchange at the second one, so the gateway decides whether the request goes to another server. Other calls, to the store and between processes, may still be sent again by libcurl.

The test failed before: one server ran the attempt twice.

--- a/include/citronseam/connection/http_client.h
+++ b/include/citronseam/connection/http_client.h
@@ -24,7 +24,8 @@
     std::string body;
     milliseconds timeout{5000};               ///< for the whole exchange
     milliseconds connect_timeout{1000};       ///< for establishing the connection
-    bool may_reuse_connection{true};          ///< false: libcurl never resends the request
+    bool may_reuse_connection{true};          ///< false: on a connection of its own
+    bool may_be_resent{true};                 ///< by libcurl, when a reused connection ends
     std::uint64_t max_receive_bytes_per_s{0}; ///< bytes per second at most; 0 is unlimited
 };
 
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -7,6 +7,7 @@
 #include <future>
 #include <map>
 #include <mutex>
+#include <utility>
 
 #include <curl/curl.h>
 #include <strings.h>
@@ -44,6 +45,7 @@
     std::vector<http_header> headers;
     bool is_head_reported{false};
     bool is_aborted{false};
+    bool is_sent{false}; ///< libcurl began to send it once
     std::array<char, CURL_ERROR_SIZE> error_text{};
 
     exchange() = default;
@@ -94,6 +96,13 @@
     return part.size();
 }
 
+/// Called each time before libcurl sends the request.
+int handle_sending(void* user, char*, char*, int, int) {
+    auto& current = *static_cast<exchange*>(user);
+    const bool is_resent = std::exchange(current.is_sent, true);
+    return is_resent && !current.request.may_be_resent ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 void set_body(CURL* easy, const http_request& request) {
     const bool has_body = !request.body.empty() || request.method == "POST" ||
                           request.method == "PUT" || request.method == "PATCH";
@@ -119,8 +128,6 @@
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(request.connect_timeout.count()));
     if (!request.may_reuse_connection) {
-        // When a reused connection breaks before the first byte of a response, libcurl resends the
-        // request on its own, which would run it twice.
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
@@ -157,6 +164,10 @@
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &current);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &handle_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &current);
+    // When a reused connection ends before the first byte of a response, libcurl connects and sends
+    // the request again on its own.
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &handle_sending);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &current);
     set_body(easy, current.request);
     set_connection_options(easy, current.request);
     set_headers(current);
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -180,6 +180,8 @@
     request.timeout = parameters.timeout;
     request.connect_timeout = std::min(connect_timeout, parameters.timeout);
     request.may_reuse_connection = is_retryable(*rule_);
+    // Repeats of libcurl would count towards no limit.
+    request.may_be_resent = false;
     if (attempt_count_ > 1) {
         log_event(log_level::info, "request_moved",
                   {{"request", caller_.attempt},
--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -82,6 +82,22 @@
     EXPECT_EQ(booking_runs(), 1);
 }
 
+// Guards against BUDGET: libcurl sends a request again on its own when a kept connection ends.
+TEST_F(platform, request_is_sent_once_to_each_server_when_kept_connections_end) {
+    for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+        ASSERT_EQ(world.call(i, "GET", "/look/1", {key_header}).outcome.status, 200);
+    }
+    for (const auto& desk : world.plain_servers) {
+        desk->responses_to_drop = 2;
+    }
+    EXPECT_EQ(world.call(0, "GET", "/look/2", {key_header}).outcome.status, 502);
+    for (const auto& desk : world.plain_servers) {
+        for (const auto& [attempt, runs] : desk->runs_per_attempt()) {
+            EXPECT_EQ(runs, 1) << attempt << " at " << desk->id();
+        }
+    }
+}
+
 TEST_F(platform, refused_booking_gets_retry_after) {
     for (const auto& desk : world.plain_servers) {
         desk->is_overloaded = true;
