--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -41,6 +41,7 @@
     int consecutive_failures{0};
     time_point ejected_until; ///< no requests are sent until then
     time_point full_until;    ///< considered full after it refused a request
+    double request_limit{0};  ///< requests a second that it takes from all processes; 0: not named
 };
 
 /// Constraints and cost parameters of a choice.
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -49,6 +49,27 @@
     attempt_.is_unusable = !answered.empty() && answered != caller_.attempt;
     attempt_.is_stream = rule_->kind == retry_class::streaming && status == status_ok &&
                          attempt_.parameters.has_seal && !attempt_.parameters.has_content_coding;
+    if (attempt_.parameters.has_seal && !attempt_.is_unusable) {
+        record_server_limit();
+    }
+}
+
+/// Logs a limit that the server names, and the first answer without one after that.
+void gateway_exchange::record_server_limit() {
+    const platform::response_parameters& answer = attempt_.parameters;
+    if (answer.has_invalid_limit) {
+        log_event(log_level::warning, "server_limit_invalid",
+                  {{"request", caller_.attempt}, {"server", attempt_.server->entry.id}});
+        return;
+    }
+    const double limit = answer.request_limit.value_or(0);
+    server_state& server = *attempt_.server;
+    if (limit == server.request_limit) {
+        return;
+    }
+    server.request_limit = limit;
+    log_event(log_level::info, "server_limit",
+              {{"server", server.entry.id}, {"requests_per_s", limit}});
 }
 
 bool gateway_exchange::handle_data(std::string_view data) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -205,4 +205,18 @@
               R"({"addresses":["10.1.0.40:8005"],"ttl_s":2})");
 }
 
+TEST(response_headers, server_limit_is_a_decimal_number) {
+    const auto parse = [](const std::string& text) {
+        return platform::parse_response_headers(200, {{"Server-Limit", text}});
+    };
+    EXPECT_EQ(parse("2.5").request_limit, 2.5);
+    EXPECT_EQ(parse("0").request_limit, 0.0);
+    EXPECT_FALSE(platform::parse_response_headers(200, {}).request_limit);
+    EXPECT_FALSE(platform::parse_response_headers(200, {}).has_invalid_limit);
+    for (const char* invalid : {"many", "-1", "2.5/s", "nan", "inf", "1e9"}) {
+        EXPECT_FALSE(parse(invalid).request_limit) << invalid;
+        EXPECT_TRUE(parse(invalid).has_invalid_limit) << invalid;
+    }
+}
+
 } // namespace
