--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -164,9 +164,14 @@
 }
 
 std::vector<http_header> platform_server::response_headers(const server_request& request) const {
-    return {{"X-Citronseam-Attempt-Id", find_header(request.headers, "X-Citronseam-Attempt-Id")},
-            {"X-Citronseam-Response-Seal", "seal-of-" + id()},
-            {"X-Citronseam-Weight-Versions", std::to_string(version())}};
+    std::vector<http_header> headers{
+        {"X-Citronseam-Attempt-Id", find_header(request.headers, "X-Citronseam-Attempt-Id")},
+        {"X-Citronseam-Response-Seal", "seal-of-" + id()},
+        {"X-Citronseam-Weight-Versions", std::to_string(version())}};
+    if (request_limit > 0) {
+        headers.push_back({"Server-Limit", std::to_string(request_limit)});
+    }
+    return headers;
 }
 
 void platform_server::queue(const server_request& request,
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -54,6 +54,7 @@
     std::atomic<int> responses_to_drop{0};   ///< next requests to run without a response
     std::atomic<bool> is_overloaded{false};  ///< answers 503 "not executed" to requests
     std::atomic<int> queue_delay_ms{0};      ///< requests wait this long before they begin to run
+    std::atomic<double> request_limit{0};    ///< requests a second that its answers name; 0: none
     std::atomic<int> event_interval_ms{30};  ///< between two events of a stream
 
     static constexpr int events_per_stream = 8;
