Keep the request limit that a server names over all gateways

Callers saw: an engine in need, which had named 2.5 requests a second, got 30 in 4 s (20 allowed), another 20 (19 allowed); in the users' record 24 and 18.

Cause: no gateway read Server-Limit. The class of fault: a limit for all processes together of which each process knows only its own part.

Evidence: the rates at both engines do not change when they name their limits (8.0 s); process_limit_test gets 180 and 179 requests in 4 s, 17 allowed.

Change: a limit becomes a whole number of requests in a sliding window of 4 s, and each gateway takes its quota of that number by its rank for the server. A quota may be 0: shares of at least one request would give 45 gateways 45 requests where 20 are allowed. The quotas of all ranks add up to the limit whenever the gateways send; lists that differ by one gateway add its quota at most. Gateways of the server's zone rank first, since most of its requests are theirs. The gateway that sees a limit, or an answer without one to a request that it sent later, tells the other gateways.

--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -39,9 +39,13 @@
     sliding_window_counter recent_sends; ///< from this process, for the cold-server rate limit
     double failure_rate{0};              ///< recent fraction of exchanges that failed at the server
     int consecutive_failures{0};
-    time_point ejected_until; ///< no requests are sent until then
-    time_point full_until;    ///< considered full after it refused a request
-    double request_limit{0};  ///< requests a second that it takes from all processes; 0: not named
+    time_point ejected_until;   ///< no requests are sent until then
+    time_point full_until;      ///< considered full after it refused a request
+    std::size_t sender_rank{0}; ///< of this process among all that send to the server
+    /// Requests a second that it takes from all processes together; nullopt: it names no limit.
+    std::optional<double> request_limit;
+    time_point limit_named_at;            ///< when this process last learned of a limit
+    sliding_window_counter counted_sends; ///< from this process, for the limit that it may name
 };
 
 /// Constraints and cost parameters of a choice.
@@ -117,6 +121,13 @@
 /// @param prompt_prefill_ms prefill time that was added when the request was sent
 void record_prefill_end(server_state& server, double prompt_prefill_ms) noexcept;
 
+/// Applies the limit that a server names in an answer, or that it names none.
+/// @param sent_at when the request was sent: an answer without a limit counts only if the request
+/// was sent after the limit became known
+/// @return whether the limit changed
+bool apply_request_limit(server_state& server, std::optional<double> limit, time_point sent_at,
+                         time_point now) noexcept;
+
 /// Records that this process sent a request.
 void record_sent(server_state& server, const choice_constraints& constraints);
 
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -57,9 +57,11 @@
 
 private:
     void start() {
-        crashes_.set_broadcast([this](const shared_frame& frame) {
+        const auto broadcast = [this](const shared_frame& frame) {
             control_.post([this, frame] { cluster_.mesh().send_to_gateways(frame); });
-        });
+        };
+        crashes_.set_broadcast(broadcast);
+        pool_.set_broadcast(broadcast);
         open_servers();
         control_.post([this] {
             cluster_.start({&server_rows_});
@@ -208,7 +210,7 @@
             publish();
         };
         observer.on_members_changed = [this] {
-            if (view_builder_.set_gateway_count(cluster_.gateway_count())) {
+            if (view_builder_.set_gateways(cluster_.gateways())) {
                 publish();
             }
         };
@@ -219,6 +221,9 @@
         observer.on_crash_report = [this](const wire::crash_report& report) {
             crashes_.apply_report(report);
         };
+        observer.on_limit_report = [this](const wire::limit_report& report) {
+            apply_limit_report(report);
+        };
         observer.make_greeting = [this](const member& process) {
             return process.role == process_role::gateway ? crashes_.make_report_frames()
                                                          : std::vector<shared_frame>{};
@@ -239,6 +244,15 @@
         }
     }
 
+    void apply_limit_report(const wire::limit_report& report) {
+        const auto limit =
+            report.is_named() ? std::optional(report.requests_per_s()) : std::nullopt;
+        traffic_.post([this, limit, id = std::string(view(report.instance())),
+                       incarnation = report.incarnation()] {
+            pool_.apply_limit_report(id, incarnation, limit, std::chrono::steady_clock::now());
+        });
+    }
+
     /// Passes the current view to the traffic thread. Control thread.
     void publish() {
         const auto view = view_builder_.build();
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -49,27 +49,24 @@
     attempt_.is_unusable = !answered.empty() && answered != caller_.attempt;
     attempt_.is_stream = rule_->kind == retry_class::streaming && status == status_ok &&
                          attempt_.parameters.has_seal && !attempt_.parameters.has_content_coding;
-    if (attempt_.parameters.has_seal && !attempt_.is_unusable) {
-        record_server_limit();
-    }
+    record_server_limit();
 }
 
-/// Logs a limit that the server names, and the first answer without one after that.
 void gateway_exchange::record_server_limit() {
     const platform::response_parameters& answer = attempt_.parameters;
+    if (attempt_.is_unusable || attempt_.status == status_misdirected) {
+        return;
+    }
     if (answer.has_invalid_limit) {
         log_event(log_level::warning, "server_limit_invalid",
                   {{"request", caller_.attempt}, {"server", attempt_.server->entry.id}});
         return;
     }
-    const double limit = answer.request_limit.value_or(0);
-    server_state& server = *attempt_.server;
-    if (limit == server.request_limit) {
-        return;
+    // Only an answer that is certainly the server's shows that it names no limit any more.
+    if (answer.request_limit || answer.has_seal) {
+        context_.pool.record_limit(*attempt_.server, answer.request_limit, attempt_.started_at,
+                                   std::chrono::steady_clock::now());
     }
-    server.request_limit = limit;
-    log_event(log_level::info, "server_limit",
-              {{"server", server.entry.id}, {"requests_per_s", limit}});
 }
 
 bool gateway_exchange::handle_data(std::string_view data) {
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "citronseam/process/log.h"
 #include "citronseam/request/retry_budget.h"
 
 namespace citronseam {
@@ -28,6 +29,16 @@
 /// half of the gateways share one.
 constexpr double common_sender_share = 0.5;
 
+/// @param source who told this process of the limit
+void log_limit(const server_state& server, std::string_view source) {
+    log_event(log_level::info, "server_limit",
+              {{"server", server.entry.id},
+               {"named", server.request_limit ? 1 : 0},
+               {"requests_per_s", server.request_limit.value_or(0)},
+               {"rank", server.sender_rank},
+               {"source", source}});
+}
+
 double wait_factor_of(int rank) {
     if (rank <= 0) {
         return high_priority_wait_factor;
@@ -49,14 +60,45 @@
 }
 
 void server_pool::set_view(std::shared_ptr<const traffic_view> view) {
+    const bool is_gateway_change = view_ == nullptr || view_->gateways != view->gateways;
     view_ = std::move(view);
     for (auto& [name, service] : services_) {
         service.servers.clear();
     }
-    add_servers(*view_);
+    add_servers(*view_, is_gateway_change);
+}
+
+void server_pool::set_broadcast(std::function<void(const shared_frame&)> broadcast) {
+    broadcast_ = std::move(broadcast);
+}
+
+void server_pool::record_limit(server_state& server, std::optional<double> limit,
+                               time_point sent_at, time_point now) {
+    if (!apply_request_limit(server, limit, sent_at, now)) {
+        return;
+    }
+    log_limit(server, "answer");
+    wire::limit_reportT report;
+    report.instance = server.entry.id;
+    report.incarnation = server.entry.started_at_ms;
+    report.is_named = limit.has_value();
+    report.requests_per_s = limit.value_or(0);
+    broadcast_(make_frame(std::move(report)));
+}
+
+void server_pool::apply_limit_report(const std::string& id, std::uint64_t incarnation,
+                                     std::optional<double> limit, time_point now) {
+    const auto found = by_id_.find(id);
+    if (found == by_id_.end() || found->second->entry.started_at_ms != incarnation) {
+        return;
+    }
+    if (apply_request_limit(*found->second, limit, now, now)) {
+        log_limit(*found->second, "gateway");
+    }
 }
 
-void server_pool::add_servers(const traffic_view& view) {
+void server_pool::add_servers(const traffic_view& view, bool is_gateway_change) {
+    const request_sender self{options_.instance, options_.availability_zone};
     std::map<std::string, std::shared_ptr<server_state>, std::less<>> kept;
     for (const auto& entry : view.servers) {
         const auto known = by_id_.find(entry.id);
@@ -65,6 +107,9 @@
             known->second->entry.address == entry.address;
         auto server = is_same_incarnation ? known->second : std::make_shared<server_state>();
         server->entry = entry;
+        if (!is_same_incarnation || is_gateway_change) {
+            server->sender_rank = sender_rank(self, view.gateways, entry.id, entry.zone);
+        }
         services_[entry.service].servers.push_back(server);
         kept.emplace(entry.id, std::move(server));
     }
@@ -110,7 +155,7 @@
     constraints.now = now;
     constraints.own_zone = options_.availability_zone;
     constraints.own_region = options_.node.region;
-    constraints.process_count = view_->gateway_count;
+    constraints.process_count = std::max<std::size_t>(1, view_->gateways.size());
     constraints.max_waiting_requests =
         max_waiting_requests(service, *query.rule, priority_of(*query.rule, query.workspace));
     if (service.cold_requests_per_second > 0) {
@@ -223,7 +268,7 @@
 
 bool server_pool::try_spend_retry(const std::string& service, time_point now) {
     const bool is_granted = citronseam::try_spend_retry(services_[service].retry_budget,
-                                                        retry_bound_, view_->gateway_count, now);
+                                                        retry_bound_, view_->gateways.size(), now);
     metrics_.count("citronseam_repeats_total",
                    {{"service", service}, {"granted", is_granted ? "yes" : "no"}});
     return is_granted;
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -3,11 +3,14 @@
 #ifndef CITRONSEAM_PROGRAMS_GATEWAY_SERVER_POOL_H
 #define CITRONSEAM_PROGRAMS_GATEWAY_SERVER_POOL_H
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "citronseam/connection/wire_message.h"
 #include "citronseam/process/metrics.h"
 #include "citronseam/process/settings.h"
 #include "citronseam/request/server_choice.h"
@@ -50,6 +53,17 @@
     void apply_engine_report(const std::string& address, const engine_report& report,
                              time_point now);
 
+    /// Sets the function that sends a frame to all other gateways.
+    void set_broadcast(std::function<void(const shared_frame&)> broadcast);
+    /// Applies the limit that a server names in an answer, and tells the other gateways of a
+    /// change.
+    /// @param sent_at when the request was sent
+    void record_limit(server_state& server, std::optional<double> limit, time_point sent_at,
+                      time_point now);
+    /// Applies the limit of a server that another gateway reported.
+    void apply_limit_report(const std::string& id, std::uint64_t incarnation,
+                            std::optional<double> limit, time_point now);
+
     /// Chooses a server and counts the request towards its load.
     server_selection choose(const server_query& query, time_point now);
 
@@ -90,7 +104,7 @@
         double refused_share{0}; ///< moving average over the latest choices
     };
 
-    void add_servers(const traffic_view& view);
+    void add_servers(const traffic_view& view, bool is_gateway_change);
     std::string_view region_of(std::string_view zone) const;
     choice_constraints make_constraints(const server_query& query, const service_config& service,
                                         time_point now) const;
@@ -104,6 +118,7 @@
     std::shared_ptr<const traffic_view> view_;
     std::map<std::string, std::shared_ptr<server_state>, std::less<>> by_id_;
     std::map<std::string, service_servers, std::less<>> services_;
+    std::function<void(const shared_frame&)> broadcast_;
 };
 
 } // namespace citronseam
--- a/src/programs/gateway/traffic_view.h
+++ b/src/programs/gateway/traffic_view.h
@@ -14,6 +14,7 @@
 #include "citronseam/process/clock.h"
 #include "citronseam/process/listed_server.h"
 #include "citronseam/request/route_table.h"
+#include "citronseam/request/shared_quota.h"
 
 namespace citronseam {
 
@@ -30,8 +31,9 @@
     /// Announced versions of each model, the newest last.
     std::map<std::string, std::vector<announced_version>> weights;
     std::vector<listed_server> servers;
-    bool has_servers{false};               ///< the server list was read
-    std::size_t gateway_count{1};          ///< processes that share the system-wide limits
+    bool has_servers{false}; ///< the server list was read
+    /// Gateways that share the system-wide limits, this process included.
+    std::vector<request_sender> gateways;
     std::optional<time_point> shutdown_at; ///< set once the process is shutting down
 };
 
--- a/src/programs/gateway/traffic_view_builder.cpp
+++ b/src/programs/gateway/traffic_view_builder.cpp
@@ -101,9 +101,9 @@
     return has_changes;
 }
 
-bool traffic_view_builder::set_gateway_count(std::size_t count) {
-    const bool is_changed = count != view_.gateway_count;
-    view_.gateway_count = count;
+bool traffic_view_builder::set_gateways(std::vector<request_sender> gateways) {
+    const bool is_changed = gateways != view_.gateways;
+    view_.gateways = std::move(gateways);
     return is_changed;
 }
 
--- a/src/programs/gateway/traffic_view_builder.h
+++ b/src/programs/gateway/traffic_view_builder.h
@@ -28,7 +28,7 @@
     bool apply_server_rows(const std::vector<versioned_row>& changed);
     /// Sets the number of gateways that share the system-wide limits.
     /// @return whether it changed
-    bool set_gateway_count(std::size_t count);
+    bool set_gateways(std::vector<request_sender> gateways);
     /// Records when this process will exit.
     void set_shutdown_time(time_point shutdown_at) { view_.shutdown_at = shutdown_at; }
 
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -113,6 +113,7 @@
     };
     observer.on_neighbours_reply = observer_.on_neighbours_reply;
     observer.on_crash_report = observer_.on_crash_report;
+    observer.on_limit_report = observer_.on_limit_report;
     observer.make_greeting = observer_.make_greeting;
     observer.on_rows = [this](const connected_member& from, const std::string& table,
                               const row_batch& rows) { apply_member_batch(from, table, rows); };
@@ -389,13 +390,17 @@
     control_.post_after(startup_members_interval, [this] { update_members_interval(); });
 }
 
-std::size_t cluster_node::gateway_count() const {
-    std::size_t count = self_.role == process_role::gateway ? 1 : 0;
+std::vector<request_sender> cluster_node::gateways() const {
+    std::vector<request_sender> listed;
+    if (self_.role == process_role::gateway) {
+        listed.push_back({self_.instance, self_.zone});
+    }
     for (const auto& [instance, process] : known_members_) {
-        const bool is_other = instance != self_.instance;
-        count += is_other && process.role == process_role::gateway ? 1 : 0;
+        if (instance != self_.instance && process.role == process_role::gateway) {
+            listed.push_back({instance, process.zone});
+        }
     }
-    return count;
+    return listed;
 }
 
 } // namespace citronseam
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -17,6 +17,7 @@
 #include "citronseam/process/pending_request.h"
 #include "citronseam/process/settings.h"
 #include "citronseam/process/zone_reader.h"
+#include "citronseam/request/shared_quota.h"
 #include "programs/node/member_mesh.h"
 #include "programs/node/store_client.h"
 #include "programs/node/table_follower.h"
@@ -36,6 +37,8 @@
     std::function<void(const wire::neighbours_reply&)> on_neighbours_reply;
     /// A gateway reported a loss of a backend server; may be empty.
     std::function<void(const wire::crash_report&)> on_crash_report;
+    /// A gateway reported the limit that a backend server names; may be empty.
+    std::function<void(const wire::limit_report&)> on_limit_report;
     /// @return frames for a process that has just connected; may be empty
     std::function<std::vector<shared_frame>(const member& process)> make_greeting;
 };
@@ -63,9 +66,9 @@
     std::uint64_t operator_version() const noexcept;
     /// @return when the store last answered about the operator's table
     time_point operator_read_at() const noexcept { return operator_rows_.last_read_at(); }
-    /// @return number of gateways that ever registered, this process included: those that share the
+    /// @return the gateways that ever registered, this process included: those that share the
     /// system-wide limits
-    std::size_t gateway_count() const;
+    std::vector<request_sender> gateways() const;
     /// @return whether this process polls the server list for its zone and sends the changes to its
     /// other gateways
     bool is_server_reader() const;
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -254,6 +254,10 @@
         if (observer_.on_crash_report) {
             observer_.on_crash_report(*crash);
         }
+    } else if (const auto* limit = message.body_as_limit_report()) {
+        if (observer_.on_limit_report) {
+            observer_.on_limit_report(*limit);
+        }
     }
 }
 
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -51,6 +51,8 @@
         on_rows;
     /// A gateway reported a loss of a backend server; may be empty.
     std::function<void(const wire::crash_report&)> on_crash_report;
+    /// A gateway reported the limit that a backend server names; may be empty.
+    std::function<void(const wire::limit_report&)> on_limit_report;
     /// @return frames for a process that has just connected; may be empty
     std::function<std::vector<shared_frame>(const member& process)> make_greeting;
 };
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "citronseam/process/enum_names.h"
+#include "citronseam/request/shared_quota.h"
 
 namespace citronseam {
 namespace {
@@ -35,6 +36,9 @@
 /// way to the server.
 constexpr double cold_bound_utilization = 0.85;
 constexpr milliseconds one_second{1000};
+/// Window over which the requests to a server that names a limit are counted. A limit is seldom a
+/// whole number of requests a second.
+constexpr milliseconds limit_window{4000};
 /// Time for which a server counts as full after a refusal: about the time until one of its requests
 /// ends.
 constexpr milliseconds refusal_backoff{60};
@@ -82,6 +86,19 @@
     return count_recent(server.recent_sends, constraints.now, one_second) < max_requests;
 }
 
+/// Whether this process stays within its quota of the limit that a server names. At least one
+/// request of all processes passes in each window, so that the limit's end is noticed.
+bool is_within_request_limit(server_state& server, const choice_constraints& constraints) {
+    if (!server.request_limit) {
+        return true;
+    }
+    const double seconds = std::chrono::duration<double>(limit_window).count();
+    const auto total =
+        std::max<std::size_t>(1, static_cast<std::size_t>(*server.request_limit * seconds));
+    return count_recent(server.counted_sends, constraints.now, limit_window) <
+           quota_of(total, constraints.process_count, server.sender_rank);
+}
+
 bool is_wait_too_long(const server_state& server, const choice_constraints& constraints) noexcept {
     return constraints.max_wait_ms > 0 &&
            expected_wait_ms(server, constraints) > constraints.max_wait_ms;
@@ -101,7 +118,8 @@
     const bool is_full =
         constraints.now < server.full_until ||
         estimate_request_count(server, constraints.now) >= capacity_of(server, constraints) ||
-        is_wait_too_long(server, constraints) || !is_within_cold_bound(server, constraints);
+        is_wait_too_long(server, constraints) || !is_within_cold_bound(server, constraints) ||
+        !is_within_request_limit(server, constraints);
     return is_full ? candidate_status::full : candidate_status::usable;
 }
 
@@ -211,6 +229,18 @@
     server.ended_since_report = 0;
 }
 
+bool apply_request_limit(server_state& server, std::optional<double> limit, time_point sent_at,
+                         time_point now) noexcept {
+    if (limit) {
+        server.limit_named_at = now;
+    } else if (sent_at <= server.limit_named_at) {
+        return false;
+    }
+    const bool is_changed = server.request_limit != limit;
+    server.request_limit = limit;
+    return is_changed;
+}
+
 double expected_wait_ms(const server_state& server,
                         const choice_constraints& constraints) noexcept {
     const double busy = estimate_request_count(server, constraints.now);
@@ -228,6 +258,8 @@
     ++server.sent_since_report;
     server.pending_prefill_ms += constraints.prompt_prefill_ms;
     add_event(server.recent_sends, constraints.now);
+    count_recent(server.counted_sends, constraints.now, limit_window);
+    add_event(server.counted_sends, constraints.now);
 }
 
 void record_ended(server_state& server, exchange_outcome outcome, time_point now) noexcept {
--- a/tests/server_choice_test.cpp
+++ b/tests/server_choice_test.cpp
@@ -1,7 +1,10 @@
 // Choice of a backend server under overload, failures, cold servers and weight loads.
+#include <set>
+
 #include <gtest/gtest.h>
 
 #include "citronseam/request/server_choice.h"
+#include "citronseam/request/shared_quota.h"
 
 namespace {
 
@@ -134,6 +137,80 @@
     EXPECT_EQ(choose().server->entry.id, "far");
 }
 
+TEST(shared_quota, quotas_of_all_ranks_add_up_to_the_total) {
+    for (const std::size_t senders : {1U, 7U, 45U, 330U}) {
+        for (const std::size_t total : {1U, 8U, 50U}) {
+            std::size_t sum = 0;
+            for (std::size_t rank = 0; rank < senders; ++rank) {
+                sum += quota_of(total, senders, rank);
+            }
+            EXPECT_EQ(sum, total) << senders << " senders";
+        }
+    }
+}
+
+TEST(shared_quota, senders_of_the_servers_zone_come_first_and_each_rank_is_taken_once) {
+    std::vector<request_sender> senders;
+    for (int i = 0; i < 12; ++i) {
+        senders.push_back({"gateway-" + std::to_string(i), i % 3 == 0 ? "zone-a" : "zone-b"});
+    }
+    std::set<std::size_t> ranks;
+    for (const auto& sender : senders) {
+        const std::size_t rank = sender_rank(sender, senders, "server-1", "zone-a");
+        EXPECT_EQ(rank < 4, sender.zone == "zone-a");
+        ranks.insert(rank);
+    }
+    EXPECT_EQ(ranks.size(), senders.size());
+}
+
+TEST(shared_quota, a_process_that_lists_differ_on_adds_its_own_quota_only) {
+    std::vector<request_sender> senders{{"a", "z"}, {"b", "z"}, {"c", "z"}};
+    const std::vector<request_sender> without_c{{"a", "z"}, {"b", "z"}};
+    constexpr std::size_t total = 3;
+    std::size_t sum = 0;
+    for (const auto& sender : without_c) {
+        sum += quota_of(total, without_c.size(), sender_rank(sender, without_c, "s", "z"));
+    }
+    sum += quota_of(total, senders.size(), sender_rank(senders[2], senders, "s", "z"));
+    EXPECT_LE(sum, total + 1);
+}
+
+TEST_F(choice, limit_that_a_server_names_is_kept_by_all_processes_together) {
+    constexpr double limit = 2.5;
+    constexpr std::size_t allowed_in_window = 20; // one and a half times the limit in 4 s, and 5
+    for (const std::size_t gateways : {1U, 7U, 45U, 330U}) {
+        constraints.process_count = gateways;
+        std::size_t sent = 0;
+        for (std::size_t rank = 0; rank < gateways; ++rank) {
+            servers.clear();
+            server_state& server = add("limited");
+            server.sender_rank = rank;
+            apply_request_limit(server, limit, start, start);
+            for (constraints.now = start; constraints.now < start + milliseconds(4000);
+                 constraints.now += milliseconds(100)) {
+                if (choose().server != nullptr) {
+                    record_sent(server, constraints);
+                    record_ended(server, exchange_outcome::succeeded, constraints.now);
+                    ++sent;
+                }
+            }
+        }
+        EXPECT_LE(sent, allowed_in_window) << gateways << " gateways";
+        EXPECT_GE(sent, 10U) << gateways << " gateways use the limit";
+    }
+}
+
+TEST_F(choice, limit_ends_with_an_answer_to_a_request_that_was_sent_after_it_was_named) {
+    server_state& server = add("limited");
+    const auto named_at = start + milliseconds(100);
+    EXPECT_TRUE(apply_request_limit(server, 2.5, start, named_at));
+    EXPECT_FALSE(apply_request_limit(server, std::nullopt, start, named_at + milliseconds(50)));
+    EXPECT_TRUE(server.request_limit);
+    EXPECT_TRUE(apply_request_limit(server, std::nullopt, named_at + milliseconds(1),
+                                    named_at + milliseconds(50)));
+    EXPECT_FALSE(server.request_limit);
+}
+
 // Guards against overload of a server that becomes cold without warning under normal load.
 TEST_F(choice, all_processes_together_respect_the_cold_server_rate_limit) {
     constexpr std::size_t gateways = 7;
