Take no share of a limit before the other gateways are known

Change: a gateway is ready once it has read the table of members or heard from another gateway. Beats carry the number of gateways that their sender knows. A gateway whose list is shorter than the highest number heard ranks last, so it takes the even share rounded down; the number never falls.

The new unit test states the quota of such a gateway. It has no counterpart on the earlier code, which had no rank and no count from others.

--- a/include/citronseam/request/shared_quota.h
+++ b/include/citronseam/request/shared_quota.h
@@ -3,8 +3,8 @@
 ///
 /// A limit counts requests in a sliding window and applies to all processes together. Each process
 /// takes a whole number of requests, which may be none, so the processes cannot exceed the limit
-/// whenever they send. Processes whose lists of each other differ for a while disagree by at most
-/// the number of processes that are missing from a list.
+/// whenever they send. A process whose list of the others is not complete takes no more than the
+/// even share, rounded down.
 #ifndef CITRONSEAM_REQUEST_SHARED_QUOTA_H
 #define CITRONSEAM_REQUEST_SHARED_QUOTA_H
 
@@ -23,13 +23,22 @@
     bool operator==(const request_sender&) const = default;
 };
 
+/// The processes that share a limit, as one of them knows them.
+struct sender_list {
+    std::vector<request_sender> senders; ///< this process included
+    /// Number of processes that share the limit: the highest that any of them knows of.
+    std::size_t count{0};
+
+    bool operator==(const sender_list&) const = default;
+};
+
 /// Ranks a process among all that send to a server: processes of the server's zone come first,
 /// since most of its requests are theirs. The order of the others differs between servers.
 /// @param self    the process
-/// @param senders all processes, with or without `self`
+/// @param all     the processes; a process that does not know all of them ranks last
 /// @return the rank, from 0
-std::size_t sender_rank(const request_sender& self, const std::vector<request_sender>& senders,
-                        std::string_view server, std::string_view server_zone);
+std::size_t sender_rank(const request_sender& self, const sender_list& all, std::string_view server,
+                        std::string_view server_zone);
 
 /// @param total requests in a window from all processes together
 /// @param sender_count number of processes, at least 1
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -211,6 +211,7 @@
         };
         observer.on_members_changed = [this] {
             if (view_builder_.set_gateways(cluster_.gateways())) {
+                update_heartbeat();
                 publish();
             }
         };
@@ -276,6 +277,7 @@
         heartbeat.servers_version = server_rows_.rows().version;
         heartbeat.server_reads = server_rows_.read_count();
         heartbeat.operator_reads = cluster_.operator_reads();
+        heartbeat.gateway_count = static_cast<std::uint32_t>(view_builder_.gateways().count);
         cluster_.mesh().set_heartbeat(heartbeat);
         return heartbeat;
     }
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -74,7 +74,7 @@
 
 bool gateway_exchange::resolve_route() {
     view_ = context_.pool.view();
-    if (view_ == nullptr || view_->routes == nullptr || !view_->has_servers) {
+    if (view_ == nullptr || !is_complete(*view_)) {
         refuse({status_unavailable, "not_ready", "no configuration is known yet",
                 retry_after(configuration_retry_delay, context_.pool.random())});
         return false;
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -155,7 +155,7 @@
     constraints.now = now;
     constraints.own_zone = options_.availability_zone;
     constraints.own_region = options_.node.region;
-    constraints.process_count = std::max<std::size_t>(1, view_->gateways.size());
+    constraints.process_count = view_->gateways.count;
     constraints.max_waiting_requests =
         max_waiting_requests(service, *query.rule, priority_of(*query.rule, query.workspace));
     if (service.cold_requests_per_second > 0) {
@@ -268,7 +268,7 @@
 
 bool server_pool::try_spend_retry(const std::string& service, time_point now) {
     const bool is_granted = citronseam::try_spend_retry(services_[service].retry_budget,
-                                                        retry_bound_, view_->gateways.size(), now);
+                                                        retry_bound_, view_->gateways.count, now);
     metrics_.count("citronseam_repeats_total",
                    {{"service", service}, {"granted", is_granted ? "yes" : "no"}});
     return is_granted;
--- a/src/programs/gateway/traffic_view.cpp
+++ b/src/programs/gateway/traffic_view.cpp
@@ -29,6 +29,10 @@
 
 } // namespace
 
+bool is_complete(const traffic_view& view) noexcept {
+    return view.routes != nullptr && view.has_servers && view.gateways.count > 0;
+}
+
 std::uint64_t min_weights_version_to_begin(const traffic_view& view, const std::string& model,
                                            milliseconds due, time_point now) {
     return min_due_version(view, model, due - propagation_margin, now);
--- a/src/programs/gateway/traffic_view.h
+++ b/src/programs/gateway/traffic_view.h
@@ -32,11 +32,14 @@
     std::map<std::string, std::vector<announced_version>> weights;
     std::vector<listed_server> servers;
     bool has_servers{false}; ///< the server list was read
-    /// Gateways that share the system-wide limits, this process included.
-    std::vector<request_sender> gateways;
+    sender_list gateways;    ///< that share the system-wide limits; empty until they are known
     std::optional<time_point> shutdown_at; ///< set once the process is shutting down
 };
 
+/// @return whether requests can be decided on: the configuration, the server list and the gateways
+/// that share the limits are known
+bool is_complete(const traffic_view& view) noexcept;
+
 /// @param due time after an announcement within which every engine must serve the new weights
 /// @return the oldest version of a model that an engine may start a request on at `now`
 std::uint64_t min_weights_version_to_begin(const traffic_view& view, const std::string& model,
--- a/src/programs/gateway/traffic_view_builder.cpp
+++ b/src/programs/gateway/traffic_view_builder.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/traffic_view_builder.h"
 
+#include <algorithm>
 #include <numeric>
 
 #include "citronseam/process/log.h"
@@ -101,7 +102,9 @@
     return has_changes;
 }
 
-bool traffic_view_builder::set_gateways(std::vector<request_sender> gateways) {
+bool traffic_view_builder::set_gateways(sender_list gateways) {
+    // Connections to gateways that know of more may be lost.
+    gateways.count = std::max(gateways.count, view_.gateways.count);
     const bool is_changed = gateways != view_.gateways;
     view_.gateways = std::move(gateways);
     return is_changed;
--- a/src/programs/gateway/traffic_view_builder.h
+++ b/src/programs/gateway/traffic_view_builder.h
@@ -26,16 +26,18 @@
     /// Applies changed rows of the server list.
     /// @return whether anything changed that affects request decisions
     bool apply_server_rows(const std::vector<versioned_row>& changed);
-    /// Sets the number of gateways that share the system-wide limits.
-    /// @return whether it changed
-    bool set_gateways(std::vector<request_sender> gateways);
+    /// Sets the gateways that share the system-wide limits. Their count never falls.
+    /// @return whether anything changed
+    bool set_gateways(sender_list gateways);
+    /// @return the gateways that share the system-wide limits
+    const sender_list& gateways() const noexcept { return view_.gateways; }
     /// Records when this process will exit.
     void set_shutdown_time(time_point shutdown_at) { view_.shutdown_at = shutdown_at; }
 
     /// @return an immutable copy for the traffic thread
     std::shared_ptr<const traffic_view> build() const;
-    /// @return whether the configuration and the server list were both read
-    bool is_complete() const noexcept { return view_.routes != nullptr && view_.has_servers; }
+    /// @return whether the configuration, the server list and the other gateways are known
+    bool is_complete() const noexcept { return citronseam::is_complete(view_); }
     /// @return version of the active configuration, 0 for none
     std::uint64_t configuration_version() const noexcept;
 
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -390,16 +390,23 @@
     control_.post_after(startup_members_interval, [this] { update_members_interval(); });
 }
 
-std::vector<request_sender> cluster_node::gateways() const {
-    std::vector<request_sender> listed;
+sender_list cluster_node::gateways() const {
+    sender_list listed;
+    for (const connected_member* connected : mesh_->members()) {
+        listed.count = std::max(listed.count, connected->gateway_count);
+    }
+    if (listed.count == 0 && !member_rows_.rows().is_complete) {
+        return listed;
+    }
     if (self_.role == process_role::gateway) {
-        listed.push_back({self_.instance, self_.zone});
+        listed.senders.push_back({self_.instance, self_.zone});
     }
     for (const auto& [instance, process] : known_members_) {
         if (instance != self_.instance && process.role == process_role::gateway) {
-            listed.push_back({instance, process.zone});
+            listed.senders.push_back({instance, process.zone});
         }
     }
+    listed.count = std::max(listed.count, listed.senders.size());
     return listed;
 }
 
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -67,8 +67,8 @@
     /// @return when the store last answered about the operator's table
     time_point operator_read_at() const noexcept { return operator_rows_.last_read_at(); }
     /// @return the gateways that ever registered, this process included: those that share the
-    /// system-wide limits
-    std::vector<request_sender> gateways() const;
+    /// system-wide limits. Empty until the others are known from the store or from one of them.
+    sender_list gateways() const;
     /// @return whether this process polls the server list for its zone and sends the changes to its
     /// other gateways
     bool is_server_reader() const;
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -223,8 +223,10 @@
     }
     if (const auto* heartbeat = message.body_as_member_beat()) {
         connected_member& from = found->second;
-        const bool is_changed = from.is_ready != heartbeat->is_ready();
+        const bool is_changed = from.is_ready != heartbeat->is_ready() ||
+                                from.gateway_count != heartbeat->gateway_count();
         from.is_ready = heartbeat->is_ready();
+        from.gateway_count = heartbeat->gateway_count();
         from.operator_version = heartbeat->operator_version();
         from.servers_version = heartbeat->servers_version();
         const auto now = std::chrono::steady_clock::now();
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -32,6 +32,7 @@
     time_point servers_read_at;        ///< when server_reads last increased
     std::uint64_t operator_reads{0};   ///< number of its own reads of the operator's table
     time_point operator_read_at;       ///< when operator_reads last increased
+    std::size_t gateway_count{0};      ///< gateways that it knows of; of gateways only
 };
 
 /// Callbacks of a mesh. All run on the control thread.
--- a/src/request/shared_quota.cpp
+++ b/src/request/shared_quota.cpp
@@ -7,8 +7,11 @@
 
 namespace citronseam {
 
-std::size_t sender_rank(const request_sender& self, const std::vector<request_sender>& senders,
-                        std::string_view server, std::string_view server_zone) {
+std::size_t sender_rank(const request_sender& self, const sender_list& all, std::string_view server,
+                        std::string_view server_zone) {
+    if (all.senders.size() < all.count) {
+        return all.count - 1;
+    }
     const auto order_of = [&](const request_sender& sender) {
         return std::make_tuple(sender.zone != server_zone,
                                rendezvous_weight(server, sender.instance),
@@ -16,7 +19,7 @@
     };
     const auto own_order = order_of(self);
     return static_cast<std::size_t>(
-        std::count_if(senders.begin(), senders.end(), [&](const request_sender& sender) {
+        std::count_if(all.senders.begin(), all.senders.end(), [&](const request_sender& sender) {
             return sender.instance != self.instance && order_of(sender) < own_order;
         }));
 }
--- a/tests/server_choice_test.cpp
+++ b/tests/server_choice_test.cpp
@@ -156,23 +156,23 @@
     }
     std::set<std::size_t> ranks;
     for (const auto& sender : senders) {
-        const std::size_t rank = sender_rank(sender, senders, "server-1", "zone-a");
+        const std::size_t rank =
+            sender_rank(sender, {senders, senders.size()}, "server-1", "zone-a");
         EXPECT_EQ(rank < 4, sender.zone == "zone-a");
         ranks.insert(rank);
     }
     EXPECT_EQ(ranks.size(), senders.size());
 }
 
-TEST(shared_quota, a_process_that_lists_differ_on_adds_its_own_quota_only) {
-    std::vector<request_sender> senders{{"a", "z"}, {"b", "z"}, {"c", "z"}};
-    const std::vector<request_sender> without_c{{"a", "z"}, {"b", "z"}};
-    constexpr std::size_t total = 3;
-    std::size_t sum = 0;
-    for (const auto& sender : without_c) {
-        sum += quota_of(total, without_c.size(), sender_rank(sender, without_c, "s", "z"));
+// Guards against LIMIT and FAILBACK: a process that knows itself only takes the whole limit.
+TEST(shared_quota, process_that_does_not_know_the_others_takes_no_more_than_an_even_share) {
+    constexpr std::size_t count = 45;
+    const request_sender self{"gateway-1", "zone-a"};
+    const sender_list incomplete{{self}, count};
+    for (const std::size_t total : {10U, 45U, 100U}) {
+        const std::size_t rank = sender_rank(self, incomplete, "server-1", "zone-a");
+        EXPECT_EQ(quota_of(total, incomplete.count, rank), total / count);
     }
-    sum += quota_of(total, senders.size(), sender_rank(senders[2], senders, "s", "z"));
-    EXPECT_LE(sum, total + 1);
 }
 
 TEST_F(choice, limit_that_a_server_names_is_kept_by_all_processes_together) {
