Follow a store that comes back from a copy

Its versions go back and are given out again, Store-Era rises by one.

Cause of what callers would see: copies of rows never go back to an older version, so a configuration, or the end of an evacuation, that was written after the restore was taken for old until the counter had passed the lost versions. Processes did not see that their own row was gone.

Change: a version is the era and the counter. platform/ decodes both, sends the counter back, and rejects what does not fit; a row of a later era is always newer. The feed of another era is not followed: the table is read again. For 2.5 s after a new era was first seen the known rows stay, since the operator and the servers write theirs again meanwhile: an evacuation that the copy does not have yet stays in force. The stand-in store sends Store-Era, can go back to a copy and answers 410 to a feed from a version that it does not have.

--- a/include/citronseam/process/versioned_row.h
+++ b/include/citronseam/process/versioned_row.h
@@ -12,7 +12,27 @@
 
 namespace citronseam {
 
-/// One row. Versions come from one counter for the whole store.
+/// Versions come from one counter for the whole store, which goes back when the store is restored
+/// from a copy. The upper bits hold the store's era, which rises by one each time, so versions of a
+/// later era are always higher.
+inline constexpr unsigned era_shift = 48;
+inline constexpr std::uint64_t max_counter = (std::uint64_t{1} << era_shift) - 1;
+inline constexpr std::uint64_t max_era = (std::uint64_t{1} << (64 - era_shift)) - 1;
+
+/// @return the version for a value of the store's counter in an era
+constexpr std::uint64_t make_version(std::uint64_t era, std::uint64_t counter) noexcept {
+    return era << era_shift | counter;
+}
+/// @return the store's era of a version
+constexpr std::uint64_t era_of(std::uint64_t version) noexcept {
+    return version >> era_shift;
+}
+/// @return the value of the store's counter
+constexpr std::uint64_t counter_of(std::uint64_t version) noexcept {
+    return version & max_counter;
+}
+
+/// One row.
 struct versioned_row {
     std::string key;
     std::string value;
--- a/src/process/versioned_row.cpp
+++ b/src/process/versioned_row.cpp
@@ -47,7 +47,8 @@
         remove_unlisted(cache, batch, changed);
     }
     const bool has_all_rows = batch.is_whole || (batch.after == 0 && batch.version > 0);
-    if (has_all_rows && !cache.is_complete) {
+    const bool is_new_era = has_all_rows && era_of(batch.version) > era_of(cache.version);
+    if (has_all_rows && (!cache.is_complete || is_new_era)) {
         cache.is_complete = true;
         cache.removals_since = batch.version;
     }
--- a/src/programs/gateway/traffic_view_builder.cpp
+++ b/src/programs/gateway/traffic_view_builder.cpp
@@ -49,7 +49,7 @@
             apply_configuration(std::move(*row.rules));
         } else if (row.evacuated_zone) {
             log_event(log_level::info, row.is_removed ? "zone_back" : "zone_evacuated",
-                      {{"zone", *row.evacuated_zone}, {"row_version", version}});
+                      {{"zone", *row.evacuated_zone}, {"row_version", counter_of(version)}});
             if (row.is_removed) {
                 view_.evacuated_zones.erase(*row.evacuated_zone);
             } else {
@@ -94,7 +94,7 @@
                        {"draining", server->is_draining ? 1 : 0},
                        {"weights", server->weights_version},
                        {"cold_ms", server->remaining_cold_time.count()},
-                       {"row_version", row.version}});
+                       {"row_version", counter_of(row.version)}});
         }
         servers_[row.key] = std::move(*server);
     }
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -143,7 +143,7 @@
                {"rows", batch.rows.size()},
                {"changed", changed},
                {"bytes", bytes},
-               {"version", batch.version}});
+               {"version", counter_of(batch.version)}});
 }
 
 void cluster_node::apply_operator_rows(const table_change& change) {
@@ -153,7 +153,8 @@
     for (const auto& row : change.rows) {
         log_event(log_level::info, "operator_row",
                   {{"row", row.key},
-                   {"version", row.version},
+                   {"version", counter_of(row.version)},
+                   {"era", era_of(row.version)},
                    {"removed", row.is_removed ? 1 : 0},
                    {"bytes", row.value.size()}});
     }
@@ -204,7 +205,7 @@
                                 std::uint64_t version) {
     const auto now = std::chrono::steady_clock::now();
     const std::uint64_t known_version = shared_tables_.at(table)->rows().version;
-    if (version <= known_version ||
+    if (version <= known_version || shared_tables_.at(table)->settling_time(version).count() > 0 ||
         is_outstanding(rows_requests_[table], rows_reply_timeout, now)) {
         return;
     }
@@ -213,8 +214,8 @@
             log_event(log_level::info, "rows_requested",
                       {{"table", table},
                        {"member", instance},
-                       {"after", known_version},
-                       {"offered", version}});
+                       {"after", counter_of(known_version)},
+                       {"offered", counter_of(version)}});
             rows_requests_[table] = {connected->session->number(), now};
             mesh_->request_rows(*connected, table, known_version);
         }
--- a/src/programs/node/store_client.cpp
+++ b/src/programs/node/store_client.cpp
@@ -38,7 +38,7 @@
     if (outcome != store_outcome::done) {
         return std::nullopt;
     }
-    auto page = platform::parse_rows(response.body);
+    auto page = platform::parse_rows(response);
     if (!page) {
         log_event(log_level::warning, "store_answer_unreadable",
                   {{"table", table}, {"reason", page.error().message}});
@@ -97,6 +97,13 @@
                  done(outcome, {});
                  return;
              }
+             const bool is_other_era =
+                 collected.version != 0 && era_of(page->batch.version) != era_of(collected.version);
+             if (is_other_era) {
+                 // The pages do not belong together; the caller reads the table again.
+                 done(store_outcome::unknown, {});
+                 return;
+             }
              // Pages are read one after another, so the table is only as new as the oldest page.
              collected.version = collected.version == 0
                                      ? page->batch.version
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -1,5 +1,7 @@
 #include "programs/node/table_follower.h"
 
+#include <algorithm>
+
 #include "citronseam/process/log.h"
 
 namespace citronseam {
@@ -12,6 +14,9 @@
 constexpr milliseconds needed_check_interval{100};
 /// Granularity of the time between reads.
 constexpr milliseconds poll_tick{100};
+/// After the store was restored from a copy, the operator and the servers write their lost rows
+/// again within this time. Until then the known rows are closer to what they want.
+constexpr milliseconds rewrite_time{2500};
 
 } // namespace
 
@@ -25,7 +30,30 @@
     read_full_table();
 }
 
+milliseconds table_follower::settling_time(std::uint64_t version) {
+    const std::uint64_t era = era_of(version);
+    if (!cache_.is_complete || era <= era_of(cache_.version)) {
+        return milliseconds(0);
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (era > newest_era_) {
+        newest_era_ = era;
+        era_learned_at_ = now;
+        log_event(log_level::warning, "store_restored",
+                  {{"table", table_},
+                   {"era", era},
+                   {"version", counter_of(version)},
+                   {"known_era", era_of(cache_.version)},
+                   {"known_version", counter_of(cache_.version)}});
+    }
+    const auto waited = std::chrono::duration_cast<milliseconds>(now - era_learned_at_);
+    return std::max(rewrite_time - waited, milliseconds(0));
+}
+
 std::size_t table_follower::apply(const row_batch& batch, bool is_own_read) {
+    if (settling_time(batch.version).count() > 0) {
+        return 0;
+    }
     const bool was_complete = cache_.is_complete;
     const std::uint64_t previous_version = cache_.version;
     table_change change{merge(cache_, batch), previous_version, cache_.version, is_own_read};
@@ -71,6 +99,11 @@
         return;
     }
     record_read();
+    const milliseconds settling = settling_time(batch.version);
+    if (settling.count() > 0) {
+        schedule(settling, &table_follower::read_again);
+        return;
+    }
     feed_version_ = batch.version;
     apply(batch, true);
     if (mode_ == follow_mode::poll) {
@@ -105,7 +138,7 @@
 void table_follower::handle_feed(platform::store_outcome outcome, const row_batch& batch) {
     if (outcome == platform::store_outcome::history_lost) {
         log_event(log_level::warning, "feed_history_lost",
-                  {{"table", table_}, {"after", feed_version_}});
+                  {{"table", table_}, {"after", counter_of(feed_version_)}});
         read_full_table();
         return;
     }
@@ -115,6 +148,11 @@
         return;
     }
     record_read();
+    if (era_of(batch.version) > era_of(feed_version_)) {
+        // Versions were given out again, so the feed may leave rows out.
+        read_full_table();
+        return;
+    }
     feed_version_ = std::max(feed_version_, batch.version);
     apply(batch, true);
     wait_for_changes();
--- a/src/programs/node/table_follower.h
+++ b/src/programs/node/table_follower.h
@@ -49,6 +49,10 @@
     /// @return number of rows that changed the copy
     std::size_t apply_from_member(const row_batch& batch) { return apply(batch, false); }
 
+    /// @return how long rows with this version are not applied yet, since the store was restored;
+    /// zero when they are applied
+    milliseconds settling_time(std::uint64_t version);
+
     /// @return the copy
     const row_cache& rows() const noexcept { return cache_; }
     /// @return when the store last answered; time_point{} before the first response
@@ -80,7 +84,9 @@
     std::uint64_t feed_version_{0}; ///< version after which the feed continues
     time_point last_read_at_;
     std::uint64_t read_count_{0};
-    time_point read_started_at_; ///< when the last read began
+    time_point read_started_at_;  ///< when the last read began
+    std::uint64_t newest_era_{0}; ///< of the store, as learned from any response or process
+    time_point era_learned_at_;   ///< when the newest era was first seen
 };
 
 } // namespace citronseam
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -1,5 +1,7 @@
 #include "programs/sidecar/sidecar.h"
 
+#include <algorithm>
+
 #include "citronseam/process/log.h"
 #include "platform/decode.h"
 #include "programs/daemon/operator_server.h"
@@ -187,7 +189,9 @@
             if (row.rules) {
                 handle_routing(*row.rules);
             } else if (row.weights) {
-                announced_versions_[row.weights->model] = row.weights->version;
+                // A restored store may list an older version for a moment.
+                std::uint64_t& announced = announced_versions_[row.weights->model];
+                announced = std::max(announced, row.weights->version);
             }
         });
         if (!model_.empty()) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -165,8 +165,17 @@
     EXPECT_EQ(platform::parse_store_outcome(response_with(500)), store_outcome::unknown);
 }
 
+result<platform::row_page> parse_rows_body(const std::string& body, const std::string& era = "") {
+    http_response response;
+    response.body = body;
+    if (!era.empty()) {
+        response.headers = {{"Store-Era", era}};
+    }
+    return platform::parse_rows(response);
+}
+
 TEST(store, row_values_are_base64) {
-    const auto page = platform::parse_rows(
+    const auto page = parse_rows_body(
         R"({"records":[{"table":"t","part":"","key":"a","value":"bm9kZS0x","ver":4},
             {"table":"t","part":"","key":"b","tombstone":true,"ver":5}],"has_more":true,"ver":9})");
     ASSERT_TRUE(page.has_value());
@@ -174,7 +183,7 @@
     EXPECT_EQ(page->batch.version, 9U);
     EXPECT_EQ(page->batch.rows[0].value, "node-1");
     EXPECT_TRUE(page->batch.rows[1].is_removed);
-    EXPECT_FALSE(platform::parse_rows("{}").has_value());
+    EXPECT_FALSE(parse_rows_body("{}").has_value());
     const auto write = platform::make_write_request("http://s", "t", "k", "node-1");
     EXPECT_EQ(nlohmann::json::parse(write.body).at("set_keys")[0].at("value"), "bm9kZS0x");
 }
@@ -219,4 +228,24 @@
     }
 }
 
+TEST(store_rows, versions_of_a_later_era_are_higher) {
+    const std::string body =
+        R"({"records":[{"table":"t","part":"","key":"a","value":"","ver":4}],"ver":9})";
+    const auto before = parse_rows_body(body, "1");
+    const auto after = parse_rows_body(
+        R"({"records":[{"table":"t","part":"","key":"a","value":"","ver":2}],"ver":3})", "2");
+    ASSERT_TRUE(before && after);
+    EXPECT_GT(after->batch.version, before->batch.version);
+    EXPECT_GT(after->batch.rows[0].version, before->batch.version);
+    EXPECT_EQ(counter_of(after->batch.version), 3U);
+    EXPECT_EQ(era_of(after->batch.version), 2U);
+    EXPECT_NE(platform::make_watch_request("http://s", "t", after->batch.version, milliseconds(1))
+                  .url.find("after=3&"),
+              std::string::npos);
+    EXPECT_EQ(era_of(parse_rows_body(body)->batch.version), 0U);
+    EXPECT_FALSE(parse_rows_body(body, "two"));
+    EXPECT_FALSE(parse_rows_body(body, "65536"));
+    EXPECT_FALSE(parse_rows_body(R"({"records":[],"ver":281474976710656})", "1"));
+}
+
 } // namespace
--- /dev/null
+++ b/tests/process_store_era_test.cpp
@@ -0,0 +1,115 @@
+// Gateways and a store that comes back from a copy some seconds old, on a simulated platform.
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "support/platform_world.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+constexpr int lost_writes = 50;
+constexpr milliseconds outage{500};
+/// From the store's return until the operator has written its lost rows again.
+constexpr milliseconds rewrite_delay{1000};
+constexpr milliseconds change_timeout{6000};
+/// Longer than the interval at which processes read the table of members.
+constexpr milliseconds registration_timeout{15000};
+
+class restored_store : public ::testing::Test {
+protected:
+    void SetUp() override {
+        world.store.save_copy();
+        ASSERT_TRUE(world.start());
+    }
+
+    /// Writes rows that the restored copy does not have, so that versions go back by many.
+    void write_rows_that_get_lost() {
+        for (int i = 0; i < lost_writes; ++i) {
+            world.put_server_row(*world.engines[0], "drafts", "zone-a");
+        }
+        const auto version = std::to_string(world.put_configuration(2));
+        for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+            ASSERT_NE(world.gateway(i).wait_for_line(
+                          "event=operator_row row=config version=" + version, change_timeout),
+                      "");
+        }
+    }
+
+    void restore_store() {
+        world.store.is_down = true;
+        std::this_thread::sleep_for(outage);
+        world.store.restore_copy();
+        world.store.is_down = false;
+    }
+
+    std::string draft(std::size_t gateway) {
+        return world.call(gateway, "POST", "/draft/1", {key_header}).body;
+    }
+
+    bool wait_for_route(std::size_t gateway) {
+        return wait_until(
+            [&] {
+                return world.call(gateway, "POST", "/later/1", {key_header}).outcome.status == 200;
+            },
+            change_timeout);
+    }
+
+    platform_world world;
+    const http_header key_header{"Authorization", std::string("Token ") + platform_world::api_key};
+};
+
+// Guards against CONFIG: rows with lower versions than those that were lost are taken for old.
+TEST_F(restored_store, rows_that_are_written_after_the_restore_apply) {
+    ASSERT_NO_FATAL_FAILURE(write_rows_that_get_lost());
+    restore_store();
+    world.put_configuration(2);
+    world.put_configuration(3, true);
+    for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+        EXPECT_TRUE(wait_for_route(i)) << "gateway-" << i;
+    }
+}
+
+// Guards against EVAC: an evacuation that the restored copy does not have yet is taken back.
+TEST_F(restored_store, evacuation_stays_in_force_until_the_operator_has_written_it_again) {
+    ASSERT_NO_FATAL_FAILURE(write_rows_that_get_lost());
+    world.store.put("op", "evacuate/zone-a", "{}");
+    for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+        ASSERT_TRUE(wait_until([&] { return draft(i).find("zone-b") != std::string::npos; },
+                               change_timeout));
+    }
+    const auto runs_before = world.engines[0]->runs_per_attempt().size();
+    restore_store();
+    const auto rewritten_at = std::chrono::steady_clock::now() + rewrite_delay;
+    while (std::chrono::steady_clock::now() < rewritten_at) {
+        draft(0);
+        draft(1);
+    }
+    world.store.put("op", "evacuate/zone-a", "{}");
+    std::this_thread::sleep_for(change_timeout);
+    draft(0);
+    draft(1);
+    EXPECT_EQ(world.engines[0]->runs_per_attempt().size(), runs_before);
+    world.store.remove("op", "evacuate/zone-a");
+    EXPECT_TRUE(
+        wait_until([&] { return draft(0).find("zone-a") != std::string::npos; }, change_timeout))
+        << "the zone is taken back";
+}
+
+// Guards against a process that nobody finds after its row was lost.
+TEST_F(restored_store, processes_register_again) {
+    const auto are_registered = [this] {
+        const auto instances = {"gateway-0", "gateway-1", "sidecar-0", "sidecar-1"};
+        return std::all_of(instances.begin(), instances.end(), [&](const char* instance) {
+            return !world.store.value("citronseam_members", instance).empty();
+        });
+    };
+    ASSERT_TRUE(wait_until(are_registered, change_timeout));
+    restore_store();
+    ASSERT_FALSE(are_registered());
+    EXPECT_TRUE(wait_until(are_registered, registration_timeout));
+}
+
+} // namespace
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -149,6 +149,21 @@
     EXPECT_EQ(classify_event(4, std::nullopt), event_order::next);
 }
 
+// Guards against CONFIG: rows of a restored store have lower versions than those that were lost.
+TEST(versioned_row, rows_of_a_later_era_replace_those_of_an_earlier_one) {
+    row_cache cache;
+    merge(cache, {{{"kept", "1", make_version(1, 5)}, {"lost", "1", make_version(1, 9)}},
+                  make_version(1, 9),
+                  true});
+    merge(cache, {{{"kept", "2", make_version(2, 4)}}, make_version(2, 6), true});
+    EXPECT_EQ(cache.rows["kept"].value, "2");
+    EXPECT_TRUE(cache.rows["lost"].is_removed);
+    EXPECT_TRUE(changes_since(cache, make_version(1, 9)).is_whole)
+        << "removals of the earlier era are not known";
+    merge(cache, {{{"kept", "1", make_version(1, 12)}}, make_version(1, 12), true});
+    EXPECT_EQ(cache.rows["kept"].value, "2") << "a late answer of the earlier era";
+}
+
 TEST(versioned_row, newest_row_version_wins_in_any_batch_order) {
     row_cache cache;
     merge(cache, {{{"a", "new", 7, false}}, 7, false});
--- a/tests/support/row_store.cpp
+++ b/tests/support/row_store.cpp
@@ -70,6 +70,24 @@
     tables_[table][key] = {"", ++version_, true};
 }
 
+void row_store::save_copy() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    saved_tables_ = tables_;
+    saved_version_ = version_;
+}
+
+void row_store::restore_copy() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    tables_ = saved_tables_;
+    version_ = saved_version_;
+    ++era_;
+}
+
+void row_store::respond(http_responder& responder, int status, const std::string& body) const {
+    responder.respond(
+        status, {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}}, body);
+}
+
 std::string row_store::value(const std::string& table, const std::string& key) const {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto rows = tables_.find(table);
@@ -125,15 +143,18 @@
 
 void row_store::respond_to_feed(const std::string& table, std::uint64_t after, int remaining_polls,
                                 const std::shared_ptr<http_responder>& responder) {
-    json found;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        found = list(table, after, true);
+        if (after > version_) {
+            respond(*responder, 410);
+            return;
+        }
+        const json found = list(table, after, true);
         feed_counts_[table] += found.at("records").empty() ? 0 : 1;
-    }
-    if (!found.at("records").empty() || remaining_polls == 0) {
-        send_json(*responder, 200, found);
-        return;
+        if (!found.at("records").empty() || remaining_polls == 0) {
+            respond(*responder, 200, found.dump());
+            return;
+        }
     }
     timers_.post_after(feed_poll_interval, [this, table, after, remaining_polls, responder] {
         respond_to_feed(table, after, remaining_polls - 1, responder);
@@ -145,13 +166,15 @@
     ++call_count;
     const std::string table = query_parameter(request, "table");
     if (is_down) {
-        responder->respond(503, {}, "");
+        const std::lock_guard<std::mutex> lock(mutex_);
+        respond(*responder, 503);
     } else if (request.path == "/rows-get") {
         const std::lock_guard<std::mutex> lock(mutex_);
         ++read_counts_[table];
-        send_json(*responder, 200, list(table, 0, false));
+        respond(*responder, 200, list(table, 0, false).dump());
     } else if (request.path == "/rows-feed" && !has_feed_history) {
-        responder->respond(410, {}, "");
+        const std::lock_guard<std::mutex> lock(mutex_);
+        respond(*responder, 410);
     } else if (request.path == "/rows-feed") {
         const auto polls = parse_number(query_parameter(request, "wait_timeout_ms")) /
                            static_cast<std::uint64_t>(feed_poll_interval.count());
@@ -163,10 +186,12 @@
             --write_responses_to_drop;
             responder->abort();
         } else {
-            send_json(*responder, 200, {{"ver", version_}, {"server_time_ms", 1}});
+            const std::lock_guard<std::mutex> lock(mutex_);
+            respond(*responder, 200, json{{"ver", version_}, {"server_time_ms", 1}}.dump());
         }
     } else {
-        responder->respond(404, {}, "");
+        const std::lock_guard<std::mutex> lock(mutex_);
+        respond(*responder, 404);
     }
 }
 
--- a/tests/support/row_store.h
+++ b/tests/support/row_store.h
@@ -37,6 +37,12 @@
     /// @return number of feed responses so far that carried rows of a table
     int feed_count(const std::string& table) const;
 
+    /// Keeps a copy of all rows.
+    void save_copy();
+    /// Comes back from the saved copy: later writes are lost, their versions are given out again,
+    /// and the era in all answers rises by one.
+    void restore_copy();
+
     std::atomic<bool> is_down{false};            ///< answers all calls with 503
     std::atomic<int> write_responses_to_drop{0}; ///< next writes to apply without a response
     std::atomic<bool> has_feed_history{true};    ///< if false, answers feeds with 410
@@ -54,11 +60,15 @@
     void respond_to_feed(const std::string& table, std::uint64_t after, int remaining_polls,
                          const std::shared_ptr<http_responder>& responder);
     void write(const nlohmann::json& body);
+    void respond(http_responder& responder, int status, const std::string& body = "") const;
     nlohmann::json list(const std::string& table, std::uint64_t after, bool with_removed) const;
 
     mutable std::mutex mutex_;
     std::map<std::string, table_rows> tables_;
     std::uint64_t version_{0};
+    std::map<std::string, table_rows> saved_tables_;
+    std::uint64_t saved_version_{0};
+    std::uint64_t era_{1};
     std::map<std::string, int> read_counts_; ///< by table
     std::map<std::string, int> feed_counts_; ///< by table
     io_thread_pool timers_{1};
