Do not send an attempt again that may not be repeated

Finding by reading, first of the open rows: a stream that may not be resumed, waiting in the queue of an engine whose weights are replaced, was cancelled and sent to another engine when its route allowed several attempts. The cancelled attempt may run all the same, so it could run twice (TWICE).

Cause: move_to_other_server asked for the retry budget and not for the route's kind. The other callers of may_retry ask for the kind, or know that nothing has run.

The test failed before: 200 from the second engine, 502 expected.

--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -333,7 +333,9 @@
     verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
     // A resumed stream needs the weights that are replaced, so no server can take it.
     const bool has_other_server = reason != "weights_replaced" || events_forwarded_ == 0;
-    if (is_stalled || (has_other_server && may_retry(now))) {
+    // The cancelled attempt may run all the same.
+    const bool is_allowed = is_retryable(*rule_) && has_other_server;
+    if (is_stalled || (is_allowed && may_retry(now))) {
         send_next();
     } else {
         fail_broken(reason);
--- a/tests/process_weights_test.cpp
+++ b/tests/process_weights_test.cpp
@@ -33,6 +33,17 @@
                           {{"Authorization", std::string("Token ") + platform_world::api_key}});
     }
 
+    /// Lists an engine that holds the second version.
+    void list_updated_engine(const platform_server& engine) {
+        world.put_server_row(engine, "drafts", "zone-b");
+        auto row = nlohmann::json::parse(world.store.value("servers", engine.id()));
+        row["layers"][0]["version"] = 2;
+        world.store.put("servers", engine.id(), row.dump());
+        ASSERT_NE(world.gateway(0).wait_for_line("event=server_listed server=" + engine.id(),
+                                                 milliseconds(3000)),
+                  "");
+    }
+
     static std::string make_events(int first, int last, const std::string& server) {
         std::string text;
         for (int i = first; i <= last; ++i) {
@@ -58,6 +69,23 @@
     EXPECT_TRUE(world.engines[1]->runs_per_attempt().empty()) << world.gateway(0).output();
 }
 
+// Guards against sending an attempt again that may not be repeated, when its weights are replaced.
+TEST_F(weights, stream_that_may_not_be_resumed_is_not_sent_again_when_its_weights_are_replaced) {
+    platform_server updated("engine-updated", true);
+    ASSERT_NO_FATAL_FAILURE(list_updated_engine(updated));
+    world.engines[0]->queue_delay_ms = 1800;
+    std::this_thread::sleep_until(announced_at + stream_start);
+    const auto stream =
+        world.call(0, "POST", "/draft-once/1",
+                   {{"Authorization", std::string("Token ") + platform_world::api_key}});
+    EXPECT_NE(world.gateway(0)
+                  .wait_for_line("event=attempt_cancelled", milliseconds(0))
+                  .find("reason=weights_replaced"),
+              std::string::npos);
+    EXPECT_EQ(stream.outcome.status, 502);
+    EXPECT_TRUE(updated.runs_per_attempt().empty()) << world.gateway(0).output();
+}
+
 // Guards against cancelling a resumed stream that began at its second engine in time.
 TEST_F(weights, resumed_stream_that_began_in_time_runs_past_the_due_time) {
     world.engines[1]->event_interval_ms = 450;
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -146,7 +146,17 @@
                                 {"slo_ms", 100},
                                 {"priority", 2},
                                 {"service", "desk"},
-                                {"max_attempts", 3}}});
+                                {"max_attempts", 3}},
+                               {{"name", "draft-once"},
+                                {"host", "a.example"},
+                                {"prefix", "/draft-once/"},
+                                {"type", "streaming"},
+                                {"timeout_ms", 6000},
+                                {"slo_ms", 400},
+                                {"gap_slo_ms", 300},
+                                {"priority", 1},
+                                {"service", "drafts"},
+                                {"max_attempts", 2}}});
     if (has_second_route) {
         json second_route = routes[1];
         second_route["prefix"] = "/later/";
