Skip the search for refuted losses when none is recent

record_answer runs for each answer of a server; it looked through all records of the quarantine each time.

--- a/include/citronseam/request/quarantine.h
+++ b/include/citronseam/request/quarantine.h
@@ -44,6 +44,7 @@
     std::unordered_map<std::uint64_t, crash_record> records;
     milliseconds lifetime{600000}; ///< a record expires this long after its last loss
     std::size_t losses_to_refuse{2};
+    time_point newest_loss; ///< of all records
 };
 
 /// How a request must be handled.
--- a/src/programs/daemon/crash_registry.h
+++ b/src/programs/daemon/crash_registry.h
@@ -31,8 +31,8 @@
 
     /// Records the loss of a server, and broadcasts it if it is new.
     void record_loss(std::uint64_t fingerprint, const lost_server& loss);
-    /// Records that a server answered a request. Losses of the server since the request was sent
-    /// were none; this is broadcast.
+    /// Records that a server answered a request: losses of the server from shortly before it was
+    /// sent are removed here and at the other processes.
     void record_answer(const lost_server& server, time_point sent_at);
     /// Applies a report of an agent or another entry, and broadcasts it if it changed a record.
     void handle_report(const wire::crash_report& message);
--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -67,6 +67,7 @@
         return false;
     }
     record.losses.push_back({loss, now});
+    state.newest_loss = now;
     record.last_loss = now;
     return true;
 }
@@ -74,6 +75,9 @@
 std::vector<std::uint64_t> refute_losses(quarantine& state, const lost_server& server,
                                          time_point sent_at) {
     std::vector<std::uint64_t> changed;
+    if (state.records.empty() || sent_at - state.newest_loss >= min_restart_time) {
+        return changed;
+    }
     for (const auto& [fingerprint, record] : state.records) {
         const auto loss = find_loss(record, server);
         if (loss != record.losses.end() && sent_at > loss->lost_at &&
