End the sending side in the test of a truncated frame

Cause: the test closes its socket; when the session's hello has arrived there unread by then, the kernel resets the connection instead of ending it.

It expects the same reason and no message, as before.

--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -97,7 +97,8 @@
     auto half = *make_data_frame(1, 0, "half");
     half.resize(half.size() / 2);
     write(socket, half);
-    socket.close();
+    // Closing would reset the connection if the hello of the session has arrived unread.
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send);
     EXPECT_EQ(listener.wait_closed(), close_reason::closed_by_peer);
     EXPECT_EQ(listener.messages(), 0);
 }
