--- a/tests/server_choice_test.cpp
+++ b/tests/server_choice_test.cpp
@@ -150,8 +150,10 @@
 }
 
 TEST(shared_quota, senders_of_the_servers_zone_come_first_and_each_rank_is_taken_once) {
+    constexpr int sender_count = 12;
     std::vector<request_sender> senders;
-    for (int i = 0; i < 12; ++i) {
+    senders.reserve(sender_count);
+    for (int i = 0; i < sender_count; ++i) {
         senders.push_back({"gateway-" + std::to_string(i), i % 3 == 0 ? "zone-a" : "zone-b"});
     }
     std::set<std::size_t> ranks;
