Wait for the whole output of the command-line tool in tests

Cause: deployment::run_tool read the captured output 20 ms after the exit, whether the reader threads had drained the pipes or not. It now waits until both pipes have ended.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -72,6 +72,8 @@
         output_changed_.notify_all();
     }
     ::close(descriptor);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    --open_pipe_count_;
     output_changed_.notify_all();
 }
 
@@ -116,6 +118,18 @@
     return exit_code_;
 }
 
+int child_process::wait_for_end_of_output(milliseconds timeout) {
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        if (!output_changed_.wait_until(lock, deadline, [this] { return open_pipe_count_ == 0; })) {
+            return -1;
+        }
+    }
+    return wait_for_exit(
+        std::chrono::duration_cast<milliseconds>(deadline - std::chrono::steady_clock::now()));
+}
+
 std::string child_process::wait_for_line(const std::string& text, milliseconds timeout) {
     std::unique_lock<std::mutex> lock(mutex_);
     const auto deadline = std::chrono::steady_clock::now() + timeout;
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -32,6 +32,9 @@
     /// Waits until the process exits.
     /// @return exit code, 128 + signal number if a signal ended it, -1 on timeout
     int wait_for_exit(milliseconds timeout);
+    /// Waits until the process has exited and all that it wrote was read.
+    /// @return exit code, 128 + signal number if a signal ended it, -1 on timeout
+    int wait_for_end_of_output(milliseconds timeout);
     /// @return whether the process still runs
     bool is_running();
 
@@ -54,6 +57,7 @@
     std::condition_variable output_changed_;
     std::string output_;
     std::string errors_;
+    int open_pipe_count_{2};
     std::thread output_reader_;
     std::thread errors_reader_;
 };
--- a/tests/support/deployment_calls.cpp
+++ b/tests/support/deployment_calls.cpp
@@ -49,9 +49,7 @@
     child_process run(command);
     constexpr milliseconds tool_timeout{60000};
     tool_result result;
-    result.status = run.wait_for_exit(tool_timeout);
-    // The reader threads may still be draining the pipes after the process has exited.
-    std::this_thread::sleep_for(milliseconds(20));
+    result.status = run.wait_for_end_of_output(tool_timeout);
     result.output = run.output();
     result.errors = run.errors();
     return result;
