Add a failing test: gateways go on sending to a server that leaves

The stand-in for a backend server can say in its answers that it leaves (Server-Leaving: 1), and name a time in its refusals (Retry-After). After such an answer the server gets 30 of the next 30 requests, since no gateway reads the header and its entry still says ready.

--- /dev/null
+++ b/tests/process_server_signals_test.cpp
@@ -0,0 +1,67 @@
+// What backend servers say of themselves in their answers, at gateways on a simulated platform.
+#include <gtest/gtest.h>
+
+#include "support/platform_world.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+constexpr milliseconds news_timeout{5000};
+
+/// Two gateways in front of two plain servers.
+class server_signals : public ::testing::Test {
+protected:
+    void SetUp() override { ASSERT_TRUE(world.start()); }
+
+    http_response look(std::size_t gateway = 0) {
+        return world.call(gateway, "GET", "/look/1", {key_header});
+    }
+
+    /// Sends requests through the first gateway until a server gets one.
+    bool wait_for_arrival(const platform_server& server) {
+        const int before = server.arrival_count();
+        return wait_until(
+            [&] {
+                look();
+                return server.arrival_count() > before;
+            },
+            news_timeout);
+    }
+
+    /// Sends requests through the first gateway until one is answered with a status.
+    bool wait_for_status(int status) {
+        return wait_until([&] { return look().outcome.status == status; }, news_timeout);
+    }
+
+    /// Sends requests through the first gateway.
+    /// @return number of successes
+    int send_requests(int count) {
+        int served = 0;
+        for (int i = 0; i < count; ++i) {
+            served += look().outcome.status == 200 ? 1 : 0;
+        }
+        return served;
+    }
+
+    platform_world world;
+    platform_server& near{*world.plain_servers[0]}; ///< in the zone of the first gateway
+    platform_server& far{*world.plain_servers[1]};
+    const http_header key_header{"Authorization", std::string("Token ") + platform_world::api_key};
+};
+
+// Guards against DRAIN: a server that says in its answers that it leaves gets requests until its
+// entry says so too.
+TEST_F(server_signals, server_that_says_it_leaves_gets_no_new_requests) {
+    constexpr int request_count = 30;
+    ASSERT_TRUE(wait_for_arrival(near));
+    near.is_leaving = true;
+    ASSERT_TRUE(wait_for_arrival(near));
+    near.is_leaving = false;
+    const int before = near.arrival_count();
+    EXPECT_EQ(send_requests(request_count), request_count) << "the other server takes them";
+    EXPECT_EQ(near.arrival_count(), before);
+}
+
+} // namespace
--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -105,8 +105,11 @@
     const std::string expected = find_header(request.headers, "X-Citronseam-Expect-Instance");
     if (!expected.empty() && expected != id()) {
         responder->respond(421, {{"X-Citronseam-Instance-Id", id()}}, "");
-    } else if (is_overloaded) {
-        responder->respond(503, {{"X-Citronseam-Not-Executed", "1"}}, "");
+        return;
+    }
+    ++arrival_count_;
+    if (is_overloaded) {
+        responder->respond(503, refusal_headers(), "");
     } else if (queue_delay_ms > 0) {
         queue(request, responder);
     } else {
@@ -171,6 +174,20 @@
     if (request_limit > 0) {
         headers.push_back({"Server-Limit", std::to_string(request_limit)});
     }
+    if (is_leaving) {
+        headers.push_back({"Server-Leaving", "1"});
+    }
+    return headers;
+}
+
+std::vector<http_header> platform_server::refusal_headers() const {
+    std::vector<http_header> headers{{"X-Citronseam-Not-Executed", "1"}};
+    if (is_leaving) {
+        headers.push_back({"Server-Leaving", "1"});
+    }
+    if (retry_after_s > 0) {
+        headers.push_back({"Retry-After", std::to_string(retry_after_s)});
+    }
     return headers;
 }
 
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -47,6 +47,8 @@
     std::uint64_t version() const;
     /// @return number of runs by attempt identifier
     std::map<std::string, int> runs_per_attempt() const;
+    /// @return number of requests that were meant for it, with those that it refused
+    int arrival_count() const { return arrival_count_; }
     /// @return headers of the last request that it ran
     std::vector<http_header> last_headers() const;
 
@@ -56,6 +58,8 @@
     std::atomic<int> queue_delay_ms{0};      ///< requests wait this long before they begin to run
     std::atomic<double> request_limit{0};    ///< requests a second that its answers name; 0: none
     std::atomic<int> event_interval_ms{30};  ///< between two events of a stream
+    std::atomic<bool> is_leaving{false};     ///< says so in its answers to requests
+    std::atomic<double> retry_after_s{0};    ///< named in its refusals; 0: none
 
     static constexpr int events_per_stream = 8;
 
@@ -68,6 +72,7 @@
     void send_event(int event_id, int last, bool is_truncated,
                     const std::shared_ptr<http_responder>& responder);
     std::vector<http_header> response_headers(const server_request& request) const;
+    std::vector<http_header> refusal_headers() const;
     bool is_crashing(const server_request& request) const;
     void crash();
     void restart();
@@ -84,6 +89,7 @@
     std::string crash_target_;
     std::function<void(const std::string&)> on_restart_;
     std::atomic<int> crash_count_{0};
+    std::atomic<int> arrival_count_{0};
     bool is_crashed_{false};
     std::unique_ptr<relay> front_; ///< of a server that can crash; nullptr until it is back
     io_thread_pool timers_{1};
