Send nothing more to a server that says in an answer that it leaves

Callers would see requests end with the engine that leaves, and the users' rule DRAIN would break: an engine may say that it leaves in its answers only, or there first, and a request that is sent later than the drain time after such an answer must not reach it.

Cause: no gateway read Server-Leaving; an entry in state draining was the only sign.

Change: platform/ decodes the header, the gateway records it for the server's state as soon as the head of an answer is there, whatever its status (421 excepted, which another server gives), and the choice of a server excludes it like one whose entry is draining. Nothing undoes it but another incarnation, which has a state of its own. First requests, retries, resumed streams and moves all choose by this function. Other gateways are not told: the rule is one of each machine, and until it ends the server serves what the others send, so no attempt is wasted.

--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -46,6 +46,7 @@
     std::optional<double> request_limit;
     time_point limit_named_at;            ///< when this process last learned of a limit
     sliding_window_counter counted_sends; ///< from this process, for the limit that it may name
+    bool is_leaving{false};               ///< it said so in an answer, whatever its entry says
 };
 
 /// Constraints and cost parameters of a choice.
@@ -128,6 +129,11 @@
 bool apply_request_limit(server_state& server, std::optional<double> limit, time_point sent_at,
                          time_point now) noexcept;
 
+/// Records that a server says in an answer that it leaves. Holds until another incarnation of the
+/// server is listed.
+/// @return whether this was not known yet
+bool record_leaving(server_state& server) noexcept;
+
 /// Records that this process sent a request.
 void record_sent(server_state& server, const choice_constraints& constraints);
 
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -91,6 +91,7 @@
     bool is_quarantined() const;
     lost_server attempted_server() const;
     void record_server_answer();
+    void record_server_signals();
     void record_server_limit();
     void deliver_response();
     void refuse(const refusal& details);
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -49,14 +49,23 @@
     attempt_.is_unusable = !answered.empty() && answered != caller_.attempt;
     attempt_.is_stream = rule_->kind == retry_class::streaming && status == status_ok &&
                          attempt_.parameters.has_seal && !attempt_.parameters.has_content_coding;
-    record_server_limit();
+    record_server_signals();
 }
 
-void gateway_exchange::record_server_limit() {
-    const platform::response_parameters& answer = attempt_.parameters;
+/// Records what the server says of itself, whether it ran the request or not.
+void gateway_exchange::record_server_signals() {
+    // Another server answers 421 at an address that is reused.
     if (attempt_.is_unusable || attempt_.status == status_misdirected) {
         return;
     }
+    if (attempt_.parameters.is_leaving) {
+        context_.pool.record_leaving(*attempt_.server);
+    }
+    record_server_limit();
+}
+
+void gateway_exchange::record_server_limit() {
+    const platform::response_parameters& answer = attempt_.parameters;
     if (answer.has_invalid_limit) {
         log_event(log_level::warning, "server_limit_invalid",
                   {{"request", caller_.attempt}, {"server", attempt_.server->entry.id}});
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -86,6 +86,12 @@
     broadcast_(make_frame(std::move(report)));
 }
 
+void server_pool::record_leaving(server_state& server) {
+    if (citronseam::record_leaving(server)) {
+        log_event(log_level::info, "server_leaving", {{"server", server.entry.id}});
+    }
+}
+
 void server_pool::apply_limit_report(const std::string& id, std::uint64_t incarnation,
                                      std::optional<double> limit, time_point now) {
     const auto found = by_id_.find(id);
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -60,6 +60,9 @@
     /// @param sent_at when the request was sent
     void record_limit(server_state& server, std::optional<double> limit, time_point sent_at,
                       time_point now);
+    /// Excludes a server that says in an answer that it leaves. Other gateways learn it from the
+    /// server's entry or from an answer of their own: until it ends, it serves what they send.
+    void record_leaving(server_state& server);
     /// Applies the limit of a server that another gateway reported.
     void apply_limit_report(const std::string& id, std::uint64_t incarnation,
                             std::optional<double> limit, time_point now);
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 #include "citronseam/process/enum_names.h"
 #include "citronseam/request/shared_quota.h"
@@ -105,8 +106,8 @@
 candidate_status status_of(server_state& server, const choice_constraints& constraints) {
     const bool is_unavailable = is_report_fresh(server, constraints.now) &&
                                 (server.report.is_loading || !server.report.is_reachable);
-    if (server.entry.is_draining || is_unavailable || is_excluded(server, constraints) ||
-        !constraints.is_zone_allowed(server.entry.zone) ||
+    if (server.entry.is_draining || server.is_leaving || is_unavailable ||
+        is_excluded(server, constraints) || !constraints.is_zone_allowed(server.entry.zone) ||
         !has_required_weights(server, constraints)) {
         return candidate_status::unusable;
     }
@@ -239,6 +240,10 @@
     return is_changed;
 }
 
+bool record_leaving(server_state& server) noexcept {
+    return !std::exchange(server.is_leaving, true);
+}
+
 double expected_wait_ms(const server_state& server,
                         const choice_constraints& constraints) noexcept {
     const double busy = estimate_request_count(server, constraints.now);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -228,6 +228,15 @@
     }
 }
 
+TEST(response_headers, leaving_server_says_so_whatever_the_status) {
+    for (const int status : {200, 500, 503}) {
+        EXPECT_TRUE(platform::parse_response_headers(status, {{"Server-Leaving", "1"}}).is_leaving);
+        EXPECT_FALSE(
+            platform::parse_response_headers(status, {{"Server-Leaving", "0"}}).is_leaving);
+        EXPECT_FALSE(platform::parse_response_headers(status, {}).is_leaving);
+    }
+}
+
 TEST(store_rows, versions_of_a_later_era_are_higher) {
     const std::string body =
         R"({"records":[{"table":"t","part":"","key":"a","value":"","ver":4}],"ver":9})";
--- a/tests/server_choice_test.cpp
+++ b/tests/server_choice_test.cpp
@@ -61,6 +61,20 @@
     EXPECT_EQ(chosen.failure_reason, choice_failure::no_server);
 }
 
+// Guards against DRAIN: a server that says in an answer that it leaves is chosen until its entry
+// says so too.
+TEST_F(choice, server_that_says_it_leaves_is_never_chosen) {
+    server_state& leaving = add("leaving");
+    EXPECT_TRUE(record_leaving(leaving));
+    EXPECT_FALSE(record_leaving(leaving)) << "known already";
+    EXPECT_EQ(choose().failure_reason, choice_failure::no_server);
+    record_ended(leaving, exchange_outcome::succeeded, start);
+    constraints.now = start + std::chrono::hours(1);
+    EXPECT_EQ(choose().server, nullptr) << "neither answers nor time undo it";
+    add("other");
+    EXPECT_EQ(choose().server->entry.id, "other");
+}
+
 TEST_F(choice, servers_with_old_or_wrong_weights_are_not_chosen) {
     add("old");
     constraints.min_weights_version = 2;
