--- a/tests/process_server_signals_test.cpp
+++ b/tests/process_server_signals_test.cpp
@@ -64,4 +64,24 @@
     EXPECT_EQ(near.arrival_count(), before);
 }
 
+// Guards against DRAIN: a gateway forgets that a server leaves when its entry expires and comes
+// back, as after an outage of the store.
+TEST_F(server_signals, server_that_leaves_is_known_after_its_entry_comes_back) {
+    constexpr int request_count = 30;
+    near.is_leaving = true;
+    ASSERT_TRUE(wait_for_arrival(near));
+    near.is_leaving = false;
+    const int before = near.arrival_count();
+    // The gateway reads rows in the order of their writing, so it knows the first write of a pair
+    // once it shows that it knows the second.
+    world.store.remove("servers", near.id());
+    world.put_server_row(far, "desk", "zone-b", "draining");
+    ASSERT_TRUE(wait_for_status(503));
+    world.put_server_row(near, "desk", "zone-a");
+    world.put_server_row(far, "desk", "zone-b");
+    ASSERT_TRUE(wait_for_status(200));
+    EXPECT_EQ(send_requests(request_count), request_count);
+    EXPECT_EQ(near.arrival_count(), before);
+}
+
 } // namespace
