Remember that a server leaves while its entry is missing

Callers would see requests end with a leaving engine after an outage of the store, and the users' rule DRAIN binds a machine that has passed on such an answer until it restarts.

Cause: the state of a server went with its entry, and entries expire while the store is unavailable.

Change: the pool keeps the state of a server that is no longer listed and has said that it leaves for ten minutes, by its identifier, and uses it again for the same incarnation (start and address). A new incarnation begins with a new state. With 2,100 engines that all leave within ten minutes these are 2,100 states in a gateway.

--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -134,6 +134,9 @@
 /// @return whether this was not known yet
 bool record_leaving(server_state& server) noexcept;
 
+/// @return whether a server has asked for something that holds although its entry is missing
+bool must_be_remembered(const server_state& server) noexcept;
+
 /// Records that this process sent a request.
 void record_sent(server_state& server, const choice_constraints& constraints);
 
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -29,6 +29,9 @@
 /// half of the gateways share one.
 constexpr double common_sender_share = 0.5;
 
+/// How long the state of a server whose entry is missing is kept. A server that leaves ends sooner.
+constexpr std::chrono::minutes unlisted_lifetime{10};
+
 /// @param source who told this process of the limit
 void log_limit(const server_state& server, std::string_view source) {
     log_event(log_level::info, "server_limit",
@@ -105,21 +108,45 @@
 
 void server_pool::add_servers(const traffic_view& view, bool is_gateway_change) {
     const request_sender self{options_.instance, options_.availability_zone};
-    std::map<std::string, std::shared_ptr<server_state>, std::less<>> kept;
+    server_map listed;
     for (const auto& entry : view.servers) {
-        const auto known = by_id_.find(entry.id);
-        const bool is_same_incarnation =
-            known != by_id_.end() && known->second->entry.started_at_ms == entry.started_at_ms &&
-            known->second->entry.address == entry.address;
-        auto server = is_same_incarnation ? known->second : std::make_shared<server_state>();
+        const auto known = find_incarnation(entry);
+        auto server = known != nullptr ? known : std::make_shared<server_state>();
         server->entry = entry;
-        if (!is_same_incarnation || is_gateway_change) {
+        if (known == nullptr || is_gateway_change || by_id_.count(entry.id) == 0) {
             server->sender_rank = sender_rank(self, view.gateways, entry.id, entry.zone);
         }
         services_[entry.service].servers.push_back(server);
-        kept.emplace(entry.id, std::move(server));
+        listed.emplace(entry.id, std::move(server));
+    }
+    remember_unlisted(listed, std::chrono::steady_clock::now());
+    by_id_ = std::move(listed);
+}
+
+std::shared_ptr<server_state> server_pool::find_incarnation(const listed_server& entry) const {
+    const auto is_same = [&entry](const server_state& server) {
+        return server.entry.started_at_ms == entry.started_at_ms &&
+               server.entry.address == entry.address;
+    };
+    const auto known = by_id_.find(entry.id);
+    if (known != by_id_.end()) {
+        return is_same(*known->second) ? known->second : nullptr;
+    }
+    const auto unlisted = unlisted_.find(entry.id);
+    return unlisted != unlisted_.end() && is_same(*unlisted->second.state) ? unlisted->second.state
+                                                                           : nullptr;
+}
+
+void server_pool::remember_unlisted(const server_map& listed, time_point now) {
+    for (const auto& [id, server] : by_id_) {
+        if (listed.count(id) == 0 && must_be_remembered(*server)) {
+            unlisted_[id] = {server, now + unlisted_lifetime};
+        }
+    }
+    for (auto it = unlisted_.begin(); it != unlisted_.end();) {
+        const bool is_over = listed.count(it->first) > 0 || now >= it->second.forgotten_at;
+        it = is_over ? unlisted_.erase(it) : std::next(it);
     }
-    by_id_ = std::move(kept);
 }
 
 void server_pool::apply_engine_report(const std::string& address, const engine_report& report,
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -101,13 +101,26 @@
     milliseconds retry_delay_after_refusal(const std::string& service, milliseconds min_delay);
 
 private:
+    using server_map = std::map<std::string, std::shared_ptr<server_state>, std::less<>>;
+
     struct service_servers {
         std::vector<std::shared_ptr<server_state>> servers;
         shared_retry_budget retry_budget;
         double refused_share{0}; ///< moving average over the latest choices
     };
 
+    /// State of a server whose entry is missing. Entries expire while the store is unavailable and
+    /// come back after it.
+    struct unlisted_server {
+        std::shared_ptr<server_state> state;
+        time_point forgotten_at;
+    };
+
     void add_servers(const traffic_view& view, bool is_gateway_change);
+    /// @return state of the same incarnation of a server, nullptr if none is known
+    std::shared_ptr<server_state> find_incarnation(const listed_server& entry) const;
+    /// Updates the unlisted servers before the listed ones are replaced.
+    void remember_unlisted(const server_map& listed, time_point now);
     std::string_view region_of(std::string_view zone) const;
     choice_constraints make_constraints(const server_query& query, const service_config& service,
                                         time_point now) const;
@@ -119,7 +132,8 @@
     retry_bound retry_bound_;
     random_source random_;
     std::shared_ptr<const traffic_view> view_;
-    std::map<std::string, std::shared_ptr<server_state>, std::less<>> by_id_;
+    server_map by_id_;
+    std::map<std::string, unlisted_server, std::less<>> unlisted_;
     std::map<std::string, service_servers, std::less<>> services_;
     std::function<void(const shared_frame&)> broadcast_;
 };
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -244,6 +244,10 @@
     return !std::exchange(server.is_leaving, true);
 }
 
+bool must_be_remembered(const server_state& server) noexcept {
+    return server.is_leaving;
+}
+
 double expected_wait_ms(const server_state& server,
                         const choice_constraints& constraints) noexcept {
     const double busy = estimate_request_count(server, constraints.now);
--- a/tests/process_server_signals_test.cpp
+++ b/tests/process_server_signals_test.cpp
@@ -82,6 +82,10 @@
     ASSERT_TRUE(wait_for_status(200));
     EXPECT_EQ(send_requests(request_count), request_count);
     EXPECT_EQ(near.arrival_count(), before);
+    nlohmann::json entry = nlohmann::json::parse(world.store.value("servers", near.id()));
+    entry["born"] = 1;
+    world.store.put("servers", near.id(), entry.dump());
+    EXPECT_TRUE(wait_for_arrival(near)) << "it has started again";
 }
 
 } // namespace
