--- a/tests/process_server_signals_test.cpp
+++ b/tests/process_server_signals_test.cpp
@@ -88,4 +88,23 @@
     EXPECT_TRUE(wait_for_arrival(near)) << "it has started again";
 }
 
+// Guards against BUDGET: a server that turns requests away and names a time gets more of them
+// before it has passed.
+TEST_F(server_signals, server_that_names_a_time_gets_nothing_until_it_has_passed) {
+    constexpr double pause_s = 1.5;
+    constexpr milliseconds pause{1400}; ///< counted from a moment a little later
+    ASSERT_TRUE(wait_for_arrival(near));
+    near.retry_after_s = pause_s;
+    near.is_overloaded = true;
+    ASSERT_TRUE(wait_for_arrival(near));
+    near.is_overloaded = false;
+    const int before = near.arrival_count();
+    const auto end = std::chrono::steady_clock::now() + pause;
+    while (std::chrono::steady_clock::now() < end) {
+        EXPECT_EQ(look().outcome.status, 200) << "the other server takes it";
+    }
+    EXPECT_EQ(near.arrival_count(), before);
+    EXPECT_TRUE(wait_for_arrival(near)) << "the time has passed";
+}
+
 } // namespace
