Send nothing to a server until the time has passed that it names

Cause: no gateway read Retry-After; a refusal excluded the server for 60 ms.

Change: platform/ decodes the header of a 503 as a decimal number of seconds; HTTP dates, exponents and signs are invalid. The server's state keeps the end of the time, rounded up to a millisecond and counted from the arrival of the answer, which is later than the server's own count. A shorter time does not end a longer one that runs. Times over ten minutes are cut to that and logged as server_retry_after_invalid, as are times that cannot be read, which count as a plain refusal. The choice of a server, which first requests, retries, resumed streams and moves share, excludes the server until then, and its state is kept while its entry is missing. Other gateways are not told: the server names the time for one machine, and may take requests of the others.

A request that finds only such servers is refused at once, with reason backing_off.

Unit tests cover the bounds, the overlap of two times and the order of the reasons.

--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -47,6 +47,7 @@
     time_point limit_named_at;            ///< when this process last learned of a limit
     sliding_window_counter counted_sends; ///< from this process, for the limit that it may name
     bool is_leaving{false};               ///< it said so in an answer, whatever its entry says
+    time_point backoff_until;             ///< it wants no requests from this process until then
 };
 
 /// Constraints and cost parameters of a choice.
@@ -76,9 +77,10 @@
 /// Why no server was chosen.
 enum class choice_failure : std::uint8_t {
     none,
-    no_server, ///< no eligible server is listed
-    full,      ///< all eligible servers are full
-    failing    ///< the remaining servers are ejected after failures
+    no_server,  ///< no eligible server is listed
+    full,       ///< all eligible servers are full
+    failing,    ///< the remaining servers are ejected after failures
+    backing_off ///< the remaining servers want no requests for a time that they named
 };
 /// @return the name of a failure reason, for logs
 std::string_view name(choice_failure failure_reason) noexcept;
@@ -134,8 +136,15 @@
 /// @return whether this was not known yet
 bool record_leaving(server_state& server) noexcept;
 
+/// Longest time for which a server may ask for no requests.
+constexpr std::chrono::seconds max_requested_backoff{600};
+/// Applies the time for which a server wants no requests from this process. A shorter time does not
+/// end a longer one that still runs.
+/// @param delay_s not negative, in seconds; cut to max_requested_backoff
+void apply_requested_backoff(server_state& server, double delay_s, time_point now) noexcept;
+
 /// @return whether a server has asked for something that holds although its entry is missing
-bool must_be_remembered(const server_state& server) noexcept;
+bool must_be_remembered(const server_state& server, time_point now) noexcept;
 
 /// Records that this process sent a request.
 void record_sent(server_state& server, const choice_constraints& constraints);
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -61,6 +61,10 @@
     if (attempt_.parameters.is_leaving) {
         context_.pool.record_leaving(*attempt_.server);
     }
+    if (attempt_.parameters.retry_after_s || attempt_.parameters.has_invalid_retry_after) {
+        context_.pool.record_requested_backoff(*attempt_.server, attempt_.parameters.retry_after_s,
+                                               std::chrono::steady_clock::now());
+    }
     record_server_limit();
 }
 
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -95,6 +95,23 @@
     }
 }
 
+void server_pool::record_requested_backoff(server_state& server, std::optional<double> delay_s,
+                                           time_point now) {
+    const bool is_valid = delay_s && *delay_s <= static_cast<double>(max_requested_backoff.count());
+    if (!is_valid) {
+        log_event(log_level::warning, "server_retry_after_invalid",
+                  {{"server", server.entry.id}, {"seconds", delay_s.value_or(0)}});
+    }
+    if (!delay_s) {
+        return;
+    }
+    apply_requested_backoff(server, *delay_s, now);
+    if (is_valid) {
+        log_event(log_level::info, "server_backoff",
+                  {{"server", server.entry.id}, {"seconds", *delay_s}});
+    }
+}
+
 void server_pool::apply_limit_report(const std::string& id, std::uint64_t incarnation,
                                      std::optional<double> limit, time_point now) {
     const auto found = by_id_.find(id);
@@ -139,7 +156,7 @@
 
 void server_pool::remember_unlisted(const server_map& listed, time_point now) {
     for (const auto& [id, server] : by_id_) {
-        if (listed.count(id) == 0 && must_be_remembered(*server)) {
+        if (listed.count(id) == 0 && must_be_remembered(*server, now)) {
             unlisted_[id] = {server, now + unlisted_lifetime};
         }
     }
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -63,6 +63,11 @@
     /// Excludes a server that says in an answer that it leaves. Other gateways learn it from the
     /// server's entry or from an answer of their own: until it ends, it serves what they send.
     void record_leaving(server_state& server);
+    /// Applies the time for which a server wants no requests from this gateway. It may take those
+    /// of others, so they are not told.
+    /// @param delay_s in seconds; nullopt: it names a time that cannot be read
+    void record_requested_backoff(server_state& server, std::optional<double> delay_s,
+                                  time_point now);
     /// Applies the limit of a server that another gateway reported.
     void apply_limit_report(const std::string& id, std::uint64_t incarnation,
                             std::optional<double> limit, time_point now);
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -11,11 +11,12 @@
 namespace citronseam {
 namespace {
 
-constexpr std::array<enum_name<choice_failure>, 4> failure_names{{
+constexpr std::array<enum_name<choice_failure>, 5> failure_names{{
     {choice_failure::none, "none"},
     {choice_failure::no_server, "no_server"},
     {choice_failure::full, "full"},
     {choice_failure::failing, "failing"},
+    {choice_failure::backing_off, "backing_off"},
 }};
 
 /// Penalty for a server in another region: it is chosen only when it responds sooner by more than
@@ -51,7 +52,21 @@
 constexpr milliseconds max_ejection{3200};
 constexpr int failures_until_ejection = 2;
 
-enum class candidate_status : std::uint8_t { usable, unusable, full, failing };
+enum class candidate_status : std::uint8_t { usable, unusable, full, failing, backing_off };
+
+/// Why no server was chosen, from the reason of the server that takes requests again the soonest.
+choice_failure combine_failures(choice_failure failure_reason, candidate_status status) noexcept {
+    if (status == candidate_status::full) {
+        return choice_failure::full;
+    }
+    if (status == candidate_status::failing && failure_reason != choice_failure::full) {
+        return choice_failure::failing;
+    }
+    if (status == candidate_status::backing_off && failure_reason == choice_failure::no_server) {
+        return choice_failure::backing_off;
+    }
+    return failure_reason;
+}
 
 bool is_excluded(const server_state& server, const choice_constraints& constraints) {
     return std::find(constraints.excluded.begin(), constraints.excluded.end(), server.entry.id) !=
@@ -111,6 +126,9 @@
         !has_required_weights(server, constraints)) {
         return candidate_status::unusable;
     }
+    if (constraints.now < server.backoff_until) {
+        return candidate_status::backing_off;
+    }
     if (constraints.now < server.ejected_until) {
         return candidate_status::failing;
     }
@@ -193,12 +211,7 @@
     double best_score = 0;
     for (server_state* server : servers) {
         const candidate_status status = status_of(*server, constraints);
-        if (status == candidate_status::full) {
-            choice.failure_reason = choice_failure::full;
-        } else if (status == candidate_status::failing &&
-                   choice.failure_reason == choice_failure::no_server) {
-            choice.failure_reason = choice_failure::failing;
-        }
+        choice.failure_reason = combine_failures(choice.failure_reason, status);
         if (status != candidate_status::usable) {
             continue;
         }
@@ -244,8 +257,16 @@
     return !std::exchange(server.is_leaving, true);
 }
 
-bool must_be_remembered(const server_state& server) noexcept {
-    return server.is_leaving;
+void apply_requested_backoff(server_state& server, double delay_s, time_point now) noexcept {
+    const std::chrono::duration<double> wanted(std::ceil(delay_s * 1000) / 1000);
+    const auto backoff = wanted < max_requested_backoff
+                             ? std::chrono::duration_cast<time_point::duration>(wanted)
+                             : max_requested_backoff;
+    server.backoff_until = std::max(server.backoff_until, now + backoff);
+}
+
+bool must_be_remembered(const server_state& server, time_point now) noexcept {
+    return server.is_leaving || now < server.backoff_until;
 }
 
 double expected_wait_ms(const server_state& server,
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -237,6 +237,20 @@
     }
 }
 
+TEST(response_headers, retry_after_of_a_refusal_is_a_decimal_number) {
+    const auto parse = [](int status, const std::string& text) {
+        return platform::parse_response_headers(status, {{"Retry-After", text}});
+    };
+    EXPECT_EQ(parse(503, "2").retry_after_s, 2.0);
+    EXPECT_EQ(parse(503, "0.25").retry_after_s, 0.25);
+    EXPECT_FALSE(parse(200, "2").retry_after_s) << "only a refusal asks for a pause";
+    EXPECT_FALSE(platform::parse_response_headers(503, {}).has_invalid_retry_after);
+    for (const char* invalid : {"Fri, 04 Dec 2026 11:00:00 GMT", "-1", "1e3", "2s", "nan", "inf"}) {
+        EXPECT_FALSE(parse(503, invalid).retry_after_s) << invalid;
+        EXPECT_TRUE(parse(503, invalid).has_invalid_retry_after) << invalid;
+    }
+}
+
 TEST(store_rows, versions_of_a_later_era_are_higher) {
     const std::string body =
         R"({"records":[{"table":"t","part":"","key":"a","value":"","ver":4}],"ver":9})";
--- a/tests/server_choice_test.cpp
+++ b/tests/server_choice_test.cpp
@@ -1,4 +1,5 @@
 // Choice of a backend server under overload, failures, cold servers and weight loads.
+#include <limits>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -75,6 +76,37 @@
     EXPECT_EQ(choose().server->entry.id, "other");
 }
 
+// Guards against BUDGET: a server that names a time for which it wants no requests gets some.
+TEST_F(choice, server_that_names_a_time_is_not_chosen_until_it_has_passed) {
+    server_state& server = add("a");
+    apply_requested_backoff(server, 2.5, start);
+    EXPECT_EQ(choose().failure_reason, choice_failure::backing_off);
+    apply_requested_backoff(server, 0.1, start);
+    constraints.now = start + milliseconds(2499);
+    EXPECT_EQ(choose().server, nullptr) << "a shorter time does not end a longer one";
+    constraints.now = start + milliseconds(2500);
+    EXPECT_EQ(choose().server, &server);
+}
+
+// Guards against a server that is lost for good since it names an absurd time.
+TEST_F(choice, time_that_a_server_names_is_bounded) {
+    server_state& server = add("a");
+    for (const double seconds : {601.0, 1e30, std::numeric_limits<double>::max()}) {
+        apply_requested_backoff(server, seconds, start);
+        EXPECT_EQ(server.backoff_until, start + max_requested_backoff);
+    }
+}
+
+TEST_F(choice, failure_reason_is_that_of_the_server_that_is_free_the_soonest) {
+    apply_requested_backoff(add("backing off"), 1, start);
+    EXPECT_EQ(choose().failure_reason, choice_failure::backing_off);
+    add("failing").ejected_until = start + milliseconds(100);
+    EXPECT_EQ(choose().failure_reason, choice_failure::failing);
+    add("full").full_until = start + milliseconds(60);
+    EXPECT_EQ(choose().failure_reason, choice_failure::full);
+    EXPECT_EQ(name(choice_failure::backing_off), "backing_off");
+}
+
 TEST_F(choice, servers_with_old_or_wrong_weights_are_not_chosen) {
     add("old");
     constraints.min_weights_version = 2;
