--- a/tests/process_server_signals_test.cpp
+++ b/tests/process_server_signals_test.cpp
@@ -107,4 +107,29 @@
     EXPECT_TRUE(wait_for_arrival(near)) << "the time has passed";
 }
 
+// Guards against callers that are told to come back before any server takes requests again.
+TEST_F(server_signals, request_is_refused_at_once_while_all_servers_want_none) {
+    constexpr double pause_s = 5;
+    constexpr double min_retry_after_s = 1; ///< longer delays are cut to this
+    for (platform_server* server : {&near, &far}) {
+        server->retry_after_s = pause_s;
+        server->is_overloaded = true;
+    }
+    ASSERT_TRUE(wait_until(
+        [&] {
+            look();
+            return near.arrival_count() > 0 && far.arrival_count() > 0;
+        },
+        news_timeout));
+    const int before = near.arrival_count() + far.arrival_count();
+    const auto sent_at = std::chrono::steady_clock::now();
+    const http_response answer = look();
+    EXPECT_LT(std::chrono::steady_clock::now() - sent_at, milliseconds(500));
+    EXPECT_EQ(answer.outcome.status, 503);
+    const std::string retry_after = find_header(answer.headers, "Retry-After");
+    ASSERT_NE(retry_after, "");
+    EXPECT_GE(std::stod(retry_after), min_retry_after_s);
+    EXPECT_EQ(near.arrival_count() + far.arrival_count(), before);
+}
+
 } // namespace
