Tell refused callers when the first server takes requests again

Callers saw: while all servers of a service want no requests, each refusal named 0.1 s or little more, so they used up their retries on refusals.

Cause: Retry-After followed from the share of refusals only.

Change: a refusal names at least the time until the first server takes requests again, within the bound that holds today (one second before the random part). It counts only servers that the request may use, those that this attempt has tried included, and is nothing as soon as one of them is only full or failing.

--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -117,6 +117,11 @@
 server_choice choose_server(const std::vector<server_state*>& servers,
                             const choice_constraints& constraints, random_source& random);
 
+/// @return time until the first server takes requests again; zero unless all eligible servers want
+/// none
+milliseconds time_until_backoff_ends(const std::vector<server_state*>& servers,
+                                     const choice_constraints& constraints);
+
 /// Stores a report and restarts the counts of requests sent and ended since the last report.
 void apply_report(server_state& server, const engine_report& report, time_point now) noexcept;
 
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -1,4 +1,6 @@
 // Response handling of gateway_exchange: from backend servers and to callers.
+#include <algorithm>
+
 #include "citronseam/process/log.h"
 #include "citronseam/request/retry_budget.h"
 #include "programs/gateway/gateway_exchange.h"
@@ -231,8 +233,10 @@
         fail_broken(reason);
         return;
     }
+    const milliseconds backoff =
+        context_.pool.time_until_backoff_ends(make_query(), std::chrono::steady_clock::now());
     refuse({status_unavailable, reason, "no backend server took the request",
-            retry_after(failure_retry_delay, context_.pool.random())});
+            retry_after(std::max(failure_retry_delay, backoff), context_.pool.random())});
 }
 
 void gateway_exchange::fail_broken(std::string_view reason) {
@@ -253,6 +257,8 @@
     } else if (failure_reason == choice_failure::failing) {
         min_delay = failure_retry_delay;
     }
+    min_delay = std::max(min_delay, context_.pool.time_until_backoff_ends(
+                                        make_query(), std::chrono::steady_clock::now()));
     refuse({status_unavailable, name(failure_reason), "no backend server has room",
             context_.pool.retry_delay_after_refusal(service_, min_delay)});
 }
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -194,6 +194,29 @@
     return retry_after(min_delay + milliseconds(static_cast<std::int64_t>(extra_ms)), random_);
 }
 
+milliseconds server_pool::time_until_backoff_ends(server_query query, time_point now) const {
+    const auto& services = view_->routes->rules->services;
+    const auto service = services.find(query.service);
+    if (service == services.end()) {
+        return milliseconds(0);
+    }
+    query.tried_servers.clear();
+    return std::min(max_retry_delay,
+                    citronseam::time_until_backoff_ends(
+                        servers_of(query.service), make_constraints(query, service->second, now)));
+}
+
+std::vector<server_state*> server_pool::servers_of(const std::string& service) const {
+    std::vector<server_state*> servers;
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+        for (const auto& server : found->second.servers) {
+            servers.push_back(server.get());
+        }
+    }
+    return servers;
+}
+
 choice_constraints server_pool::make_constraints(const server_query& query,
                                                  const service_config& service,
                                                  time_point now) const {
@@ -249,11 +272,7 @@
         return selection;
     }
     const choice_constraints constraints = make_constraints(query, service->second, now);
-    std::vector<server_state*> candidates;
-    for (const auto& server : pool->second.servers) {
-        candidates.push_back(server.get());
-    }
-    const server_choice choice = choose_server(candidates, constraints, random_);
+    const server_choice choice = choose_server(servers_of(query.service), constraints, random_);
     if (!query.is_optional) {
         const double refused = choice.server == nullptr ? 1 : 0;
         pool->second.refused_share += refusal_smoothing * (refused - pool->second.refused_share);
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -104,6 +104,9 @@
     /// while few are refused, longer and more spread out while many are
     /// @param min_delay used while none was refused lately
     milliseconds retry_delay_after_refusal(const std::string& service, milliseconds min_delay);
+    /// @return time until a new request may be sent, zero unless all its servers want none; at most
+    /// the longest delay that callers get
+    milliseconds time_until_backoff_ends(server_query query, time_point now) const;
 
 private:
     using server_map = std::map<std::string, std::shared_ptr<server_state>, std::less<>>;
@@ -126,6 +129,8 @@
     std::shared_ptr<server_state> find_incarnation(const listed_server& entry) const;
     /// Updates the unlisted servers before the listed ones are replaced.
     void remember_unlisted(const server_map& listed, time_point now);
+    /// @return the listed servers of a service
+    std::vector<server_state*> servers_of(const std::string& service) const;
     std::string_view region_of(std::string_view zone) const;
     choice_constraints make_constraints(const server_query& query, const service_config& service,
                                         time_point now) const;
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -233,6 +233,20 @@
     return choice;
 }
 
+milliseconds time_until_backoff_ends(const std::vector<server_state*>& servers,
+                                     const choice_constraints& constraints) {
+    std::optional<time_point> soonest;
+    for (server_state* server : servers) {
+        const candidate_status status = status_of(*server, constraints);
+        if (status == candidate_status::backing_off) {
+            soonest = std::min(soonest.value_or(server->backoff_until), server->backoff_until);
+        } else if (status != candidate_status::unusable) {
+            return milliseconds(0);
+        }
+    }
+    return soonest ? std::chrono::ceil<milliseconds>(*soonest - constraints.now) : milliseconds(0);
+}
+
 void apply_report(server_state& server, const engine_report& report, time_point now) noexcept {
     server.has_report = true;
     server.report = report;
--- a/tests/server_choice_test.cpp
+++ b/tests/server_choice_test.cpp
@@ -97,6 +97,26 @@
     }
 }
 
+// Guards against callers that are told to come back before any server takes requests again.
+TEST_F(choice, soonest_end_of_a_backoff_is_that_of_an_eligible_server) {
+    const auto remaining = [this] {
+        std::vector<server_state*> all;
+        for (const auto& server : servers) {
+            all.push_back(server.get());
+        }
+        return time_until_backoff_ends(all, constraints);
+    };
+    EXPECT_EQ(remaining(), milliseconds(0));
+    apply_requested_backoff(add("long"), 3, start);
+    apply_requested_backoff(add("short"), 2, start);
+    server_state& leaving = add("leaving");
+    apply_requested_backoff(leaving, 1, start);
+    record_leaving(leaving);
+    EXPECT_EQ(remaining(), milliseconds(2000));
+    add("full").full_until = start + milliseconds(60);
+    EXPECT_EQ(remaining(), milliseconds(0)) << "a server has room sooner";
+}
+
 TEST_F(choice, failure_reason_is_that_of_the_server_that_is_free_the_soonest) {
     apply_requested_backoff(add("backing off"), 1, start);
     EXPECT_EQ(choose().failure_reason, choice_failure::backing_off);
