--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -1,4 +1,6 @@
 // Response handling of gateway_exchange: from backend servers and to callers.
+#include <algorithm>
+
 #include "citronseam/process/log.h"
 #include "citronseam/request/retry_budget.h"
 #include "programs/gateway/gateway_exchange.h"
@@ -49,14 +51,27 @@
     attempt_.is_unusable = !answered.empty() && answered != caller_.attempt;
     attempt_.is_stream = rule_->kind == retry_class::streaming && status == status_ok &&
                          attempt_.parameters.has_seal && !attempt_.parameters.has_content_coding;
-    record_server_limit();
+    record_server_signals();
 }
 
-void gateway_exchange::record_server_limit() {
-    const platform::response_parameters& answer = attempt_.parameters;
+/// Records what the server says of itself, whether it ran the request or not.
+void gateway_exchange::record_server_signals() {
+    // Another server answers 421 at an address that is reused.
     if (attempt_.is_unusable || attempt_.status == status_misdirected) {
         return;
     }
+    if (attempt_.parameters.is_leaving) {
+        context_.pool.record_leaving(*attempt_.server);
+    }
+    if (attempt_.parameters.retry_after_s || attempt_.parameters.has_invalid_retry_after) {
+        context_.pool.record_requested_backoff(*attempt_.server, attempt_.parameters.retry_after_s,
+                                               std::chrono::steady_clock::now());
+    }
+    record_server_limit();
+}
+
+void gateway_exchange::record_server_limit() {
+    const platform::response_parameters& answer = attempt_.parameters;
     if (answer.has_invalid_limit) {
         log_event(log_level::warning, "server_limit_invalid",
                   {{"request", caller_.attempt}, {"server", attempt_.server->entry.id}});
@@ -218,8 +233,10 @@
         fail_broken(reason);
         return;
     }
+    const milliseconds backoff =
+        context_.pool.time_until_backoff_ends(make_query(), std::chrono::steady_clock::now());
     refuse({status_unavailable, reason, "no backend server took the request",
-            retry_after(failure_retry_delay, context_.pool.random())});
+            retry_after(std::max(failure_retry_delay, backoff), context_.pool.random())});
 }
 
 void gateway_exchange::fail_broken(std::string_view reason) {
@@ -240,6 +257,8 @@
     } else if (failure_reason == choice_failure::failing) {
         min_delay = failure_retry_delay;
     }
+    min_delay = std::max(min_delay, context_.pool.time_until_backoff_ends(
+                                        make_query(), std::chrono::steady_clock::now()));
     refuse({status_unavailable, name(failure_reason), "no backend server has room",
             context_.pool.retry_delay_after_refusal(service_, min_delay)});
 }
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -29,6 +29,9 @@
 /// half of the gateways share one.
 constexpr double common_sender_share = 0.5;
 
+/// How long the state of a server whose entry is missing is kept. A server that leaves ends sooner.
+constexpr std::chrono::minutes unlisted_lifetime{10};
+
 /// @param source who told this process of the limit
 void log_limit(const server_state& server, std::string_view source) {
     log_event(log_level::info, "server_limit",
@@ -86,6 +89,29 @@
     broadcast_(make_frame(std::move(report)));
 }
 
+void server_pool::record_leaving(server_state& server) {
+    if (citronseam::record_leaving(server)) {
+        log_event(log_level::info, "server_leaving", {{"server", server.entry.id}});
+    }
+}
+
+void server_pool::record_requested_backoff(server_state& server, std::optional<double> delay_s,
+                                           time_point now) {
+    const bool is_valid = delay_s && *delay_s <= static_cast<double>(max_requested_backoff.count());
+    if (!is_valid) {
+        log_event(log_level::warning, "server_retry_after_invalid",
+                  {{"server", server.entry.id}, {"seconds", delay_s.value_or(0)}});
+    }
+    if (!delay_s) {
+        return;
+    }
+    apply_requested_backoff(server, *delay_s, now);
+    if (is_valid) {
+        log_event(log_level::info, "server_backoff",
+                  {{"server", server.entry.id}, {"seconds", *delay_s}});
+    }
+}
+
 void server_pool::apply_limit_report(const std::string& id, std::uint64_t incarnation,
                                      std::optional<double> limit, time_point now) {
     const auto found = by_id_.find(id);
@@ -99,21 +125,45 @@
 
 void server_pool::add_servers(const traffic_view& view, bool is_gateway_change) {
     const request_sender self{options_.instance, options_.availability_zone};
-    std::map<std::string, std::shared_ptr<server_state>, std::less<>> kept;
+    server_map listed;
     for (const auto& entry : view.servers) {
-        const auto known = by_id_.find(entry.id);
-        const bool is_same_incarnation =
-            known != by_id_.end() && known->second->entry.started_at_ms == entry.started_at_ms &&
-            known->second->entry.address == entry.address;
-        auto server = is_same_incarnation ? known->second : std::make_shared<server_state>();
+        const auto known = find_incarnation(entry);
+        auto server = known != nullptr ? known : std::make_shared<server_state>();
         server->entry = entry;
-        if (!is_same_incarnation || is_gateway_change) {
+        if (known == nullptr || is_gateway_change || by_id_.count(entry.id) == 0) {
             server->sender_rank = sender_rank(self, view.gateways, entry.id, entry.zone);
         }
         services_[entry.service].servers.push_back(server);
-        kept.emplace(entry.id, std::move(server));
+        listed.emplace(entry.id, std::move(server));
+    }
+    remember_unlisted(listed, std::chrono::steady_clock::now());
+    by_id_ = std::move(listed);
+}
+
+std::shared_ptr<server_state> server_pool::find_incarnation(const listed_server& entry) const {
+    const auto is_same = [&entry](const server_state& server) {
+        return server.entry.started_at_ms == entry.started_at_ms &&
+               server.entry.address == entry.address;
+    };
+    const auto known = by_id_.find(entry.id);
+    if (known != by_id_.end()) {
+        return is_same(*known->second) ? known->second : nullptr;
+    }
+    const auto unlisted = unlisted_.find(entry.id);
+    return unlisted != unlisted_.end() && is_same(*unlisted->second.state) ? unlisted->second.state
+                                                                           : nullptr;
+}
+
+void server_pool::remember_unlisted(const server_map& listed, time_point now) {
+    for (const auto& [id, server] : by_id_) {
+        if (listed.count(id) == 0 && must_be_remembered(*server, now)) {
+            unlisted_[id] = {server, now + unlisted_lifetime};
+        }
+    }
+    for (auto it = unlisted_.begin(); it != unlisted_.end();) {
+        const bool is_over = listed.count(it->first) > 0 || now >= it->second.forgotten_at;
+        it = is_over ? unlisted_.erase(it) : std::next(it);
     }
-    by_id_ = std::move(kept);
 }
 
 void server_pool::apply_engine_report(const std::string& address, const engine_report& report,
@@ -144,6 +194,29 @@
     return retry_after(min_delay + milliseconds(static_cast<std::int64_t>(extra_ms)), random_);
 }
 
+milliseconds server_pool::time_until_backoff_ends(server_query query, time_point now) const {
+    const auto& services = view_->routes->rules->services;
+    const auto service = services.find(query.service);
+    if (service == services.end()) {
+        return milliseconds(0);
+    }
+    query.tried_servers.clear();
+    return std::min(max_retry_delay,
+                    citronseam::time_until_backoff_ends(
+                        servers_of(query.service), make_constraints(query, service->second, now)));
+}
+
+std::vector<server_state*> server_pool::servers_of(const std::string& service) const {
+    std::vector<server_state*> servers;
+    const auto found = services_.find(service);
+    if (found != services_.end()) {
+        for (const auto& server : found->second.servers) {
+            servers.push_back(server.get());
+        }
+    }
+    return servers;
+}
+
 choice_constraints server_pool::make_constraints(const server_query& query,
                                                  const service_config& service,
                                                  time_point now) const {
@@ -199,11 +272,7 @@
         return selection;
     }
     const choice_constraints constraints = make_constraints(query, service->second, now);
-    std::vector<server_state*> candidates;
-    for (const auto& server : pool->second.servers) {
-        candidates.push_back(server.get());
-    }
-    const server_choice choice = choose_server(candidates, constraints, random_);
+    const server_choice choice = choose_server(servers_of(query.service), constraints, random_);
     if (!query.is_optional) {
         const double refused = choice.server == nullptr ? 1 : 0;
         pool->second.refused_share += refusal_smoothing * (refused - pool->second.refused_share);
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -60,6 +60,14 @@
     /// @param sent_at when the request was sent
     void record_limit(server_state& server, std::optional<double> limit, time_point sent_at,
                       time_point now);
+    /// Excludes a server that says in an answer that it leaves. Other gateways learn it from the
+    /// server's entry or from an answer of their own: until it ends, it serves what they send.
+    void record_leaving(server_state& server);
+    /// Applies the time for which a server wants no requests from this gateway. It may take those
+    /// of others, so they are not told.
+    /// @param delay_s in seconds; nullopt: it names a time that cannot be read
+    void record_requested_backoff(server_state& server, std::optional<double> delay_s,
+                                  time_point now);
     /// Applies the limit of a server that another gateway reported.
     void apply_limit_report(const std::string& id, std::uint64_t incarnation,
                             std::optional<double> limit, time_point now);
@@ -96,15 +104,33 @@
     /// while few are refused, longer and more spread out while many are
     /// @param min_delay used while none was refused lately
     milliseconds retry_delay_after_refusal(const std::string& service, milliseconds min_delay);
+    /// @return time until a new request may be sent, zero unless all its servers want none; at most
+    /// the longest delay that callers get
+    milliseconds time_until_backoff_ends(server_query query, time_point now) const;
 
 private:
+    using server_map = std::map<std::string, std::shared_ptr<server_state>, std::less<>>;
+
     struct service_servers {
         std::vector<std::shared_ptr<server_state>> servers;
         shared_retry_budget retry_budget;
         double refused_share{0}; ///< moving average over the latest choices
     };
 
+    /// State of a server whose entry is missing. Entries expire while the store is unavailable and
+    /// come back after it.
+    struct unlisted_server {
+        std::shared_ptr<server_state> state;
+        time_point forgotten_at;
+    };
+
     void add_servers(const traffic_view& view, bool is_gateway_change);
+    /// @return state of the same incarnation of a server, nullptr if none is known
+    std::shared_ptr<server_state> find_incarnation(const listed_server& entry) const;
+    /// Updates the unlisted servers before the listed ones are replaced.
+    void remember_unlisted(const server_map& listed, time_point now);
+    /// @return the listed servers of a service
+    std::vector<server_state*> servers_of(const std::string& service) const;
     std::string_view region_of(std::string_view zone) const;
     choice_constraints make_constraints(const server_query& query, const service_config& service,
                                         time_point now) const;
@@ -116,7 +142,8 @@
     retry_bound retry_bound_;
     random_source random_;
     std::shared_ptr<const traffic_view> view_;
-    std::map<std::string, std::shared_ptr<server_state>, std::less<>> by_id_;
+    server_map by_id_;
+    std::map<std::string, unlisted_server, std::less<>> unlisted_;
     std::map<std::string, service_servers, std::less<>> services_;
     std::function<void(const shared_frame&)> broadcast_;
 };
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 #include "citronseam/process/enum_names.h"
 #include "citronseam/request/shared_quota.h"
@@ -10,11 +11,12 @@
 namespace citronseam {
 namespace {
 
-constexpr std::array<enum_name<choice_failure>, 4> failure_names{{
+constexpr std::array<enum_name<choice_failure>, 5> failure_names{{
     {choice_failure::none, "none"},
     {choice_failure::no_server, "no_server"},
     {choice_failure::full, "full"},
     {choice_failure::failing, "failing"},
+    {choice_failure::backing_off, "backing_off"},
 }};
 
 /// Penalty for a server in another region: it is chosen only when it responds sooner by more than
@@ -50,7 +52,21 @@
 constexpr milliseconds max_ejection{3200};
 constexpr int failures_until_ejection = 2;
 
-enum class candidate_status : std::uint8_t { usable, unusable, full, failing };
+enum class candidate_status : std::uint8_t { usable, unusable, full, failing, backing_off };
+
+/// Why no server was chosen, from the reason of the server that takes requests again the soonest.
+choice_failure combine_failures(choice_failure failure_reason, candidate_status status) noexcept {
+    if (status == candidate_status::full) {
+        return choice_failure::full;
+    }
+    if (status == candidate_status::failing && failure_reason != choice_failure::full) {
+        return choice_failure::failing;
+    }
+    if (status == candidate_status::backing_off && failure_reason == choice_failure::no_server) {
+        return choice_failure::backing_off;
+    }
+    return failure_reason;
+}
 
 bool is_excluded(const server_state& server, const choice_constraints& constraints) {
     return std::find(constraints.excluded.begin(), constraints.excluded.end(), server.entry.id) !=
@@ -105,11 +121,14 @@
 candidate_status status_of(server_state& server, const choice_constraints& constraints) {
     const bool is_unavailable = is_report_fresh(server, constraints.now) &&
                                 (server.report.is_loading || !server.report.is_reachable);
-    if (server.entry.is_draining || is_unavailable || is_excluded(server, constraints) ||
-        !constraints.is_zone_allowed(server.entry.zone) ||
+    if (server.entry.is_draining || server.is_leaving || is_unavailable ||
+        is_excluded(server, constraints) || !constraints.is_zone_allowed(server.entry.zone) ||
         !has_required_weights(server, constraints)) {
         return candidate_status::unusable;
     }
+    if (constraints.now < server.backoff_until) {
+        return candidate_status::backing_off;
+    }
     if (constraints.now < server.ejected_until) {
         return candidate_status::failing;
     }
@@ -192,12 +211,7 @@
     double best_score = 0;
     for (server_state* server : servers) {
         const candidate_status status = status_of(*server, constraints);
-        if (status == candidate_status::full) {
-            choice.failure_reason = choice_failure::full;
-        } else if (status == candidate_status::failing &&
-                   choice.failure_reason == choice_failure::no_server) {
-            choice.failure_reason = choice_failure::failing;
-        }
+        choice.failure_reason = combine_failures(choice.failure_reason, status);
         if (status != candidate_status::usable) {
             continue;
         }
@@ -219,6 +233,20 @@
     return choice;
 }
 
+milliseconds time_until_backoff_ends(const std::vector<server_state*>& servers,
+                                     const choice_constraints& constraints) {
+    std::optional<time_point> soonest;
+    for (server_state* server : servers) {
+        const candidate_status status = status_of(*server, constraints);
+        if (status == candidate_status::backing_off) {
+            soonest = std::min(soonest.value_or(server->backoff_until), server->backoff_until);
+        } else if (status != candidate_status::unusable) {
+            return milliseconds(0);
+        }
+    }
+    return soonest ? std::chrono::ceil<milliseconds>(*soonest - constraints.now) : milliseconds(0);
+}
+
 void apply_report(server_state& server, const engine_report& report, time_point now) noexcept {
     server.has_report = true;
     server.report = report;
@@ -239,6 +267,22 @@
     return is_changed;
 }
 
+bool record_leaving(server_state& server) noexcept {
+    return !std::exchange(server.is_leaving, true);
+}
+
+void apply_requested_backoff(server_state& server, double delay_s, time_point now) noexcept {
+    const std::chrono::duration<double> wanted(std::ceil(delay_s * 1000) / 1000);
+    const auto backoff = wanted < max_requested_backoff
+                             ? std::chrono::duration_cast<time_point::duration>(wanted)
+                             : max_requested_backoff;
+    server.backoff_until = std::max(server.backoff_until, now + backoff);
+}
+
+bool must_be_remembered(const server_state& server, time_point now) noexcept {
+    return server.is_leaving || now < server.backoff_until;
+}
+
 double expected_wait_ms(const server_state& server,
                         const choice_constraints& constraints) noexcept {
     const double busy = estimate_request_count(server, constraints.now);
