Log what an order's check covered and how old it is

load_ordered names the version that was read back, the time since the first reading on the steady clock and on one that counts suspension, and the engine process at the check and at the order.

--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -101,8 +101,7 @@
 
 void weights_loader::stage_next(std::size_t chunk) {
     if (chunk == weights_->chunks.size()) {
-        set_step(load_step::verify);
-        verify_next(0);
+        start_check();
         return;
     }
     is_busy_ = true;
@@ -126,6 +125,15 @@
     set_step(load_step::idle);
 }
 
+void weights_loader::start_check() {
+    set_step(load_step::verify);
+    checked_version_ = weights_->target.version;
+    check_incarnation_ = engine_.incarnation();
+    check_started_at_ = std::chrono::steady_clock::now();
+    check_started_boot_ = boot_clock::now();
+    verify_next(0);
+}
+
 void weights_loader::verify_next(std::size_t chunk) {
     if (chunk == weights_->chunks.size()) {
         verified_at_ = std::chrono::steady_clock::now();
@@ -198,8 +206,7 @@
         return;
     }
     if (now - verified_at_ > max_verification_age) {
-        set_step(load_step::verify);
-        verify_next(0);
+        start_check();
         return;
     }
     send_load_order();
@@ -217,6 +224,13 @@
     log_event(log_level::info, "load_ordered",
               {{"version", load.version},
                {"after_ms", elapsed_ms(weights_->target.announced_at, ordered_at_)},
+               {"checked", checked_version_},
+               {"check_ms", elapsed_ms(check_started_at_, ordered_at_)},
+               {"check_real_ms",
+                std::chrono::duration_cast<milliseconds>(boot_clock::now() - check_started_boot_)
+                    .count()},
+               {"check_life", check_incarnation_},
+               {"life", engine_.incarnation()},
                {"running", engine_.state()->running},
                {"orders", load.accepted_order_count}});
     is_busy_ = true;
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "citronseam/process/boot_clock.h"
 #include "programs/sidecar/complete_weights.h"
 #include "programs/sidecar/engine_monitor.h"
 #include "programs/sidecar/sidecar_context.h"
@@ -60,6 +61,7 @@
     void set_step(load_step step);
     void stage_next(std::size_t chunk);
     void handle_stage_reply(std::size_t chunk, const http_response& response);
+    void start_check();
     void verify_next(std::size_t chunk);
     void handle_read_back(std::size_t chunk, const http_response& response);
     void order_load_when_due();
@@ -80,6 +82,10 @@
     std::uint64_t incarnation_{0}; ///< of the engine when the step started
     bool is_busy_{false};          ///< a request is outstanding
     time_point verified_at_;
+    std::uint64_t checked_version_{0}; ///< of the last check, for logs
+    std::uint64_t check_incarnation_{0};
+    time_point check_started_at_;
+    boot_clock::time_point check_started_boot_;
     time_point ordered_at_;
     time_point retry_at_;
 };
