--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -99,7 +99,7 @@
 
 void platform_server::handle(const server_request& request,
                              const std::shared_ptr<http_responder>& responder) {
-    if (handle_engine_call(request, *responder)) {
+    if (handle_engine_call(request, responder)) {
         return;
     }
     const std::string expected = find_header(request.headers, "X-Citronseam-Expect-Instance");
@@ -114,28 +114,127 @@
     }
 }
 
-bool platform_server::handle_engine_call(const server_request& request, http_responder& responder) {
+int platform_server::wrong_load_count() const {
     const std::lock_guard<std::mutex> lock(mutex_);
+    return wrong_load_count_;
+}
+
+void platform_server::lose_power() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    version_ = 0;
+    accepted_order_count_ = 0;
+    ++started_at_;
+    staged_pieces_.clear();
+    spoilt_at_.clear();
+}
+
+void platform_server::spoil_pieces(std::size_t end) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (std::size_t i = 0; i < end; ++i) {
+        staged_pieces_[i] += "spoilt";
+        spoilt_at_[i] = std::chrono::steady_clock::now();
+    }
+}
+
+bool platform_server::has_staged(std::uint64_t version) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return is_staged(version);
+}
+
+void platform_server::set_piece_read_handler(std::function<void(std::size_t)> handler) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    on_piece_read_ = std::move(handler);
+}
+
+void platform_server::set_orders_held(bool is_held) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    are_orders_held_ = is_held;
+}
+
+std::size_t platform_server::held_order_count() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return held_orders_.size();
+}
+
+void platform_server::finish_held_orders(bool is_refused) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& held : std::exchange(held_orders_, {})) {
+        if (is_refused) {
+            held.responder->respond(409, {}, "");
+        } else {
+            handle_load_order(held.order, *held.responder);
+        }
+    }
+}
+
+bool platform_server::is_staged(std::uint64_t version) const {
+    for (std::size_t i = 0; i < weight_origin::piece_count; ++i) {
+        const auto found = staged_pieces_.find(i);
+        if (found == staged_pieces_.end() || found->second != weight_origin::piece(version, i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool platform_server::is_load_wrong(std::uint64_t version) const {
+    const auto now = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < weight_origin::piece_count; ++i) {
+        const auto found = staged_pieces_.find(i);
+        const bool is_right =
+            found != staged_pieces_.end() && found->second == weight_origin::piece(version, i);
+        const auto spoilt = spoilt_at_.find(i);
+        const bool is_excused =
+            spoilt != spoilt_at_.end() && now - spoilt->second <= recent_spoilage;
+        if (!is_right && !is_excused) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool platform_server::handle_engine_call(const server_request& request,
+                                         const std::shared_ptr<http_responder>& responder) {
     const auto piece = parse_number(query_parameter(request, "sample_count"));
+    const bool is_piece_read = request.path == std::string("/stage-get/") + standin_model;
+    if (is_piece_read) {
+        std::function<void(std::size_t)> on_piece_read;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            on_piece_read = on_piece_read_;
+        }
+        if (on_piece_read) {
+            on_piece_read(piece);
+        }
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
     if (request.path == "/report") {
-        send_json(responder, 200,
+        const bool is_empty = version_ == 0;
+        const json models = {{{"name", standin_model}, {"version", version_}}};
+        const json layers = {{{"from", 0}, {"target", 1}, {"version", version_}}};
+        send_json(*responder, 200,
                   {{"stage", "colocated"},
-                   {"models", json::array({{{"name", standin_model}, {"version", version_}}})},
-                   {"layers", json::array({{{"from", 0}, {"target", 1}, {"version", version_}}})},
+                   {"models", is_empty ? json::array() : models},
+                   {"layers", is_empty ? json::array() : layers},
                    {"busy", false},
                    {"sequence", accepted_order_count_},
                    {"num_waiting", 0},
                    {"num_running", 0},
-                   {"born", 1}});
+                   {"born", started_at_}});
     } else if (request.path == "/order") {
-        handle_load_order(json::parse(request.body), responder);
+        if (are_orders_held_) {
+            held_orders_.push_back({json::parse(request.body), responder});
+        } else {
+            handle_load_order(json::parse(request.body), *responder);
+        }
     } else if (request.path == std::string("/stage-put/") + standin_model) {
         staged_pieces_[piece] = request.body;
-        responder.respond(200, {}, "");
-    } else if (request.path == std::string("/stage-get/") + standin_model) {
+        spoilt_at_.erase(piece);
+        responder->respond(200, {}, "");
+    } else if (is_piece_read) {
         const auto found = staged_pieces_.find(piece);
-        responder.respond(found == staged_pieces_.end() ? 404 : 200, {},
-                          found == staged_pieces_.end() ? "" : found->second);
+        responder->respond(found == staged_pieces_.end() ? 404 : 200, {},
+                           found == staged_pieces_.end() ? "" : found->second);
     } else {
         return false;
     }
@@ -144,17 +243,14 @@
 
 void platform_server::handle_load_order(const json& order, http_responder& responder) {
     const auto version = order.at("version").get<std::uint64_t>();
-    bool is_fully_staged = true;
-    for (std::size_t i = 0; i < weight_origin::piece_count; ++i) {
-        is_fully_staged = is_fully_staged && staged_pieces_[i] == weight_origin::piece(version, i);
-    }
     const bool is_accepted =
         order.at("expected_revision").get<std::uint64_t>() == accepted_order_count_ &&
-        is_fully_staged;
+        (is_load_unchecked_ || is_staged(version));
     if (!is_accepted) {
         responder.respond(409, {}, "");
         return;
     }
+    wrong_load_count_ += is_load_wrong(version) ? 1 : 0;
     ++accepted_order_count_;
     timers_.post_after(weight_load_delay, [this, version] {
         const std::lock_guard<std::mutex> lock(mutex_);
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -45,6 +45,26 @@
     int crash_count() const { return crash_count_; }
     /// @return version of the loaded weights
     std::uint64_t version() const;
+    /// Lets orders load the staged pieces as they are, like a real engine; otherwise an order whose
+    /// pieces are not all right is refused.
+    void set_unchecked_loads() { is_load_unchecked_ = true; }
+    /// @return orders so far that loaded a piece that was missing, of another version, or spoilt
+    /// for longer than recent_spoilage
+    int wrong_load_count() const;
+    /// Starts the engine again, without weights and staged pieces.
+    void lose_power();
+    /// Spoils the staged pieces before `end`.
+    void spoil_pieces(std::size_t end);
+    /// @return whether all staged pieces are those of a version
+    bool has_staged(std::uint64_t version) const;
+    /// Sets a function that is called before each call that reads a staged piece.
+    void set_piece_read_handler(std::function<void(std::size_t piece)> handler);
+    /// While true, orders are neither answered nor executed.
+    void set_orders_held(bool is_held);
+    /// @return orders that are held
+    std::size_t held_order_count() const;
+    /// Executes the held orders, or refuses them.
+    void finish_held_orders(bool is_refused);
     /// @return number of runs by attempt identifier
     std::map<std::string, int> runs_per_attempt() const;
     /// @return headers of the last request that it ran
@@ -58,11 +78,19 @@
     std::atomic<int> event_interval_ms{30};  ///< between two events of a stream
 
     static constexpr int events_per_stream = 8;
+    static constexpr std::chrono::seconds recent_spoilage{3};
 
 private:
+    struct held_order {
+        nlohmann::json order;
+        std::shared_ptr<http_responder> responder;
+    };
     void handle(const server_request& request, const std::shared_ptr<http_responder>& responder);
-    bool handle_engine_call(const server_request& request, http_responder& responder);
+    bool handle_engine_call(const server_request& request,
+                            const std::shared_ptr<http_responder>& responder);
     void handle_load_order(const nlohmann::json& order, http_responder& responder);
+    bool is_staged(std::uint64_t version) const;
+    bool is_load_wrong(std::uint64_t version) const;
     void queue(const server_request& request, const std::shared_ptr<http_responder>& responder);
     void run(const server_request& request, const std::shared_ptr<http_responder>& responder);
     void send_event(int event_id, int last, bool is_truncated,
@@ -78,7 +106,14 @@
     mutable std::mutex mutex_;
     std::uint64_t version_{1};
     std::uint64_t accepted_order_count_{0};
+    std::uint64_t started_at_{1};
     std::map<std::size_t, std::string> staged_pieces_;
+    std::map<std::size_t, time_point> spoilt_at_; ///< by piece
+    std::function<void(std::size_t)> on_piece_read_;
+    std::atomic<bool> is_load_unchecked_{false};
+    int wrong_load_count_{0};
+    bool are_orders_held_{false};
+    std::vector<held_order> held_orders_;
     std::map<std::string, int> runs_per_attempt_;
     std::vector<http_header> last_headers_;
     std::string crash_target_;
