Count the age of a check from its first reading

Callers could get tokens of weights with pieces that had turned bad seconds before the load. The age of a check was counted from its last reading: a sidecar that stood still between two readings sent the order right after, on readings from before. The steady clock also stands still while the machine is suspended.

--- a/include/citronseam/process/boot_clock.h
+++ b/include/citronseam/process/boot_clock.h
@@ -10,7 +10,8 @@
 namespace citronseam {
 
 /// Meets the requirements of a standard clock. The steady clock stands still during a suspension.
-struct boot_clock {
+class boot_clock {
+public:
     using duration = std::chrono::nanoseconds;
     using rep = duration::rep;
     using period = duration::period;
--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -20,8 +20,6 @@
 
 constexpr milliseconds retry_delay{200};
 constexpr std::size_t max_order_reply_bytes = 64 * kibibyte;
-/// Staged chunks can become corrupt, so they are verified again shortly before the load order.
-constexpr milliseconds max_verification_age{1000};
 /// The last load is scheduled this long before the weights are due: from then on, gateways send no
 /// requests to engines with older weights, so such an engine would be idle.
 constexpr milliseconds due_margin{900};
@@ -127,16 +125,14 @@
 
 void weights_loader::start_check() {
     set_step(load_step::verify);
-    checked_version_ = weights_->target.version;
-    check_incarnation_ = engine_.incarnation();
     check_started_at_ = std::chrono::steady_clock::now();
-    check_started_boot_ = boot_clock::now();
+    check_ = {weights_->target.version, boot_clock::now()};
+    check_incarnation_ = engine_.incarnation();
     verify_next(0);
 }
 
 void weights_loader::verify_next(std::size_t chunk) {
     if (chunk == weights_->chunks.size()) {
-        verified_at_ = std::chrono::steady_clock::now();
         set_step(load_step::scheduled);
         order_load_when_due();
         return;
@@ -205,11 +201,11 @@
     if (!serves_nothing && (now < scheduled_load_at() || should_wait_for_newer(now))) {
         return;
     }
-    if (now - verified_at_ > max_verification_age) {
+    if (may_order(check_, {boot_clock::now()}) == order_permission::needs_check) {
         start_check();
-        return;
+    } else {
+        send_load_order();
     }
-    send_load_order();
 }
 
 void weights_loader::send_load_order() {
@@ -221,18 +217,18 @@
     // Versions increase, so the engine refuses a delayed order of an earlier sidecar process.
     load.fencing_token = weights_->target.version;
     load.accepted_order_count = engine_.state()->accepted_order_count;
-    log_event(log_level::info, "load_ordered",
-              {{"version", load.version},
-               {"after_ms", elapsed_ms(weights_->target.announced_at, ordered_at_)},
-               {"checked", checked_version_},
-               {"check_ms", elapsed_ms(check_started_at_, ordered_at_)},
-               {"check_real_ms",
-                std::chrono::duration_cast<milliseconds>(boot_clock::now() - check_started_boot_)
-                    .count()},
-               {"check_life", check_incarnation_},
-               {"life", engine_.incarnation()},
-               {"running", engine_.state()->running},
-               {"orders", load.accepted_order_count}});
+    log_event(
+        log_level::info, "load_ordered",
+        {{"version", load.version},
+         {"after_ms", elapsed_ms(weights_->target.announced_at, ordered_at_)},
+         {"checked", check_.version},
+         {"check_ms", elapsed_ms(check_started_at_, ordered_at_)},
+         {"check_real_ms",
+          std::chrono::duration_cast<milliseconds>(boot_clock::now() - check_.started_at).count()},
+         {"check_life", check_incarnation_},
+         {"life", engine_.incarnation()},
+         {"running", engine_.state()->running},
+         {"orders", load.accepted_order_count}});
     is_busy_ = true;
     fetch_on_control(
         context_, platform::make_load_order_request(context_.options.backend_server.address, load),
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "citronseam/process/boot_clock.h"
+#include "citronseam/version/staging_check.h"
 #include "programs/sidecar/complete_weights.h"
 #include "programs/sidecar/engine_monitor.h"
 #include "programs/sidecar/sidecar_context.h"
@@ -81,11 +82,9 @@
     std::uint64_t epoch_{0};       ///< incremented by each change of the step
     std::uint64_t incarnation_{0}; ///< of the engine when the step started
     bool is_busy_{false};          ///< a request is outstanding
-    time_point verified_at_;
-    std::uint64_t checked_version_{0}; ///< of the last check, for logs
-    std::uint64_t check_incarnation_{0};
-    time_point check_started_at_;
-    boot_clock::time_point check_started_boot_;
+    staging_check check_;
+    std::uint64_t check_incarnation_{0}; ///< for logs
+    time_point check_started_at_;        ///< for logs
     time_point ordered_at_;
     time_point retry_at_;
 };
--- /dev/null
+++ b/src/version/staging_check.cpp
@@ -0,0 +1,13 @@
+#include "citronseam/version/staging_check.h"
+
+namespace citronseam {
+
+order_permission may_order(const staging_check& check,
+                           const order_conditions& conditions) noexcept {
+    // The oldest reading counts.
+    const bool is_recent =
+        check.version != 0 && conditions.now - check.started_at <= max_staging_check_age;
+    return is_recent ? order_permission::granted : order_permission::needs_check;
+}
+
+} // namespace citronseam
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -11,6 +11,7 @@
 #include "citronseam/version/link_pacer.h"
 #include "citronseam/version/permit.h"
 #include "citronseam/version/sha256.h"
+#include "citronseam/version/staging_check.h"
 #include "citronseam/version/token_bucket.h"
 
 namespace {
@@ -552,4 +553,14 @@
     EXPECT_EQ(reserve_send(pacer, "a", true, 2000, time_point{}).count(), 0) << "unlimited";
 }
 
+// Guards against an order on chunks that were read back too long ago; a suspension counts.
+TEST(staging_check, its_first_reading_must_be_recent) {
+    const boot_clock::time_point start(std::chrono::hours(1));
+    const staging_check check{2, start};
+    EXPECT_EQ(may_order(check, {start + max_staging_check_age}), order_permission::granted);
+    EXPECT_EQ(may_order(check, {start + max_staging_check_age + milliseconds(1)}),
+              order_permission::needs_check);
+    EXPECT_EQ(may_order({}, {start}), order_permission::needs_check) << "nothing was read back";
+}
+
 } // namespace
