Replace weights only when no order for the present ones is under way

An engine could serve a version with the pieces of the one before. Newer weights replaced the loader's while an order was under way; when that order was refused, the step went back with the time of its check, and the newer version was ordered within that time although only the older pieces were staged.

Newer weights wait until no request and no order for the present ones is outstanding, and a check names its version, which may_order() compares.

--- a/include/citronseam/version/staging_check.h
+++ b/include/citronseam/version/staging_check.h
@@ -18,6 +18,7 @@
 
 /// What the loader knows when it is about to send an order.
 struct order_conditions {
+    std::uint64_t version{0}; ///< of the weights to load
     boot_clock::time_point now;
 };
 
--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -1,6 +1,7 @@
 #include "programs/sidecar/weights_loader.h"
 
 #include <array>
+#include <utility>
 
 #include "citronseam/process/enum_names.h"
 #include "citronseam/process/log.h"
@@ -40,22 +41,35 @@
 
 template<typename Function>
 auto weights_loader::make_step_handler(Function function) {
+    ++outstanding_requests_;
     return [self = shared_from_this(), epoch = epoch_,
             function = std::move(function)](const http_response& response) {
+        --self->outstanding_requests_;
         if (epoch == self->epoch_) {
             self->is_busy_ = false;
-            function(response);
+            if (self->take_next_weights()) {
+                self->reconcile();
+            } else {
+                function(response);
+            }
         }
     };
 }
 
 void weights_loader::set_complete_weights(std::shared_ptr<const complete_weights> weights) {
-    weights_ = std::move(weights);
-    // An accepted order is executed with the chunks that were staged at that time.
-    if (step_ != load_step::load) {
-        set_step(load_step::idle);
-        reconcile();
+    next_weights_ = std::move(weights);
+    reconcile();
+}
+
+/// Replaces the weights, unless a request or an order for the present ones is not settled.
+/// @return whether they were replaced
+bool weights_loader::take_next_weights() {
+    if (next_weights_ == nullptr || outstanding_requests_ > 0 || step_ == load_step::load) {
+        return false;
     }
+    weights_ = std::exchange(next_weights_, nullptr);
+    set_step(load_step::idle);
+    return true;
 }
 
 void weights_loader::set_step(load_step step) {
@@ -71,6 +85,7 @@
 
 void weights_loader::reconcile() {
     const auto now = std::chrono::steady_clock::now();
+    take_next_weights();
     if (weights_ == nullptr || !engine_.state() || now < retry_at_) {
         return;
     }
@@ -201,7 +216,8 @@
     if (!serves_nothing && (now < scheduled_load_at() || should_wait_for_newer(now))) {
         return;
     }
-    if (may_order(check_, {boot_clock::now()}) == order_permission::needs_check) {
+    if (may_order(check_, {weights_->target.version, boot_clock::now()}) ==
+        order_permission::needs_check) {
         start_check();
     } else {
         send_load_order();
@@ -264,7 +280,6 @@
     if (is_executing || now - ordered_at_ <= order_timeout) {
         return;
     }
-    // Either the order was lost, or newer weights were completed while older ones were loading.
     log_event(log_level::info, "load_again", {{"version", weights_->target.version}});
     set_step(load_step::idle);
 }
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -44,7 +44,8 @@
 public:
     weights_loader(sidecar_context& context, engine_monitor& engine, loader_callbacks callbacks);
 
-    /// Sets the weights to load; they replace earlier ones.
+    /// Sets the weights to load. They replace earlier ones as soon as no request for those is
+    /// outstanding and no order for them is under way.
     void set_complete_weights(std::shared_ptr<const complete_weights> weights);
     /// Advances the load. To be called periodically.
     void reconcile();
@@ -59,6 +60,7 @@
     template<typename Function>
     auto make_step_handler(Function function);
 
+    bool take_next_weights();
     void set_step(load_step step);
     void stage_next(std::size_t chunk);
     void handle_stage_reply(std::size_t chunk, const http_response& response);
@@ -78,10 +80,12 @@
     engine_monitor& engine_;
     loader_callbacks callbacks_;
     std::shared_ptr<const complete_weights> weights_;
+    std::shared_ptr<const complete_weights> next_weights_; ///< replace weights_; nullptr: none
     load_step step_{load_step::idle};
-    std::uint64_t epoch_{0};       ///< incremented by each change of the step
-    std::uint64_t incarnation_{0}; ///< of the engine when the step started
-    bool is_busy_{false};          ///< a request is outstanding
+    std::uint64_t epoch_{0};              ///< incremented by each change of the step
+    std::uint64_t incarnation_{0};        ///< of the engine when the step started
+    bool is_busy_{false};                 ///< a request of this step is outstanding
+    std::size_t outstanding_requests_{0}; ///< of all steps
     staging_check check_;
     std::uint64_t check_incarnation_{0}; ///< for logs
     time_point check_started_at_;        ///< for logs
--- a/src/version/staging_check.cpp
+++ b/src/version/staging_check.cpp
@@ -5,9 +5,9 @@
 order_permission may_order(const staging_check& check,
                            const order_conditions& conditions) noexcept {
     // The oldest reading counts.
-    const bool is_recent =
-        check.version != 0 && conditions.now - check.started_at <= max_staging_check_age;
-    return is_recent ? order_permission::granted : order_permission::needs_check;
+    const bool is_valid = check.version != 0 && check.version == conditions.version &&
+                          conditions.now - check.started_at <= max_staging_check_age;
+    return is_valid ? order_permission::granted : order_permission::needs_check;
 }
 
 } // namespace citronseam
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -557,10 +557,16 @@
 TEST(staging_check, its_first_reading_must_be_recent) {
     const boot_clock::time_point start(std::chrono::hours(1));
     const staging_check check{2, start};
-    EXPECT_EQ(may_order(check, {start + max_staging_check_age}), order_permission::granted);
-    EXPECT_EQ(may_order(check, {start + max_staging_check_age + milliseconds(1)}),
+    EXPECT_EQ(may_order(check, {2, start + max_staging_check_age}), order_permission::granted);
+    EXPECT_EQ(may_order(check, {2, start + max_staging_check_age + milliseconds(1)}),
               order_permission::needs_check);
-    EXPECT_EQ(may_order({}, {start}), order_permission::needs_check) << "nothing was read back";
+    EXPECT_EQ(may_order({}, {0, start}), order_permission::needs_check) << "nothing was read back";
+}
+
+// Guards against an order for newer weights on the check of older ones.
+TEST(staging_check, it_covers_one_version) {
+    const boot_clock::time_point start(std::chrono::hours(1));
+    EXPECT_EQ(may_order({2, start}, {3, start}), order_permission::needs_check);
 }
 
 } // namespace
