Order a load only from the engine process whose pieces were read back

An engine that started again without its pieces while they were read back could be ordered to load the rest. The step took over the new process when the reading ended, and the count of orders is 0 before and after, so the order fitted. It could also be sent while the engine's state was missing: order_load_when_due() runs on a response, too, and read a state that polls had reset.

A check names the engine process before its first reading, and an order wants a state that was requested after the last one and shows the same process. The loader also advances after each poll, so that this costs one poll at most.

--- a/src/programs/sidecar/engine_monitor.cpp
+++ b/src/programs/sidecar/engine_monitor.cpp
@@ -20,16 +20,16 @@
 }
 
 void engine_monitor::poll() {
-    fetch_on_control(context_,
-                     platform::make_engine_state_request(context_.options.backend_server.address),
-                     max_state_bytes, [this](const http_response& response) {
-                         handle_state(response);
-                         on_state_();
-                         context_.control.post_after(poll_interval, [this] { poll(); });
-                     });
+    fetch_on_control(
+        context_, platform::make_engine_state_request(context_.options.backend_server.address),
+        max_state_bytes, [this, polled_at = boot_clock::now()](const http_response& response) {
+            handle_state(response, polled_at);
+            on_state_();
+            context_.control.post_after(poll_interval, [this] { poll(); });
+        });
 }
 
-void engine_monitor::handle_state(const http_response& response) {
+void engine_monitor::handle_state(const http_response& response, boot_clock::time_point polled_at) {
     if (!response.outcome.is_complete || response.outcome.status != 200) {
         record_failure(response.outcome.is_complete
                            ? "status " + std::to_string(response.outcome.status)
@@ -58,6 +58,7 @@
     }
     accepted_order_count_ = state->accepted_order_count;
     state_ = std::move(*state);
+    polled_at_ = polled_at;
 }
 
 void engine_monitor::record_failure(const std::string& reason) {
--- a/src/programs/sidecar/engine_monitor.h
+++ b/src/programs/sidecar/engine_monitor.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 
+#include "citronseam/process/boot_clock.h"
 #include "platform/engine.h"
 #include "programs/sidecar/sidecar_context.h"
 
@@ -24,15 +25,18 @@
     const std::optional<platform::engine_state>& state() const noexcept { return state_; }
     /// @return 1 for the first engine process seen, incremented by each restart; 0: none seen yet
     std::uint64_t incarnation() const noexcept { return incarnation_; }
+    /// @return when the last state was requested; the engine reported it after that
+    boot_clock::time_point polled_at() const noexcept { return polled_at_; }
 
 private:
     void poll();
-    void handle_state(const http_response& response);
+    void handle_state(const http_response& response, boot_clock::time_point polled_at);
     void record_failure(const std::string& reason);
 
     sidecar_context& context_;
     std::function<void()> on_state_;
     std::optional<platform::engine_state> state_;
+    boot_clock::time_point polled_at_;
     std::uint64_t incarnation_{0};
     std::uint64_t started_at_ms_{0};
     std::uint64_t accepted_order_count_{0};
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -84,6 +84,7 @@
             cluster_.start({});
             engine_.start([this] {
                 set_rates();
+                loader_->reconcile();
                 report_to_gateways();
             });
             run_periodically(control_, reconcile_interval, [this] {
--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -141,13 +141,13 @@
 void weights_loader::start_check() {
     set_step(load_step::verify);
     check_started_at_ = std::chrono::steady_clock::now();
-    check_ = {weights_->target.version, boot_clock::now()};
-    check_incarnation_ = engine_.incarnation();
+    check_ = {weights_->target.version, engine_.incarnation(), boot_clock::now(), {}};
     verify_next(0);
 }
 
 void weights_loader::verify_next(std::size_t chunk) {
     if (chunk == weights_->chunks.size()) {
+        check_.ended_at = boot_clock::now();
         set_step(load_step::scheduled);
         order_load_when_due();
         return;
@@ -212,15 +212,24 @@
 
 void weights_loader::order_load_when_due() {
     const auto now = std::chrono::steady_clock::now();
+    if (!engine_.state()) {
+        return;
+    }
     const bool serves_nothing = engine_.state()->weights_version == 0;
     if (!serves_nothing && (now < scheduled_load_at() || should_wait_for_newer(now))) {
         return;
     }
-    if (may_order(check_, {weights_->target.version, boot_clock::now()}) ==
-        order_permission::needs_check) {
-        start_check();
-    } else {
+    const order_conditions conditions{weights_->target.version, engine_.incarnation(),
+                                      engine_.polled_at(), boot_clock::now()};
+    switch (may_order(check_, conditions)) {
+    case order_permission::granted:
         send_load_order();
+        break;
+    case order_permission::needs_state:
+        break; // the next state is read within the poll interval
+    case order_permission::needs_check:
+        start_check();
+        break;
     }
 }
 
@@ -241,7 +250,7 @@
          {"check_ms", elapsed_ms(check_started_at_, ordered_at_)},
          {"check_real_ms",
           std::chrono::duration_cast<milliseconds>(boot_clock::now() - check_.started_at).count()},
-         {"check_life", check_incarnation_},
+         {"check_life", check_.engine_incarnation},
          {"life", engine_.incarnation()},
          {"running", engine_.state()->running},
          {"orders", load.accepted_order_count}});
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -47,7 +47,7 @@
     /// Sets the weights to load. They replace earlier ones as soon as no request for those is
     /// outstanding and no order for them is under way.
     void set_complete_weights(std::shared_ptr<const complete_weights> weights);
-    /// Advances the load. To be called periodically.
+    /// Advances the load. To be called periodically and after each poll of the engine.
     void reconcile();
 
     /// @return whether the engine accepts no requests because of a load
@@ -87,8 +87,7 @@
     bool is_busy_{false};                 ///< a request of this step is outstanding
     std::size_t outstanding_requests_{0}; ///< of all steps
     staging_check check_;
-    std::uint64_t check_incarnation_{0}; ///< for logs
-    time_point check_started_at_;        ///< for logs
+    time_point check_started_at_; ///< for logs
     time_point ordered_at_;
     time_point retry_at_;
 };
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -553,20 +553,32 @@
     EXPECT_EQ(reserve_send(pacer, "a", true, 2000, time_point{}).count(), 0) << "unlimited";
 }
 
+constexpr boot_clock::time_point check_start(std::chrono::hours(1));
+constexpr boot_clock::time_point check_end = check_start + milliseconds(100);
+
 // Guards against an order on chunks that were read back too long ago; a suspension counts.
 TEST(staging_check, its_first_reading_must_be_recent) {
-    const boot_clock::time_point start(std::chrono::hours(1));
-    const staging_check check{2, start};
-    EXPECT_EQ(may_order(check, {2, start + max_staging_check_age}), order_permission::granted);
-    EXPECT_EQ(may_order(check, {2, start + max_staging_check_age + milliseconds(1)}),
+    const staging_check check{2, 1, check_start, check_end};
+    const auto last = check_start + max_staging_check_age;
+    EXPECT_EQ(may_order(check, {2, 1, check_end, last}), order_permission::granted);
+    EXPECT_EQ(may_order(check, {2, 1, check_end, last + milliseconds(1)}),
               order_permission::needs_check);
-    EXPECT_EQ(may_order({}, {0, start}), order_permission::needs_check) << "nothing was read back";
+    EXPECT_EQ(may_order({}, {0, 0, check_end, check_end}), order_permission::needs_check)
+        << "nothing was read back";
 }
 
 // Guards against an order for newer weights on the check of older ones.
 TEST(staging_check, it_covers_one_version) {
-    const boot_clock::time_point start(std::chrono::hours(1));
-    EXPECT_EQ(may_order({2, start}, {3, start}), order_permission::needs_check);
+    EXPECT_EQ(may_order({2, 1, check_start, check_end}, {3, 1, check_end, check_end}),
+              order_permission::needs_check);
+}
+
+// Guards against an order to an engine that started again during the check.
+TEST(staging_check, it_covers_one_engine_process) {
+    const staging_check check{2, 1, check_start, check_end};
+    EXPECT_EQ(may_order(check, {2, 1, check_end - milliseconds(1), check_end}),
+              order_permission::needs_state);
+    EXPECT_EQ(may_order(check, {2, 2, check_end, check_end}), order_permission::needs_check);
 }
 
 } // namespace
