Stage nothing else while an order is not answered

An engine could load newer pieces under an older version. An order without an answer counted as lost after 1.5 s, and newer weights were staged; the order could still be executed, as its fence and its expected count fitted.

The engine accepts one of two equal orders at most, and both find the same pieces. An answer, another count of orders, or a restart of the engine settles it; only then newer weights take over.

--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -26,7 +26,7 @@
 constexpr milliseconds due_margin{900};
 /// An engine may be idle this long between two versions; a load takes longer than that.
 constexpr milliseconds max_idle{1000};
-/// Time after which an order counts as lost if its load has not started.
+/// Time after which an accepted order is given again if its load has not started.
 constexpr milliseconds order_timeout{1500};
 
 } // namespace
@@ -64,7 +64,8 @@
 /// Replaces the weights, unless a request or an order for the present ones is not settled.
 /// @return whether they were replaced
 bool weights_loader::take_next_weights() {
-    if (next_weights_ == nullptr || outstanding_requests_ > 0 || step_ == load_step::load) {
+    if (next_weights_ == nullptr || outstanding_requests_ > 0 || step_ == load_step::load ||
+        is_order_open_) {
         return false;
     }
     weights_ = std::exchange(next_weights_, nullptr);
@@ -90,9 +91,11 @@
         return;
     }
     if (incarnation_ != engine_.incarnation()) {
-        // A restarted engine may have lost the staged chunks.
+        // A restarted engine may have lost the staged chunks, and executes no earlier order.
+        is_order_open_ = false;
         set_step(load_step::idle);
     }
+    settle_open_order();
     if (is_busy_) {
         return;
     }
@@ -210,13 +213,25 @@
     return is_in_later_half && now + callbacks_.newest_remaining_time() <= deadline + max_idle;
 }
 
+/// An order is accepted only at its expected count, which it increments.
+void weights_loader::settle_open_order() {
+    if (!is_order_open_ || engine_.state()->accepted_order_count == ordered_count_) {
+        return;
+    }
+    is_order_open_ = false;
+    if (step_ != load_step::load) {
+        set_step(load_step::load); // it was about to be repeated
+    }
+}
+
 void weights_loader::order_load_when_due() {
     const auto now = std::chrono::steady_clock::now();
     if (!engine_.state()) {
         return;
     }
     const bool serves_nothing = engine_.state()->weights_version == 0;
-    if (!serves_nothing && (now < scheduled_load_at() || should_wait_for_newer(now))) {
+    const bool is_early = now < scheduled_load_at() || should_wait_for_newer(now);
+    if (!serves_nothing && !is_order_open_ && is_early) {
         return;
     }
     const order_conditions conditions{weights_->target.version, engine_.incarnation(),
@@ -242,6 +257,8 @@
     // Versions increase, so the engine refuses a delayed order of an earlier sidecar process.
     load.fencing_token = weights_->target.version;
     load.accepted_order_count = engine_.state()->accepted_order_count;
+    is_order_open_ = true;
+    ordered_count_ = load.accepted_order_count;
     log_event(
         log_level::info, "load_ordered",
         {{"version", load.version},
@@ -263,9 +280,17 @@
 
 void weights_loader::handle_order_reply(const http_response& response) {
     const platform::load_order_outcome outcome = platform::parse_order_outcome(response);
+    if (outcome == platform::load_order_outcome::unknown) {
+        log_event(log_level::warning, "load_unanswered",
+                  {{"version", weights_->target.version},
+                   {"status", response.outcome.status},
+                   {"reason", response.outcome.message}});
+        retry_at_ = std::chrono::steady_clock::now() + retry_delay;
+        return;
+    }
+    is_order_open_ = false;
     if (outcome == platform::load_order_outcome::accepted ||
-        outcome == platform::load_order_outcome::already_in_service ||
-        outcome == platform::load_order_outcome::unknown) {
+        outcome == platform::load_order_outcome::already_in_service) {
         return; // watch_load() detects the outcome
     }
     log_event(log_level::warning, "load_refused",
@@ -283,10 +308,20 @@
                   {{"version", engine_.state()->weights_version},
                    {"after_ms", elapsed_ms(weights_->target.announced_at, now)},
                    {"load_ms", elapsed_ms(ordered_at_, now)}});
+        is_order_open_ = false; // it would be answered as already in effect
         set_step(load_step::idle);
         return;
     }
-    if (is_executing || now - ordered_at_ <= order_timeout) {
+    if (is_executing) {
+        return;
+    }
+    if (is_order_open_) {
+        // The order may still be executed, with what is staged then. The engine accepts one of two
+        // equal orders.
+        start_check();
+        return;
+    }
+    if (now - ordered_at_ <= order_timeout) {
         return;
     }
     log_event(log_level::info, "load_again", {{"version", weights_->target.version}});
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -67,6 +67,7 @@
     void start_check();
     void verify_next(std::size_t chunk);
     void handle_read_back(std::size_t chunk, const http_response& response);
+    void settle_open_order();
     void order_load_when_due();
     bool should_wait_for_newer(time_point now) const;
     time_point scheduled_load_at() const;
@@ -88,6 +89,10 @@
     std::size_t outstanding_requests_{0}; ///< of all steps
     staging_check check_;
     time_point check_started_at_; ///< for logs
+    /// The engine may execute the last order, but has not answered. Until that is settled, only the
+    /// same chunks are staged, and only the same order is sent.
+    bool is_order_open_{false};
+    std::uint64_t ordered_count_{0}; ///< count of orders that the last order expects
     time_point ordered_at_;
     time_point retry_at_;
 };
