Send an order on a kept connection, and once

An order could reach the engine long after the check of its pieces: it waited for a connect of its own, up to a second, and a machine that stood still meanwhile sent it on its return. The connection of the reading before it is there, so nothing lies between the last look at the clock and the write but the client's queue. libcurl may not send it again when that connection has ended; the loader repeats it after a new check.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -188,6 +188,14 @@
     EXPECT_EQ(nlohmann::json::parse(write.body).at("set_keys")[0].at("value"), "bm9kZS0x");
 }
 
+// Guards against an order that waits for a connect, or is sent once more, after its chunks were
+// checked.
+TEST(engine, order_uses_a_kept_connection_and_is_sent_once) {
+    const http_request order = platform::make_load_order_request("10.0.0.1:80", {});
+    EXPECT_TRUE(order.may_reuse_connection);
+    EXPECT_FALSE(order.may_be_resent);
+}
+
 TEST(engine, order_without_a_response_has_an_unknown_outcome) {
     using platform::load_order_outcome;
     EXPECT_EQ(platform::parse_order_outcome(response_with(202)), load_order_outcome::accepted);
