--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -1,6 +1,7 @@
 #include "programs/sidecar/weights_loader.h"
 
 #include <array>
+#include <utility>
 
 #include "citronseam/process/enum_names.h"
 #include "citronseam/process/log.h"
@@ -20,14 +21,12 @@
 
 constexpr milliseconds retry_delay{200};
 constexpr std::size_t max_order_reply_bytes = 64 * kibibyte;
-/// Staged chunks can become corrupt, so they are verified again shortly before the load order.
-constexpr milliseconds max_verification_age{1000};
 /// The last load is scheduled this long before the weights are due: from then on, gateways send no
 /// requests to engines with older weights, so such an engine would be idle.
 constexpr milliseconds due_margin{900};
 /// An engine may be idle this long between two versions; a load takes longer than that.
 constexpr milliseconds max_idle{1000};
-/// Time after which an order counts as lost if its load has not started.
+/// Time after which an accepted order is given again if its load has not started.
 constexpr milliseconds order_timeout{1500};
 
 } // namespace
@@ -42,22 +41,36 @@
 
 template<typename Function>
 auto weights_loader::make_step_handler(Function function) {
+    ++outstanding_requests_;
     return [self = shared_from_this(), epoch = epoch_,
             function = std::move(function)](const http_response& response) {
+        --self->outstanding_requests_;
         if (epoch == self->epoch_) {
             self->is_busy_ = false;
-            function(response);
+            if (self->take_next_weights()) {
+                self->reconcile();
+            } else {
+                function(response);
+            }
         }
     };
 }
 
 void weights_loader::set_complete_weights(std::shared_ptr<const complete_weights> weights) {
-    weights_ = std::move(weights);
-    // An accepted order is executed with the chunks that were staged at that time.
-    if (step_ != load_step::load) {
-        set_step(load_step::idle);
-        reconcile();
+    next_weights_ = std::move(weights);
+    reconcile();
+}
+
+/// Replaces the weights, unless a request or an order for the present ones is not settled.
+/// @return whether they were replaced
+bool weights_loader::take_next_weights() {
+    if (next_weights_ == nullptr || outstanding_requests_ > 0 || step_ == load_step::load ||
+        is_order_open_) {
+        return false;
     }
+    weights_ = std::exchange(next_weights_, nullptr);
+    set_step(load_step::idle);
+    return true;
 }
 
 void weights_loader::set_step(load_step step) {
@@ -73,13 +86,16 @@
 
 void weights_loader::reconcile() {
     const auto now = std::chrono::steady_clock::now();
+    take_next_weights();
     if (weights_ == nullptr || !engine_.state() || now < retry_at_) {
         return;
     }
     if (incarnation_ != engine_.incarnation()) {
-        // A restarted engine may have lost the staged chunks.
+        // A restarted engine may have lost the staged chunks, and executes no earlier order.
+        is_order_open_ = false;
         set_step(load_step::idle);
     }
+    settle_open_order();
     if (is_busy_) {
         return;
     }
@@ -101,8 +117,7 @@
 
 void weights_loader::stage_next(std::size_t chunk) {
     if (chunk == weights_->chunks.size()) {
-        set_step(load_step::verify);
-        verify_next(0);
+        start_check();
         return;
     }
     is_busy_ = true;
@@ -126,9 +141,16 @@
     set_step(load_step::idle);
 }
 
+void weights_loader::start_check() {
+    set_step(load_step::verify);
+    check_started_at_ = std::chrono::steady_clock::now();
+    check_ = {weights_->target.version, engine_.incarnation(), boot_clock::now(), {}};
+    verify_next(0);
+}
+
 void weights_loader::verify_next(std::size_t chunk) {
     if (chunk == weights_->chunks.size()) {
-        verified_at_ = std::chrono::steady_clock::now();
+        check_.ended_at = boot_clock::now();
         set_step(load_step::scheduled);
         order_load_when_due();
         return;
@@ -191,18 +213,39 @@
     return is_in_later_half && now + callbacks_.newest_remaining_time() <= deadline + max_idle;
 }
 
+/// An order is accepted only at its expected count, which it increments.
+void weights_loader::settle_open_order() {
+    if (!is_order_open_ || engine_.state()->accepted_order_count == ordered_count_) {
+        return;
+    }
+    is_order_open_ = false;
+    if (step_ != load_step::load) {
+        set_step(load_step::load); // it was about to be repeated
+    }
+}
+
 void weights_loader::order_load_when_due() {
     const auto now = std::chrono::steady_clock::now();
-    const bool serves_nothing = engine_.state()->weights_version == 0;
-    if (!serves_nothing && (now < scheduled_load_at() || should_wait_for_newer(now))) {
+    if (!engine_.state()) {
         return;
     }
-    if (now - verified_at_ > max_verification_age) {
-        set_step(load_step::verify);
-        verify_next(0);
+    const bool serves_nothing = engine_.state()->weights_version == 0;
+    const bool is_early = now < scheduled_load_at() || should_wait_for_newer(now);
+    if (!serves_nothing && !is_order_open_ && is_early) {
         return;
     }
-    send_load_order();
+    const order_conditions conditions{weights_->target.version, engine_.incarnation(),
+                                      engine_.polled_at(), boot_clock::now()};
+    switch (may_order(check_, conditions)) {
+    case order_permission::granted:
+        send_load_order();
+        break;
+    case order_permission::needs_state:
+        break; // the next state is read within the poll interval
+    case order_permission::needs_check:
+        start_check();
+        break;
+    }
 }
 
 void weights_loader::send_load_order() {
@@ -214,11 +257,20 @@
     // Versions increase, so the engine refuses a delayed order of an earlier sidecar process.
     load.fencing_token = weights_->target.version;
     load.accepted_order_count = engine_.state()->accepted_order_count;
-    log_event(log_level::info, "load_ordered",
-              {{"version", load.version},
-               {"after_ms", elapsed_ms(weights_->target.announced_at, ordered_at_)},
-               {"running", engine_.state()->running},
-               {"orders", load.accepted_order_count}});
+    is_order_open_ = true;
+    ordered_count_ = load.accepted_order_count;
+    log_event(
+        log_level::info, "load_ordered",
+        {{"version", load.version},
+         {"after_ms", elapsed_ms(weights_->target.announced_at, ordered_at_)},
+         {"checked", check_.version},
+         {"check_ms", elapsed_ms(check_started_at_, ordered_at_)},
+         {"check_real_ms",
+          std::chrono::duration_cast<milliseconds>(boot_clock::now() - check_.started_at).count()},
+         {"check_life", check_.engine_incarnation},
+         {"life", engine_.incarnation()},
+         {"running", engine_.state()->running},
+         {"orders", load.accepted_order_count}});
     is_busy_ = true;
     fetch_on_control(
         context_, platform::make_load_order_request(context_.options.backend_server.address, load),
@@ -228,9 +280,17 @@
 
 void weights_loader::handle_order_reply(const http_response& response) {
     const platform::load_order_outcome outcome = platform::parse_order_outcome(response);
+    if (outcome == platform::load_order_outcome::unknown) {
+        log_event(log_level::warning, "load_unanswered",
+                  {{"version", weights_->target.version},
+                   {"status", response.outcome.status},
+                   {"reason", response.outcome.message}});
+        retry_at_ = std::chrono::steady_clock::now() + retry_delay;
+        return;
+    }
+    is_order_open_ = false;
     if (outcome == platform::load_order_outcome::accepted ||
-        outcome == platform::load_order_outcome::already_in_service ||
-        outcome == platform::load_order_outcome::unknown) {
+        outcome == platform::load_order_outcome::already_in_service) {
         return; // watch_load() detects the outcome
     }
     log_event(log_level::warning, "load_refused",
@@ -248,13 +308,22 @@
                   {{"version", engine_.state()->weights_version},
                    {"after_ms", elapsed_ms(weights_->target.announced_at, now)},
                    {"load_ms", elapsed_ms(ordered_at_, now)}});
+        is_order_open_ = false; // it would be answered as already in effect
         set_step(load_step::idle);
         return;
     }
-    if (is_executing || now - ordered_at_ <= order_timeout) {
+    if (is_executing) {
+        return;
+    }
+    if (is_order_open_) {
+        // The order may still be executed, with what is staged then. The engine accepts one of two
+        // equal orders.
+        start_check();
+        return;
+    }
+    if (now - ordered_at_ <= order_timeout) {
         return;
     }
-    // Either the order was lost, or newer weights were completed while older ones were loading.
     log_event(log_level::info, "load_again", {{"version", weights_->target.version}});
     set_step(load_step::idle);
 }
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "citronseam/process/boot_clock.h"
+#include "citronseam/version/staging_check.h"
 #include "programs/sidecar/complete_weights.h"
 #include "programs/sidecar/engine_monitor.h"
 #include "programs/sidecar/sidecar_context.h"
@@ -42,9 +44,10 @@
 public:
     weights_loader(sidecar_context& context, engine_monitor& engine, loader_callbacks callbacks);
 
-    /// Sets the weights to load; they replace earlier ones.
+    /// Sets the weights to load. They replace earlier ones as soon as no request for those is
+    /// outstanding and no order for them is under way.
     void set_complete_weights(std::shared_ptr<const complete_weights> weights);
-    /// Advances the load. To be called periodically.
+    /// Advances the load. To be called periodically and after each poll of the engine.
     void reconcile();
 
     /// @return whether the engine accepts no requests because of a load
@@ -57,11 +60,14 @@
     template<typename Function>
     auto make_step_handler(Function function);
 
+    bool take_next_weights();
     void set_step(load_step step);
     void stage_next(std::size_t chunk);
     void handle_stage_reply(std::size_t chunk, const http_response& response);
+    void start_check();
     void verify_next(std::size_t chunk);
     void handle_read_back(std::size_t chunk, const http_response& response);
+    void settle_open_order();
     void order_load_when_due();
     bool should_wait_for_newer(time_point now) const;
     time_point scheduled_load_at() const;
@@ -75,11 +81,18 @@
     engine_monitor& engine_;
     loader_callbacks callbacks_;
     std::shared_ptr<const complete_weights> weights_;
+    std::shared_ptr<const complete_weights> next_weights_; ///< replace weights_; nullptr: none
     load_step step_{load_step::idle};
-    std::uint64_t epoch_{0};       ///< incremented by each change of the step
-    std::uint64_t incarnation_{0}; ///< of the engine when the step started
-    bool is_busy_{false};          ///< a request is outstanding
-    time_point verified_at_;
+    std::uint64_t epoch_{0};              ///< incremented by each change of the step
+    std::uint64_t incarnation_{0};        ///< of the engine when the step started
+    bool is_busy_{false};                 ///< a request of this step is outstanding
+    std::size_t outstanding_requests_{0}; ///< of all steps
+    staging_check check_;
+    time_point check_started_at_; ///< for logs
+    /// The engine may execute the last order, but has not answered. Until that is settled, only the
+    /// same chunks are staged, and only the same order is sent.
+    bool is_order_open_{false};
+    std::uint64_t ordered_count_{0}; ///< count of orders that the last order expects
     time_point ordered_at_;
     time_point retry_at_;
 };
