Bound what a server may send beside the body of an answer

A gateway, sidecar or store client would read trailers for as long as an exchange may last, and keep them: 55 MiB in two exchanges of 1.5 s on loopback.

Cause: libcurl bounds the sum of a head (Debian's 7.88 does, by this test), but no sum of trailers, and the client stored each one.

Change: the client counts all header lines of an exchange, those of interim responses and trailers too, and ends the exchange beyond 64 KiB. It ends as one that the client has given up, so the gateway counts it as a failure of the server but not as a lost connection, which would count as a crash; libcurl closes the connection. All users of the client are bounded by this one place: exchanges, polls of sidecars, store calls.

--- a/include/citronseam/connection/http_client.h
+++ b/include/citronseam/connection/http_client.h
@@ -31,8 +31,9 @@
 
 /// How an exchange ended.
 struct http_outcome {
-    bool is_complete{false};  ///< the whole response was received
-    bool is_cancelled{false}; ///< cancel() was called or on_data() returned false
+    bool is_complete{false}; ///< the whole response was received
+    /// cancel() was called, on_data() returned false, or the head was too long
+    bool is_cancelled{false};
     bool is_timed_out{false};
     run_verdict verdict{run_verdict::not_run}; ///< whether the server may have run it
     int status{0};
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr long receive_buffer_size = 64 * kibibyte;
+/// Longest head of a response with its interim responses and trailers. libcurl bounds single lines.
+constexpr std::size_t max_header_bytes = 64 * kibibyte;
 
 bool equals_ignoring_case(std::string_view left, std::string_view right) {
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
@@ -46,6 +48,7 @@
     bool is_head_reported{false};
     bool is_aborted{false};
     bool is_sent{false}; ///< libcurl began to send it once
+    std::size_t header_bytes{0};
     std::array<char, CURL_ERROR_SIZE> error_text{};
 
     exchange() = default;
@@ -72,6 +75,11 @@
 std::size_t handle_header(char* data, std::size_t size, std::size_t count, void* user) {
     auto& current = *static_cast<exchange*>(user);
     const std::string_view line(data, size * count);
+    current.header_bytes += line.size();
+    if (current.header_bytes > max_header_bytes) {
+        current.is_aborted = true;
+        return 0;
+    }
     if (line.rfind("HTTP/", 0) == 0) {
         // An interim response such as 100 Continue is followed by another header section.
         current.headers.clear();
@@ -195,8 +203,12 @@
     // A request of which no byte was sent cannot have run.
     outcome.verdict =
         sent_request_bytes(current.easy) > 0 ? run_verdict::may_have_run : run_verdict::not_run;
-    outcome.message =
-        current.error_text[0] != '\0' ? current.error_text.data() : curl_easy_strerror(code);
+    if (current.header_bytes > max_header_bytes) {
+        outcome.message = "the head is too long";
+    } else {
+        outcome.message =
+            current.error_text[0] != '\0' ? current.error_text.data() : curl_easy_strerror(code);
+    }
     return outcome;
 }
 
