Add a failing test: answers without end take a gateway's memory

A faulty server sends bodies without end to 64 requests at once. A second test shows that a head without end counts as a failure: a request that may be repeated goes to another server, another one gets 502, and the connections are closed.

--- a/tests/process_server_signals_test.cpp
+++ b/tests/process_server_signals_test.cpp
@@ -1,6 +1,13 @@
-// What backend servers say of themselves in their answers, at gateways on a simulated platform.
+// What backend servers say of themselves in their answers, and answers without end, at gateways on
+// a simulated platform.
+#include <fstream>
+#include <thread>
+
 #include <gtest/gtest.h>
 
+#include "citronseam/process/sizes.h"
+
+#include "support/endless_server.h"
 #include "support/platform_world.h"
 
 namespace {
@@ -132,4 +139,72 @@
     EXPECT_EQ(near.arrival_count() + far.arrival_count(), before);
 }
 
+/// Gateways whose nearest server is faulty.
+class endless_answers : public server_signals {
+protected:
+    /// Replaces the server in the zone of the first gateway.
+    /// @param slots requests that the faulty server claims to take at once
+    void replace_near_server(const endless_server& faulty, int slots = 4) {
+        const nlohmann::json entry = {{"service", "desk"}, {"address", faulty.address()},
+                                      {"zone", "zone-a"},  {"version", "v1"},
+                                      {"slots", slots},    {"state", "ready"},
+                                      {"cold_ms", 0},      {"sequence", 1}};
+        world.store.put("servers", "endless", entry.dump());
+        world.store.remove("servers", near.id());
+        ASSERT_TRUE(wait_until(
+            [&] {
+                look();
+                return faulty.request_count() > 0;
+            },
+            news_timeout));
+    }
+
+    /// @return the highest resident memory of the first gateway so far, in bytes
+    std::size_t peak_memory() {
+        std::ifstream status("/proc/" + std::to_string(world.gateway(0).pid()) + "/status");
+        std::string word;
+        std::size_t kibibytes = 0;
+        while (status >> word) {
+            if (word == "VmHWM:") {
+                status >> kibibytes;
+            }
+        }
+        return kibibytes * kibibyte;
+    }
+};
+
+// Guards against answers without end that take a gateway's memory or hold their requests.
+TEST_F(endless_answers, head_without_end_counts_as_a_failure_of_its_server) {
+    endless_server faulty("HTTP/1.1 200 OK\r\n", "X-Filler: abcdefgh\r\n");
+    replace_near_server(faulty);
+    EXPECT_EQ(look().outcome.status, 200) << "the other server takes what may be repeated";
+    world.put_server_row(far, "desk", "zone-b", "draining");
+    EXPECT_TRUE(wait_until(
+        [&] { return world.call(0, "POST", "/book/1", {key_header}).outcome.status == 502; },
+        news_timeout))
+        << "what may not be repeated fails";
+    EXPECT_TRUE(
+        wait_until([&] { return faulty.closed_count() == faulty.request_count(); }, news_timeout));
+}
+
+// Guards against a gateway that holds long answers of many requests until its memory runs out.
+TEST_F(endless_answers, bodies_without_end_of_many_requests_fit_into_memory) {
+    constexpr int request_count = 64;
+    constexpr std::size_t max_growth = 96 * mebibyte;
+    endless_server faulty("HTTP/1.1 200 OK\r\nX-Citronseam-Response-Seal: s\r\n\r\n", "abcdefgh");
+    faulty.block_interval_ms = 1;
+    replace_near_server(faulty, 4 * request_count);
+    const std::size_t before = peak_memory();
+    std::vector<std::thread> callers;
+    callers.reserve(request_count);
+    for (int i = 0; i < request_count; ++i) {
+        callers.emplace_back([this] { look(); });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    EXPECT_LE(peak_memory() - before, max_growth);
+    EXPECT_TRUE(wait_for_status(200));
+}
+
 } // namespace
