Bound the memory of all responses that a gateway holds

Callers would see all requests of a gateway break off: one faulty server whose answers have no end takes 309 to 381 MiB of it with 64 requests, and a process over its 160 to 260 MB is killed.

Cause: a body may have 8 MiB and an incomplete event 1 MiB, whatever the other requests of the process hold.

Change: bodies that are collected and incomplete events share 32 MiB. A response may grow while as much as it then has stays free, so responses without end stop one another early and leave room for the usual ones: beside 300 of them a new one may have 32 KiB, alone it may have its 8 MiB. What does not fit counts as a failure of the server: the bytes are freed, the connection is closed, and the request goes to another server if it may be repeated, else it gets 502.

Unit tests with 300 responses without end.

--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -10,6 +10,7 @@
 #include "citronseam/connection/io_thread_pool.h"
 #include "citronseam/process/metrics.h"
 #include "citronseam/process/settings.h"
+#include "citronseam/request/buffer_budget.h"
 #include "programs/daemon/crash_registry.h"
 #include "programs/gateway/server_pool.h"
 
@@ -24,6 +25,7 @@
     server_pool& pool;
     crash_registry& crashes;
     std::atomic<std::uint32_t> requests_in_flight{0}; ///< of callers
+    buffer_budget response_buffers{};                 ///< used on the traffic thread only
 };
 
 } // namespace citronseam
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -10,6 +10,7 @@
 
 #include "citronseam/connection/http_server.h"
 #include "citronseam/process/clock.h"
+#include "citronseam/request/buffer_budget.h"
 #include "citronseam/request/event_stream.h"
 #include "citronseam/request/quarantine.h"
 #include "citronseam/request/verdict.h"
@@ -54,9 +55,10 @@
         platform::response_parameters parameters;
         std::string body; ///< of a response that is not forwarded event by event
         event_buffer events;
+        buffer_share buffered; ///< of the body, or of the event that is incomplete
         bool is_stream{false};
-        bool is_unusable{
-            false}; ///< cancelled: it is to another request, or its event stream is broken
+        bool is_unusable{false}; ///< cancelled: it is to another request, its event stream is
+                                 ///< broken, or too long
     };
 
     /// Why a request ends without a backend server's response.
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -92,11 +92,20 @@
     attempt_.has_data = true;
     record_response_start();
     if (attempt_.is_stream) {
-        attempt_.is_unusable = !feed(attempt_.events, data) || !forward_events();
+        attempt_.is_unusable =
+            !feed(attempt_.events, data) || !forward_events() ||
+            !attempt_.buffered.resize(context_.response_buffers, attempt_.events.pending.size());
         return !attempt_.is_unusable;
     }
+    const std::size_t size = attempt_.body.size() + data.size();
+    attempt_.is_unusable =
+        size > max_response_bytes || !attempt_.buffered.resize(context_.response_buffers, size);
+    if (attempt_.is_unusable) {
+        attempt_.body = {};
+        return false;
+    }
     attempt_.body += data;
-    return attempt_.body.size() <= max_response_bytes;
+    return true;
 }
 
 bool gateway_exchange::forward_events() {
--- a/tests/request_logic_test.cpp
+++ b/tests/request_logic_test.cpp
@@ -5,6 +5,7 @@
 #include "citronseam/process/random.h"
 #include "citronseam/request/admission.h"
 #include "citronseam/request/balancer.h"
+#include "citronseam/request/buffer_budget.h"
 #include "citronseam/request/fair_queue.h"
 #include "citronseam/request/idempotency_record.h"
 #include "citronseam/request/prefix_table.h"
@@ -424,6 +425,42 @@
     EXPECT_EQ(holder_of(table, 1), std::nullopt);
 }
 
+// Guards against responses without end that leave no memory for the others.
+TEST(buffer_budget, growing_response_leaves_room_for_the_others) {
+    constexpr std::size_t greedy_count = 300;
+    constexpr std::size_t step = kibibyte;
+    constexpr std::size_t usual_size = 32 * kibibyte;
+    buffer_budget budget;
+    std::vector<buffer_share> greedy(greedy_count);
+    std::vector<std::size_t> sizes(greedy_count);
+    for (bool is_growing = true; is_growing;) {
+        is_growing = false;
+        for (std::size_t i = 0; i < greedy_count; ++i) {
+            if (greedy[i].resize(budget, sizes[i] + step)) {
+                sizes[i] += step;
+                is_growing = true;
+            }
+        }
+        ASSERT_LE(budget.used, budget.limit);
+    }
+    buffer_share usual;
+    EXPECT_TRUE(usual.resize(budget, usual_size));
+    EXPECT_TRUE(greedy[0].resize(budget, 0)) << "a part may always shrink";
+    greedy.clear();
+    EXPECT_EQ(budget.used, usual_size);
+    EXPECT_TRUE(usual.resize(budget, 8 * mebibyte)) << "one response alone may be long";
+}
+
+TEST(buffer_budget, share_that_is_replaced_gives_its_bytes_back_once) {
+    buffer_budget budget;
+    buffer_share share;
+    ASSERT_TRUE(share.resize(budget, 100));
+    buffer_share moved = std::move(share);
+    EXPECT_EQ(budget.used, 100U);
+    moved = {};
+    EXPECT_EQ(budget.used, 0U);
+}
+
 TEST(event_sequence, counts_gaps_and_detects_duplicates) {
     event_sequence sequence;
     EXPECT_EQ(advance_sequence(sequence, 1), 0U);
