Add failing tests for streams that a gateway gives up before another engine takes them

Callers see a stream cut in the middle although its engine would have finished it: when the engine is due to load weights or was silent for a second, and the next engine refuses the stream or there is none.

The stand-in engine can report that it executes an order, and the test of an evacuated zone prints the gateway's output when a call fails.

--- /dev/null
+++ b/tests/process_move_test.cpp
@@ -0,0 +1,103 @@
+// Streams that a gateway moves from a server that could have finished them.
+#include <future>
+
+#include <gtest/gtest.h>
+
+#include "support/platform_world.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+/// Longer than the silence after which a gateway takes a stream for stalled.
+constexpr int silence_ms = 1300;
+
+class stream_move : public ::testing::Test {
+protected:
+    void SetUp() override {
+        ASSERT_TRUE(world.start()) << world.gateway(0).output() << world.gateway(1).output();
+    }
+
+    /// Starts a stream that is expected to be long, and waits until the first engine runs it.
+    std::future<http_response> start_stream() {
+        auto stream = std::async(std::launch::async, [this] {
+            return world.call(0, "POST", "/draft/1",
+                              {{"Authorization", std::string("Token ") + platform_world::api_key},
+                               {"X-Citronseam-Token-Usage", "10,400"},
+                               {"X-Citronseam-Length-Hint", "400"}});
+        });
+        EXPECT_TRUE(wait_until([this] { return !world.engines[0]->runs_per_attempt().empty(); },
+                               milliseconds(1000)));
+        return stream;
+    }
+
+    static std::string make_events(int first, int last, const std::string& server) {
+        std::string text;
+        for (int i = first; i <= last; ++i) {
+            text += "id: " + std::to_string(i) + "\ndata: " + server + "\n\n";
+        }
+        return text;
+    }
+
+    /// Expects the whole stream, of which the first engine sent every event.
+    void expect_first_engine_finished(const http_response& stream) {
+        EXPECT_TRUE(stream.outcome.is_complete) << world.gateway(0).output();
+        EXPECT_EQ(stream.body, make_events(1, platform_server::events_per_stream, "engine-zone-a"))
+            << world.gateway(0).output();
+    }
+
+    platform_world world;
+};
+
+// Guards against cutting a stream whose engine is due to load weights, when the next one refuses.
+TEST_F(stream_move, stream_at_a_loading_engine_is_finished_when_the_other_engine_refuses) {
+    world.engines[0]->event_interval_ms = 150;
+    world.engines[1]->is_overloaded = true;
+    auto stream = start_stream();
+    world.engines[0]->is_executing_order = true;
+    expect_first_engine_finished(stream.get());
+    EXPECT_NE(world.gateway(0).wait_for_line("event=request_moved", milliseconds(0)), "")
+        << "the other engine was asked";
+}
+
+// Guards against ending a stream for its engine's silence, when the next engine refuses.
+TEST_F(stream_move, stream_at_a_silent_engine_is_finished_when_the_other_engine_refuses) {
+    world.engines[0]->event_interval_ms = silence_ms;
+    world.engines[1]->is_overloaded = true;
+    auto stream = start_stream();
+    world.engines[0]->event_interval_ms = 30;
+    expect_first_engine_finished(stream.get());
+    EXPECT_NE(world.gateway(0).wait_for_line("event=request_moved", milliseconds(0)), "")
+        << "the other engine was asked";
+}
+
+// Guards against ending a stream for its engine's silence, when there is no other engine.
+TEST_F(stream_move, stream_at_a_silent_engine_is_finished_when_there_is_no_other_engine) {
+    world.put_server_row(*world.engines[1], "drafts", "zone-b", "draining");
+    ASSERT_NE(world.gateway(0).wait_for_line("draining=1", milliseconds(3000)), "");
+    world.engines[0]->event_interval_ms = silence_ms;
+    auto stream = start_stream();
+    world.engines[0]->event_interval_ms = 30;
+    expect_first_engine_finished(stream.get());
+}
+
+// Guards against a stream that stays at a loading engine, or that joins events of two runs wrongly.
+TEST_F(stream_move, stream_at_a_loading_engine_goes_on_at_another_one_with_each_event_once) {
+    world.engines[0]->event_interval_ms = 150;
+    world.engines[1]->queue_delay_ms = 200;
+    auto stream = start_stream();
+    world.engines[0]->is_executing_order = true;
+    const http_response response = stream.get();
+    EXPECT_TRUE(response.outcome.is_complete) << world.gateway(0).output();
+    bool is_joined = false;
+    for (int last = 0; last < platform_server::events_per_stream; ++last) {
+        is_joined = is_joined ||
+                    response.body == make_events(1, last, "engine-zone-a") +
+                                         make_events(last + 1, platform_server::events_per_stream,
+                                                     "engine-zone-b");
+    }
+    EXPECT_TRUE(is_joined) << response.body << world.gateway(0).output();
+}
+
+} // namespace
--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -132,7 +132,8 @@
         milliseconds(2000)));
     const auto before = world.engines[0]->runs_per_attempt().size();
     for (int i = 0; i < 5; ++i) {
-        EXPECT_EQ(world.call(0, "POST", "/draft/1", {key_header}).outcome.status, 200);
+        EXPECT_EQ(world.call(0, "POST", "/draft/1", {key_header}).outcome.status, 200)
+            << world.gateway(0).output();
     }
     EXPECT_EQ(world.engines[0]->runs_per_attempt().size(), before);
     world.store.remove("op", "evacuate/zone-a");
--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -122,7 +122,7 @@
                   {{"stage", "colocated"},
                    {"models", json::array({{{"name", standin_model}, {"version", version_}}})},
                    {"layers", json::array({{{"from", 0}, {"target", 1}, {"version", version_}}})},
-                   {"busy", false},
+                   {"busy", is_executing_order.load()},
                    {"sequence", accepted_order_count_},
                    {"num_waiting", 0},
                    {"num_running", 0},
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -56,6 +56,8 @@
     std::atomic<int> queue_delay_ms{0};      ///< requests wait this long before they begin to run
     std::atomic<double> request_limit{0};    ///< requests a second that its answers name; 0: none
     std::atomic<int> event_interval_ms{30};  ///< between two events of a stream
+    /// Reports that it executes an order to load weights, and runs what it has begun.
+    std::atomic<bool> is_executing_order{false};
 
     static constexpr int events_per_stream = 8;
 
