Keep a running attempt until another server has answered its request

Callers saw a stream cut in the middle of its answer although its engine would have finished it.

Cause: an exchange had one attempt. A move cancelled it and then sent the request to another server, whose room is known from a report that may be a second old, and which many gateways choose at the same moment. When that server refused, no attempt was left. A stream at a silent server was cancelled even before another server was found.

Tests end such a stream with the outcomes server_refused and no_server.

The request is now sent to the other server beside the running attempt. Events of the running one are held meanwhile, so that the other server continues exactly after Last-Event-Id, but no longer than the route's pause between events. The other attempt goes on with its first event; when it is refused, breaks or lets the stream wait, the running one does. A request without events takes the first answer. decide_move holds the rule. move_started and move_ended name the servers, the reason, the held events and the time, in place of attempt_cancelled.

--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -21,8 +21,6 @@
 /// Shortest pause after which a stream is moved; a busy engine may preempt a request for several
 /// hundred milliseconds.
 constexpr milliseconds min_stream_stall_timeout{1000};
-/// Pause between two attempts to find another engine.
-constexpr milliseconds move_check_interval{100};
 
 /// Retry-After of refusals.
 constexpr milliseconds configuration_retry_delay{300}; ///< a starting process reads it within this
@@ -138,7 +136,7 @@
     }
     const server_selection selection = context_.pool.choose(make_query(), now);
     if (selection.server != nullptr) {
-        send_to(selection);
+        attempt_ = send_to(selection);
     } else if (verdict_ == run_verdict::not_run) {
         refuse_for(selection.failure_reason);
     } else {
@@ -146,19 +144,19 @@
     }
 }
 
-void gateway_exchange::send_to(const server_selection& selection) {
+std::shared_ptr<gateway_exchange::attempt>
+gateway_exchange::send_to(const server_selection& selection) {
     const auto now = std::chrono::steady_clock::now();
-    attempt_ = {};
-    attempt_.server = selection.server;
-    attempt_.pending_prefill_ms = selection.prompt_prefill_ms;
-    attempt_.started_at = now;
-    attempt_.last_data_at = now;
+    auto sent = std::make_shared<attempt>();
+    sent->server = selection.server;
+    sent->pending_prefill_ms = selection.prompt_prefill_ms;
+    sent->started_at = now;
+    sent->last_data_at = now;
     assumed_load_ = selection.assumed_load;
     expected_wait_ms_ = selection.expected_wait_ms;
     report_age_ms_ =
         selection.server->has_report ? elapsed_ms(selection.server->reported_at, now) : 0;
     ++attempt_count_;
-    ++generation_;
     tried_servers_.push_back(selection.server->entry.id);
 
     platform::dispatch_parameters parameters;
@@ -189,24 +187,24 @@
                    {"sending", attempt_count_},
                    {"after_event", last_event_id_.value_or(0)}});
     }
-    attempt_.number = context_.traffic.send(std::move(request), make_observer(generation_));
+    sent->number = context_.traffic.send(std::move(request), make_observer(sent));
+    return sent;
 }
 
-void gateway_exchange::end_attempt(exchange_outcome outcome) {
-    if (attempt_.server != nullptr) {
-        record_response_start();
-        record_ended(*attempt_.server, outcome, std::chrono::steady_clock::now());
-        attempt_.server = nullptr;
+void gateway_exchange::end_attempt(attempt& ended, exchange_outcome outcome) {
+    if (ended.server != nullptr) {
+        record_response_start(ended);
+        record_ended(*ended.server, outcome, std::chrono::steady_clock::now());
+        ended.server = nullptr;
     }
 }
 
-void gateway_exchange::cancel_attempt(exchange_outcome outcome) {
-    if (attempt_.server == nullptr) {
+void gateway_exchange::cancel_attempt(attempt& cancelled, exchange_outcome outcome) {
+    if (cancelled.server == nullptr) {
         return;
     }
-    ++generation_;
-    context_.traffic.cancel(attempt_.number);
-    end_attempt(outcome);
+    context_.traffic.cancel(cancelled.number);
+    end_attempt(cancelled, outcome);
 }
 
 void gateway_exchange::retry_or_fail(std::string_view reason,
@@ -224,8 +222,7 @@
 }
 
 void gateway_exchange::fail_deadline() {
-    const bool is_attempt_active = attempt_.server != nullptr;
-    cancel_attempt(exchange_outcome::abandoned);
+    const bool is_attempt_active = attempt_ != nullptr && attempt_->server != nullptr;
     if (responder_->has_started()) {
         responder_->abort();
         finish("out_of_time", 0);
@@ -242,7 +239,6 @@
     if (is_done_) {
         return;
     }
-    cancel_attempt(exchange_outcome::abandoned);
     finish("caller_left", 0);
 }
 
@@ -263,82 +259,14 @@
         fail_deadline();
         return;
     }
-    if (attempt_.server != nullptr && !attempt_.has_data &&
-        !context_.pool.may_start_at(*attempt_.server, service_, now)) {
-        move_to_other_server("weights_replaced", now);
-        return;
-    }
-    if (move_before_load(now)) {
+    settle_move(now);
+    leave_replaced_weights(now);
+    if (is_done_) {
         return;
     }
-    const bool is_stalled =
-        attempt_.server != nullptr && now - attempt_.last_data_at > stall_timeout();
-    if (is_stalled && is_retryable(*rule_) && may_retry(now)) {
-        move_to_other_server("stalled", now);
-    }
-}
-
-/// An engine loads new weights only once all its running requests have ended, and accepts none
-/// meanwhile. A stream that would delay the load is moved to another engine with the same weights.
-bool gateway_exchange::move_before_load(time_point now) {
-    if (attempt_.server == nullptr || rule_->kind != retry_class::streaming ||
-        !is_retryable(*rule_) || attempt_count_ >= rule_->max_attempts || now < next_move_check_ ||
-        is_quarantined()) {
-        return false;
-    }
-    const milliseconds remaining =
-        context_.pool.expected_remaining(*rule_, service_, caller_.expected_output_tokens,
-                                         milliseconds(elapsed_ms(attempt_.started_at, now)));
-    if (!delays_weight_load(*attempt_.server, remaining, now)) {
-        return false;
-    }
-    next_move_check_ = now + move_check_interval;
-    server_query query = make_query();
-    query.is_optional = true;
-    if (events_forwarded_ == 0) {
-        query.required_weights = 0;
-    }
-    const server_selection selection = context_.pool.choose(query, now);
-    if (selection.server == nullptr) {
-        return false;
-    }
-    if (!context_.pool.try_spend_retry(service_, now)) {
-        record_prefill_end(*selection.server, selection.prompt_prefill_ms);
-        record_ended(*selection.server, exchange_outcome::abandoned, now);
-        return false;
-    }
-    log_event(log_level::info, "attempt_cancelled",
-              {{"request", caller_.attempt},
-               {"server", attempt_.server->entry.id},
-               {"reason", "engine_loads"},
-               {"events", events_forwarded_},
-               {"rest_ms", remaining.count()}});
-    cancel_attempt(exchange_outcome::abandoned);
-    verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
-    send_to(selection);
-    return true;
-}
-
-/// Cancels the current attempt and sends the request to another server, or fails it.
-void gateway_exchange::move_to_other_server(std::string_view reason, time_point now) {
-    log_event(log_level::info, "attempt_cancelled",
-              {{"request", caller_.attempt},
-               {"server", attempt_.server->entry.id},
-               {"reason", reason},
-               {"events", events_forwarded_},
-               {"sent_ms_ago", elapsed_ms(attempt_.started_at, now)},
-               {"silent_ms", elapsed_ms(attempt_.last_data_at, now)}});
-    const bool is_stalled = reason == "stalled";
-    cancel_attempt(is_stalled ? exchange_outcome::failed : exchange_outcome::abandoned);
-    verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
-    // A resumed stream needs the weights that are replaced, so no server can take it.
-    const bool has_other_server = reason != "weights_replaced" || events_forwarded_ == 0;
-    // The cancelled attempt may run all the same.
-    const bool is_allowed = is_retryable(*rule_) && has_other_server;
-    if (is_stalled || (is_allowed && may_retry(now))) {
-        send_next();
-    } else {
-        fail_broken(reason);
+    const std::string_view reason = reason_to_move(now);
+    if (!reason.empty()) {
+        start_move(reason, now);
     }
 }
 
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -10,6 +10,7 @@
 
 #include "citronseam/connection/http_server.h"
 #include "citronseam/process/clock.h"
+#include "citronseam/request/attempt_move.h"
 #include "citronseam/request/event_stream.h"
 #include "citronseam/request/quarantine.h"
 #include "citronseam/request/verdict.h"
@@ -42,9 +43,10 @@
 
     /// One attempt at one backend server.
     struct attempt {
-        std::uint64_t number{0};      ///< identifies the exchange in the HTTP client
-        double pending_prefill_ms{0}; ///< expected prefill time; 0 once the response began
-        std::shared_ptr<server_state> server;
+        std::uint64_t number{0}; ///< identifies the exchange in the HTTP client
+        attempt_progress progress{attempt_progress::silent}; ///< since a move began
+        double pending_prefill_ms{0};         ///< expected prefill time; 0 once the response began
+        std::shared_ptr<server_state> server; ///< nullptr once it has ended or was cancelled
         time_point started_at;
         time_point last_data_at; ///< when the last part of the response arrived
         bool has_head{false};
@@ -67,37 +69,56 @@
         milliseconds retry_after{0};
     };
 
+    /// What the response to an attempt is worth.
+    enum class response_kind : std::uint8_t {
+        not_run, ///< the server declares that it did not run the request
+        broken,  ///< incomplete, or not certainly the server's
+        failure, ///< the server's own failure
+        usable
+    };
+
     bool resolve_route();
     void send_next();
-    void send_to(const server_selection& selection);
-    http_observer make_observer(std::uint64_t generation);
-    void handle_head(int status, const std::vector<http_header>& headers);
-    bool handle_data(std::string_view data);
-    bool forward_events();
-    bool forward_event(const stream_event& event);
+    std::shared_ptr<attempt> send_to(const server_selection& selection);
+    http_observer make_observer(const std::shared_ptr<attempt>& source);
+    void handle_head(attempt& current, int status, const std::vector<http_header>& headers);
+    bool handle_data(attempt& current, std::string_view data);
+    bool accept_events(attempt& source);
+    bool accept_event(attempt& source, stream_event event);
+    bool forward_event(const attempt& source, const stream_event& event);
     void begin_stream();
-    void handle_done(const http_outcome& outcome);
-    void handle_response(const http_outcome& outcome);
+    void handle_done(attempt& source, const http_outcome& outcome);
+    response_kind classify_response(const attempt& source, const http_outcome& outcome) const;
+    bool is_other_server(const attempt& source) const;
+    void record_response(attempt& source, const http_outcome& outcome, response_kind kind);
+    void record_broken(attempt& source, const http_outcome& outcome);
+    void handle_response(response_kind kind);
     void handle_broken(const http_outcome& outcome);
     void handle_not_run(std::string_view reason);
-    void record_response_start();
-    void end_attempt(exchange_outcome outcome);
-    void cancel_attempt(exchange_outcome outcome);
+    void record_response_start(attempt& source);
+    void end_attempt(attempt& ended, exchange_outcome outcome);
+    void cancel_attempt(attempt& cancelled, exchange_outcome outcome);
     void retry_or_fail(std::string_view reason, void (gateway_exchange::*fail)(std::string_view));
     void fail_not_run(std::string_view reason);
     void fail_broken(std::string_view reason);
     bool may_retry(time_point now);
     /// @return whether the request has crashed too many servers to be sent again
     bool is_quarantined() const;
-    lost_server attempted_server() const;
-    void record_server_answer();
-    void record_server_limit();
+    static lost_server attempted_server(const attempt& source);
+    void record_server_answer(const attempt& source);
+    void record_server_limit(const attempt& source);
     void deliver_response();
     void refuse(const refusal& details);
     void refuse_for(choice_failure failure_reason);
     void fail_deadline();
-    void move_to_other_server(std::string_view reason, time_point now);
-    bool move_before_load(time_point now);
+    bool is_out_of_weights(const attempt& waiting, time_point now) const;
+    void leave_replaced_weights(time_point now);
+    bool is_moving() const noexcept { return replacement_ != nullptr; }
+    std::string_view reason_to_move(time_point now) const;
+    void start_move(std::string_view reason, time_point now);
+    void settle_move(time_point now);
+    void end_move(move_decision decision, std::string_view reason, time_point now);
+    void release_held_events();
     server_query make_query() const;
     void handle_disconnect();
     void finish(std::string_view outcome, int status);
@@ -117,8 +138,12 @@
     std::uint64_t fingerprint_{0}; ///< equal for a request that a caller sends again
     time_point deadline_;
 
-    attempt attempt_;
-    std::uint64_t generation_{0}; ///< distinguishes the current attempt from earlier ones
+    std::shared_ptr<attempt> attempt_;      ///< nullptr before the first one
+    std::shared_ptr<attempt> replacement_;  ///< at another server beside attempt_; nullptr: none
+    std::vector<stream_event> held_events_; ///< of attempt_, while there is a replacement
+    std::string_view move_reason_;
+    time_point move_started_at_;
+    time_point last_forwarded_at_;
     int attempt_count_{0};
     std::vector<std::string> tried_servers_;
     run_verdict verdict_{run_verdict::not_run};
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -20,80 +20,104 @@
 
 } // namespace
 
-http_observer gateway_exchange::make_observer(std::uint64_t generation) {
+http_observer gateway_exchange::make_observer(const std::shared_ptr<attempt>& source) {
     http_observer observer;
-    const auto self = shared_from_this();
-    observer.on_head = [self, generation](int status, const std::vector<http_header>& headers) {
-        if (generation == self->generation_ && !self->is_done_) {
-            self->handle_head(status, headers);
+    const auto is_current = [self = shared_from_this(), source] {
+        const bool has_slot = source == self->attempt_ || source == self->replacement_;
+        return has_slot && source->server != nullptr && !self->is_done_;
+    };
+    observer.on_head = [this, source, is_current](int status,
+                                                  const std::vector<http_header>& headers) {
+        if (is_current()) {
+            handle_head(*source, status, headers);
         }
     };
-    observer.on_data = [self, generation](std::string_view data) {
-        return generation == self->generation_ && !self->is_done_ && self->handle_data(data);
+    observer.on_data = [this, source, is_current](std::string_view data) {
+        return is_current() && handle_data(*source, data);
     };
-    observer.on_done = [self, generation](const http_outcome& outcome) {
-        if (generation == self->generation_ && !self->is_done_) {
-            self->handle_done(outcome);
+    observer.on_done = [this, source, is_current](const http_outcome& outcome) {
+        if (is_current()) {
+            handle_done(*source, outcome);
         }
     };
     return observer;
 }
 
-void gateway_exchange::handle_head(int status, const std::vector<http_header>& headers) {
-    attempt_.has_head = true;
-    attempt_.status = status;
-    attempt_.headers = headers;
-    attempt_.parameters = platform::parse_response_headers(status, headers);
+void gateway_exchange::handle_head(attempt& current, int status,
+                                   const std::vector<http_header>& headers) {
+    current.has_head = true;
+    current.status = status;
+    current.headers = headers;
+    current.parameters = platform::parse_response_headers(status, headers);
     // The server may send a late response to an earlier request instead of this one's.
-    const std::string& answered = attempt_.parameters.attempt;
-    attempt_.is_unusable = !answered.empty() && answered != caller_.attempt;
-    attempt_.is_stream = rule_->kind == retry_class::streaming && status == status_ok &&
-                         attempt_.parameters.has_seal && !attempt_.parameters.has_content_coding;
-    record_server_limit();
+    const std::string& answered = current.parameters.attempt;
+    current.is_unusable = !answered.empty() && answered != caller_.attempt;
+    current.is_stream = rule_->kind == retry_class::streaming && status == status_ok &&
+                        current.parameters.has_seal && !current.parameters.has_content_coding;
+    record_server_limit(current);
 }
 
-void gateway_exchange::record_server_limit() {
-    const platform::response_parameters& answer = attempt_.parameters;
-    if (attempt_.is_unusable || attempt_.status == status_misdirected) {
+void gateway_exchange::record_server_limit(const attempt& source) {
+    const platform::response_parameters& answer = source.parameters;
+    if (source.is_unusable || source.status == status_misdirected) {
         return;
     }
     if (answer.has_invalid_limit) {
         log_event(log_level::warning, "server_limit_invalid",
-                  {{"request", caller_.attempt}, {"server", attempt_.server->entry.id}});
+                  {{"request", caller_.attempt}, {"server", source.server->entry.id}});
         return;
     }
     // Only an answer that is certainly the server's shows that it names no limit any more.
     if (answer.request_limit || answer.has_seal) {
-        context_.pool.record_limit(*attempt_.server, answer.request_limit, attempt_.started_at,
+        context_.pool.record_limit(*source.server, answer.request_limit, source.started_at,
                                    std::chrono::steady_clock::now());
     }
 }
 
-bool gateway_exchange::handle_data(std::string_view data) {
-    attempt_.last_data_at = std::chrono::steady_clock::now();
-    if (attempt_.is_unusable) {
+bool gateway_exchange::handle_data(attempt& current, std::string_view data) {
+    current.last_data_at = std::chrono::steady_clock::now();
+    if (current.is_unusable) {
         return false;
     }
-    attempt_.has_data = true;
-    record_response_start();
-    if (attempt_.is_stream) {
-        attempt_.is_unusable = !feed(attempt_.events, data) || !forward_events();
-        return !attempt_.is_unusable;
+    current.has_data = true;
+    record_response_start(current);
+    if (current.is_stream) {
+        current.is_unusable = !feed(current.events, data) || !accept_events(current);
+        return !current.is_unusable;
     }
-    attempt_.body += data;
-    return attempt_.body.size() <= max_response_bytes;
+    current.body += data;
+    return current.body.size() <= max_response_bytes;
 }
 
-bool gateway_exchange::forward_events() {
-    while (const auto event = next_event(attempt_.events)) {
-        if (!forward_event(*event)) {
+bool gateway_exchange::accept_events(attempt& source) {
+    while (auto event = next_event(source.events)) {
+        if (!accept_event(source, std::move(*event))) {
             return false;
         }
     }
     return true;
 }
 
-bool gateway_exchange::forward_event(const stream_event& event) {
+/// Forwards an event. While the request moves, an event of the first attempt is held, and one of
+/// the replacement, when it is the next one, lets the replacement go on.
+bool gateway_exchange::accept_event(attempt& source, stream_event event) {
+    if (!is_moving()) {
+        return forward_event(source, event);
+    }
+    if (&source == attempt_.get()) {
+        held_events_.push_back(std::move(event));
+        source.progress = attempt_progress::begun;
+        settle_move(std::chrono::steady_clock::now());
+        return !source.is_unusable;
+    }
+    if (classify_event(last_event_id_, event.id) == event_order::next) {
+        source.progress = attempt_progress::begun;
+        settle_move(std::chrono::steady_clock::now());
+    }
+    return forward_event(source, event);
+}
+
+bool gateway_exchange::forward_event(const attempt& source, const stream_event& event) {
     const event_order order = classify_event(last_event_id_, event.id);
     if (order == event_order::duplicate) {
         return true;
@@ -101,7 +125,7 @@
     if (order == event_order::gap) {
         log_event(log_level::warning, "stream_gap",
                   {{"request", caller_.attempt},
-                   {"server", attempt_.server->entry.id},
+                   {"server", source.server->entry.id},
                    {"last", last_event_id_.value_or(0)},
                    {"event", event.id.value_or(0)}});
         return false;
@@ -111,98 +135,136 @@
     }
     responder_->write(event.bytes);
     last_event_id_ = event.id ? event.id : last_event_id_;
+    last_forwarded_at_ = std::chrono::steady_clock::now();
     ++events_forwarded_;
     return true;
 }
 
 void gateway_exchange::begin_stream() {
     first_event_at_ = std::chrono::steady_clock::now();
-    stream_weights_ = attempt_.parameters.weights;
-    responder_->begin(attempt_.status, platform::make_caller_headers(attempt_.headers));
+    stream_weights_ = attempt_->parameters.weights;
+    responder_->begin(attempt_->status, platform::make_caller_headers(attempt_->headers));
 }
 
-void gateway_exchange::record_response_start() {
-    if (attempt_.server != nullptr && attempt_.pending_prefill_ms > 0) {
-        record_prefill_end(*attempt_.server, attempt_.pending_prefill_ms);
-        attempt_.pending_prefill_ms = 0;
+void gateway_exchange::record_response_start(attempt& source) {
+    if (source.server != nullptr && source.pending_prefill_ms > 0) {
+        record_prefill_end(*source.server, source.pending_prefill_ms);
+        source.pending_prefill_ms = 0;
     }
 }
 
-void gateway_exchange::handle_done(const http_outcome& outcome) {
-    if (attempt_.is_unusable || !outcome.is_complete) {
+void gateway_exchange::handle_done(attempt& source, const http_outcome& outcome) {
+    if (is_moving()) {
+        const bool is_usable = classify_response(source, outcome) == response_kind::usable;
+        source.progress = is_usable ? attempt_progress::complete : attempt_progress::failed;
+        settle_move(std::chrono::steady_clock::now());
+    }
+    const response_kind kind = classify_response(source, outcome);
+    record_response(source, outcome, kind);
+    if (&source != attempt_.get()) {
+        return;
+    }
+    if (kind == response_kind::broken) {
         handle_broken(outcome);
     } else {
-        handle_response(outcome);
+        handle_response(kind);
     }
 }
 
-lost_server gateway_exchange::attempted_server() const {
-    return {attempt_.server->entry.id, attempt_.server->entry.started_at_ms};
+lost_server gateway_exchange::attempted_server(const attempt& source) {
+    return {source.server->entry.id, source.server->entry.started_at_ms};
 }
 
-void gateway_exchange::record_server_answer() {
-    context_.crashes.record_answer(attempted_server(), attempt_.started_at);
+void gateway_exchange::record_server_answer(const attempt& source) {
+    context_.crashes.record_answer(attempted_server(source), source.started_at);
     if (context_.crashes.status_of(fingerprint_) != quarantine_status::clear) {
         context_.crashes.release(fingerprint_);
     }
 }
 
-void gateway_exchange::handle_response(const http_outcome& outcome) {
-    if (attempt_.parameters.is_not_run) {
-        // For a resumed stream, 421 may also mean that the required weights do not match.
-        const bool is_other_server = outcome.status == status_misdirected && events_forwarded_ == 0;
-        end_attempt(is_other_server ? exchange_outcome::wrong_server : exchange_outcome::refused);
-        handle_not_run(is_other_server ? "server_replaced" : "server_refused");
-        return;
+gateway_exchange::response_kind
+gateway_exchange::classify_response(const attempt& source, const http_outcome& outcome) const {
+    if (source.is_unusable || !outcome.is_complete) {
+        return response_kind::broken;
     }
-    const bool is_truncated = attempt_.is_stream && !attempt_.events.pending.empty();
-    const bool is_resumption_refused = events_forwarded_ > 0 && !attempt_.is_stream;
-    const bool is_foreign_body =
-        is_success(outcome.status) && attempt_.parameters.has_content_coding;
-    if (!attempt_.parameters.has_seal || is_truncated || is_resumption_refused || is_foreign_body) {
-        handle_broken(outcome);
-        return;
+    if (source.parameters.is_not_run) {
+        return response_kind::not_run;
     }
-    record_server_answer();
-    const bool is_failure = outcome.status >= first_server_error;
-    end_attempt(is_failure ? exchange_outcome::failed : exchange_outcome::succeeded);
-    verdict_ = run_verdict::ran;
-    if (is_failure && is_retryable(*rule_) && may_retry(std::chrono::steady_clock::now())) {
-        send_next();
-        return;
+    const bool is_truncated = source.is_stream && !source.events.pending.empty();
+    const bool is_resumption_refused = events_forwarded_ > 0 && !source.is_stream;
+    const bool is_foreign_body = is_success(source.status) && source.parameters.has_content_coding;
+    if (!source.parameters.has_seal || is_truncated || is_resumption_refused || is_foreign_body) {
+        return response_kind::broken;
     }
-    deliver_response();
+    return source.status >= first_server_error ? response_kind::failure : response_kind::usable;
 }
 
-void gateway_exchange::handle_broken(const http_outcome& outcome) {
-    const auto now = std::chrono::steady_clock::now();
-    const bool is_out_of_time = outcome.is_timed_out && time_left(now) < min_send_time;
+/// @return whether another server has the address by now. For a resumed stream, 421 may also mean
+/// that the required weights do not match.
+bool gateway_exchange::is_other_server(const attempt& source) const {
+    return source.status == status_misdirected && events_forwarded_ == 0;
+}
+
+void gateway_exchange::record_response(attempt& source, const http_outcome& outcome,
+                                       response_kind kind) {
+    if (kind == response_kind::broken) {
+        record_broken(source, outcome);
+    } else if (kind == response_kind::not_run) {
+        end_attempt(source, is_other_server(source) ? exchange_outcome::wrong_server
+                                                    : exchange_outcome::refused);
+    } else {
+        record_server_answer(source);
+        end_attempt(source, kind == response_kind::failure ? exchange_outcome::failed
+                                                           : exchange_outcome::succeeded);
+        verdict_ = run_verdict::ran;
+    }
+}
+
+void gateway_exchange::record_broken(attempt& source, const http_outcome& outcome) {
+    const bool is_out_of_time =
+        outcome.is_timed_out && time_left(std::chrono::steady_clock::now()) < min_send_time;
     const bool is_sent = outcome.verdict != run_verdict::not_run;
-    const bool is_connection_lost = is_sent && !attempt_.is_unusable && !outcome.is_timed_out &&
+    const bool is_connection_lost = is_sent && !source.is_unusable && !outcome.is_timed_out &&
                                     !outcome.is_cancelled && !outcome.is_complete;
     log_event(log_level::info, "attempt_broken",
               {{"request", caller_.attempt},
                {"fingerprint", fingerprint_},
-               {"server", attempt_.server->entry.id},
+               {"server", source.server->entry.id},
                {"sent", is_sent ? 1 : 0},
                {"events", events_forwarded_},
-               {"status", attempt_.status},
-               {"reason", attempt_.is_unusable ? "unusable answer" : outcome.message}});
+               {"status", source.status},
+               {"reason", source.is_unusable ? "unusable answer" : outcome.message}});
     if (is_connection_lost) {
-        context_.crashes.record_loss(fingerprint_, attempted_server());
+        context_.crashes.record_loss(fingerprint_, attempted_server(source));
     }
-    end_attempt(is_out_of_time ? exchange_outcome::abandoned : exchange_outcome::failed);
-    if (!is_sent) {
+    end_attempt(source, is_out_of_time ? exchange_outcome::abandoned : exchange_outcome::failed);
+    if (is_sent) {
+        verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
+    } else {
         --attempt_count_;
-        handle_not_run("unreachable");
+    }
+}
+
+void gateway_exchange::handle_response(response_kind kind) {
+    if (kind == response_kind::not_run) {
+        handle_not_run(is_other_server(*attempt_) ? "server_replaced" : "server_refused");
         return;
     }
-    verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
-    if (is_out_of_time) {
-        fail_deadline();
+    const bool is_failure = kind == response_kind::failure;
+    if (is_failure && is_retryable(*rule_) && may_retry(std::chrono::steady_clock::now())) {
+        send_next();
         return;
     }
-    if (is_retryable(*rule_)) {
+    deliver_response();
+}
+
+void gateway_exchange::handle_broken(const http_outcome& outcome) {
+    if (outcome.verdict == run_verdict::not_run) {
+        handle_not_run("unreachable");
+    } else if (outcome.is_timed_out &&
+               time_left(std::chrono::steady_clock::now()) < min_send_time) {
+        fail_deadline();
+    } else if (is_retryable(*rule_)) {
         retry_or_fail("broken", &gateway_exchange::fail_broken);
     } else {
         fail_broken("broken");
@@ -252,20 +314,25 @@
 }
 
 void gateway_exchange::deliver_response() {
-    const auto headers = platform::make_caller_headers(attempt_.headers);
-    if (!attempt_.is_stream) {
-        responder_->respond(attempt_.status, headers, attempt_.body);
+    const auto headers = platform::make_caller_headers(attempt_->headers);
+    if (!attempt_->is_stream) {
+        responder_->respond(attempt_->status, headers, attempt_->body);
     } else {
         if (!responder_->has_started()) {
             begin_stream();
         }
         responder_->finish();
     }
-    finish("answered", attempt_.status);
+    finish("answered", attempt_->status);
 }
 
 void gateway_exchange::finish(std::string_view outcome, int status) {
     is_done_ = true;
+    for (const auto& open : {attempt_, replacement_}) {
+        if (open != nullptr) {
+            cancel_attempt(*open, exchange_outcome::abandoned);
+        }
+    }
     const auto now = std::chrono::steady_clock::now();
     const std::string route_name = rule_ == nullptr ? "none" : rule_->name;
     const std::string workspace = workspace_ == nullptr ? "none" : workspace_->name;
