Deliver a server's own failure when no other server answers

Callers of a route that may be repeated got 502 "the backend server's answer was lost" although a server had answered with its own failure.

Cause: the answer was dropped for a retry before another server was found. With none left, or one that refuses, the exchange had nothing to deliver.

The last failure of a server is now kept while the request is retried, and delivered unchanged, seal included, when no server answers better. The test gets 502 without the change and the server's 500 with it.

--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -140,6 +140,7 @@
 
     std::shared_ptr<attempt> attempt_;      ///< nullptr before the first one
     std::shared_ptr<attempt> replacement_;  ///< at another server beside attempt_; nullptr: none
+    std::shared_ptr<attempt> failure_;      ///< the last one that a server answered with a failure
     std::vector<stream_event> held_events_; ///< of attempt_, while there is a replacement
     std::string_view move_reason_;
     time_point move_started_at_;
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -251,6 +251,7 @@
         return;
     }
     const bool is_failure = kind == response_kind::failure;
+    failure_ = is_failure ? attempt_ : nullptr;
     if (is_failure && is_retryable(*rule_) && may_retry(std::chrono::steady_clock::now())) {
         send_next();
         return;
@@ -290,6 +291,11 @@
         finish(reason, 0);
         return;
     }
+    if (failure_ != nullptr) {
+        attempt_ = failure_;
+        deliver_response();
+        return;
+    }
     refuse({status_bad_gateway, reason, "the backend server's answer was lost", {}});
 }
 
--- a/tests/process_move_test.cpp
+++ b/tests/process_move_test.cpp
@@ -112,4 +112,15 @@
     EXPECT_TRUE(world.engines[1]->runs_per_attempt().empty()) << "the second run is cancelled";
 }
 
+// Guards against replacing a server's own failure by another one when no other server answers.
+TEST_F(stream_move, failure_of_a_server_is_delivered_when_the_other_server_refuses) {
+    world.plain_servers[0]->failures_to_answer = 1;
+    world.plain_servers[1]->is_overloaded = true;
+    const auto look = world.call(
+        0, "GET", "/look/1", {{"Authorization", std::string("Token ") + platform_world::api_key}});
+    EXPECT_EQ(look.outcome.status, 500) << world.gateway(0).output();
+    EXPECT_EQ(look.body, "failed at desk-zone-a");
+    EXPECT_EQ(find_header(look.headers, "X-Citronseam-Response-Seal"), "seal-of-desk-zone-a");
+}
+
 } // namespace
--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -198,6 +198,9 @@
     } else if (responses_to_drop > 0) {
         --responses_to_drop;
         responder->abort();
+    } else if (failures_to_answer > 0) {
+        --failures_to_answer;
+        responder->respond(500, headers, "failed at " + id());
     } else if (!is_engine_) {
         responder->respond(200, headers, "booked " + request.target);
     } else {
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -52,6 +52,7 @@
 
     std::atomic<int> streams_to_truncate{0}; ///< next streams to abort after three events
     std::atomic<int> responses_to_drop{0};   ///< next requests to run without a response
+    std::atomic<int> failures_to_answer{0};  ///< next requests to run and answer with 500
     std::atomic<bool> is_overloaded{false};  ///< answers 503 "not executed" to requests
     std::atomic<int> queue_delay_ms{0};      ///< requests wait this long before they begin to run
     std::atomic<double> request_limit{0};    ///< requests a second that its answers name; 0: none
