--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -219,7 +219,7 @@
                   {{"stage", "colocated"},
                    {"models", is_empty ? json::array() : models},
                    {"layers", is_empty ? json::array() : layers},
-                   {"busy", false},
+                   {"busy", is_executing_order.load()},
                    {"sequence", accepted_order_count_},
                    {"num_waiting", 0},
                    {"num_running", 0},
@@ -311,6 +311,9 @@
     } else if (responses_to_drop > 0) {
         --responses_to_drop;
         responder->abort();
+    } else if (failures_to_answer > 0) {
+        --failures_to_answer;
+        responder->respond(500, headers, "failed at " + id());
     } else if (!is_engine_) {
         responder->respond(200, headers, "booked " + request.target);
     } else {
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -74,12 +74,15 @@
 
     std::atomic<int> streams_to_truncate{0}; ///< next streams to abort after three events
     std::atomic<int> responses_to_drop{0};   ///< next requests to run without a response
+    std::atomic<int> failures_to_answer{0};  ///< next requests to run and answer with 500
     std::atomic<bool> is_overloaded{false};  ///< answers 503 "not executed" to requests
     std::atomic<int> queue_delay_ms{0};      ///< requests wait this long before they begin to run
     std::atomic<double> request_limit{0};    ///< requests a second that its answers name; 0: none
     std::atomic<int> event_interval_ms{30};  ///< between two events of a stream
     std::atomic<bool> is_leaving{false};     ///< says so in its answers to requests
     std::atomic<double> retry_after_s{0};    ///< named in its refusals; 0: none
+    /// Reports that it executes an order to load weights, and runs what it has begun.
+    std::atomic<bool> is_executing_order{false};
 
     static constexpr int events_per_stream = 8;
     static constexpr std::chrono::seconds recent_spoilage{3};
