--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -22,8 +22,8 @@
     const char* repeated_part;
 };
 
-void PrintTo(const endless_answer& answer, std::ostream* out) {
-    *out << answer.name;
+std::ostream& operator<<(std::ostream& out, const endless_answer& answer) {
+    return out << answer.name;
 }
 
 class endless_answers : public ::testing::TestWithParam<endless_answer> {};
--- a/tests/support/endless_server.cpp
+++ b/tests/support/endless_server.cpp
@@ -28,7 +28,7 @@
     std::string request;
 };
 
-endless_server::endless_server(std::string first_part, std::string repeated_part)
+endless_server::endless_server(std::string first_part, const std::string& repeated_part)
     : first_part_(std::move(first_part)), repeated_part_(repeat(repeated_part)),
       acceptor_(loop_.context(), {asio::ip::make_address("127.0.0.1"), 0}) {
     accept();
--- a/tests/support/endless_server.h
+++ b/tests/support/endless_server.h
@@ -20,7 +20,7 @@
 public:
     /// @param first_part sent once
     /// @param repeated_part sent again and again
-    endless_server(std::string first_part, std::string repeated_part);
+    endless_server(std::string first_part, const std::string& repeated_part);
     ~endless_server();
     endless_server(const endless_server&) = delete;
     endless_server& operator=(const endless_server&) = delete;
