--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -106,6 +106,7 @@
     bool is_quarantined() const;
     static lost_server attempted_server(const attempt& source);
     void record_server_answer(const attempt& source);
+    void record_server_signals(const attempt& source);
     void record_server_limit(const attempt& source);
     void deliver_response();
     void refuse(const refusal& details);
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -1,4 +1,6 @@
 // Response handling of gateway_exchange: from backend servers and to callers.
+#include <algorithm>
+
 #include "citronseam/process/log.h"
 #include "citronseam/request/retry_budget.h"
 #include "programs/gateway/gateway_exchange.h"
@@ -54,14 +56,27 @@
     current.is_unusable = !answered.empty() && answered != caller_.attempt;
     current.is_stream = rule_->kind == retry_class::streaming && status == status_ok &&
                         current.parameters.has_seal && !current.parameters.has_content_coding;
-    record_server_limit(current);
+    record_server_signals(current);
 }
 
-void gateway_exchange::record_server_limit(const attempt& source) {
-    const platform::response_parameters& answer = source.parameters;
+/// Records what the server says of itself, whether it ran the request or not.
+void gateway_exchange::record_server_signals(const attempt& source) {
+    // Another server answers 421 at an address that is reused.
     if (source.is_unusable || source.status == status_misdirected) {
         return;
     }
+    if (source.parameters.is_leaving) {
+        context_.pool.record_leaving(*source.server);
+    }
+    if (source.parameters.retry_after_s || source.parameters.has_invalid_retry_after) {
+        context_.pool.record_requested_backoff(*source.server, source.parameters.retry_after_s,
+                                               std::chrono::steady_clock::now());
+    }
+    record_server_limit(source);
+}
+
+void gateway_exchange::record_server_limit(const attempt& source) {
+    const platform::response_parameters& answer = source.parameters;
     if (answer.has_invalid_limit) {
         log_event(log_level::warning, "server_limit_invalid",
                   {{"request", caller_.attempt}, {"server", source.server->entry.id}});
@@ -281,8 +296,10 @@
         fail_broken(reason);
         return;
     }
+    const milliseconds backoff =
+        context_.pool.time_until_backoff_ends(make_query(), std::chrono::steady_clock::now());
     refuse({status_unavailable, reason, "no backend server took the request",
-            retry_after(failure_retry_delay, context_.pool.random())});
+            retry_after(std::max(failure_retry_delay, backoff), context_.pool.random())});
 }
 
 void gateway_exchange::fail_broken(std::string_view reason) {
@@ -308,6 +325,8 @@
     } else if (failure_reason == choice_failure::failing) {
         min_delay = failure_retry_delay;
     }
+    min_delay = std::max(min_delay, context_.pool.time_until_backoff_ends(
+                                        make_query(), std::chrono::steady_clock::now()));
     refuse({status_unavailable, name(failure_reason), "no backend server has room",
             context_.pool.retry_delay_after_refusal(service_, min_delay)});
 }
--- a/tests/server_choice_test.cpp
+++ b/tests/server_choice_test.cpp
@@ -1,4 +1,5 @@
 // Choice of a backend server under overload, failures, cold servers and weight loads.
+#include <limits>
 #include <set>
 
 #include <gtest/gtest.h>
@@ -61,6 +62,71 @@
     EXPECT_EQ(chosen.failure_reason, choice_failure::no_server);
 }
 
+// Guards against DRAIN: a server that says in an answer that it leaves is chosen until its entry
+// says so too.
+TEST_F(choice, server_that_says_it_leaves_is_never_chosen) {
+    server_state& leaving = add("leaving");
+    EXPECT_TRUE(record_leaving(leaving));
+    EXPECT_FALSE(record_leaving(leaving)) << "known already";
+    EXPECT_EQ(choose().failure_reason, choice_failure::no_server);
+    record_ended(leaving, exchange_outcome::succeeded, start);
+    constraints.now = start + std::chrono::hours(1);
+    EXPECT_EQ(choose().server, nullptr) << "neither answers nor time undo it";
+    add("other");
+    EXPECT_EQ(choose().server->entry.id, "other");
+}
+
+// Guards against BUDGET: a server that names a time for which it wants no requests gets some.
+TEST_F(choice, server_that_names_a_time_is_not_chosen_until_it_has_passed) {
+    server_state& server = add("a");
+    apply_requested_backoff(server, 2.5, start);
+    EXPECT_EQ(choose().failure_reason, choice_failure::backing_off);
+    apply_requested_backoff(server, 0.1, start);
+    constraints.now = start + milliseconds(2499);
+    EXPECT_EQ(choose().server, nullptr) << "a shorter time does not end a longer one";
+    constraints.now = start + milliseconds(2500);
+    EXPECT_EQ(choose().server, &server);
+}
+
+// Guards against a server that is lost for good since it names an absurd time.
+TEST_F(choice, time_that_a_server_names_is_bounded) {
+    server_state& server = add("a");
+    for (const double seconds : {601.0, 1e30, std::numeric_limits<double>::max()}) {
+        apply_requested_backoff(server, seconds, start);
+        EXPECT_EQ(server.backoff_until, start + max_requested_backoff);
+    }
+}
+
+// Guards against callers that are told to come back before any server takes requests again.
+TEST_F(choice, soonest_end_of_a_backoff_is_that_of_an_eligible_server) {
+    const auto remaining = [this] {
+        std::vector<server_state*> all;
+        for (const auto& server : servers) {
+            all.push_back(server.get());
+        }
+        return time_until_backoff_ends(all, constraints);
+    };
+    EXPECT_EQ(remaining(), milliseconds(0));
+    apply_requested_backoff(add("long"), 3, start);
+    apply_requested_backoff(add("short"), 2, start);
+    server_state& leaving = add("leaving");
+    apply_requested_backoff(leaving, 1, start);
+    record_leaving(leaving);
+    EXPECT_EQ(remaining(), milliseconds(2000));
+    add("full").full_until = start + milliseconds(60);
+    EXPECT_EQ(remaining(), milliseconds(0)) << "a server has room sooner";
+}
+
+TEST_F(choice, failure_reason_is_that_of_the_server_that_is_free_the_soonest) {
+    apply_requested_backoff(add("backing off"), 1, start);
+    EXPECT_EQ(choose().failure_reason, choice_failure::backing_off);
+    add("failing").ejected_until = start + milliseconds(100);
+    EXPECT_EQ(choose().failure_reason, choice_failure::failing);
+    add("full").full_until = start + milliseconds(60);
+    EXPECT_EQ(choose().failure_reason, choice_failure::full);
+    EXPECT_EQ(name(choice_failure::backing_off), "backing_off");
+}
+
 TEST_F(choice, servers_with_old_or_wrong_weights_are_not_chosen) {
     add("old");
     constraints.min_weights_version = 2;
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -47,6 +47,8 @@
     std::uint64_t version() const;
     /// @return number of runs by attempt identifier
     std::map<std::string, int> runs_per_attempt() const;
+    /// @return number of requests that were meant for it, with those that it refused
+    int arrival_count() const { return arrival_count_; }
     /// @return headers of the last request that it ran
     std::vector<http_header> last_headers() const;
 
@@ -59,6 +61,8 @@
     std::atomic<int> event_interval_ms{30};  ///< between two events of a stream
     /// Reports that it executes an order to load weights, and runs what it has begun.
     std::atomic<bool> is_executing_order{false};
+    std::atomic<bool> is_leaving{false};  ///< says so in its answers to requests
+    std::atomic<double> retry_after_s{0}; ///< named in its refusals; 0: none
 
     static constexpr int events_per_stream = 8;
 
@@ -71,6 +75,7 @@
     void send_event(int event_id, int last, bool is_truncated,
                     const std::shared_ptr<http_responder>& responder);
     std::vector<http_header> response_headers(const server_request& request) const;
+    std::vector<http_header> refusal_headers() const;
     bool is_crashing(const server_request& request) const;
     void crash();
     void restart();
@@ -87,6 +92,7 @@
     std::string crash_target_;
     std::function<void(const std::string&)> on_restart_;
     std::atomic<int> crash_count_{0};
+    std::atomic<int> arrival_count_{0};
     bool is_crashed_{false};
     std::unique_ptr<relay> front_; ///< of a server that can crash; nullptr until it is back
     io_thread_pool timers_{1};
