Log who reads and sends rows, and how long that takes

The logs of a late configuration could not tell whether the store, the link of a sender or a wait for another process held it up. rows_sent names each receiver and the connections that still have unsent bytes, rows_from_member the time since the request, rows_read and rows_unread the duration of own calls to the store, operator_reader_started and _stopped who reads the operator's table for the zone. No logic changes.

--- a/include/citronseam/process/versioned_row.h
+++ b/include/citronseam/process/versioned_row.h
@@ -74,6 +74,9 @@
 /// complete
 row_batch changes_since(const row_cache& cache, std::uint64_t after);
 
+/// @return size of the values of a batch
+std::size_t value_bytes(const row_batch& batch) noexcept;
+
 } // namespace citronseam
 
 #endif
--- a/src/process/versioned_row.cpp
+++ b/src/process/versioned_row.cpp
@@ -1,6 +1,7 @@
 #include "citronseam/process/versioned_row.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <string_view>
 
@@ -86,4 +87,10 @@
     return {rows_newer_than(cache, is_whole ? 0 : after), cache.version, is_whole, after};
 }
 
+std::size_t value_bytes(const row_batch& batch) noexcept {
+    return std::accumulate(
+        batch.rows.begin(), batch.rows.end(), std::size_t{0},
+        [](std::size_t sum, const versioned_row& row) { return sum + row.value.size(); });
+}
+
 } // namespace citronseam
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -1,7 +1,6 @@
 #include "programs/node/cluster_node.h"
 
 #include <algorithm>
-#include <numeric>
 #include <set>
 
 #include "citronseam/process/log.h"
@@ -79,8 +78,15 @@
     update_targets();
     register_self();
     operator_rows_.set_needed_check([this] {
-        return self_.role == process_role::gateway ? is_operator_reader()
-                                                   : mesh_->members().empty();
+        const bool is_needed =
+            self_.role == process_role::gateway ? is_operator_reader() : mesh_->members().empty();
+        if (is_needed != is_reading_operator_rows_) {
+            log_event(log_level::info,
+                      is_needed ? "operator_reader_started" : "operator_reader_stopped",
+                      {{"zone", self_.zone}});
+        }
+        is_reading_operator_rows_ = is_needed;
+        return is_needed;
     });
     operator_rows_.start([this](const table_change& change) { apply_operator_rows(change); });
     member_rows_.start([this](const table_change& change) { apply_member_rows(change); });
@@ -106,10 +112,9 @@
         handle_offer(from, std::string(platform::servers_table), from.servers_version);
         observer_.on_heartbeat(from, heartbeat);
     };
-    observer.on_rows_request = [this](const std::string& table, std::uint64_t after) {
-        const auto found = shared_tables_.find(table);
-        return changes_since(found == shared_tables_.end() ? row_cache{} : found->second->rows(),
-                             after);
+    observer.on_rows_request = [this](const connected_member& from, const std::string& table,
+                                      std::uint64_t after) {
+        return make_reply(from, table, after);
     };
     observer.on_neighbours_reply = observer_.on_neighbours_reply;
     observer.on_crash_report = observer_.on_crash_report;
@@ -126,11 +131,12 @@
     if (found == shared_tables_.end()) {
         return;
     }
-    const std::size_t bytes =
-        std::accumulate(batch.rows.begin(), batch.rows.end(), std::size_t{0},
-                        [](std::size_t sum, const auto& row) { return sum + row.value.size(); });
-    if (rows_requests_[table].session == from.session->number()) {
-        rows_requests_[table] = {};
+    const std::size_t bytes = value_bytes(batch);
+    pending_request& request = rows_requests_[table];
+    std::uint32_t waited_ms = 0;
+    if (request.session == from.session->number()) {
+        waited_ms = elapsed_ms(request.sent_at, std::chrono::steady_clock::now());
+        request = {};
     }
     const std::size_t changed = found->second->apply_from_member(batch);
     // Bytes of rows that were known already took bandwidth from live requests for nothing.
@@ -143,7 +149,28 @@
                {"rows", batch.rows.size()},
                {"changed", changed},
                {"bytes", bytes},
-               {"version", counter_of(batch.version)}});
+               {"version", counter_of(batch.version)},
+               {"waited_ms", waited_ms}});
+}
+
+/// @return the rows of a table that are newer than a version, for a process that requested them
+row_batch cluster_node::make_reply(const connected_member& from, const std::string& table,
+                                   std::uint64_t after) const {
+    const auto found = shared_tables_.find(table);
+    row_batch batch =
+        changes_since(found == shared_tables_.end() ? row_cache{} : found->second->rows(), after);
+    const auto members = mesh_->members();
+    const auto unsent = std::count_if(members.begin(), members.end(), [](const auto* connected) {
+        return connected->session->queued_bytes() > 0;
+    });
+    log_event(log_level::info, "rows_sent",
+              {{"table", table},
+               {"member", from.process.instance},
+               {"rows", batch.rows.size()},
+               {"bytes", value_bytes(batch)},
+               {"version", counter_of(batch.version)},
+               {"unsent", unsent}});
+    return batch;
 }
 
 void cluster_node::apply_operator_rows(const table_change& change) {
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -86,6 +86,8 @@
     mesh_observer make_mesh_observer();
     void apply_member_batch(const connected_member& from, const std::string& table,
                             const row_batch& batch);
+    row_batch make_reply(const connected_member& from, const std::string& table,
+                         std::uint64_t after) const;
     void apply_operator_rows(const table_change& change);
     void apply_member_rows(const table_change& change);
     void add_member(const member& process);
@@ -113,7 +115,8 @@
     std::map<std::string, table_follower*> shared_tables_;
     std::map<std::string, member> known_members_;          ///< by instance
     std::map<std::string, pending_request> rows_requests_; ///< requests for rows, by table
-    bool is_registering_{false}; ///< a write of the own row is outstanding
+    bool is_registering_{false};           ///< a write of the own row is outstanding
+    bool is_reading_operator_rows_{false}; ///< as the follower was last told
     time_point started_at_;
 };
 
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -243,7 +243,7 @@
             observer_.on_members_changed();
         }
     } else if (const auto* request = message.body_as_rows_request()) {
-        send_rows_reply(session, *request);
+        send_rows_reply(found->second, *request);
     } else if (const auto* reply = message.body_as_rows_reply()) {
         handle_rows_reply(found->second, *reply);
     } else if (const auto* wanted = message.body_as_neighbours_request()) {
@@ -291,13 +291,12 @@
     observer_.on_members_changed();
 }
 
-void member_mesh::send_rows_reply(const session_pointer& session,
-                                  const wire::rows_request& request) {
+void member_mesh::send_rows_reply(const connected_member& to, const wire::rows_request& request) {
     if (!observer_.on_rows_request) {
         return;
     }
     const std::string table(view(request.table()));
-    session->send(make_rows_frame(table, observer_.on_rows_request(table, request.after())));
+    send_rows(to, table, observer_.on_rows_request(to, table, request.after()));
 }
 
 void member_mesh::send_rows(const connected_member& to, const std::string& table,
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -43,7 +43,9 @@
     std::function<void(const connected_member& from, const wire::member_beat& heartbeat)>
         on_heartbeat;
     /// A process requested the rows of a table after a version.
-    std::function<row_batch(const std::string& table, std::uint64_t after)> on_rows_request;
+    std::function<row_batch(const connected_member& from, const std::string& table,
+                            std::uint64_t after)>
+        on_rows_request;
     /// A gateway listed the sidecars of a service.
     std::function<void(const wire::neighbours_reply&)> on_neighbours_reply;
     /// A process sent rows.
@@ -103,7 +105,7 @@
     void handle_hello(const session_pointer& session, const wire::hello& hello);
     void handle_message(const session_pointer& session, const wire::envelope& message);
     void handle_closed(const session_pointer& session, close_reason reason);
-    void send_rows_reply(const session_pointer& session, const wire::rows_request& request);
+    void send_rows_reply(const connected_member& to, const wire::rows_request& request);
     void send_neighbours_reply(const session_pointer& session,
                                const wire::neighbours_request& request);
     void handle_rows_reply(const connected_member& from, const wire::rows_reply& reply);
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -68,9 +68,27 @@
     return changed_count;
 }
 
-void table_follower::record_read() {
+void table_follower::record_read(const char* call, const row_batch& batch) {
     last_read_at_ = std::chrono::steady_clock::now();
     ++read_count_;
+    if (mode_ == follow_mode::feed && !batch.rows.empty()) {
+        log_event(log_level::info, "rows_read",
+                  {{"table", table_},
+                   {"call", call},
+                   {"rows", batch.rows.size()},
+                   {"bytes", value_bytes(batch)},
+                   {"version", counter_of(batch.version)},
+                   {"took_ms", elapsed_ms(call_started_at_, last_read_at_)}});
+    }
+}
+
+void table_follower::record_failure(const char* call) {
+    if (mode_ == follow_mode::feed) {
+        log_event(log_level::warning, "rows_unread",
+                  {{"table", table_},
+                   {"call", call},
+                   {"took_ms", elapsed_ms(call_started_at_, std::chrono::steady_clock::now())}});
+    }
 }
 
 void table_follower::schedule(milliseconds delay, void (table_follower::*step)()) {
@@ -79,7 +97,7 @@
 
 /// Reads the table once the interval has passed.
 void table_follower::poll() {
-    if (std::chrono::steady_clock::now() - read_started_at_ >= interval_) {
+    if (std::chrono::steady_clock::now() - call_started_at_ >= interval_) {
         read_full_table();
     } else {
         schedule(poll_tick, &table_follower::poll);
@@ -87,7 +105,7 @@
 }
 
 void table_follower::read_full_table() {
-    read_started_at_ = std::chrono::steady_clock::now();
+    call_started_at_ = std::chrono::steady_clock::now();
     store_.read_table(table_, [this](platform::store_outcome outcome, const row_batch& batch) {
         handle_full_table(outcome, batch);
     });
@@ -95,10 +113,11 @@
 
 void table_follower::handle_full_table(platform::store_outcome outcome, const row_batch& batch) {
     if (outcome != platform::store_outcome::done) {
+        record_failure("read");
         schedule(retry_delay, &table_follower::read_again);
         return;
     }
-    record_read();
+    record_read("read", batch);
     const milliseconds settling = settling_time(batch.version);
     if (settling.count() > 0) {
         schedule(settling, &table_follower::read_again);
@@ -129,6 +148,7 @@
         schedule(needed_check_interval, &table_follower::wait_for_changes);
         return;
     }
+    call_started_at_ = std::chrono::steady_clock::now();
     store_.await_changes(table_, feed_version_, interval_,
                          [this](platform::store_outcome outcome, const row_batch& batch) {
                              handle_feed(outcome, batch);
@@ -143,11 +163,12 @@
         return;
     }
     if (outcome != platform::store_outcome::done) {
+        record_failure("feed");
         // Changes since then may have left the store's history, so the whole table is read again.
         schedule(retry_delay, &table_follower::read_again);
         return;
     }
-    record_read();
+    record_read("feed", batch);
     if (era_of(batch.version) > era_of(feed_version_)) {
         // Versions were given out again, so the feed may leave rows out.
         read_full_table();
--- a/src/programs/node/table_follower.h
+++ b/src/programs/node/table_follower.h
@@ -64,7 +64,8 @@
 
 private:
     std::size_t apply(const row_batch& batch, bool is_own_read);
-    void record_read();
+    void record_read(const char* call, const row_batch& batch);
+    void record_failure(const char* call);
     void read_full_table();
     void poll();
     void read_again();
@@ -84,7 +85,7 @@
     std::uint64_t feed_version_{0}; ///< version after which the feed continues
     time_point last_read_at_;
     std::uint64_t read_count_{0};
-    time_point read_started_at_;  ///< when the last read began
+    time_point call_started_at_;  ///< when the last call to the store began
     std::uint64_t newest_era_{0}; ///< of the store, as learned from any response or process
     time_point era_learned_at_;   ///< when the newest era was first seen
 };
