--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -88,6 +88,7 @@
     }
     for (std::size_t i = 0; i < zone_count * gateways_per_zone; ++i) {
         ports_.push_back({free_port(), free_port(), free_port(), free_port(), free_port()});
+        gateway_stores_.push_back(store.address());
     }
     put_configuration(1);
 }
@@ -116,6 +117,10 @@
     sidecar_stores_.at(sidecar) = std::move(address);
 }
 
+void platform_world::set_gateway_store(std::size_t gateway, std::string address) {
+    gateway_stores_.at(gateway) = std::move(address);
+}
+
 std::uint64_t platform_world::put_configuration(std::uint64_t version, bool has_second_route,
                                                 std::size_t tenant_count) {
     json routes = json::array({{{"name", "draft"},
@@ -196,7 +201,7 @@
     const ports& own_ports = ports_[index];
     const std::string zone = zone_names[index % zone_count];
     return "role: gateway\ninstance: gateway-" + std::to_string(index) +
-           "\navailability_zone: " + zone + "\nregion: region-a\nstore: " + store.address() +
+           "\navailability_zone: " + zone + "\nregion: region-a\nstore: " + gateway_stores_[index] +
            "\nzones:\n  - name: zone-a\n    region: region-a\n  - name: zone-b\n    region: "
            "region-a"
            "\nbounds:\n  weights_due: 5s\n  grace_period: 4s\nlisten:\n  http: " +
@@ -229,6 +234,17 @@
         write_file("gateway-" + std::to_string(index) + ".yaml", gateway_settings(index))});
 }
 
+std::unique_ptr<child_process> platform_world::make_sidecar(std::size_t index) {
+    return std::make_unique<child_process>(std::vector<std::string>{
+        daemon_path, "--settings",
+        write_file("sidecar-" + std::to_string(index) + ".yaml", sidecar_settings(index))});
+}
+
+void platform_world::restart_sidecar(std::size_t index) {
+    sidecars_.at(index).reset();
+    sidecars_.at(index) = make_sidecar(index);
+}
+
 bool platform_world::restart_gateway(std::size_t index) {
     gateways_.at(index).reset();
     gateways_.at(index) = make_gateway(index);
@@ -239,9 +255,7 @@
     for (std::size_t i = 0; i < ports_.size(); ++i) {
         gateways_.push_back(make_gateway(i));
         if (i < sidecar_ports_.size()) {
-            sidecars_.push_back(std::make_unique<child_process>(std::vector<std::string>{
-                daemon_path, "--settings",
-                write_file("sidecar-" + std::to_string(i) + ".yaml", sidecar_settings(i))}));
+            sidecars_.push_back(make_sidecar(i));
         }
     }
     return wait_until(
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -29,12 +29,16 @@
 
     /// Sets the address of the store that a sidecar uses from its start.
     void set_sidecar_store(std::size_t sidecar, std::string address);
+    /// Sets the address of the store that a gateway uses from its start.
+    void set_gateway_store(std::size_t gateway, std::string address);
     /// Starts the gateways and sidecars and waits until all gateways are ready.
     /// @return false on timeout
     bool start();
     /// Kills a gateway, starts it again and waits until it is ready.
     /// @return false on timeout
     bool restart_gateway(std::size_t index);
+    /// Kills a sidecar and starts it again.
+    void restart_sidecar(std::size_t index);
     /// Writes the configuration to the store. Each call needs a higher version.
     /// @return version of the row
     std::uint64_t put_configuration(std::uint64_t version, bool has_second_route = false,
@@ -71,6 +75,7 @@
     std::string gateway_settings(std::size_t index) const;
     std::string sidecar_settings(std::size_t index) const;
     std::unique_ptr<child_process> make_gateway(std::size_t index);
+    std::unique_ptr<child_process> make_sidecar(std::size_t index);
     std::string write_file(const std::string& name, const std::string& content);
     http_response execute(http_request request);
 
@@ -79,6 +84,7 @@
     std::vector<ports> ports_;
     std::vector<std::uint16_t> sidecar_ports_;
     std::vector<std::string> sidecar_stores_;
+    std::vector<std::string> gateway_stores_;
     std::vector<std::unique_ptr<child_process>> gateways_;
     std::vector<std::unique_ptr<child_process>> sidecars_;
     std::atomic<int> attempt_count_{0};
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -1,5 +1,6 @@
 #include "support/relay.h"
 
+#include <algorithm>
 #include <atomic>
 #include <utility>
 
@@ -7,6 +8,15 @@
 
 namespace citronseam::harness {
 
+microseconds shared_link::pass(std::size_t bytes) {
+    constexpr std::size_t microseconds_per_second = 1'000'000;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const auto now = std::chrono::steady_clock::now();
+    free_at_ =
+        std::max(free_at_, now) + microseconds(bytes * microseconds_per_second / bytes_per_second_);
+    return std::chrono::duration_cast<microseconds>(free_at_ - now);
+}
+
 struct relay::proxied_connection {
     proxied_connection(asio::ip::tcp::socket client_socket, asio::ip::tcp::socket target_socket)
         : client(std::move(client_socket)), target(std::move(target_socket)) {}
@@ -114,6 +124,12 @@
                 connection->close();
                 return;
             }
+            if (const auto& link = is_forward ? client_link_ : target_link_) {
+                loop_.post_after(link->pass(written), [this, connection, is_forward] {
+                    forward_next_block(connection, is_forward);
+                });
+                return;
+            }
             const std::size_t rate = target_rate_;
             if (is_forward || rate == 0) {
                 forward_next_block(connection, is_forward);
@@ -125,6 +141,12 @@
         });
 }
 
+void relay::set_links(std::shared_ptr<shared_link> of_clients,
+                      std::shared_ptr<shared_link> of_target) {
+    client_link_ = std::move(of_clients);
+    target_link_ = std::move(of_target);
+}
+
 void relay::set_forwarding_paused(bool is_paused) {
     is_forwarding_paused_ = is_paused;
     if (is_paused) {
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -12,9 +12,25 @@
 
 #include "citronseam/connection/io_thread_pool.h"
 #include "citronseam/connection/peer_listener.h"
+#include "citronseam/process/clock.h"
 
 namespace citronseam::harness {
 
+/// Link of a machine, which all connections that are given it share.
+class shared_link {
+public:
+    explicit shared_link(std::size_t bytes_per_second) : bytes_per_second_(bytes_per_second) {}
+
+    /// Reserves the link for a block.
+    /// @return time until the block has passed
+    microseconds pass(std::size_t bytes);
+
+private:
+    std::mutex mutex_;
+    std::size_t bytes_per_second_;
+    time_point free_at_; ///< when all blocks so far have passed
+};
+
 /// Forwards TCP connections to a target on loopback.
 class relay {
 public:
@@ -38,6 +54,9 @@
     /// Limits the rate at which each connection forwards what the target sends; 0 removes the
     /// limit.
     void set_target_rate(std::size_t bytes_per_second) { target_rate_ = bytes_per_second; }
+    /// Lets what clients and targets send pass links that may be shared with other relays; nullptr
+    /// is no link. Call it before the first connection.
+    void set_links(std::shared_ptr<shared_link> of_clients, std::shared_ptr<shared_link> of_target);
     /// While true, closes all connections and refuses new ones.
     void set_disconnected(bool is_disconnected);
 
@@ -54,7 +73,9 @@
     std::atomic<int> blocks_to_corrupt_{0};
     std::atomic<bool> is_forwarding_paused_{false};
     std::atomic<int> paused_block_count_{0};
-    std::atomic<std::size_t> target_rate_{0};          ///< bytes per second
+    std::atomic<std::size_t> target_rate_{0}; ///< bytes per second
+    std::shared_ptr<shared_link> client_link_;
+    std::shared_ptr<shared_link> target_link_;
     std::vector<std::function<void()>> paused_writes_; ///< used on the event loop thread only
     std::vector<std::weak_ptr<proxied_connection>> connections_;
     io_thread_pool loop_{1};
--- a/tests/support/row_store.cpp
+++ b/tests/support/row_store.cpp
@@ -48,14 +48,21 @@
 
 } // namespace
 
-row_store::row_store()
-    : server_(start_server(
-          [this](const server_request& request, const std::shared_ptr<http_responder>& responder) {
-              handle(request, responder);
-          })) {}
+row_store::row_store() {
+    add_address({});
+}
 
 std::string row_store::address() const {
-    return loopback_address(server_->port());
+    return loopback_address(servers_.front()->port());
+}
+
+std::string row_store::add_address(rewriter rewrite) {
+    servers_.push_back(start_server(
+        [this, rewrite = std::move(rewrite)](const server_request& request,
+                                             const std::shared_ptr<http_responder>& responder) {
+            handle(request, rewrite, responder);
+        }));
+    return loopback_address(servers_.back()->port());
 }
 
 std::uint64_t row_store::put(const std::string& table, const std::string& key,
@@ -115,7 +122,8 @@
     return found == feed_counts_.end() ? 0 : found->second;
 }
 
-json row_store::list(const std::string& table, std::uint64_t after, bool with_removed) const {
+json row_store::list(const std::string& table, std::uint64_t after, bool with_removed,
+                     const rewriter& rewrite) const {
     json records = json::array();
     const auto found = tables_.find(table);
     if (found != tables_.end()) {
@@ -127,7 +135,8 @@
             if (row.is_removed) {
                 record["tombstone"] = true;
             } else {
-                record["value"] = encode_base64(row.value);
+                record["value"] =
+                    encode_base64(rewrite ? rewrite(table, key, row.value) : row.value);
             }
             records.push_back(std::move(record));
         }
@@ -142,6 +151,7 @@
 }
 
 void row_store::respond_to_feed(const std::string& table, std::uint64_t after, int remaining_polls,
+                                const rewriter& rewrite,
                                 const std::shared_ptr<http_responder>& responder) {
     {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -149,19 +159,20 @@
             respond(*responder, 410);
             return;
         }
-        const json found = list(table, after, true);
+        const json found = list(table, after, true, rewrite);
         feed_counts_[table] += found.at("records").empty() ? 0 : 1;
         if (!found.at("records").empty() || remaining_polls == 0) {
             respond(*responder, 200, found.dump());
             return;
         }
     }
-    timers_.post_after(feed_poll_interval, [this, table, after, remaining_polls, responder] {
-        respond_to_feed(table, after, remaining_polls - 1, responder);
-    });
+    timers_.post_after(feed_poll_interval,
+                       [this, table, after, remaining_polls, rewrite, responder] {
+                           respond_to_feed(table, after, remaining_polls - 1, rewrite, responder);
+                       });
 }
 
-void row_store::handle(const server_request& request,
+void row_store::handle(const server_request& request, const rewriter& rewrite,
                        const std::shared_ptr<http_responder>& responder) {
     ++call_count;
     const std::string table = query_parameter(request, "table");
@@ -171,7 +182,7 @@
     } else if (request.path == "/rows-get") {
         const std::lock_guard<std::mutex> lock(mutex_);
         ++read_counts_[table];
-        respond(*responder, 200, list(table, 0, false).dump());
+        respond(*responder, 200, list(table, 0, false, rewrite).dump());
     } else if (request.path == "/rows-feed" && !has_feed_history) {
         const std::lock_guard<std::mutex> lock(mutex_);
         respond(*responder, 410);
@@ -179,7 +190,7 @@
         const auto polls = parse_number(query_parameter(request, "wait_timeout_ms")) /
                            static_cast<std::uint64_t>(feed_poll_interval.count());
         respond_to_feed(table, parse_number(query_parameter(request, "after")),
-                        static_cast<int>(polls), responder);
+                        static_cast<int>(polls), rewrite, responder);
     } else if (request.path == "/rows-tx") {
         write(json::parse(request.body));
         if (write_responses_to_drop > 0) {
--- a/tests/support/row_store.h
+++ b/tests/support/row_store.h
@@ -4,10 +4,12 @@
 #define CITRONSEAM_TESTS_SUPPORT_ROW_STORE_H
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -37,6 +39,12 @@
     /// @return number of feed responses so far that carried rows of a table
     int feed_count(const std::string& table) const;
 
+    /// Changes values in the answers to those who use another address of the store.
+    using rewriter = std::function<std::string(const std::string& table, const std::string& key,
+                                               const std::string& value)>;
+    /// @return a further `host:port` of the store
+    std::string add_address(rewriter rewrite);
+
     /// Keeps a copy of all rows.
     void save_copy();
     /// Comes back from the saved copy: later writes are lost, their versions are given out again,
@@ -56,12 +64,14 @@
     };
     using table_rows = std::map<std::string, stored_row>;
 
-    void handle(const server_request& request, const std::shared_ptr<http_responder>& responder);
+    void handle(const server_request& request, const rewriter& rewrite,
+                const std::shared_ptr<http_responder>& responder);
     void respond_to_feed(const std::string& table, std::uint64_t after, int remaining_polls,
-                         const std::shared_ptr<http_responder>& responder);
+                         const rewriter& rewrite, const std::shared_ptr<http_responder>& responder);
     void write(const nlohmann::json& body);
     void respond(http_responder& responder, int status, const std::string& body = "") const;
-    nlohmann::json list(const std::string& table, std::uint64_t after, bool with_removed) const;
+    nlohmann::json list(const std::string& table, std::uint64_t after, bool with_removed,
+                        const rewriter& rewrite) const;
 
     mutable std::mutex mutex_;
     std::map<std::string, table_rows> tables_;
@@ -72,7 +82,7 @@
     std::map<std::string, int> read_counts_; ///< by table
     std::map<std::string, int> feed_counts_; ///< by table
     io_thread_pool timers_{1};
-    std::unique_ptr<http_server> server_;
+    std::vector<std::unique_ptr<http_server>> servers_;
 };
 
 } // namespace citronseam::harness
