Send sidecars only what they read of the configuration

Callers saw added routes refused up to 4.3 s after they were acknowledged.

A sidecar uses the model of its service and the address of the origin. Gateways cut the routes and tenants out of the configuration for sidecars, once a version; such answers are marked, and a gateway refuses them. A sidecar that starts requests the rows from a gateway and reads the store only when none has arrived after 2 s. A sidecar answers no requests for rows.

--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "citronseam/process/log.h"
+#include "platform/sidecar_rows.h"
 
 namespace citronseam {
 namespace {
@@ -35,6 +36,9 @@
 constexpr milliseconds remote_rows_backup_grace{2500};
 /// The reader of the zone sends changes of the server list, which it reads every 400 ms.
 constexpr milliseconds server_rows_grace{1500};
+/// A sidecar that starts requests rows from a gateway, and reads the store itself only when none
+/// has arrived after this time.
+constexpr milliseconds first_rows_grace{2000};
 /// Longer than a large reply takes on a slow link.
 constexpr milliseconds rows_reply_timeout{5000};
 
@@ -88,7 +92,8 @@
         is_reading_operator_rows_ = is_needed;
         return is_needed;
     });
-    operator_rows_.start([this](const table_change& change) { apply_operator_rows(change); });
+    operator_rows_.start([this](const table_change& change) { apply_operator_rows(change); },
+                         self_.role == process_role::gateway ? milliseconds(0) : first_rows_grace);
     member_rows_.start([this](const table_change& change) { apply_member_rows(change); });
 }
 
@@ -114,23 +119,33 @@
     };
     observer.on_rows_request = [this](const connected_member& from, const std::string& table,
                                       std::uint64_t after) {
-        return make_reply(from, table, after);
+        return make_answer(from, table, after);
     };
     observer.on_neighbours_reply = observer_.on_neighbours_reply;
     observer.on_crash_report = observer_.on_crash_report;
     observer.on_limit_report = observer_.on_limit_report;
     observer.make_greeting = observer_.make_greeting;
     observer.on_rows = [this](const connected_member& from, const std::string& table,
-                              const row_batch& rows) { apply_member_batch(from, table, rows); };
+                              const rows_answer& answer) {
+        apply_member_rows(from, table, answer);
+    };
     return observer;
 }
 
-void cluster_node::apply_member_batch(const connected_member& from, const std::string& table,
-                                      const row_batch& batch) {
+void cluster_node::apply_member_rows(const connected_member& from, const std::string& table,
+                                     const rows_answer& answer) {
+    const row_batch& batch = answer.rows;
     const auto found = shared_tables_.find(table);
     if (found == shared_tables_.end()) {
         return;
     }
+    if (answer.is_reduced && self_.role != process_role::sidecar) {
+        log_event(log_level::error, "rows_refused",
+                  {{"table", table},
+                   {"member", from.process.instance},
+                   {"reason", "they hold only what a sidecar reads"}});
+        return;
+    }
     const std::size_t bytes = value_bytes(batch);
     pending_request& request = rows_requests_[table];
     std::uint32_t waited_ms = 0;
@@ -154,11 +169,20 @@
 }
 
 /// @return the rows of a table that are newer than a version, for a process that requested them
-row_batch cluster_node::make_reply(const connected_member& from, const std::string& table,
-                                   std::uint64_t after) const {
+rows_answer cluster_node::make_answer(const connected_member& from, const std::string& table,
+                                      std::uint64_t after) {
+    rows_answer answer;
     const auto found = shared_tables_.find(table);
-    row_batch batch =
-        changes_since(found == shared_tables_.end() ? row_cache{} : found->second->rows(), after);
+    // The rows of a sidecar may be reduced.
+    if (found == shared_tables_.end() || self_.role == process_role::sidecar) {
+        return answer;
+    }
+    row_batch& batch = answer.rows;
+    batch = changes_since(found->second->rows(), after);
+    if (from.process.role == process_role::sidecar && table == platform::operator_table) {
+        answer.is_reduced = true;
+        reduce_for_sidecars(batch);
+    }
     const auto members = mesh_->members();
     const auto unsent = std::count_if(members.begin(), members.end(), [](const auto* connected) {
         return connected->session->queued_bytes() > 0;
@@ -170,7 +194,18 @@
                {"bytes", value_bytes(batch)},
                {"version", counter_of(batch.version)},
                {"unsent", unsent}});
-    return batch;
+    return answer;
+}
+
+/// Replaces each row by what sidecars read of it, which is computed once for each version.
+void cluster_node::reduce_for_sidecars(row_batch& batch) {
+    for (versioned_row& row : batch.rows) {
+        versioned_row& reduced = reduced_rows_[row.key];
+        if (reduced.version != row.version) {
+            reduced = platform::reduce_for_sidecars(row);
+        }
+        row = reduced;
+    }
 }
 
 void cluster_node::apply_operator_rows(const table_change& change) {
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -84,10 +84,11 @@
 
 private:
     mesh_observer make_mesh_observer();
-    void apply_member_batch(const connected_member& from, const std::string& table,
-                            const row_batch& batch);
-    row_batch make_reply(const connected_member& from, const std::string& table,
-                         std::uint64_t after) const;
+    void apply_member_rows(const connected_member& from, const std::string& table,
+                           const rows_answer& answer);
+    rows_answer make_answer(const connected_member& from, const std::string& table,
+                            std::uint64_t after);
+    void reduce_for_sidecars(row_batch& batch);
     void apply_operator_rows(const table_change& change);
     void apply_member_rows(const table_change& change);
     void add_member(const member& process);
@@ -114,6 +115,7 @@
     table_follower member_rows_;
     std::map<std::string, table_follower*> shared_tables_;
     std::map<std::string, member> known_members_;          ///< by instance
+    std::map<std::string, versioned_row> reduced_rows_;    ///< for sidecars, by key
     std::map<std::string, pending_request> rows_requests_; ///< requests for rows, by table
     bool is_registering_{false};           ///< a write of the own row is outstanding
     bool is_reading_operator_rows_{false}; ///< as the follower was last told
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -24,8 +24,10 @@
     return process;
 }
 
-shared_frame make_rows_frame(const std::string& table, const row_batch& batch) {
+shared_frame make_rows_frame(const std::string& table, const rows_answer& answer) {
+    const row_batch& batch = answer.rows;
     wire::rows_replyT reply;
+    reply.is_reduced = answer.is_reduced;
     reply.table = table;
     reply.version = batch.version;
     reply.is_whole = batch.is_whole;
@@ -296,16 +298,18 @@
         return;
     }
     const std::string table(view(request.table()));
-    send_rows(to, table, observer_.on_rows_request(to, table, request.after()));
+    to.session->send(make_rows_frame(table, observer_.on_rows_request(to, table, request.after())));
 }
 
 void member_mesh::send_rows(const connected_member& to, const std::string& table,
                             const row_batch& rows) {
-    to.session->send(make_rows_frame(table, rows));
+    to.session->send(make_rows_frame(table, {rows}));
 }
 
 void member_mesh::handle_rows_reply(const connected_member& from, const wire::rows_reply& reply) {
-    row_batch batch;
+    rows_answer answer;
+    answer.is_reduced = reply.is_reduced();
+    row_batch& batch = answer.rows;
     batch.version = reply.version();
     batch.is_whole = reply.is_whole();
     batch.after = reply.after();
@@ -316,7 +320,7 @@
         }
     }
     if (observer_.on_rows) {
-        observer_.on_rows(from, std::string(view(reply.table())), batch);
+        observer_.on_rows(from, std::string(view(reply.table())), answer);
     }
 }
 
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -35,6 +35,12 @@
     std::size_t gateway_count{0};      ///< gateways that it knows of; of gateways only
 };
 
+/// Answer to a request for rows.
+struct rows_answer {
+    row_batch rows;
+    bool is_reduced{false}; ///< values hold only what a sidecar reads
+};
+
 /// Callbacks of a mesh. All run on the control thread.
 struct mesh_observer {
     /// A process connected, was lost, or changed its readiness.
@@ -43,14 +49,14 @@
     std::function<void(const connected_member& from, const wire::member_beat& heartbeat)>
         on_heartbeat;
     /// A process requested the rows of a table after a version.
-    std::function<row_batch(const connected_member& from, const std::string& table,
-                            std::uint64_t after)>
+    std::function<rows_answer(const connected_member& from, const std::string& table,
+                              std::uint64_t after)>
         on_rows_request;
     /// A gateway listed the sidecars of a service.
     std::function<void(const wire::neighbours_reply&)> on_neighbours_reply;
     /// A process sent rows.
     std::function<void(const connected_member& from, const std::string& table,
-                       const row_batch& rows)>
+                       const rows_answer& answer)>
         on_rows;
     /// A gateway reported a loss of a backend server; may be empty.
     std::function<void(const wire::crash_report&)> on_crash_report;
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -25,8 +25,12 @@
     : control_(control), store_(store), table_(std::move(table)), mode_(mode), interval_(interval) {
 }
 
-void table_follower::start(change_handler handle) {
+void table_follower::start(change_handler handle, milliseconds grace) {
     handle_ = std::move(handle);
+    if (grace.count() > 0) {
+        schedule(grace, &table_follower::read_again);
+        return;
+    }
     read_full_table();
 }
 
@@ -132,7 +136,7 @@
     }
 }
 
-/// Reads the table after a failure, unless another process sends the rows.
+/// Reads the table after a failure or a grace period, unless another process sends the rows.
 void table_follower::read_again() {
     if (cache_.is_complete && is_needed_ && !is_needed_()) {
         wait_for_changes();
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -7,6 +7,7 @@
 #include "platform/directory.h"
 #include "platform/engine.h"
 #include "platform/http_headers.h"
+#include "platform/sidecar_rows.h"
 #include "platform/store.h"
 
 namespace {
@@ -29,6 +30,31 @@
   "idle_timeout_ms":15000},
  "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"allowed_regions":[]}]})";
 
+// Guards against large configurations on the links of engines.
+TEST(sidecar_rows, configuration_holds_what_a_sidecar_reads_and_no_routes) {
+    const versioned_row row{"config", configuration, 9, false};
+    const versioned_row reduced = platform::reduce_for_sidecars(row);
+    EXPECT_EQ(reduced.version, row.version);
+    const auto whole_rules = platform::decode_routing(configuration);
+    const auto rules = platform::decode_routing(reduced.value);
+    ASSERT_TRUE(rules.has_value()) << rules.error().message;
+    EXPECT_EQ(rules->version, whole_rules->version);
+    EXPECT_TRUE(rules->routes.empty());
+    EXPECT_TRUE(rules->workspaces.empty());
+    EXPECT_EQ(rules->services.at("drafts").engine.model, "m");
+    EXPECT_EQ(rules->services.at("ledger").origin_address, "172.20.0.3:8006");
+    EXPECT_EQ(rules->services.at("ledger").zone, "z");
+}
+
+TEST(sidecar_rows, other_rows_and_unreadable_configurations_stay_as_they_are) {
+    const versioned_row weights{"version/m", R"({"model":"m","version":2})", 3, false};
+    EXPECT_EQ(platform::reduce_for_sidecars(weights).value, weights.value);
+    const versioned_row unreadable{"config", "{\"routes\":[", 4, false};
+    EXPECT_EQ(platform::reduce_for_sidecars(unreadable).value, unreadable.value);
+    const versioned_row removed{"config", "", 5, true};
+    EXPECT_TRUE(platform::reduce_for_sidecars(removed).is_removed);
+}
+
 TEST(decode, configuration_is_decoded) {
     const auto rules = platform::decode_routing(configuration);
     ASSERT_TRUE(rules.has_value()) << rules.error().message;
