Spread large rows from gateway to gateway, two copies at a time

Callers of the last gateways of a zone were refused an added route up to 4.3 s after its acknowledgement. The whole zone requested the row from the gateway that announced it first: 38 copies of 0.92 MB shared its link of 40 Mbit/s, so all of them arrived 6.1 to 6.9 s after the requests and within 0.9 s of each other, while another gateway had the row on an idle link. Who had asked asked nobody else for 5 s.

A gateway sends two large answers at a time and tells further processes that it is busy. They request the rows from another gateway that announced them, at random and first of the own zone, or again after 100 ms; each receiver serves others in turn. An answer is under way until its receiver announces the rows, because the buffers of the system hide what is on the link. A source that sends nothing for 2 s is given up.

--- a/include/citronseam/connection/peer_session.h
+++ b/include/citronseam/connection/peer_session.h
@@ -80,6 +80,9 @@
     /// @return the time of the last receipt of data
     time_point last_received() const noexcept { return last_received_.load(); }
 
+    /// @return whether a part of a frame was received. May be called from any thread.
+    bool is_receiving_frame() const noexcept { return is_receiving_frame_.load(); }
+
     /// @return the id of the session, unique within this process
     std::uint64_t number() const noexcept { return number_; }
 
@@ -110,6 +113,7 @@
     std::vector<shared_frame> in_flight_;
 
     std::atomic<bool> is_open_{true};
+    std::atomic<bool> is_receiving_frame_{false};
     std::atomic<std::size_t> queued_bytes_{0};
     std::atomic<std::uint64_t> sent_bytes_{0};
     std::atomic<std::uint64_t> received_bytes_{0};
--- a/include/citronseam/process/versioned_row.h
+++ b/include/citronseam/process/versioned_row.h
@@ -74,6 +74,9 @@
 /// complete
 row_batch changes_since(const row_cache& cache, std::uint64_t after);
 
+/// @return the highest version of a row of a batch, 0 when there is none
+std::uint64_t newest_version(const row_batch& batch) noexcept;
+
 /// @return size of the values of a batch
 std::size_t value_bytes(const row_batch& batch) noexcept;
 
--- a/src/connection/peer_session.cpp
+++ b/src/connection/peer_session.cpp
@@ -85,6 +85,7 @@
             return;
         }
     }
+    is_receiving_frame_ = decoder_.has_partial_frame();
     if (decoder_.is_oversized()) {
         close_now(close_reason::frame_too_large);
     }
--- a/src/process/versioned_row.cpp
+++ b/src/process/versioned_row.cpp
@@ -87,6 +87,14 @@
     return {rows_newer_than(cache, is_whole ? 0 : after), cache.version, is_whole, after};
 }
 
+std::uint64_t newest_version(const row_batch& batch) noexcept {
+    std::uint64_t newest = 0;
+    for (const versioned_row& row : batch.rows) {
+        newest = std::max(newest, row.version);
+    }
+    return newest;
+}
+
 std::size_t value_bytes(const row_batch& batch) noexcept {
     return std::accumulate(
         batch.rows.begin(), batch.rows.end(), std::size_t{0},
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "citronseam/process/log.h"
+#include "citronseam/process/sizes.h"
 #include "platform/sidecar_rows.h"
 
 namespace citronseam {
@@ -41,6 +42,17 @@
 constexpr milliseconds first_rows_grace{2000};
 /// Longer than a large reply takes on a slow link.
 constexpr milliseconds rows_reply_timeout{5000};
+/// The same while no part of a reply has arrived.
+constexpr milliseconds silent_reply_timeout{2000};
+/// Two, so that a slow receiver does not hold up all others. More would end later, all together.
+constexpr transfer_limits answer_limits{16 * kibibyte, 2, milliseconds(2000)};
+/// A busy process is asked again after this time, a part of what a large answer takes.
+constexpr milliseconds busy_retry_delay{100};
+
+/// @return the version of a table that a process announced
+std::uint64_t announced_version(const connected_member& process, const std::string& table) {
+    return table == platform::servers_table ? process.servers_version : process.operator_version;
+}
 
 member make_self(const settings& options) {
     member self;
@@ -146,6 +158,10 @@
                    {"reason", "they hold only what a sidecar reads"}});
         return;
     }
+    if (answer.is_busy) {
+        handle_busy(from, table);
+        return;
+    }
     const std::size_t bytes = value_bytes(batch);
     pending_request& request = rows_requests_[table];
     std::uint32_t waited_ms = 0;
@@ -183,20 +199,50 @@
         answer.is_reduced = true;
         reduce_for_sidecars(batch);
     }
-    const auto members = mesh_->members();
-    const auto unsent = std::count_if(members.begin(), members.end(), [](const auto* connected) {
-        return connected->session->queued_bytes() > 0;
-    });
+    const std::size_t bytes = value_bytes(batch);
+    const std::size_t under_way = transfers_under_way();
+    if (!may_send_rows(bytes, under_way, answer_limits)) {
+        answer.rows = {};
+        answer.is_busy = true;
+        return answer;
+    }
+    if (bytes > answer_limits.large_bytes) {
+        transfers_.push_back({from.session->number(),
+                              table,
+                              {newest_version(batch), announced_version(from, table), true,
+                               std::chrono::steady_clock::now()}});
+    }
     log_event(log_level::info, "rows_sent",
               {{"table", table},
                {"member", from.process.instance},
                {"rows", batch.rows.size()},
-               {"bytes", value_bytes(batch)},
+               {"bytes", bytes},
                {"version", counter_of(batch.version)},
-               {"unsent", unsent}});
+               {"under_way", under_way}});
     return answer;
 }
 
+/// @return number of large answers that still take the link
+std::size_t cluster_node::transfers_under_way() {
+    const auto now = std::chrono::steady_clock::now();
+    std::map<std::uint64_t, const connected_member*> members;
+    for (const connected_member* connected : mesh_->members()) {
+        members[connected->session->number()] = connected;
+    }
+    const auto is_over = [&](sent_rows& sent) {
+        const auto receiver = members.find(sent.session);
+        if (receiver == members.end()) {
+            return true;
+        }
+        sent.transfer.known_version = announced_version(*receiver->second, sent.table);
+        sent.transfer.is_queued = receiver->second->session->queued_bytes() > 0;
+        return !is_under_way(sent.transfer, answer_limits, now);
+    };
+    transfers_.erase(std::remove_if(transfers_.begin(), transfers_.end(), is_over),
+                     transfers_.end());
+    return transfers_.size();
+}
+
 /// Replaces each row by what sidecars read of it, which is computed once for each version.
 void cluster_node::reduce_for_sidecars(row_batch& batch) {
     for (versioned_row& row : batch.rows) {
@@ -243,7 +289,11 @@
         return;
     }
     control_.post_after(rows_grace(from, table), [this, instance, table, version] {
-        request_rows(instance, table, version);
+        if (self_.role == process_role::gateway) {
+            request_rows_from_any(table);
+        } else {
+            request_rows(instance, table, version);
+        }
     });
 }
 
@@ -263,14 +313,72 @@
     return is_gateway && is_operator_reader() ? remote_rows_grace : remote_rows_backup_grace;
 }
 
+/// @return whether rows up to a version are missing and no request for the table is outstanding
+bool cluster_node::may_request_rows(const std::string& table, std::uint64_t version) {
+    table_follower& follower = *shared_tables_.at(table);
+    if (version <= follower.rows().version || follower.settling_time(version).count() > 0) {
+        return false;
+    }
+    const pending_request& request = rows_requests_[table];
+    milliseconds timeout = silent_reply_timeout;
+    for (const connected_member* connected : mesh_->members()) {
+        const peer_session& session = *connected->session;
+        if (session.number() == request.session && session.is_receiving_frame()) {
+            timeout = rows_reply_timeout;
+        }
+    }
+    return !is_outstanding(request, timeout, std::chrono::steady_clock::now());
+}
+
+/// Requests the rows that this process lacks from one of the gateways that announced them.
+void cluster_node::request_rows_from_any(const std::string& table) {
+    std::vector<row_source> sources;
+    std::map<std::string_view, std::uint64_t> versions;
+    for (const connected_member* connected : mesh_->members()) {
+        const std::uint64_t version = announced_version(*connected, table);
+        if (connected->process.role != process_role::gateway || !may_request_rows(table, version)) {
+            continue;
+        }
+        const auto busy_at = busy_at_.find(connected->session->number());
+        sources.push_back({connected->process.instance, connected->process.zone == self_.zone,
+                           busy_at == busy_at_.end() ? time_point{} : busy_at->second});
+        versions[connected->process.instance] = version;
+    }
+    if (sources.empty()) {
+        return;
+    }
+    const row_source* source =
+        choose_row_source(sources, busy_retry_delay, std::chrono::steady_clock::now(), random_);
+    if (source != nullptr) {
+        request_rows(std::string(source->instance), table, versions.at(source->instance));
+        return;
+    }
+    if (!tables_to_retry_.insert(table).second) {
+        return;
+    }
+    control_.post_after(busy_retry_delay, [this, table] {
+        tables_to_retry_.erase(table);
+        request_rows_from_any(table);
+    });
+}
+
+void cluster_node::handle_busy(const connected_member& from, const std::string& table) {
+    metrics_.count("citronseam_member_rows_busy_total", {{"table", table}});
+    busy_at_[from.session->number()] = std::chrono::steady_clock::now();
+    pending_request& request = rows_requests_[table];
+    if (request.session == from.session->number()) {
+        request = {};
+        request_rows_from_any(table);
+    }
+}
+
 void cluster_node::request_rows(const std::string& instance, const std::string& table,
                                 std::uint64_t version) {
-    const auto now = std::chrono::steady_clock::now();
-    const std::uint64_t known_version = shared_tables_.at(table)->rows().version;
-    if (version <= known_version || shared_tables_.at(table)->settling_time(version).count() > 0 ||
-        is_outstanding(rows_requests_[table], rows_reply_timeout, now)) {
+    if (!may_request_rows(table, version)) {
         return;
     }
+    const auto now = std::chrono::steady_clock::now();
+    const std::uint64_t known_version = shared_tables_.at(table)->rows().version;
     for (const connected_member* connected : mesh_->members()) {
         if (connected->process.instance == instance) {
             log_event(log_level::info, "rows_requested",
@@ -295,6 +403,9 @@
             request = {};
         }
     }
+    for (auto busy = busy_at_.begin(); busy != busy_at_.end();) {
+        busy = sessions.count(busy->first) == 0 ? busy_at_.erase(busy) : std::next(busy);
+    }
 }
 
 /// Spreads the sidecars of a zone over its gateways.
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,8 @@
 #include "citronseam/process/member.h"
 #include "citronseam/process/metrics.h"
 #include "citronseam/process/pending_request.h"
+#include "citronseam/process/random.h"
+#include "citronseam/process/row_transfer.h"
 #include "citronseam/process/settings.h"
 #include "citronseam/process/zone_reader.h"
 #include "citronseam/request/shared_quota.h"
@@ -98,7 +101,11 @@
     void handle_offer(const connected_member& from, const std::string& table,
                       std::uint64_t version);
     milliseconds rows_grace(const connected_member& from, const std::string& table) const;
+    bool may_request_rows(const std::string& table, std::uint64_t version);
     void request_rows(const std::string& instance, const std::string& table, std::uint64_t version);
+    void request_rows_from_any(const std::string& table);
+    void handle_busy(const connected_member& from, const std::string& table);
+    std::size_t transfers_under_way();
     void forget_lost_requests();
     std::string preferred_gateway() const;
     bool is_operator_reader() const;
@@ -114,7 +121,17 @@
     table_follower operator_rows_;
     table_follower member_rows_;
     std::map<std::string, table_follower*> shared_tables_;
-    std::map<std::string, member> known_members_;          ///< by instance
+    std::map<std::string, member> known_members_; ///< by instance
+    /// A large answer and its receiver.
+    struct sent_rows {
+        std::uint64_t session{0};
+        std::string table;
+        row_transfer transfer;
+    };
+    std::vector<sent_rows> transfers_;            ///< large answers that may be under way
+    std::map<std::uint64_t, time_point> busy_at_; ///< when a session's process was busy
+    std::set<std::string> tables_to_retry_;       ///< whose sources were all busy
+    random_source random_{seeded_random_source()};
     std::map<std::string, versioned_row> reduced_rows_;    ///< for sidecars, by key
     std::map<std::string, pending_request> rows_requests_; ///< requests for rows, by table
     bool is_registering_{false};           ///< a write of the own row is outstanding
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -28,6 +28,7 @@
     const row_batch& batch = answer.rows;
     wire::rows_replyT reply;
     reply.is_reduced = answer.is_reduced;
+    reply.is_busy = answer.is_busy;
     reply.table = table;
     reply.version = batch.version;
     reply.is_whole = batch.is_whole;
@@ -309,6 +310,7 @@
 void member_mesh::handle_rows_reply(const connected_member& from, const wire::rows_reply& reply) {
     rows_answer answer;
     answer.is_reduced = reply.is_reduced();
+    answer.is_busy = reply.is_busy();
     row_batch& batch = answer.rows;
     batch.version = reply.version();
     batch.is_whole = reply.is_whole();
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -39,6 +39,7 @@
 struct rows_answer {
     row_batch rows;
     bool is_reduced{false}; ///< values hold only what a sidecar reads
+    bool is_busy{false};    ///< no rows now; another process may send them
 };
 
 /// Callbacks of a mesh. All run on the control thread.
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -1,8 +1,11 @@
 // Gateway logic: routes, shutdown, retries, event streams, table caches, membership, weight loads.
+#include <map>
+
 #include <gtest/gtest.h>
 
 #include "citronseam/process/member.h"
 #include "citronseam/process/pending_request.h"
+#include "citronseam/process/row_transfer.h"
 #include "citronseam/process/versioned_row.h"
 #include "citronseam/process/zone_reader.h"
 #include "citronseam/request/event_stream.h"
@@ -288,6 +291,54 @@
         << "a peer that never replies is given up on";
 }
 
+constexpr milliseconds busy_time{100};
+constexpr transfer_limits two_large{1000, 2, milliseconds(2000)};
+
+// Guards against a zone that takes a row from another zone while its own gateways have it.
+TEST(row_transfer, rows_are_requested_from_the_own_zone_if_it_has_them) {
+    random_source random(1);
+    const std::vector<row_source> both{{"a", false, {}}, {"b", true, {}}};
+    EXPECT_EQ(choose_row_source(both, busy_time, start, random)->instance, "b");
+    const std::vector<row_source> remote{{"a", false, {}}};
+    EXPECT_EQ(choose_row_source(remote, busy_time, start, random)->instance, "a");
+    EXPECT_EQ(choose_row_source({}, busy_time, start, random), nullptr);
+}
+
+// Guards against requests that all go to the same process, or again to one that is busy.
+TEST(row_transfer, requests_spread_over_the_sources_that_are_not_busy) {
+    random_source random(1);
+    const std::vector<row_source> sources{{"a", true, start}, {"b", true, {}}, {"c", true, {}}};
+    std::map<std::string_view, int> counts;
+    for (int i = 0; i < 100; ++i) {
+        ++counts[choose_row_source(sources, busy_time, start + milliseconds(50), random)->instance];
+    }
+    EXPECT_EQ(counts["a"], 0) << "it was busy 50 ms ago";
+    EXPECT_GT(counts["b"], 20);
+    EXPECT_GT(counts["c"], 20);
+    const std::vector<row_source> busy{{"a", true, start}, {"b", false, {}}};
+    EXPECT_EQ(choose_row_source(busy, busy_time, start + milliseconds(50), random), nullptr)
+        << "the own zone is waited for";
+    EXPECT_NE(choose_row_source(busy, busy_time, start + milliseconds(100), random), nullptr);
+}
+
+// Guards against copies that share a link and therefore all arrive late.
+TEST(row_transfer, two_large_answers_are_sent_at_a_time) {
+    EXPECT_TRUE(may_send_rows(5000, 0, two_large));
+    EXPECT_TRUE(may_send_rows(5000, 1, two_large));
+    EXPECT_FALSE(may_send_rows(5000, 2, two_large));
+    EXPECT_TRUE(may_send_rows(1000, 2, two_large)) << "a small one is never held up";
+}
+
+// Guards against a link that counts as free while a copy is in the buffers of the system.
+TEST(row_transfer, answer_is_under_way_until_the_receiver_announces_its_rows) {
+    const row_transfer sent{7, 6, false, start};
+    EXPECT_TRUE(is_under_way(sent, two_large, start + milliseconds(1900)));
+    EXPECT_FALSE(is_under_way(sent, two_large, start + milliseconds(2000)))
+        << "a receiver may not announce them";
+    EXPECT_TRUE(is_under_way({7, 6, true, start}, two_large, start + milliseconds(5000)));
+    EXPECT_FALSE(is_under_way({7, 7, false, start}, two_large, start + milliseconds(10)));
+}
+
 TEST(member, json_round_trip_preserves_fields) {
     member process;
     process.instance = "edge-1";
