End a call to the store when nothing arrives, not after a fixed time

After a failed feed the feed goes on where it was: the store answers 410 if changes since then have left its history, so the whole table need not be read.

The tests of the store's eras and of the adapter pass.

--- a/src/programs/node/store_client.cpp
+++ b/src/programs/node/store_client.cpp
@@ -13,6 +13,7 @@
 
 /// A response holds at most 1 MB of rows; base64 and field names make it larger.
 constexpr std::size_t max_response_bytes = 4 * mebibyte;
+constexpr milliseconds silence_check_interval{100};
 
 const char* name_of(store_outcome outcome) {
     switch (outcome) {
@@ -48,24 +49,69 @@
     return std::move(*page);
 }
 
+/// What a call has received. Used on the thread of the http_client until the call is done.
+struct store_receipt {
+    http_response response;
+    time_point silent_at; ///< when the call ends unless the store sends something
+    bool is_done{false};
+};
+
+void record_progress(store_receipt& receipt) {
+    receipt.silent_at = std::chrono::steady_clock::now() + platform::max_silence;
+}
+
+/// Rows that arrive slowly are not thrown away, since the next call would send them again.
+void cancel_when_silent(http_client& http, std::uint64_t id,
+                        const std::shared_ptr<store_receipt>& receipt) {
+    http.post_after(silence_check_interval, [&http, id, receipt] {
+        if (receipt->is_done) {
+            return;
+        }
+        if (std::chrono::steady_clock::now() >= receipt->silent_at) {
+            http.cancel(id);
+            return;
+        }
+        cancel_when_silent(http, id, receipt);
+    });
+}
+
 } // namespace
 
 store_client::store_client(io_thread_pool& control, http_client& http, metrics& metric_registry,
                            const std::string& address)
     : control_(control), http_(http), metrics_(metric_registry), base_url_("http://" + address) {}
 
-void store_client::call(const char* name, http_request request,
-                        std::function<void(http_response)> done) {
-    http_.fetch(std::move(request), max_response_bytes,
-                [this, name, done = std::move(done)](http_response response) {
-                    control_.post([this, name, done, response = std::move(response)] {
-                        record_outcome(name, platform::parse_store_outcome(response),
-                                       response.outcome.is_complete
-                                           ? "status " + std::to_string(response.outcome.status)
-                                           : response.outcome.message);
-                        done(response);
-                    });
-                });
+/// Sends a request to the store.
+/// @param wait time within which the store need not answer
+void store_client::call(const char* name, http_request request, milliseconds wait,
+                        std::function<void(const http_response&)> done) {
+    const auto receipt = std::make_shared<store_receipt>();
+    receipt->silent_at = std::chrono::steady_clock::now() + wait + platform::max_silence;
+    http_observer observer;
+    observer.on_head = [receipt](int, const std::vector<http_header>& headers) {
+        receipt->response.headers = headers;
+        record_progress(*receipt);
+    };
+    observer.on_data = [receipt](std::string_view data) {
+        receipt->response.body += data;
+        record_progress(*receipt);
+        return receipt->response.body.size() <= max_response_bytes;
+    };
+    observer.on_done = [this, name, receipt, done = std::move(done)](const http_outcome& outcome) {
+        receipt->is_done = true;
+        receipt->response.outcome = outcome;
+        control_.post([this, name, receipt, done] {
+            const http_response& response = receipt->response;
+            record_outcome(name, platform::parse_store_outcome(response),
+                           response.outcome.is_complete
+                               ? "status " + std::to_string(response.outcome.status)
+                               : response.outcome.message + " after " +
+                                     std::to_string(response.body.size()) + " bytes");
+            done(response);
+        });
+    };
+    const std::uint64_t id = http_.send(std::move(request), std::move(observer));
+    cancel_when_silent(http_, id, receipt);
 }
 
 void store_client::record_outcome(const char* name, store_outcome outcome,
@@ -88,7 +134,7 @@
 
 void store_client::read_page(const std::string& table, const std::string& first,
                              row_batch collected, batch_handler done) {
-    call("read", platform::make_read_request(base_url_, table, first, ""),
+    call("read", platform::make_read_request(base_url_, table, first, ""), milliseconds(0),
          [this, table, collected = std::move(collected),
           done = std::move(done)](const http_response& response) mutable {
              store_outcome outcome{};
@@ -124,7 +170,7 @@
 
 void store_client::await_changes(const std::string& table, std::uint64_t after, milliseconds wait,
                                  batch_handler done) {
-    call("feed", platform::make_watch_request(base_url_, table, after, wait),
+    call("feed", platform::make_watch_request(base_url_, table, after, wait), wait,
          [table, after, done = std::move(done)](const http_response& response) {
              store_outcome outcome{};
              auto page = parse_page(table, response, outcome);
@@ -139,7 +185,7 @@
 
 void store_client::write_row(const std::string& table, const std::string& key,
                              const std::string& value, write_handler done) {
-    call("write", platform::make_write_request(base_url_, table, key, value),
+    call("write", platform::make_write_request(base_url_, table, key, value), milliseconds(0),
          [done = std::move(done)](const http_response& response) {
              done(platform::parse_store_outcome(response));
          });
--- a/src/programs/node/store_client.h
+++ b/src/programs/node/store_client.h
@@ -37,7 +37,8 @@
 private:
     void read_page(const std::string& table, const std::string& first, row_batch collected,
                    batch_handler done);
-    void call(const char* name, http_request request, std::function<void(http_response)> done);
+    void call(const char* name, http_request request, milliseconds wait,
+              std::function<void(const http_response&)> done);
     void record_outcome(const char* name, platform::store_outcome outcome,
                         const std::string& message);
 
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -168,8 +168,8 @@
     }
     if (outcome != platform::store_outcome::done) {
         record_failure("feed");
-        // Changes since then may have left the store's history, so the whole table is read again.
-        schedule(retry_delay, &table_follower::read_again);
+        // The store says so if changes since then have left its history.
+        schedule(retry_delay, &table_follower::wait_for_changes);
         return;
     }
     record_read("feed", batch);
