Let one further gateway a second take over the reading of the operator's table

A read of a large row over a crowded link takes longer than that, and each further reader adds a copy on the same link. The step is part of the policy, 1 s for the operator's table and 0.3 s for the list of servers as before.

--- a/include/citronseam/process/zone_reader.h
+++ b/include/citronseam/process/zone_reader.h
@@ -21,6 +21,9 @@
 struct reader_policy {
     std::size_t readers{1};      ///< number of processes that read at a time
     milliseconds max_silence{0}; ///< a process without a successful read for longer is not reading
+    /// Added for each further process that is to take over first, so that slow reads of one process
+    /// do not make all others read at once.
+    milliseconds takeover_step{300};
 };
 
 /// Chooses the processes with the lowest instance names among those whose reads succeed. Whether
--- a/src/process/zone_reader.cpp
+++ b/src/process/zone_reader.cpp
@@ -3,13 +3,6 @@
 #include <algorithm>
 
 namespace citronseam {
-namespace {
-
-/// Added for each further process that is to take over first, so that slow reads of one process do
-/// not make all others read at once.
-constexpr milliseconds takeover_step{300};
-
-} // namespace
 
 bool is_zone_reader(std::string_view self, const std::vector<reader_candidate>& others,
                     const reader_policy& policy, time_point now) noexcept {
@@ -19,7 +12,8 @@
     if (preceding < policy.readers) {
         return true;
     }
-    const auto max_silence = policy.max_silence + takeover_step * (preceding - policy.readers);
+    const auto max_silence =
+        policy.max_silence + policy.takeover_step * (preceding - policy.readers);
     const auto reading =
         std::count_if(others.begin(), others.end(), [&](const reader_candidate& other) {
             return precedes(other) && now - other.last_read_at <= max_silence;
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -16,8 +16,9 @@
 /// Longest wait of one feed call. Each response shows that the reader still reads.
 constexpr milliseconds feed_wait{1000};
 /// Readers of the operator's table in a zone: two, so that one may fail unnoticed. Large rows take
-/// the links between regions once for each.
-constexpr reader_policy operator_readers{2, milliseconds(2000)};
+/// the links between regions once for each. A read of large rows over a crowded link takes seconds,
+/// during which few others may add theirs.
+constexpr reader_policy operator_readers{2, milliseconds(2000), milliseconds(1000)};
 /// The server list is read every 400 ms, which is reported every 500 ms.
 constexpr reader_policy server_readers{1, milliseconds(1300)};
 /// Interval between reads of the members table; in between processes learn of each other directly.
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -268,6 +268,16 @@
                                now + milliseconds(300)));
 }
 
+// Guards against copies of a large row on a link that is slow already: each process that takes over
+// reads it.
+TEST(zone_reader, step_between_takeovers_is_part_of_the_policy) {
+    const time_point now = start;
+    constexpr reader_policy policy{1, milliseconds(2000), milliseconds(1000)};
+    const std::vector<reader_candidate> silent{{"a", now}, {"b", now}};
+    EXPECT_FALSE(is_zone_reader("c", silent, policy, now + milliseconds(2900)));
+    EXPECT_TRUE(is_zone_reader("c", silent, policy, now + milliseconds(3100)));
+}
+
 // Guards against a change that waits until a failed reader is replaced.
 TEST(zone_reader, second_reader_reads_beside_the_first) {
     const time_point now = start;
