--- a/src/process/versioned_row.cpp
+++ b/src/process/versioned_row.cpp
@@ -1,6 +1,7 @@
 #include "citronseam/process/versioned_row.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <string_view>
 
@@ -86,4 +87,18 @@
     return {rows_newer_than(cache, is_whole ? 0 : after), cache.version, is_whole, after};
 }
 
+std::uint64_t newest_version(const row_batch& batch) noexcept {
+    std::uint64_t newest = 0;
+    for (const versioned_row& row : batch.rows) {
+        newest = std::max(newest, row.version);
+    }
+    return newest;
+}
+
+std::size_t value_bytes(const row_batch& batch) noexcept {
+    return std::accumulate(
+        batch.rows.begin(), batch.rows.end(), std::size_t{0},
+        [](std::size_t sum, const versioned_row& row) { return sum + row.value.size(); });
+}
+
 } // namespace citronseam
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -1,10 +1,11 @@
 #include "programs/node/cluster_node.h"
 
 #include <algorithm>
-#include <numeric>
 #include <set>
 
 #include "citronseam/process/log.h"
+#include "citronseam/process/sizes.h"
+#include "platform/sidecar_rows.h"
 
 namespace citronseam {
 namespace {
@@ -15,8 +16,9 @@
 /// Longest wait of one feed call. Each response shows that the reader still reads.
 constexpr milliseconds feed_wait{1000};
 /// Readers of the operator's table in a zone: two, so that one may fail unnoticed. Large rows take
-/// the links between regions once for each.
-constexpr reader_policy operator_readers{2, milliseconds(2000)};
+/// the links between regions once for each. A read of large rows over a crowded link takes seconds,
+/// during which few others may add theirs.
+constexpr reader_policy operator_readers{2, milliseconds(2000), milliseconds(1000)};
 /// The server list is read every 400 ms, which is reported every 500 ms.
 constexpr reader_policy server_readers{1, milliseconds(1300)};
 /// Interval between reads of the members table; in between processes learn of each other directly.
@@ -36,8 +38,22 @@
 constexpr milliseconds remote_rows_backup_grace{2500};
 /// The reader of the zone sends changes of the server list, which it reads every 400 ms.
 constexpr milliseconds server_rows_grace{1500};
+/// A sidecar that starts requests rows from a gateway, and reads the store itself only when none
+/// has arrived after this time.
+constexpr milliseconds first_rows_grace{2000};
 /// Longer than a large reply takes on a slow link.
 constexpr milliseconds rows_reply_timeout{5000};
+/// The same while no part of a reply has arrived.
+constexpr milliseconds silent_reply_timeout{2000};
+/// Two, so that a slow receiver does not hold up all others. More would end later, all together.
+constexpr transfer_limits answer_limits{16 * kibibyte, 2, milliseconds(2000)};
+/// A busy process is asked again after this time, a part of what a large answer takes.
+constexpr milliseconds busy_retry_delay{100};
+
+/// @return the version of a table that a process announced
+std::uint64_t announced_version(const connected_member& process, const std::string& table) {
+    return table == platform::servers_table ? process.servers_version : process.operator_version;
+}
 
 member make_self(const settings& options) {
     member self;
@@ -79,10 +95,18 @@
     update_targets();
     register_self();
     operator_rows_.set_needed_check([this] {
-        return self_.role == process_role::gateway ? is_operator_reader()
-                                                   : mesh_->members().empty();
+        const bool is_needed =
+            self_.role == process_role::gateway ? is_operator_reader() : mesh_->members().empty();
+        if (is_needed != is_reading_operator_rows_) {
+            log_event(log_level::info,
+                      is_needed ? "operator_reader_started" : "operator_reader_stopped",
+                      {{"zone", self_.zone}});
+        }
+        is_reading_operator_rows_ = is_needed;
+        return is_needed;
     });
-    operator_rows_.start([this](const table_change& change) { apply_operator_rows(change); });
+    operator_rows_.start([this](const table_change& change) { apply_operator_rows(change); },
+                         self_.role == process_role::gateway ? milliseconds(0) : first_rows_grace);
     member_rows_.start([this](const table_change& change) { apply_member_rows(change); });
 }
 
@@ -106,31 +130,45 @@
         handle_offer(from, std::string(platform::servers_table), from.servers_version);
         observer_.on_heartbeat(from, heartbeat);
     };
-    observer.on_rows_request = [this](const std::string& table, std::uint64_t after) {
-        const auto found = shared_tables_.find(table);
-        return changes_since(found == shared_tables_.end() ? row_cache{} : found->second->rows(),
-                             after);
+    observer.on_rows_request = [this](const connected_member& from, const std::string& table,
+                                      std::uint64_t after) {
+        return make_answer(from, table, after);
     };
     observer.on_neighbours_reply = observer_.on_neighbours_reply;
     observer.on_crash_report = observer_.on_crash_report;
     observer.on_limit_report = observer_.on_limit_report;
     observer.make_greeting = observer_.make_greeting;
     observer.on_rows = [this](const connected_member& from, const std::string& table,
-                              const row_batch& rows) { apply_member_batch(from, table, rows); };
+                              const rows_answer& answer) {
+        apply_member_rows(from, table, answer);
+    };
     return observer;
 }
 
-void cluster_node::apply_member_batch(const connected_member& from, const std::string& table,
-                                      const row_batch& batch) {
+void cluster_node::apply_member_rows(const connected_member& from, const std::string& table,
+                                     const rows_answer& answer) {
+    const row_batch& batch = answer.rows;
     const auto found = shared_tables_.find(table);
     if (found == shared_tables_.end()) {
         return;
     }
-    const std::size_t bytes =
-        std::accumulate(batch.rows.begin(), batch.rows.end(), std::size_t{0},
-                        [](std::size_t sum, const auto& row) { return sum + row.value.size(); });
-    if (rows_requests_[table].session == from.session->number()) {
-        rows_requests_[table] = {};
+    if (answer.is_reduced && self_.role != process_role::sidecar) {
+        log_event(log_level::error, "rows_refused",
+                  {{"table", table},
+                   {"member", from.process.instance},
+                   {"reason", "they hold only what a sidecar reads"}});
+        return;
+    }
+    if (answer.is_busy) {
+        handle_busy(from, table);
+        return;
+    }
+    const std::size_t bytes = value_bytes(batch);
+    pending_request& request = rows_requests_[table];
+    std::uint32_t waited_ms = 0;
+    if (request.session == from.session->number()) {
+        waited_ms = elapsed_ms(request.sent_at, std::chrono::steady_clock::now());
+        request = {};
     }
     const std::size_t changed = found->second->apply_from_member(batch);
     // Bytes of rows that were known already took bandwidth from live requests for nothing.
@@ -143,7 +181,78 @@
                {"rows", batch.rows.size()},
                {"changed", changed},
                {"bytes", bytes},
-               {"version", counter_of(batch.version)}});
+               {"version", counter_of(batch.version)},
+               {"waited_ms", waited_ms}});
+}
+
+/// @return the rows of a table that are newer than a version, for a process that requested them
+rows_answer cluster_node::make_answer(const connected_member& from, const std::string& table,
+                                      std::uint64_t after) {
+    rows_answer answer;
+    const auto found = shared_tables_.find(table);
+    // The rows of a sidecar may be reduced.
+    if (found == shared_tables_.end() || self_.role == process_role::sidecar) {
+        return answer;
+    }
+    row_batch& batch = answer.rows;
+    batch = changes_since(found->second->rows(), after);
+    if (from.process.role == process_role::sidecar && table == platform::operator_table) {
+        answer.is_reduced = true;
+        reduce_for_sidecars(batch);
+    }
+    const std::size_t bytes = value_bytes(batch);
+    const std::size_t under_way = transfers_under_way();
+    if (!may_send_rows(bytes, under_way, answer_limits)) {
+        answer.rows = {};
+        answer.is_busy = true;
+        return answer;
+    }
+    if (bytes > answer_limits.large_bytes) {
+        transfers_.push_back({from.session->number(),
+                              table,
+                              {newest_version(batch), announced_version(from, table), true,
+                               std::chrono::steady_clock::now()}});
+    }
+    log_event(log_level::info, "rows_sent",
+              {{"table", table},
+               {"member", from.process.instance},
+               {"rows", batch.rows.size()},
+               {"bytes", bytes},
+               {"version", counter_of(batch.version)},
+               {"under_way", under_way}});
+    return answer;
+}
+
+/// @return number of large answers that still take the link
+std::size_t cluster_node::transfers_under_way() {
+    const auto now = std::chrono::steady_clock::now();
+    std::map<std::uint64_t, const connected_member*> members;
+    for (const connected_member* connected : mesh_->members()) {
+        members[connected->session->number()] = connected;
+    }
+    const auto is_over = [&](sent_rows& sent) {
+        const auto receiver = members.find(sent.session);
+        if (receiver == members.end()) {
+            return true;
+        }
+        sent.transfer.known_version = announced_version(*receiver->second, sent.table);
+        sent.transfer.is_queued = receiver->second->session->queued_bytes() > 0;
+        return !is_under_way(sent.transfer, answer_limits, now);
+    };
+    transfers_.erase(std::remove_if(transfers_.begin(), transfers_.end(), is_over),
+                     transfers_.end());
+    return transfers_.size();
+}
+
+/// Replaces each row by what sidecars read of it, which is computed once for each version.
+void cluster_node::reduce_for_sidecars(row_batch& batch) {
+    for (versioned_row& row : batch.rows) {
+        versioned_row& reduced = reduced_rows_[row.key];
+        if (reduced.version != row.version) {
+            reduced = platform::reduce_for_sidecars(row);
+        }
+        row = reduced;
+    }
 }
 
 void cluster_node::apply_operator_rows(const table_change& change) {
@@ -181,7 +290,11 @@
         return;
     }
     control_.post_after(rows_grace(from, table), [this, instance, table, version] {
-        request_rows(instance, table, version);
+        if (self_.role == process_role::gateway) {
+            request_rows_from_any(table);
+        } else {
+            request_rows(instance, table, version);
+        }
     });
 }
 
@@ -201,14 +314,72 @@
     return is_gateway && is_operator_reader() ? remote_rows_grace : remote_rows_backup_grace;
 }
 
+/// @return whether rows up to a version are missing and no request for the table is outstanding
+bool cluster_node::may_request_rows(const std::string& table, std::uint64_t version) {
+    table_follower& follower = *shared_tables_.at(table);
+    if (version <= follower.rows().version || follower.settling_time(version).count() > 0) {
+        return false;
+    }
+    const pending_request& request = rows_requests_[table];
+    milliseconds timeout = silent_reply_timeout;
+    for (const connected_member* connected : mesh_->members()) {
+        const peer_session& session = *connected->session;
+        if (session.number() == request.session && session.is_receiving_frame()) {
+            timeout = rows_reply_timeout;
+        }
+    }
+    return !is_outstanding(request, timeout, std::chrono::steady_clock::now());
+}
+
+/// Requests the rows that this process lacks from one of the gateways that announced them.
+void cluster_node::request_rows_from_any(const std::string& table) {
+    std::vector<row_source> sources;
+    std::map<std::string_view, std::uint64_t> versions;
+    for (const connected_member* connected : mesh_->members()) {
+        const std::uint64_t version = announced_version(*connected, table);
+        if (connected->process.role != process_role::gateway || !may_request_rows(table, version)) {
+            continue;
+        }
+        const auto busy_at = busy_at_.find(connected->session->number());
+        sources.push_back({connected->process.instance, connected->process.zone == self_.zone,
+                           busy_at == busy_at_.end() ? time_point{} : busy_at->second});
+        versions[connected->process.instance] = version;
+    }
+    if (sources.empty()) {
+        return;
+    }
+    const row_source* source =
+        choose_row_source(sources, busy_retry_delay, std::chrono::steady_clock::now(), random_);
+    if (source != nullptr) {
+        request_rows(std::string(source->instance), table, versions.at(source->instance));
+        return;
+    }
+    if (!tables_to_retry_.insert(table).second) {
+        return;
+    }
+    control_.post_after(busy_retry_delay, [this, table] {
+        tables_to_retry_.erase(table);
+        request_rows_from_any(table);
+    });
+}
+
+void cluster_node::handle_busy(const connected_member& from, const std::string& table) {
+    metrics_.count("citronseam_member_rows_busy_total", {{"table", table}});
+    busy_at_[from.session->number()] = std::chrono::steady_clock::now();
+    pending_request& request = rows_requests_[table];
+    if (request.session == from.session->number()) {
+        request = {};
+        request_rows_from_any(table);
+    }
+}
+
 void cluster_node::request_rows(const std::string& instance, const std::string& table,
                                 std::uint64_t version) {
-    const auto now = std::chrono::steady_clock::now();
-    const std::uint64_t known_version = shared_tables_.at(table)->rows().version;
-    if (version <= known_version || shared_tables_.at(table)->settling_time(version).count() > 0 ||
-        is_outstanding(rows_requests_[table], rows_reply_timeout, now)) {
+    if (!may_request_rows(table, version)) {
         return;
     }
+    const auto now = std::chrono::steady_clock::now();
+    const std::uint64_t known_version = shared_tables_.at(table)->rows().version;
     for (const connected_member* connected : mesh_->members()) {
         if (connected->process.instance == instance) {
             log_event(log_level::info, "rows_requested",
@@ -233,6 +404,9 @@
             request = {};
         }
     }
+    for (auto busy = busy_at_.begin(); busy != busy_at_.end();) {
+        busy = sessions.count(busy->first) == 0 ? busy_at_.erase(busy) : std::next(busy);
+    }
 }
 
 /// Spreads the sidecars of a zone over its gateways.
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -24,8 +24,11 @@
     return process;
 }
 
-shared_frame make_rows_frame(const std::string& table, const row_batch& batch) {
+shared_frame make_rows_frame(const std::string& table, const rows_answer& answer) {
+    const row_batch& batch = answer.rows;
     wire::rows_replyT reply;
+    reply.is_reduced = answer.is_reduced;
+    reply.is_busy = answer.is_busy;
     reply.table = table;
     reply.version = batch.version;
     reply.is_whole = batch.is_whole;
@@ -243,7 +246,7 @@
             observer_.on_members_changed();
         }
     } else if (const auto* request = message.body_as_rows_request()) {
-        send_rows_reply(session, *request);
+        send_rows_reply(found->second, *request);
     } else if (const auto* reply = message.body_as_rows_reply()) {
         handle_rows_reply(found->second, *reply);
     } else if (const auto* wanted = message.body_as_neighbours_request()) {
@@ -291,22 +294,24 @@
     observer_.on_members_changed();
 }
 
-void member_mesh::send_rows_reply(const session_pointer& session,
-                                  const wire::rows_request& request) {
+void member_mesh::send_rows_reply(const connected_member& to, const wire::rows_request& request) {
     if (!observer_.on_rows_request) {
         return;
     }
     const std::string table(view(request.table()));
-    session->send(make_rows_frame(table, observer_.on_rows_request(table, request.after())));
+    to.session->send(make_rows_frame(table, observer_.on_rows_request(to, table, request.after())));
 }
 
 void member_mesh::send_rows(const connected_member& to, const std::string& table,
                             const row_batch& rows) {
-    to.session->send(make_rows_frame(table, rows));
+    to.session->send(make_rows_frame(table, {rows}));
 }
 
 void member_mesh::handle_rows_reply(const connected_member& from, const wire::rows_reply& reply) {
-    row_batch batch;
+    rows_answer answer;
+    answer.is_reduced = reply.is_reduced();
+    answer.is_busy = reply.is_busy();
+    row_batch& batch = answer.rows;
     batch.version = reply.version();
     batch.is_whole = reply.is_whole();
     batch.after = reply.after();
@@ -317,7 +322,7 @@
         }
     }
     if (observer_.on_rows) {
-        observer_.on_rows(from, std::string(view(reply.table())), batch);
+        observer_.on_rows(from, std::string(view(reply.table())), answer);
     }
 }
 
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -35,6 +35,13 @@
     std::size_t gateway_count{0};      ///< gateways that it knows of; of gateways only
 };
 
+/// Answer to a request for rows.
+struct rows_answer {
+    row_batch rows;
+    bool is_reduced{false}; ///< values hold only what a sidecar reads
+    bool is_busy{false};    ///< no rows now; another process may send them
+};
+
 /// Callbacks of a mesh. All run on the control thread.
 struct mesh_observer {
     /// A process connected, was lost, or changed its readiness.
@@ -43,12 +50,14 @@
     std::function<void(const connected_member& from, const wire::member_beat& heartbeat)>
         on_heartbeat;
     /// A process requested the rows of a table after a version.
-    std::function<row_batch(const std::string& table, std::uint64_t after)> on_rows_request;
+    std::function<rows_answer(const connected_member& from, const std::string& table,
+                              std::uint64_t after)>
+        on_rows_request;
     /// A gateway listed the sidecars of a service.
     std::function<void(const wire::neighbours_reply&)> on_neighbours_reply;
     /// A process sent rows.
     std::function<void(const connected_member& from, const std::string& table,
-                       const row_batch& rows)>
+                       const rows_answer& answer)>
         on_rows;
     /// A gateway reported a loss of a backend server; may be empty.
     std::function<void(const wire::crash_report&)> on_crash_report;
@@ -103,7 +112,7 @@
     void handle_hello(const session_pointer& session, const wire::hello& hello);
     void handle_message(const session_pointer& session, const wire::envelope& message);
     void handle_closed(const session_pointer& session, close_reason reason);
-    void send_rows_reply(const session_pointer& session, const wire::rows_request& request);
+    void send_rows_reply(const connected_member& to, const wire::rows_request& request);
     void send_neighbours_reply(const session_pointer& session,
                                const wire::neighbours_request& request);
     void handle_rows_reply(const connected_member& from, const wire::rows_reply& reply);
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -25,8 +25,12 @@
     : control_(control), store_(store), table_(std::move(table)), mode_(mode), interval_(interval) {
 }
 
-void table_follower::start(change_handler handle) {
+void table_follower::start(change_handler handle, milliseconds grace) {
     handle_ = std::move(handle);
+    if (grace.count() > 0) {
+        schedule(grace, &table_follower::read_again);
+        return;
+    }
     read_full_table();
 }
 
@@ -68,9 +72,27 @@
     return changed_count;
 }
 
-void table_follower::record_read() {
+void table_follower::record_read(const char* call, const row_batch& batch) {
     last_read_at_ = std::chrono::steady_clock::now();
     ++read_count_;
+    if (mode_ == follow_mode::feed && !batch.rows.empty()) {
+        log_event(log_level::info, "rows_read",
+                  {{"table", table_},
+                   {"call", call},
+                   {"rows", batch.rows.size()},
+                   {"bytes", value_bytes(batch)},
+                   {"version", counter_of(batch.version)},
+                   {"took_ms", elapsed_ms(call_started_at_, last_read_at_)}});
+    }
+}
+
+void table_follower::record_failure(const char* call) {
+    if (mode_ == follow_mode::feed) {
+        log_event(log_level::warning, "rows_unread",
+                  {{"table", table_},
+                   {"call", call},
+                   {"took_ms", elapsed_ms(call_started_at_, std::chrono::steady_clock::now())}});
+    }
 }
 
 void table_follower::schedule(milliseconds delay, void (table_follower::*step)()) {
@@ -79,7 +101,7 @@
 
 /// Reads the table once the interval has passed.
 void table_follower::poll() {
-    if (std::chrono::steady_clock::now() - read_started_at_ >= interval_) {
+    if (std::chrono::steady_clock::now() - call_started_at_ >= interval_) {
         read_full_table();
     } else {
         schedule(poll_tick, &table_follower::poll);
@@ -87,7 +109,7 @@
 }
 
 void table_follower::read_full_table() {
-    read_started_at_ = std::chrono::steady_clock::now();
+    call_started_at_ = std::chrono::steady_clock::now();
     store_.read_table(table_, [this](platform::store_outcome outcome, const row_batch& batch) {
         handle_full_table(outcome, batch);
     });
@@ -95,10 +117,11 @@
 
 void table_follower::handle_full_table(platform::store_outcome outcome, const row_batch& batch) {
     if (outcome != platform::store_outcome::done) {
+        record_failure("read");
         schedule(retry_delay, &table_follower::read_again);
         return;
     }
-    record_read();
+    record_read("read", batch);
     const milliseconds settling = settling_time(batch.version);
     if (settling.count() > 0) {
         schedule(settling, &table_follower::read_again);
@@ -113,7 +136,7 @@
     }
 }
 
-/// Reads the table after a failure, unless another process sends the rows.
+/// Reads the table after a failure or a grace period, unless another process sends the rows.
 void table_follower::read_again() {
     if (cache_.is_complete && is_needed_ && !is_needed_()) {
         wait_for_changes();
@@ -129,6 +152,7 @@
         schedule(needed_check_interval, &table_follower::wait_for_changes);
         return;
     }
+    call_started_at_ = std::chrono::steady_clock::now();
     store_.await_changes(table_, feed_version_, interval_,
                          [this](platform::store_outcome outcome, const row_batch& batch) {
                              handle_feed(outcome, batch);
@@ -143,11 +167,12 @@
         return;
     }
     if (outcome != platform::store_outcome::done) {
-        // Changes since then may have left the store's history, so the whole table is read again.
-        schedule(retry_delay, &table_follower::read_again);
+        record_failure("feed");
+        // The store says so if changes since then have left its history.
+        schedule(retry_delay, &table_follower::wait_for_changes);
         return;
     }
-    record_read();
+    record_read("feed", batch);
     if (era_of(batch.version) > era_of(feed_version_)) {
         // Versions were given out again, so the feed may leave rows out.
         read_full_table();
