Show attempts in regions that the configuration has forbidden meanwhile

A request of a route or workspace without regions waits at an engine. Meanwhile a configuration arrives that restricts it to the engine's region. The stand-in can now place its second zone in a region of its own and change the configuration.

--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -187,18 +187,30 @@
             .dump());
 }
 
+std::uint64_t platform_world::edit_configuration(const std::function<void(json&)>& edit) {
+    json configuration = json::parse(store.value("op", "config"));
+    configuration["version"] = configuration["version"].get<std::uint64_t>() + 1;
+    edit(configuration);
+    return store.put("op", "config", configuration.dump());
+}
+
 void platform_world::set_weights_version(std::uint64_t version) {
     store.put("op", std::string("version/") + standin_model,
               json{{"model", standin_model}, {"version", version}}.dump());
 }
 
+std::string platform_world::region_settings(std::size_t index) const {
+    const bool is_second_zone = index % zone_count == 1;
+    return "\navailability_zone: " + std::string(zone_names[index % zone_count]) +
+           "\nregion: " + (is_second_zone ? second_region_ : "region-a") +
+           "\nzones:\n  - name: zone-a\n    region: region-a\n  - name: zone-b\n    region: " +
+           second_region_;
+}
+
 std::string platform_world::gateway_settings(std::size_t index) const {
     const ports& own_ports = ports_[index];
-    const std::string zone = zone_names[index % zone_count];
-    return "role: gateway\ninstance: gateway-" + std::to_string(index) +
-           "\navailability_zone: " + zone + "\nregion: region-a\nstore: " + store.address() +
-           "\nzones:\n  - name: zone-a\n    region: region-a\n  - name: zone-b\n    region: "
-           "region-a"
+    return "role: gateway\ninstance: gateway-" + std::to_string(index) + region_settings(index) +
+           "\nstore: " + store.address() +
            "\nbounds:\n  weights_due: 5s\n  grace_period: 4s\nlisten:\n  http: " +
            loopback_address(own_ports.http) +
            "\n  readiness: " + loopback_address(own_ports.readiness) +
@@ -208,9 +220,8 @@
 }
 
 std::string platform_world::sidecar_settings(std::size_t index) const {
-    const std::string zone = zone_names[index % zone_count];
-    return "role: sidecar\ninstance: sidecar-" + std::to_string(index) +
-           "\navailability_zone: " + zone + "\nregion: region-a\nstore: " + sidecar_stores_[index] +
+    return "role: sidecar\ninstance: sidecar-" + std::to_string(index) + region_settings(index) +
+           "\nstore: " + sidecar_stores_[index] +
            "\nbounds:\n  weights_due: 5s\nbackend_server:\n  service: drafts\n  address: " +
            engines[index]->address() +
            "\nlisten:\n  peer: " + loopback_address(sidecar_ports_[index]) +
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -5,6 +5,7 @@
 #define CITRONSEAM_TESTS_SUPPORT_PLATFORM_WORLD_H
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,6 +30,8 @@
 
     /// Sets the address of the store that a sidecar uses from its start.
     void set_sidecar_store(std::size_t sidecar, std::string address);
+    /// Places the second zone in a region of its own, region-b. Call it before start().
+    void separate_regions() { second_region_ = "region-b"; }
     /// Starts the gateways and sidecars and waits until all gateways are ready.
     /// @return false on timeout
     bool start();
@@ -39,6 +42,9 @@
     /// @return version of the row
     std::uint64_t put_configuration(std::uint64_t version, bool has_second_route = false,
                                     std::size_t tenant_count = 1);
+    /// Changes the configuration in the store and raises its version by one.
+    /// @return version of the row
+    std::uint64_t edit_configuration(const std::function<void(nlohmann::json&)>& edit);
     /// Writes the weights version that the engines must load to the store.
     void set_weights_version(std::uint64_t version);
     /// Writes a backend server's row to the store.
@@ -68,6 +74,7 @@
     struct ports {
         std::uint16_t http, readiness, directory, peer, metrics;
     };
+    std::string region_settings(std::size_t index) const;
     std::string gateway_settings(std::size_t index) const;
     std::string sidecar_settings(std::size_t index) const;
     std::unique_ptr<child_process> make_gateway(std::size_t index);
@@ -75,6 +82,7 @@
     http_response execute(http_request request);
 
     std::string directory_;
+    std::string second_region_{"region-a"};
     http_client client_;
     std::vector<ports> ports_;
     std::vector<std::uint16_t> sidecar_ports_;
