Let the newest configuration decide where a further attempt goes

Callers' requests were sent a second time to an engine in a region that the configuration had forbidden meanwhile, or on a route or for a key that was gone.

The exchange looks its route and workspace up once, on arrival, and every later attempt used them. The pool now looks them up again in the configuration in force when it is not the one of the arrival. No further attempt is made without a route, the service or the key; an attempt that is under way goes on. The service of a request does not change.

--- a/include/citronseam/request/route_table.h
+++ b/include/citronseam/request/route_table.h
@@ -36,6 +36,21 @@
 /// Chooses one of the services of a route at random, by weight.
 const std::string& choose_service(const route& rule, random_source& random);
 
+/// The rules of one configuration for a request.
+struct request_rules {
+    const route* rule{nullptr};                 ///< nullptr: the request is not allowed
+    const workspace_config* workspace{nullptr}; ///< nullptr: none
+};
+
+/// Finds the rules for a further attempt of a request that arrived under an older configuration.
+/// @param service of the earlier attempts
+/// @param has_workspace whether the request belonged to a workspace when it arrived
+/// @return no rule if the configuration has no route for the request, the route has lost the
+/// service, or the key is not known any more
+request_rules find_rules_for_retry(const route_table& newest, const std::string& host,
+                                   std::string_view path, const std::string& key,
+                                   std::string_view service, bool has_workspace);
+
 /// @return whether a request may be served in a region
 /// @param workspace may be nullptr
 bool is_region_allowed(const route& rule, const workspace_config* workspace,
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -122,6 +122,10 @@
     server_query query;
     query.rule = rule_;
     query.workspace = workspace_;
+    query.routes = view_->routes.get();
+    query.host = caller_.host;
+    query.path = request_.path;
+    query.key = caller_.key;
     query.service = service_;
     query.tried_servers = tried_servers_;
     query.prompt_tokens = caller_.prompt_tokens;
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -144,7 +144,16 @@
     return retry_after(min_delay + milliseconds(static_cast<std::int64_t>(extra_ms)), random_);
 }
 
+request_rules server_pool::rules_in_force(const server_query& query) const {
+    if (query.routes == view_->routes.get()) {
+        return {query.rule, query.workspace};
+    }
+    return find_rules_for_retry(*view_->routes, query.host, query.path, query.key, query.service,
+                                query.workspace != nullptr);
+}
+
 choice_constraints server_pool::make_constraints(const server_query& query,
+                                                 const request_rules& rules,
                                                  const service_config& service,
                                                  time_point now) const {
     const engine_profile& engine = service.engine;
@@ -182,9 +191,9 @@
         constraints.excluded.emplace_back(id);
     }
     constraints.region_of = [this](std::string_view zone) { return region_of(zone); };
-    constraints.is_zone_allowed = [this, &query](std::string_view zone) {
+    constraints.is_zone_allowed = [this, rules](std::string_view zone) {
         return view_->evacuated_zones.count(zone) == 0 &&
-               is_region_allowed(*query.rule, query.workspace, region_of(zone));
+               is_region_allowed(*rules.rule, rules.workspace, region_of(zone));
     };
     return constraints;
 }
@@ -195,10 +204,11 @@
     const auto pool = services_.find(query.service);
     const auto& services = view_->routes->rules->services;
     const auto service = services.find(query.service);
-    if (pool == services_.end() || service == services.end()) {
+    const request_rules rules = rules_in_force(query);
+    if (pool == services_.end() || service == services.end() || rules.rule == nullptr) {
         return selection;
     }
-    const choice_constraints constraints = make_constraints(query, service->second, now);
+    const choice_constraints constraints = make_constraints(query, rules, service->second, now);
     std::vector<server_state*> candidates;
     for (const auto& server : pool->second.servers) {
         candidates.push_back(server.get());
--- a/src/programs/gateway/server_pool.h
+++ b/src/programs/gateway/server_pool.h
@@ -21,8 +21,14 @@
 
 /// What a request requires of its server.
 struct server_query {
-    const route* rule{nullptr};
-    const workspace_config* workspace{nullptr};
+    const route* rule{nullptr};                 ///< of the configuration in `routes`
+    const workspace_config* workspace{nullptr}; ///< of the same; nullptr: none
+    /// The configuration under which the request arrived. If a newer one is in force, the host, the
+    /// path and the key find the rules that apply by now.
+    const route_table* routes{nullptr};
+    std::string host;
+    std::string path;
+    std::string key;
     std::string service;
     std::vector<std::string> tried_servers; ///< identifiers of servers that the request was sent to
     std::uint64_t prompt_tokens{0};
@@ -106,8 +112,9 @@
 
     void add_servers(const traffic_view& view, bool is_gateway_change);
     std::string_view region_of(std::string_view zone) const;
-    choice_constraints make_constraints(const server_query& query, const service_config& service,
-                                        time_point now) const;
+    request_rules rules_in_force(const server_query& query) const;
+    choice_constraints make_constraints(const server_query& query, const request_rules& rules,
+                                        const service_config& service, time_point now) const;
     std::uint32_t max_waiting_requests(const service_config& service, const route& rule,
                                        int rank) const;
 
--- a/src/request/route_table.cpp
+++ b/src/request/route_table.cpp
@@ -63,6 +63,24 @@
     return rule.services.front().service;
 }
 
+request_rules find_rules_for_retry(const route_table& newest, const std::string& host,
+                                   std::string_view path, const std::string& key,
+                                   std::string_view service, bool has_workspace) {
+    const route* rule = find_route(newest, host, path);
+    if (rule == nullptr) {
+        return {};
+    }
+    const workspace_config* workspace = find_workspace(newest, key);
+    const bool is_key_required = rule->requires_workspace_key && !newest.rules->workspaces.empty();
+    const bool has_service =
+        std::any_of(rule->services.begin(), rule->services.end(),
+                    [&](const weighted_service& share) { return share.service == service; });
+    if (!has_service || (workspace == nullptr && (is_key_required || has_workspace))) {
+        return {};
+    }
+    return {rule, workspace};
+}
+
 bool is_region_allowed(const route& rule, const workspace_config* workspace,
                        std::string_view region) noexcept {
     return allows(rule.allowed_regions, region) &&
--- a/tests/process_allowed_regions_test.cpp
+++ b/tests/process_allowed_regions_test.cpp
@@ -97,6 +97,17 @@
     EXPECT_TRUE(world.engines[1]->runs_per_attempt().empty()) << world.gateway(0).output();
 }
 
+// Guards against a further attempt on a route that a newer configuration has dropped.
+TEST_F(allowed_regions, later_attempt_is_not_made_on_a_removed_route) {
+    auto response = start_waiting_stream();
+    world.edit_configuration([](json& configuration) { configuration.at("routes").erase(0); });
+    ASSERT_NE(
+        world.gateway(0).wait_for_line("event=configuration_in_force version=2", propagation_time),
+        "");
+    EXPECT_NE(response.get().outcome.status, 200);
+    EXPECT_TRUE(world.engines[1]->runs_per_attempt().empty()) << world.gateway(0).output();
+}
+
 // Guards against an attempt that follows a rule which a newer one with a longer prefix replaced.
 TEST_F(allowed_regions, later_attempt_follows_a_newer_route_with_a_longer_prefix) {
     auto response = start_waiting_stream();
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -71,6 +71,38 @@
     EXPECT_FALSE(is_region_allowed(rule, nullptr, "west"));
 }
 
+// Guards against a second attempt that follows the regions of an older configuration.
+TEST(route_table, further_attempt_follows_the_newest_rules) {
+    route restricted = make_route("new", "a.example", "/x/y/");
+    restricted.allowed_regions = {"north"};
+    const auto newest = make_table({make_route("old", "a.example", "/x/"), restricted},
+                                   {{"w", {"key"}, 0, {"south"}}});
+    const request_rules found =
+        find_rules_for_retry(*newest, "a.example", "/x/y/1", "key", "service", true);
+    ASSERT_NE(found.rule, nullptr);
+    EXPECT_EQ(found.rule->name, "new");
+    EXPECT_EQ(found.workspace->allowed_regions, std::vector<std::string>{"south"});
+}
+
+// Guards against a second attempt that only an older configuration allows.
+TEST(route_table, further_attempt_is_not_made_without_its_route_service_or_key) {
+    route open = make_route("open", "a.example", "/open/");
+    open.requires_workspace_key = false;
+    const auto newest =
+        make_table({make_route("x", "a.example", "/x/"), open}, {{"w", {"key"}, 0, {}}});
+    const auto rule_for = [&](const std::string& path, const std::string& key,
+                              const std::string& service, bool has_workspace) {
+        return find_rules_for_retry(*newest, "a.example", path, key, service, has_workspace).rule;
+    };
+    EXPECT_NE(rule_for("/x/1", "key", "service", true), nullptr);
+    EXPECT_EQ(rule_for("/removed/1", "key", "service", true), nullptr);
+    EXPECT_EQ(rule_for("/x/1", "key", "other", true), nullptr);
+    EXPECT_EQ(rule_for("/x/1", "removed", "service", true), nullptr);
+    EXPECT_EQ(rule_for("/x/1", "", "service", false), nullptr);
+    EXPECT_NE(rule_for("/open/1", "", "service", false), nullptr);
+    EXPECT_EQ(rule_for("/open/1", "removed", "service", true), nullptr);
+}
+
 TEST(route_table, only_idempotent_requests_and_resumable_streams_are_retryable) {
     route rule = make_route("r", "a", "/");
     EXPECT_FALSE(is_retryable(rule));
