--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -283,6 +283,10 @@
     return execute(std::move(request));
 }
 
+std::string platform_world::peer_address(std::size_t gateway) const {
+    return loopback_address(ports_.at(gateway).peer);
+}
+
 http_response platform_world::resolve(std::size_t gateway, const std::string& zone) {
     http_request request;
     request.url = "http://" + loopback_address(ports_[gateway].directory) +
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -59,6 +59,10 @@
     /// @return HTTP status of a gateway's readiness check
     int readiness(std::size_t gateway);
     std::size_t gateway_count() const { return ports_.size(); }
+    /// @return address on which a gateway listens for other processes
+    std::string peer_address(std::size_t gateway) const;
+    /// @return port on which a gateway accepts client requests
+    std::uint16_t http_port(std::size_t gateway) const { return ports_.at(gateway).http; }
     child_process& gateway(std::size_t index) { return *gateways_.at(index); }
     child_process& sidecar(std::size_t index) { return *sidecars_.at(index); }
 
