Decide nothing by a configuration that is known to be replaced for long

Callers' requests ran in regions that a newer configuration forbids, or were refused with 404 for routes that it adds, at gateways that had heard of the newer one and could not get it yet.

A gateway now knows since when another gateway announces rows of the operator's table that its own copy lacks. From then on it answers 503, not run, instead of 404 and 401. After 1 s it refuses requests whose route or workspace is restricted to regions, and 0.5 s before bounds.configuration_due all requests; it is then not ready, and the directory does not name it. Requests under way go on. Rows that are held back after a restore of the store, announcements of lost gateways and an outage of the store without a newer version do not count.

--- a/include/citronseam/process/settings.h
+++ b/include/citronseam/process/settings.h
@@ -55,6 +55,9 @@
     double cold_rate_factor{
         1}; ///< multiplies the rate of requests that a cold backend server sustains
     double cold_rate_slack{0}; ///< requests a second allowed on top of that rate
+    /// Time after the acknowledgement of a configuration from which no request is handled as only
+    /// an older one allows.
+    milliseconds configuration_due{2000};
     /// Time after the announcement of new weights from which no request starts on older ones.
     milliseconds weights_switch_deadline{8000};
     milliseconds settling_time{
--- a/include/citronseam/request/route_table.h
+++ b/include/citronseam/request/route_table.h
@@ -36,6 +36,11 @@
 /// Chooses one of the services of a route at random, by weight.
 const std::string& choose_service(const route& rule, random_source& random);
 
+/// @return whether a request lacks the key of a workspace that its route requires
+/// @param workspace of the request, may be nullptr
+bool is_key_missing(const route_table& table, const route& rule,
+                    const workspace_config* workspace) noexcept;
+
 /// The rules of one configuration for a request.
 struct request_rules {
     const route* rule{nullptr};                 ///< nullptr: the request is not allowed
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -74,6 +74,7 @@
     node.retry_window = reader.duration_or("retry_window", node.retry_window);
     node.cold_rate_factor = reader.decimal_or("cold_factor", node.cold_rate_factor);
     node.cold_rate_slack = reader.decimal_or("cold_slack", node.cold_rate_slack);
+    node.configuration_due = reader.duration_or("configuration_due", node.configuration_due);
     node.weights_switch_deadline = reader.duration_or("weights_due", node.weights_switch_deadline);
     node.settling_time = reader.duration_or("contact", node.settling_time);
     node.grace_period = reader.duration_or("grace_period", node.grace_period);
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -69,6 +69,7 @@
             run_periodically(control_, reader_check_interval, [this] {
                 update_heartbeat();
                 update_servers_interval();
+                update_readiness();
             });
         });
         sweep_exchanges();
@@ -209,6 +210,10 @@
             update_heartbeat();
             publish();
         };
+        observer.on_outdated_changed = [this] {
+            view_builder_.set_outdated_since(cluster_.outdated_since());
+            publish();
+        };
         observer.on_members_changed = [this] {
             if (view_builder_.set_gateways(cluster_.gateways())) {
                 update_heartbeat();
@@ -261,7 +266,16 @@
             caller_server_->set_limits(view->routes->rules->limits);
         }
         traffic_.post([this, view] { pool_.set_view(view); });
-        const bool is_ready = view_builder_.is_complete() && !is_draining_;
+        update_readiness();
+    }
+
+    /// An outdated configuration becomes unusable with time. Control thread.
+    void update_readiness() {
+        const auto trust =
+            view_builder_.trust(options_.node.configuration_due, std::chrono::steady_clock::now());
+        log_trust(trust);
+        const bool is_ready =
+            view_builder_.is_complete() && !is_draining_ && trust != configuration_trust::expired;
         if (is_ready != is_ready_) {
             is_ready_ = is_ready;
             log_event(log_level::info, is_ready ? "ready" : "not_ready",
@@ -270,6 +284,24 @@
         }
     }
 
+    /// Logs when requests begin or end to be refused for an outdated configuration.
+    void log_trust(configuration_trust trust) {
+        const bool is_doubtful =
+            trust == configuration_trust::doubtful || trust == configuration_trust::expired;
+        if (is_doubtful == is_configuration_doubtful_) {
+            return;
+        }
+        is_configuration_doubtful_ = is_doubtful;
+        const auto since = cluster_.outdated_since();
+        const auto now = std::chrono::steady_clock::now();
+        log_event(is_doubtful ? log_level::warning : log_level::info,
+                  is_doubtful ? "configuration_outdated" : "configuration_current",
+                  {{"configuration", view_builder_.configuration_version()},
+                   {"rows", counter_of(cluster_.operator_version())},
+                   {"announced", counter_of(cluster_.announced_operator_version())},
+                   {"known_ms", since ? elapsed_ms(*since, now) : 0}});
+    }
+
     wire::member_beatT update_heartbeat() {
         wire::member_beatT heartbeat;
         heartbeat.is_ready = is_ready_;
@@ -323,6 +355,7 @@
     bool is_zone_reader_{true}; ///< control thread only
     std::atomic<bool> is_ready_{false};
     bool is_draining_{false};                              ///< control thread only
+    bool is_configuration_doubtful_{false};                ///< control thread only
     std::list<std::weak_ptr<gateway_exchange>> exchanges_; ///< traffic thread only
     http_client traffic_; ///< destroyed before what its exchanges refer to
     std::unique_ptr<http_server> caller_server_;
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -83,14 +83,19 @@
         responder_->close_after_response();
     }
     rule_ = find_route(*view_->routes, caller_.host, request_.path);
+    workspace_ = find_workspace(*view_->routes, caller_.key);
+    const auto trust =
+        trust_in_configuration(*view_, context_.options.node.configuration_due, received_at_);
+    if (!may_decide(trust, *view_->routes, rule_, workspace_)) {
+        refuse({status_unavailable, "outdated", "a newer configuration is on its way",
+                retry_after(configuration_retry_delay, context_.pool.random())});
+        return false;
+    }
     if (rule_ == nullptr) {
         refuse({status_not_found, "no_route", "no route for this host and path", {}});
         return false;
     }
-    workspace_ = find_workspace(*view_->routes, caller_.key);
-    const bool is_key_required =
-        rule_->requires_workspace_key && !view_->routes->rules->workspaces.empty();
-    if (is_key_required && workspace_ == nullptr) {
+    if (is_key_missing(*view_->routes, *rule_, workspace_)) {
         refuse({status_unauthorized, "unknown_key", "the key is not known", {}});
         return false;
     }
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -205,7 +205,9 @@
     const auto& services = view_->routes->rules->services;
     const auto service = services.find(query.service);
     const request_rules rules = rules_in_force(query);
-    if (pool == services_.end() || service == services.end() || rules.rule == nullptr) {
+    const auto trust = trust_in_configuration(*view_, options_.node.configuration_due, now);
+    if (pool == services_.end() || service == services.end() || rules.rule == nullptr ||
+        !may_decide(trust, *view_->routes, rules.rule, rules.workspace)) {
         return selection;
     }
     const choice_constraints constraints = make_constraints(query, rules, service->second, now);
--- a/src/programs/gateway/traffic_view.cpp
+++ b/src/programs/gateway/traffic_view.cpp
@@ -11,6 +11,16 @@
 /// Covers the delay until a version's announcement arrives and until a cancelled request ends at
 /// its engine.
 constexpr milliseconds propagation_margin{300};
+/// Rows usually arrive well within this time after their announcement. Few requests are restricted
+/// to regions, so it is cheap to refuse them early.
+constexpr milliseconds restricted_trust_time{1000};
+/// Covers the time until an announcement arrives and until a request reaches its server.
+constexpr milliseconds expiry_margin{500};
+
+bool is_restricted(const route& rule, const workspace_config* workspace) noexcept {
+    return !rule.allowed_regions.empty() ||
+           (workspace != nullptr && !workspace->allowed_regions.empty());
+}
 
 std::uint64_t min_due_version(const traffic_view& view, const std::string& model, milliseconds due,
                               time_point now) {
@@ -33,6 +43,31 @@
     return view.routes != nullptr && view.has_servers && view.gateways.count > 0;
 }
 
+configuration_trust trust_in_configuration(const traffic_view& view, milliseconds due,
+                                           time_point now) noexcept {
+    if (!view.outdated_since) {
+        return configuration_trust::newest;
+    }
+    const auto waited = now - *view.outdated_since;
+    if (waited >= due - expiry_margin) {
+        return configuration_trust::expired;
+    }
+    return waited >= restricted_trust_time ? configuration_trust::doubtful
+                                           : configuration_trust::outdated;
+}
+
+bool may_decide(configuration_trust trust, const route_table& routes, const route* rule,
+                const workspace_config* workspace) {
+    if (trust == configuration_trust::newest) {
+        return true;
+    }
+    const bool is_allowed = rule != nullptr && !is_key_missing(routes, *rule, workspace);
+    if (trust == configuration_trust::expired || !is_allowed) {
+        return false;
+    }
+    return trust == configuration_trust::outdated || !is_restricted(*rule, workspace);
+}
+
 std::uint64_t min_weights_version_to_begin(const traffic_view& view, const std::string& model,
                                            milliseconds due, time_point now) {
     return min_due_version(view, model, due - propagation_margin, now);
--- a/src/programs/gateway/traffic_view.h
+++ b/src/programs/gateway/traffic_view.h
@@ -32,7 +32,10 @@
     std::map<std::string, std::vector<announced_version>> weights;
     std::vector<listed_server> servers;
     bool has_servers{false}; ///< the server list was read
-    sender_list gateways;    ///< that share the system-wide limits; empty until they are known
+    /// Since when another gateway is known to have newer rows of the operator's table; nullopt: the
+    /// configuration is the newest that is known of.
+    std::optional<time_point> outdated_since;
+    sender_list gateways; ///< that share the system-wide limits; empty until they are known
     std::optional<time_point> shutdown_at; ///< set once the process is shutting down
 };
 
@@ -40,6 +43,25 @@
 /// that share the limits are known
 bool is_complete(const traffic_view& view) noexcept;
 
+/// What a copy of the configuration that is known to be outdated may still decide. Until the newer
+/// rows arrive, requests are refused as not run where the newer configuration may decide otherwise.
+enum class configuration_trust : std::uint8_t {
+    newest,   ///< everything: no newer rows are known of
+    outdated, ///< requests that it allows, but not that a route or a key does not exist
+    doubtful, ///< the same, but no requests whose route or workspace is restricted to regions
+    expired   ///< nothing
+};
+
+/// @param due time after its acknowledgement within which a configuration must be in force
+configuration_trust trust_in_configuration(const traffic_view& view, milliseconds due,
+                                           time_point now) noexcept;
+
+/// @return whether a request may be decided on, be it allowed or refused
+/// @param rule      nullptr: the configuration has no route for it
+/// @param workspace nullptr: the configuration has no workspace for its key
+bool may_decide(configuration_trust trust, const route_table& routes, const route* rule,
+                const workspace_config* workspace);
+
 /// @param due time after an announcement within which every engine must serve the new weights
 /// @return the oldest version of a model that an engine may start a request on at `now`
 std::uint64_t min_weights_version_to_begin(const traffic_view& view, const std::string& model,
--- a/src/programs/gateway/traffic_view_builder.h
+++ b/src/programs/gateway/traffic_view_builder.h
@@ -31,6 +31,8 @@
     bool set_gateways(sender_list gateways);
     /// @return the gateways that share the system-wide limits
     const sender_list& gateways() const noexcept { return view_.gateways; }
+    /// Records since when the configuration is known to be outdated.
+    void set_outdated_since(std::optional<time_point> since) { view_.outdated_since = since; }
     /// Records when this process will exit.
     void set_shutdown_time(time_point shutdown_at) { view_.shutdown_at = shutdown_at; }
 
@@ -38,6 +40,11 @@
     std::shared_ptr<const traffic_view> build() const;
     /// @return whether the configuration, the server list and the other gateways are known
     bool is_complete() const noexcept { return citronseam::is_complete(view_); }
+    /// @return what the configuration may still decide
+    /// @param due time after its acknowledgement within which a configuration must be in force
+    configuration_trust trust(milliseconds due, time_point now) const noexcept {
+        return trust_in_configuration(view_, due, now);
+    }
     /// @return version of the active configuration, 0 for none
     std::uint64_t configuration_version() const noexcept;
 
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -98,10 +98,14 @@
             add_member(connected->process);
         }
         update_targets();
+        update_outdated(newest_announced_version());
         observer_.on_members_changed();
     };
     observer.on_heartbeat = [this](const connected_member& from,
                                    const wire::member_beat& heartbeat) {
+        if (from.process.role == process_role::gateway) {
+            update_outdated(std::max(announced_operator_version_, from.operator_version));
+        }
         handle_offer(from, std::string(platform::operator_table), from.operator_version);
         handle_offer(from, std::string(platform::servers_table), from.servers_version);
         observer_.on_heartbeat(from, heartbeat);
@@ -147,6 +151,7 @@
 }
 
 void cluster_node::apply_operator_rows(const table_change& change) {
+    update_outdated(announced_operator_version_);
     if (change.rows.empty() && change.previous_version > 0) {
         return;
     }
@@ -166,6 +171,31 @@
     }
 }
 
+/// @return the newest version of the operator's table that a connected gateway announces
+std::uint64_t cluster_node::newest_announced_version() const {
+    std::uint64_t newest = 0;
+    for (const connected_member* connected : mesh_->members()) {
+        if (connected->process.role == process_role::gateway) {
+            newest = std::max(newest, connected->operator_version);
+        }
+    }
+    return newest;
+}
+
+/// Records what the copy of the operator's table lacks. Rows that are held back since the store was
+/// restored do not count.
+void cluster_node::update_outdated(std::uint64_t announced) {
+    announced_operator_version_ = announced;
+    const std::uint64_t own = operator_rows_.rows().version;
+    const bool is_settling = operator_rows_.settling_time(announced).count() > 0;
+    const auto before = outdated_since();
+    update_missing_versions(missing_operator_versions_, own, is_settling ? 0 : announced,
+                            std::chrono::steady_clock::now());
+    if (outdated_since() != before && observer_.on_outdated_changed) {
+        observer_.on_outdated_changed();
+    }
+}
+
 /// Requests rows that another process announced, if they do not arrive otherwise.
 void cluster_node::handle_offer(const connected_member& from, const std::string& table,
                                 std::uint64_t version) {
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -14,6 +14,7 @@
 #include "citronseam/connection/io_thread_pool.h"
 #include "citronseam/process/member.h"
 #include "citronseam/process/metrics.h"
+#include "citronseam/process/missing_versions.h"
 #include "citronseam/process/pending_request.h"
 #include "citronseam/process/settings.h"
 #include "citronseam/process/zone_reader.h"
@@ -30,6 +31,8 @@
     std::function<void(const std::vector<versioned_row>&)> on_operator_rows;
     /// The set of known or connected processes changed, or the readiness of one.
     std::function<void()> on_members_changed;
+    /// The time since which the operator's table is known to be outdated changed; may be empty.
+    std::function<void()> on_outdated_changed;
     /// A process sent its heartbeat.
     std::function<void(const connected_member& from, const wire::member_beat& heartbeat)>
         on_heartbeat;
@@ -64,6 +67,15 @@
     member_mesh& mesh() noexcept { return *mesh_; }
     /// @return version of the newest known row of the operator's table
     std::uint64_t operator_version() const noexcept;
+    /// @return since when this process knows that another gateway has newer rows of the operator's
+    /// table; nullopt while its copy is the newest that it knows of
+    std::optional<time_point> outdated_since() const noexcept {
+        return missing_since(missing_operator_versions_);
+    }
+    /// @return newest version of the operator's table that a connected gateway announces
+    std::uint64_t announced_operator_version() const noexcept {
+        return announced_operator_version_;
+    }
     /// @return when the store last answered about the operator's table
     time_point operator_read_at() const noexcept { return operator_rows_.last_read_at(); }
     /// @return the gateways that ever registered, this process included: those that share the
@@ -95,6 +107,8 @@
     void handle_offer(const connected_member& from, const std::string& table,
                       std::uint64_t version);
     milliseconds rows_grace(const connected_member& from, const std::string& table) const;
+    void update_outdated(std::uint64_t announced);
+    std::uint64_t newest_announced_version() const;
     void request_rows(const std::string& instance, const std::string& table, std::uint64_t version);
     void forget_lost_requests();
     std::string preferred_gateway() const;
@@ -113,7 +127,9 @@
     std::map<std::string, table_follower*> shared_tables_;
     std::map<std::string, member> known_members_;          ///< by instance
     std::map<std::string, pending_request> rows_requests_; ///< requests for rows, by table
-    bool is_registering_{false}; ///< a write of the own row is outstanding
+    missing_versions missing_operator_versions_;
+    std::uint64_t announced_operator_version_{0}; ///< newest of the connected gateways
+    bool is_registering_{false};                  ///< a write of the own row is outstanding
     time_point started_at_;
 };
 
--- a/src/request/route_table.cpp
+++ b/src/request/route_table.cpp
@@ -63,6 +63,11 @@
     return rule.services.front().service;
 }
 
+bool is_key_missing(const route_table& table, const route& rule,
+                    const workspace_config* workspace) noexcept {
+    return workspace == nullptr && rule.requires_workspace_key && !table.rules->workspaces.empty();
+}
+
 request_rules find_rules_for_retry(const route_table& newest, const std::string& host,
                                    std::string_view path, const std::string& key,
                                    std::string_view service, bool has_workspace) {
@@ -71,11 +76,11 @@
         return {};
     }
     const workspace_config* workspace = find_workspace(newest, key);
-    const bool is_key_required = rule->requires_workspace_key && !newest.rules->workspaces.empty();
     const bool has_service =
         std::any_of(rule->services.begin(), rule->services.end(),
                     [&](const weighted_service& share) { return share.service == service; });
-    if (!has_service || (workspace == nullptr && (is_key_required || has_workspace))) {
+    const bool is_key_gone = has_workspace && workspace == nullptr;
+    if (!has_service || is_key_gone || is_key_missing(newest, *rule, workspace)) {
         return {};
     }
     return {rule, workspace};
--- a/tests/process_outdated_test.cpp
+++ b/tests/process_outdated_test.cpp
@@ -10,8 +10,8 @@
 using namespace citronseam::harness;
 using nlohmann::json;
 
-/// The gateways' usual bound, 2 s, less the 0.5 s that a request takes to its server.
-constexpr milliseconds refusal_time{1500};
+/// The bound of the gateways' settings, 4 s, less the 0.5 s that a request takes to its server.
+constexpr milliseconds refusal_time{3500};
 constexpr milliseconds restricted_refusal_time{1000};
 /// Around these times it is open whether a request is refused.
 constexpr milliseconds margin{300};
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include "citronseam/process/member.h"
+#include "citronseam/process/missing_versions.h"
 #include "citronseam/process/pending_request.h"
 #include "citronseam/process/versioned_row.h"
 #include "citronseam/process/zone_reader.h"
@@ -359,6 +360,68 @@
     EXPECT_EQ(min_weights_version_to_send(view, "other", due, start + seconds(60)), 0U);
 }
 
+// Guards against a configuration that is known to be replaced and decides without a bound.
+TEST(traffic_view, outdated_configuration_decides_less_with_time) {
+    constexpr milliseconds due(3000);
+    traffic_view view;
+    EXPECT_EQ(trust_in_configuration(view, due, start), configuration_trust::newest);
+    view.outdated_since = start;
+    const auto trust_after = [&](int ms) {
+        return trust_in_configuration(view, due, start + milliseconds(ms));
+    };
+    EXPECT_EQ(trust_after(0), configuration_trust::outdated);
+    EXPECT_EQ(trust_after(999), configuration_trust::outdated);
+    EXPECT_EQ(trust_after(1000), configuration_trust::doubtful);
+    EXPECT_EQ(trust_after(2499), configuration_trust::doubtful);
+    EXPECT_EQ(trust_after(2500), configuration_trust::expired);
+}
+
+TEST(traffic_view, requests_are_decided_on_only_where_a_newer_configuration_cannot_differ) {
+    using trust = configuration_trust;
+    const workspace_config workspace{"w", {"key"}, 0, {}};
+    workspace_config restricted_workspace = workspace;
+    restricted_workspace.allowed_regions = {"south"};
+    const auto routes = make_table({}, {workspace});
+    const route rule = make_route("x", "a.example", "/x/");
+    route restricted = rule;
+    restricted.allowed_regions = {"north"};
+    for (const trust level : {trust::newest, trust::outdated, trust::doubtful, trust::expired}) {
+        EXPECT_EQ(may_decide(level, *routes, &rule, &workspace), level != trust::expired);
+        EXPECT_EQ(may_decide(level, *routes, &restricted, &workspace),
+                  level == trust::newest || level == trust::outdated);
+        EXPECT_EQ(may_decide(level, *routes, &rule, &restricted_workspace),
+                  level == trust::newest || level == trust::outdated);
+        EXPECT_EQ(may_decide(level, *routes, nullptr, &workspace), level == trust::newest);
+        EXPECT_EQ(may_decide(level, *routes, &rule, nullptr), level == trust::newest);
+        EXPECT_EQ(may_decide(level, *make_table({}), &rule, nullptr), level != trust::expired)
+            << "without workspaces no key is required";
+    }
+}
+
+// Guards against a copy that follows a series of changes and counts as outdated since the first.
+TEST(missing_versions, each_version_has_its_own_time) {
+    missing_versions missing;
+    update_missing_versions(missing, 5, 5, start);
+    EXPECT_FALSE(missing_since(missing).has_value());
+    update_missing_versions(missing, 5, 7, start);
+    update_missing_versions(missing, 5, 7, start + seconds(1));
+    update_missing_versions(missing, 5, 9, start + seconds(2));
+    EXPECT_EQ(missing_since(missing), start);
+    update_missing_versions(missing, 7, 9, start + seconds(3));
+    EXPECT_EQ(missing_since(missing), start + seconds(2));
+    update_missing_versions(missing, 9, 9, start + seconds(4));
+    EXPECT_FALSE(missing_since(missing).has_value());
+}
+
+TEST(missing_versions, lost_announcement_does_not_count) {
+    missing_versions missing;
+    update_missing_versions(missing, 5, 9, start);
+    update_missing_versions(missing, 5, 8, start + seconds(1));
+    EXPECT_EQ(missing_since(missing), start) << "another process still announces a newer version";
+    update_missing_versions(missing, 5, 4, start + seconds(2));
+    EXPECT_FALSE(missing_since(missing).has_value());
+}
+
 TEST(load_schedule, loads_are_spread_until_the_weights_are_due) {
     load_schedule_params params{start, start + seconds(3), seconds(7), 0, 5};
     EXPECT_EQ(scheduled_load_time(params), start + seconds(3));
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -211,7 +211,8 @@
     const ports& own_ports = ports_[index];
     return "role: gateway\ninstance: gateway-" + std::to_string(index) + region_settings(index) +
            "\nstore: " + store.address() +
-           "\nbounds:\n  weights_due: 5s\n  grace_period: 4s\nlisten:\n  http: " +
+           "\nbounds:\n  configuration_due: 4s\n  weights_due: 5s\n  grace_period: 4s\nlisten:\n  "
+           "http: " +
            loopback_address(own_ports.http) +
            "\n  readiness: " + loopback_address(own_ports.readiness) +
            "\n  directory: " + loopback_address(own_ports.directory) +
