--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -197,13 +197,14 @@
 milliseconds server_pool::time_until_backoff_ends(server_query query, time_point now) const {
     const auto& services = view_->routes->rules->services;
     const auto service = services.find(query.service);
-    if (service == services.end()) {
+    const request_rules rules = rules_in_force(query);
+    if (service == services.end() || rules.rule == nullptr) {
         return milliseconds(0);
     }
     query.tried_servers.clear();
-    return std::min(max_retry_delay,
-                    citronseam::time_until_backoff_ends(
-                        servers_of(query.service), make_constraints(query, service->second, now)));
+    return std::min(max_retry_delay, citronseam::time_until_backoff_ends(
+                                         servers_of(query.service),
+                                         make_constraints(query, rules, service->second, now)));
 }
 
 std::vector<server_state*> server_pool::servers_of(const std::string& service) const {
@@ -217,7 +218,16 @@
     return servers;
 }
 
+request_rules server_pool::rules_in_force(const server_query& query) const {
+    if (query.routes == view_->routes.get()) {
+        return {query.rule, query.workspace};
+    }
+    return find_rules_for_retry(*view_->routes, query.host, query.path, query.key, query.service,
+                                query.workspace != nullptr);
+}
+
 choice_constraints server_pool::make_constraints(const server_query& query,
+                                                 const request_rules& rules,
                                                  const service_config& service,
                                                  time_point now) const {
     const engine_profile& engine = service.engine;
@@ -255,9 +265,9 @@
         constraints.excluded.emplace_back(id);
     }
     constraints.region_of = [this](std::string_view zone) { return region_of(zone); };
-    constraints.is_zone_allowed = [this, &query](std::string_view zone) {
+    constraints.is_zone_allowed = [this, rules](std::string_view zone) {
         return view_->evacuated_zones.count(zone) == 0 &&
-               is_region_allowed(*query.rule, query.workspace, region_of(zone));
+               is_region_allowed(*rules.rule, rules.workspace, region_of(zone));
     };
     return constraints;
 }
@@ -268,10 +278,13 @@
     const auto pool = services_.find(query.service);
     const auto& services = view_->routes->rules->services;
     const auto service = services.find(query.service);
-    if (pool == services_.end() || service == services.end()) {
+    const request_rules rules = rules_in_force(query);
+    const auto trust = trust_in_configuration(*view_, options_.node.configuration_due, now);
+    if (pool == services_.end() || service == services.end() || rules.rule == nullptr ||
+        !may_decide(trust, *view_->routes, rules.rule, rules.workspace)) {
         return selection;
     }
-    const choice_constraints constraints = make_constraints(query, service->second, now);
+    const choice_constraints constraints = make_constraints(query, rules, service->second, now);
     const server_choice choice = choose_server(servers_of(query.service), constraints, random_);
     if (!query.is_optional) {
         const double refused = choice.server == nullptr ? 1 : 0;
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -15,6 +15,7 @@
 #include "citronseam/connection/io_thread_pool.h"
 #include "citronseam/process/member.h"
 #include "citronseam/process/metrics.h"
+#include "citronseam/process/missing_versions.h"
 #include "citronseam/process/pending_request.h"
 #include "citronseam/process/random.h"
 #include "citronseam/process/row_transfer.h"
@@ -33,6 +34,8 @@
     std::function<void(const std::vector<versioned_row>&)> on_operator_rows;
     /// The set of known or connected processes changed, or the readiness of one.
     std::function<void()> on_members_changed;
+    /// The time since which the operator's table is known to be outdated changed; may be empty.
+    std::function<void()> on_outdated_changed;
     /// A process sent its heartbeat.
     std::function<void(const connected_member& from, const wire::member_beat& heartbeat)>
         on_heartbeat;
@@ -67,6 +70,15 @@
     member_mesh& mesh() noexcept { return *mesh_; }
     /// @return version of the newest known row of the operator's table
     std::uint64_t operator_version() const noexcept;
+    /// @return since when this process knows that another gateway has newer rows of the operator's
+    /// table; nullopt while its copy is the newest that it knows of
+    std::optional<time_point> outdated_since() const noexcept {
+        return missing_since(missing_operator_versions_);
+    }
+    /// @return newest version of the operator's table that a connected gateway announces
+    std::uint64_t announced_operator_version() const noexcept {
+        return announced_operator_version_;
+    }
     /// @return when the store last answered about the operator's table
     time_point operator_read_at() const noexcept { return operator_rows_.last_read_at(); }
     /// @return the gateways that ever registered, this process included: those that share the
@@ -102,6 +114,8 @@
                       std::uint64_t version);
     milliseconds rows_grace(const connected_member& from, const std::string& table) const;
     bool may_request_rows(const std::string& table, std::uint64_t version);
+    void update_outdated(std::uint64_t announced);
+    std::uint64_t newest_announced_version() const;
     void request_rows(const std::string& instance, const std::string& table, std::uint64_t version);
     void request_rows_from_any(const std::string& table);
     void handle_busy(const connected_member& from, const std::string& table);
@@ -134,8 +148,10 @@
     random_source random_{seeded_random_source()};
     std::map<std::string, versioned_row> reduced_rows_;    ///< for sidecars, by key
     std::map<std::string, pending_request> rows_requests_; ///< requests for rows, by table
-    bool is_registering_{false};           ///< a write of the own row is outstanding
-    bool is_reading_operator_rows_{false}; ///< as the follower was last told
+    missing_versions missing_operator_versions_;
+    std::uint64_t announced_operator_version_{0}; ///< newest of the connected gateways
+    bool is_registering_{false};                  ///< a write of the own row is outstanding
+    bool is_reading_operator_rows_{false};        ///< as the follower was last told
     time_point started_at_;
 };
 
--- a/src/request/route_table.cpp
+++ b/src/request/route_table.cpp
@@ -63,6 +63,29 @@
     return rule.services.front().service;
 }
 
+bool is_key_missing(const route_table& table, const route& rule,
+                    const workspace_config* workspace) noexcept {
+    return workspace == nullptr && rule.requires_workspace_key && !table.rules->workspaces.empty();
+}
+
+request_rules find_rules_for_retry(const route_table& newest, const std::string& host,
+                                   std::string_view path, const std::string& key,
+                                   std::string_view service, bool has_workspace) {
+    const route* rule = find_route(newest, host, path);
+    if (rule == nullptr) {
+        return {};
+    }
+    const workspace_config* workspace = find_workspace(newest, key);
+    const bool has_service =
+        std::any_of(rule->services.begin(), rule->services.end(),
+                    [&](const weighted_service& share) { return share.service == service; });
+    const bool is_key_gone = has_workspace && workspace == nullptr;
+    if (!has_service || is_key_gone || is_key_missing(newest, *rule, workspace)) {
+        return {};
+    }
+    return {rule, workspace};
+}
+
 bool is_region_allowed(const route& rule, const workspace_config* workspace,
                        std::string_view region) noexcept {
     return allows(rule.allowed_regions, region) &&
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "citronseam/process/member.h"
+#include "citronseam/process/missing_versions.h"
 #include "citronseam/process/pending_request.h"
 #include "citronseam/process/row_transfer.h"
 #include "citronseam/process/versioned_row.h"
@@ -74,6 +75,38 @@
     EXPECT_FALSE(is_region_allowed(rule, nullptr, "west"));
 }
 
+// Guards against a second attempt that follows the regions of an older configuration.
+TEST(route_table, further_attempt_follows_the_newest_rules) {
+    route restricted = make_route("new", "a.example", "/x/y/");
+    restricted.allowed_regions = {"north"};
+    const auto newest = make_table({make_route("old", "a.example", "/x/"), restricted},
+                                   {{"w", {"key"}, 0, {"south"}}});
+    const request_rules found =
+        find_rules_for_retry(*newest, "a.example", "/x/y/1", "key", "service", true);
+    ASSERT_NE(found.rule, nullptr);
+    EXPECT_EQ(found.rule->name, "new");
+    EXPECT_EQ(found.workspace->allowed_regions, std::vector<std::string>{"south"});
+}
+
+// Guards against a second attempt that only an older configuration allows.
+TEST(route_table, further_attempt_is_not_made_without_its_route_service_or_key) {
+    route open = make_route("open", "a.example", "/open/");
+    open.requires_workspace_key = false;
+    const auto newest =
+        make_table({make_route("x", "a.example", "/x/"), open}, {{"w", {"key"}, 0, {}}});
+    const auto rule_for = [&](const std::string& path, const std::string& key,
+                              const std::string& service, bool has_workspace) {
+        return find_rules_for_retry(*newest, "a.example", path, key, service, has_workspace).rule;
+    };
+    EXPECT_NE(rule_for("/x/1", "key", "service", true), nullptr);
+    EXPECT_EQ(rule_for("/removed/1", "key", "service", true), nullptr);
+    EXPECT_EQ(rule_for("/x/1", "key", "other", true), nullptr);
+    EXPECT_EQ(rule_for("/x/1", "removed", "service", true), nullptr);
+    EXPECT_EQ(rule_for("/x/1", "", "service", false), nullptr);
+    EXPECT_NE(rule_for("/open/1", "", "service", false), nullptr);
+    EXPECT_EQ(rule_for("/open/1", "removed", "service", true), nullptr);
+}
+
 TEST(route_table, only_idempotent_requests_and_resumable_streams_are_retryable) {
     route rule = make_route("r", "a", "/");
     EXPECT_FALSE(is_retryable(rule));
@@ -388,6 +421,68 @@
     EXPECT_EQ(min_weights_version_to_send(view, "other", due, start + seconds(60)), 0U);
 }
 
+// Guards against a configuration that is known to be replaced and decides without a bound.
+TEST(traffic_view, outdated_configuration_decides_less_with_time) {
+    constexpr milliseconds due(3000);
+    traffic_view view;
+    EXPECT_EQ(trust_in_configuration(view, due, start), configuration_trust::newest);
+    view.outdated_since = start;
+    const auto trust_after = [&](int ms) {
+        return trust_in_configuration(view, due, start + milliseconds(ms));
+    };
+    EXPECT_EQ(trust_after(0), configuration_trust::outdated);
+    EXPECT_EQ(trust_after(999), configuration_trust::outdated);
+    EXPECT_EQ(trust_after(1000), configuration_trust::doubtful);
+    EXPECT_EQ(trust_after(2499), configuration_trust::doubtful);
+    EXPECT_EQ(trust_after(2500), configuration_trust::expired);
+}
+
+TEST(traffic_view, requests_are_decided_on_only_where_a_newer_configuration_cannot_differ) {
+    using trust = configuration_trust;
+    const workspace_config workspace{"w", {"key"}, 0, {}};
+    workspace_config restricted_workspace = workspace;
+    restricted_workspace.allowed_regions = {"south"};
+    const auto routes = make_table({}, {workspace});
+    const route rule = make_route("x", "a.example", "/x/");
+    route restricted = rule;
+    restricted.allowed_regions = {"north"};
+    for (const trust level : {trust::newest, trust::outdated, trust::doubtful, trust::expired}) {
+        EXPECT_EQ(may_decide(level, *routes, &rule, &workspace), level != trust::expired);
+        EXPECT_EQ(may_decide(level, *routes, &restricted, &workspace),
+                  level == trust::newest || level == trust::outdated);
+        EXPECT_EQ(may_decide(level, *routes, &rule, &restricted_workspace),
+                  level == trust::newest || level == trust::outdated);
+        EXPECT_EQ(may_decide(level, *routes, nullptr, &workspace), level == trust::newest);
+        EXPECT_EQ(may_decide(level, *routes, &rule, nullptr), level == trust::newest);
+        EXPECT_EQ(may_decide(level, *make_table({}), &rule, nullptr), level != trust::expired)
+            << "without workspaces no key is required";
+    }
+}
+
+// Guards against a copy that follows a series of changes and counts as outdated since the first.
+TEST(missing_versions, each_version_has_its_own_time) {
+    missing_versions missing;
+    update_missing_versions(missing, 5, 5, start);
+    EXPECT_FALSE(missing_since(missing).has_value());
+    update_missing_versions(missing, 5, 7, start);
+    update_missing_versions(missing, 5, 7, start + seconds(1));
+    update_missing_versions(missing, 5, 9, start + seconds(2));
+    EXPECT_EQ(missing_since(missing), start);
+    update_missing_versions(missing, 7, 9, start + seconds(3));
+    EXPECT_EQ(missing_since(missing), start + seconds(2));
+    update_missing_versions(missing, 9, 9, start + seconds(4));
+    EXPECT_FALSE(missing_since(missing).has_value());
+}
+
+TEST(missing_versions, lost_announcement_does_not_count) {
+    missing_versions missing;
+    update_missing_versions(missing, 5, 9, start);
+    update_missing_versions(missing, 5, 8, start + seconds(1));
+    EXPECT_EQ(missing_since(missing), start) << "another process still announces a newer version";
+    update_missing_versions(missing, 5, 4, start + seconds(2));
+    EXPECT_FALSE(missing_since(missing).has_value());
+}
+
 TEST(load_schedule, loads_are_spread_until_the_weights_are_due) {
     load_schedule_params params{start, start + seconds(3), seconds(7), 0, 5};
     EXPECT_EQ(scheduled_load_time(params), start + seconds(3));
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -5,6 +5,7 @@
 #define CITRONSEAM_TESTS_SUPPORT_PLATFORM_WORLD_H
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -31,6 +32,8 @@
     void set_sidecar_store(std::size_t sidecar, std::string address);
     /// Sets the address of the store that a gateway uses from its start.
     void set_gateway_store(std::size_t gateway, std::string address);
+    /// Places the second zone in a region of its own, region-b. Call it before start().
+    void separate_regions() { second_region_ = "region-b"; }
     /// Starts the gateways and sidecars and waits until all gateways are ready.
     /// @return false on timeout
     bool start();
@@ -43,6 +46,9 @@
     /// @return version of the row
     std::uint64_t put_configuration(std::uint64_t version, bool has_second_route = false,
                                     std::size_t tenant_count = 1);
+    /// Changes the configuration in the store and raises its version by one.
+    /// @return version of the row
+    std::uint64_t edit_configuration(const std::function<void(nlohmann::json&)>& edit);
     /// Writes the weights version that the engines must load to the store.
     void set_weights_version(std::uint64_t version);
     /// Writes a backend server's row to the store.
@@ -57,6 +63,10 @@
     /// @return HTTP status of a gateway's readiness check
     int readiness(std::size_t gateway);
     std::size_t gateway_count() const { return ports_.size(); }
+    /// @return address on which a gateway listens for other processes
+    std::string peer_address(std::size_t gateway) const;
+    /// @return port on which a gateway accepts client requests
+    std::uint16_t http_port(std::size_t gateway) const { return ports_.at(gateway).http; }
     child_process& gateway(std::size_t index) { return *gateways_.at(index); }
     child_process& sidecar(std::size_t index) { return *sidecars_.at(index); }
 
@@ -72,6 +82,7 @@
     struct ports {
         std::uint16_t http, readiness, directory, peer, metrics;
     };
+    std::string region_settings(std::size_t index) const;
     std::string gateway_settings(std::size_t index) const;
     std::string sidecar_settings(std::size_t index) const;
     std::unique_ptr<child_process> make_gateway(std::size_t index);
@@ -80,6 +91,7 @@
     http_response execute(http_request request);
 
     std::string directory_;
+    std::string second_region_{"region-a"};
     http_client client_;
     std::vector<ports> ports_;
     std::vector<std::uint16_t> sidecar_ports_;
