Answer a request that comes right after the last bytes of a response

Callers on a kept connection lost a whole request: it got neither an answer nor a refusal, and the connection was closed. In tests, requests to a server that is asked through a kept connection ended with 502.

Cause: a responder queued the last bytes of a response and recorded the end of the response in a second step. Another thread may write the bytes in between, and a client that sends its next request at once met a connection that still counted as responding. The request was taken for a pipelined one and dropped.

send_last queues the bytes and records the end under one lock, so no client has the end of a response before the connection is idle.

--- a/src/connection/http_responder.cpp
+++ b/src/connection/http_responder.cpp
@@ -94,8 +94,8 @@
     if (!is_head_request_ && !has_no_body(status)) {
         text += body;
     }
-    connection_->send(std::move(text));
-    end();
+    state_ = state::done;
+    connection_->send_last(std::move(text));
 }
 
 void http_responder::begin(int status, const std::vector<http_header>& headers) {
@@ -131,10 +131,12 @@
     if (state_ != state::streaming) {
         return;
     }
-    if (!is_head_request_) {
-        connection_->send("0\r\n\r\n");
+    if (is_head_request_) {
+        end();
+    } else {
+        state_ = state::done;
+        connection_->send_last("0\r\n\r\n");
     }
-    end();
 }
 
 void http_responder::abort() {
--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -32,6 +32,16 @@
 
 bool server_connection::send(std::string bytes) {
     const std::lock_guard<std::mutex> lock(mutex_);
+    return send_locked(std::move(bytes));
+}
+
+void server_connection::send_last(std::string bytes) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    send_locked(std::move(bytes));
+    end_response_locked();
+}
+
+bool server_connection::send_locked(std::string bytes) {
     if (!is_open_ || is_closing_) {
         return false;
     }
@@ -155,17 +165,17 @@
 }
 
 void server_connection::end_response() {
-    bool is_flushed = false;
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        phase_ = connection_phase::idle;
-        phase_since_ = std::chrono::steady_clock::now();
-        disconnect_callback_ = nullptr;
-        is_closing_ = is_last_response_;
-        is_flushed = is_closing_ && !is_writing_;
-    }
-    if (is_flushed) {
-        close_now();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    end_response_locked();
+}
+
+void server_connection::end_response_locked() {
+    phase_ = connection_phase::idle;
+    phase_since_ = std::chrono::steady_clock::now();
+    disconnect_callback_ = nullptr;
+    is_closing_ = is_last_response_;
+    if (is_closing_ && !is_writing_) {
+        post_locked(&server_connection::close_socket);
     }
 }
 
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -51,6 +51,9 @@
     /// Records that a response ended; closes the connection if that was requested or a pipelined
     /// request was received meanwhile.
     void end_response();
+    /// Sends the last bytes of a response and records its end in one step: the client may send its
+    /// next request as soon as it has them.
+    void send_last(std::string bytes);
     /// Closes the connection after the current response. Called, for example, when the client
     /// pipelined requests, so that each of them gets a response or sees the connection close.
     void close_after_response();
@@ -65,6 +68,8 @@
 
 private:
     void post_locked(void (server_connection::*step)());
+    bool send_locked(std::string bytes);
+    void end_response_locked();
     void write_queued();
     void handle_written(const asio::error_code& ec);
     void close_socket();
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -30,6 +30,8 @@
                           responder->respond(200, {}, request.target);
                       } else if (request.path == "/stream") {
                           writer_.post([responder] { stream(*responder); });
+                      } else if (request.path == "/later") {
+                          writer_.post([responder] { responder->respond(200, {}, "done"); });
                       } else {
                           responder->respond(200, {}, request.method + " " + request.body);
                       }
@@ -101,6 +103,38 @@
     EXPECT_EQ(complete_count, client_count);
 }
 
+/// Sends requests one after another on a kept connection, each once the last response has arrived.
+/// @return number of responses
+std::size_t count_responses(streaming_server& server, std::size_t request_count) {
+    auto socket = server.connect();
+    std::size_t responses = 0;
+    std::string received;
+    asio::error_code ec;
+    while (!ec && responses < request_count) {
+        asio::write(socket, asio::buffer(std::string("GET /later HTTP/1.1\r\nHost: h\r\n\r\n")),
+                    ec);
+        asio::read_until(socket, asio::dynamic_buffer(received), "done", ec);
+        responses += ec ? 0 : 1;
+        received.clear();
+    }
+    return responses;
+}
+
+// Guards against dropping a request that arrives right after the last bytes of a response.
+TEST(http_server, request_on_a_kept_connection_is_answered_however_soon_it_comes) {
+    constexpr std::size_t request_count = 5000;
+    streaming_server server;
+    std::vector<std::thread> threads;
+    std::atomic<std::size_t> response_count{0};
+    for (std::size_t i = 0; i < client_count; ++i) {
+        threads.emplace_back([&] { response_count += count_responses(server, request_count); });
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    EXPECT_EQ(response_count, client_count * request_count);
+}
+
 TEST(http_server, listens_on_the_given_port) {
     const auto handler = [](const server_request&,
                             const std::shared_ptr<http_responder>& responder) {
