Log how many routes and workspaces are restricted to regions

The logs could not tell whether a deployment restricts requests to regions at all. One line for each configuration that comes into force names the version and both counts.

--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -39,6 +39,16 @@
                {"source", source}});
 }
 
+/// Logs how many routes and workspaces of a configuration are restricted to regions.
+void log_regions(const routing& rules) {
+    const auto is_restricted = [](const auto& item) { return !item.allowed_regions.empty(); };
+    log_event(log_level::info, "regions_in_force",
+              {{"version", rules.version},
+               {"routes", std::count_if(rules.routes.begin(), rules.routes.end(), is_restricted)},
+               {"workspaces",
+                std::count_if(rules.workspaces.begin(), rules.workspaces.end(), is_restricted)}});
+}
+
 double wait_factor_of(int rank) {
     if (rank <= 0) {
         return high_priority_wait_factor;
@@ -61,6 +71,9 @@
 
 void server_pool::set_view(std::shared_ptr<const traffic_view> view) {
     const bool is_gateway_change = view_ == nullptr || view_->gateways != view->gateways;
+    if (view->routes != nullptr && (view_ == nullptr || view_->routes != view->routes)) {
+        log_regions(*view->routes->rules);
+    }
     view_ = std::move(view);
     for (auto& [name, service] : services_) {
         service.servers.clear();
