Announce a version that the store does not reach in the test of an outdated gateway

All tables of the store share one counter, and the test announced the next value of it, which the processes' own writes reach; the copy then covers the announcement and is not outdated. It now announces 1,000 further, and raises the counter as far before the rows arrive.

--- a/tests/process_outdated_test.cpp
+++ b/tests/process_outdated_test.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds restricted_refusal_time{1000};
 /// Around these times it is open whether a request is refused.
 constexpr milliseconds margin{300};
+/// All tables of the store share one counter, which other writes raise during a test.
+constexpr std::uint64_t announced_ahead = 1000;
 constexpr session_timing timing{milliseconds(300), milliseconds(2000)};
 
 /// A gateway that announces rows of the operator's table and never sends them.
@@ -86,13 +88,13 @@
         era = std::stoull(log_field_value(line, "era"));
     }
 
-    /// Lets a connected gateway announce the next version of the store.
+    /// Lets a connected gateway announce a version that the store does not reach by itself.
     void announce_newer_version() {
         peer = std::make_unique<stalled_gateway>(std::vector<std::string>{world.peer_address(0)});
         ASSERT_NE(world.gateway(0).wait_for_line("event=member_connected member=gateway-stalled",
                                                  milliseconds(3000)),
                   "");
-        peer->announce(make_version(era, version + 1));
+        peer->announce(make_version(era, version + announced_ahead));
         ASSERT_NE(world.gateway(0).wait_for_line(
                       "event=rows_requested table=op member=gateway-stalled", milliseconds(3000)),
                   "");
@@ -131,6 +133,9 @@
               std::string::npos)
         << "the directory does not name a gateway that refuses";
 
+    for (std::uint64_t i = 0; i < announced_ahead; ++i) {
+        world.store.put("unrelated", "row", "");
+    }
     world.edit_configuration([](json&) {});
     EXPECT_TRUE(wait_until([this] { return world.readiness(0) == 200; }, milliseconds(3000)))
         << world.gateway(0).output();
