Remember newer rows although the gateway that announced them is lost

A gateway that had heard of a newer configuration trusted its own copy again as soon as the connection to the announcing gateway ended, and would have answered 404 and 401 and used regions by it; with a connection that flaps the bound was never reached. Found in a review.

The rows are in the store, whoever is connected. A missing version counts until the copy covers it, or until a read of the store that began after the announcement has not shown it. A gateway that no other one can send the rows to reads the store itself.

Two checks demanded the fault: missing_versions.lost_announcement_does_not_count and outdated_gateway.announcement_of_a_lost_gateway_does_not_count.

--- a/include/citronseam/process/missing_versions.h
+++ b/include/citronseam/process/missing_versions.h
@@ -22,11 +22,17 @@
 /// still.
 using missing_versions = std::vector<version_announcement>;
 
-/// Drops what the copy covers by now or no process announces any more, and adds what is new.
-/// @param own       version of the copy
+/// The state of the own copy.
+struct copy_state {
+    std::uint64_t version{0};
+    time_point read_begun_at; ///< beginning of the newest read of the store that succeeded
+};
+
+/// Drops what the copy covers by now and what a later read of the store did not show, and adds what
+/// is new. A version counts although the process that announced it is lost: it is in the store.
 /// @param announced newest version that a connected process announces, 0: none
-void update_missing_versions(missing_versions& missing, std::uint64_t own, std::uint64_t announced,
-                             time_point now);
+void update_missing_versions(missing_versions& missing, const copy_state& own,
+                             std::uint64_t announced, time_point now);
 
 /// @return since when the copy is known to be outdated; nullopt: it is not
 std::optional<time_point> missing_since(const missing_versions& missing) noexcept;
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -95,8 +95,10 @@
     update_targets();
     register_self();
     operator_rows_.set_needed_check([this] {
-        const bool is_needed =
-            self_.role == process_role::gateway ? is_operator_reader() : mesh_->members().empty();
+        update_outdated(announced_operator_version_);
+        const bool is_needed = self_.role == process_role::gateway
+                                   ? is_operator_reader() || is_announcer_lost()
+                                   : mesh_->members().empty();
         if (is_needed != is_reading_operator_rows_) {
             log_event(log_level::info,
                       is_needed ? "operator_reader_started" : "operator_reader_stopped",
@@ -291,11 +293,16 @@
     return newest;
 }
 
+/// @return whether rows are missing that no connected gateway announces any more
+bool cluster_node::is_announcer_lost() const {
+    return outdated_since() && announced_operator_version_ <= operator_rows_.rows().version;
+}
+
 /// Records what the copy of the operator's table lacks. Rows that are held back since the store was
 /// restored do not count.
 void cluster_node::update_outdated(std::uint64_t announced) {
     announced_operator_version_ = announced;
-    const std::uint64_t own = operator_rows_.rows().version;
+    const copy_state own{operator_rows_.rows().version, operator_rows_.last_read_begun_at()};
     const bool is_settling = operator_rows_.settling_time(announced).count() > 0;
     const auto before = outdated_since();
     update_missing_versions(missing_operator_versions_, own, is_settling ? 0 : announced,
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -116,6 +116,7 @@
     bool may_request_rows(const std::string& table, std::uint64_t version);
     void update_outdated(std::uint64_t announced);
     std::uint64_t newest_announced_version() const;
+    bool is_announcer_lost() const;
     void request_rows(const std::string& instance, const std::string& table, std::uint64_t version);
     void request_rows_from_any(const std::string& table);
     void handle_busy(const connected_member& from, const std::string& table);
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -74,6 +74,7 @@
 
 void table_follower::record_read(const char* call, const row_batch& batch) {
     last_read_at_ = std::chrono::steady_clock::now();
+    last_read_begun_at_ = call_started_at_;
     ++read_count_;
     if (mode_ == follow_mode::feed && !batch.rows.empty()) {
         log_event(log_level::info, "rows_read",
--- a/src/programs/node/table_follower.h
+++ b/src/programs/node/table_follower.h
@@ -56,6 +56,8 @@
 
     /// @return the copy
     const row_cache& rows() const noexcept { return cache_; }
+    /// @return when the newest read that succeeded began; time_point{} before the first one
+    time_point last_read_begun_at() const noexcept { return last_read_begun_at_; }
     /// @return when the store last answered; time_point{} before the first response
     time_point last_read_at() const noexcept { return last_read_at_; }
     /// @return number of this process's successful reads
@@ -85,6 +87,7 @@
     row_cache cache_;
     std::uint64_t feed_version_{0}; ///< version after which the feed continues
     time_point last_read_at_;
+    time_point last_read_begun_at_;
     std::uint64_t read_count_{0};
     time_point call_started_at_;  ///< when the last call to the store began
     std::uint64_t newest_era_{0}; ///< of the store, as learned from any response or process
--- a/tests/process_outdated_test.cpp
+++ b/tests/process_outdated_test.cpp
@@ -88,8 +88,10 @@
         era = std::stoull(log_field_value(line, "era"));
     }
 
-    /// Lets a connected gateway announce a version that the store does not reach by itself.
+    /// Lets a connected gateway announce a version that the store does not reach by itself, while
+    /// the store is down.
     void announce_newer_version() {
+        world.store.is_down = true;
         peer = std::make_unique<stalled_gateway>(std::vector<std::string>{world.peer_address(0)});
         ASSERT_NE(world.gateway(0).wait_for_line("event=member_connected member=gateway-stalled",
                                                  milliseconds(3000)),
@@ -133,6 +135,7 @@
               std::string::npos)
         << "the directory does not name a gateway that refuses";
 
+    world.store.is_down = false;
     for (std::uint64_t i = 0; i < announced_ahead; ++i) {
         world.store.put("unrelated", "row", "");
     }
@@ -144,18 +147,25 @@
     EXPECT_EQ(call("/unknown/"), 404);
 }
 
-// Guards against a gateway that refuses requests because of an announcement that nobody makes any
-// more.
-TEST_F(outdated_gateway, announcement_of_a_lost_gateway_does_not_count) {
+// Guards against a gateway that trusts its configuration again because the gateway that announced
+// newer rows is lost, and against one that refuses requests after the store has shown that there
+// are none.
+TEST_F(outdated_gateway, announcement_of_a_lost_gateway_counts_until_the_store_is_read) {
     ASSERT_NO_FATAL_FAILURE(announce_newer_version());
     peer.reset();
     ASSERT_NE(world.gateway(0).wait_for_line("event=member_lost member=gateway-stalled",
                                              milliseconds(3000)),
               "");
     std::this_thread::sleep_until(announced_at + refusal_time + margin);
+    EXPECT_EQ(call("/look/1"), 503);
+    EXPECT_EQ(call("/unknown/"), 503);
+    EXPECT_NE(world.readiness(0), 200);
+
+    world.store.is_down = false;
+    EXPECT_TRUE(wait_until([this] { return world.readiness(0) == 200; }, milliseconds(3000)))
+        << world.gateway(0).output();
     EXPECT_EQ(call("/look/1"), 200);
     EXPECT_EQ(call("/unknown/"), 404);
-    EXPECT_EQ(world.readiness(0), 200);
 }
 
 // Guards against a gateway that refuses requests while the store is down and nothing has changed.
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -462,24 +462,26 @@
 // Guards against a copy that follows a series of changes and counts as outdated since the first.
 TEST(missing_versions, each_version_has_its_own_time) {
     missing_versions missing;
-    update_missing_versions(missing, 5, 5, start);
+    update_missing_versions(missing, {5, {}}, 5, start);
     EXPECT_FALSE(missing_since(missing).has_value());
-    update_missing_versions(missing, 5, 7, start);
-    update_missing_versions(missing, 5, 7, start + seconds(1));
-    update_missing_versions(missing, 5, 9, start + seconds(2));
+    update_missing_versions(missing, {5, {}}, 7, start);
+    update_missing_versions(missing, {5, {}}, 7, start + seconds(1));
+    update_missing_versions(missing, {5, {}}, 9, start + seconds(2));
     EXPECT_EQ(missing_since(missing), start);
-    update_missing_versions(missing, 7, 9, start + seconds(3));
+    update_missing_versions(missing, {7, {}}, 9, start + seconds(3));
     EXPECT_EQ(missing_since(missing), start + seconds(2));
-    update_missing_versions(missing, 9, 9, start + seconds(4));
+    update_missing_versions(missing, {9, {}}, 9, start + seconds(4));
     EXPECT_FALSE(missing_since(missing).has_value());
 }
 
-TEST(missing_versions, lost_announcement_does_not_count) {
+// Guards against a gateway that trusts its copy again because the process that announced newer rows
+// is lost.
+TEST(missing_versions, version_counts_until_it_arrives_or_a_later_read_does_not_show_it) {
     missing_versions missing;
-    update_missing_versions(missing, 5, 9, start);
-    update_missing_versions(missing, 5, 8, start + seconds(1));
-    EXPECT_EQ(missing_since(missing), start) << "another process still announces a newer version";
-    update_missing_versions(missing, 5, 4, start + seconds(2));
+    update_missing_versions(missing, {5, start - seconds(1)}, 9, start);
+    update_missing_versions(missing, {5, start - seconds(1)}, 4, start + seconds(2));
+    EXPECT_EQ(missing_since(missing), start) << "the read began before the announcement";
+    update_missing_versions(missing, {5, start + seconds(1)}, 4, start + seconds(3));
     EXPECT_FALSE(missing_since(missing).has_value());
 }
 
