Choose the readers of a zone whether they are ready or not

Gateways whose configuration is outdated are not ready. The choice of a zone's readers counted ready gateways only, so once all gateways of a zone were outdated each one took itself for a reader, and all of them read the large row over the link that was already too slow for two.

Which gateways read follows from their recent reads. One that does not read is passed over after the silence that the policy allows, ready or not.

--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -576,8 +576,8 @@
     std::vector<reader_candidate> others;
     for (const connected_member* connected : mesh_->members()) {
         const member& other = connected->process;
-        if (other.role == process_role::gateway && other.zone == self_.zone &&
-            connected->is_ready) {
+        // A gateway that is not ready may read: one whose configuration is outdated does.
+        if (other.role == process_role::gateway && other.zone == self_.zone) {
             others.push_back({other.instance, connected->*read_at});
         }
     }
