Request rows from other zones well before a configuration is due

A gateway whose own zone does not get a row asked other zones 2.5 s after the announcement. A gateway refuses all requests 0.5 s before the configuration is due, which is 1.5 s after the announcement where it is due within 2 s: the request came when nothing was served any more. Found in a review, by reading. The waits follow from the due time now: a quarter of it for the readers of a zone, half of it for the others.

--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -33,9 +33,10 @@
 /// way: through the own feed, or from the gateway that a sidecar prefers.
 constexpr milliseconds operator_rows_grace{250};
 /// The same for rows that only processes of other zones announce. Links between regions are slow:
-/// the zone's reader fetches the rows over them, and the others get them from it.
-constexpr milliseconds remote_rows_grace{1000};
-constexpr milliseconds remote_rows_backup_grace{2500};
+/// the zone's reader fetches the rows over them, and the others get them from it. These parts of
+/// the time within which a configuration is due leave time for the transfer.
+constexpr int remote_rows_grace_part = 4;
+constexpr int remote_rows_backup_grace_part = 2;
 /// The reader of the zone sends changes of the server list, which it reads every 400 ms.
 constexpr milliseconds server_rows_grace{1500};
 /// A sidecar that starts requests rows from a gateway, and reads the store itself only when none
@@ -348,7 +349,9 @@
     if (preferred_gateway().empty()) {
         return operator_rows_grace;
     }
-    return is_gateway && is_operator_reader() ? remote_rows_grace : remote_rows_backup_grace;
+    const bool is_reader = is_gateway && is_operator_reader();
+    return options_.node.configuration_due /
+           (is_reader ? remote_rows_grace_part : remote_rows_backup_grace_part);
 }
 
 /// @return whether rows up to a version are missing and no request for the table is outstanding
