Ask once for a table whether a request is outstanding

The choice of a gateway to request rows from asked for each gateway whether a request is outstanding, and each time listed all connected processes: up to 330 times 2,430 entries at the planned size, on the control thread, while a large row spreads. Found in a review, by reading. The request is the same for all gateways, so it is looked up once.

--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -354,13 +354,17 @@
            (is_reader ? remote_rows_grace_part : remote_rows_backup_grace_part);
 }
 
-/// @return whether rows up to a version are missing and no request for the table is outstanding
-bool cluster_node::may_request_rows(const std::string& table, std::uint64_t version) {
+/// @return whether rows up to a version are missing
+bool cluster_node::are_rows_missing(const std::string& table, std::uint64_t version) {
     table_follower& follower = *shared_tables_.at(table);
-    if (version <= follower.rows().version || follower.settling_time(version).count() > 0) {
+    return version > follower.rows().version && follower.settling_time(version).count() == 0;
+}
+
+bool cluster_node::is_rows_request_outstanding(const std::string& table) {
+    const pending_request& request = rows_requests_[table];
+    if (request.session == 0) {
         return false;
     }
-    const pending_request& request = rows_requests_[table];
     milliseconds timeout = silent_reply_timeout;
     for (const connected_member* connected : mesh_->members()) {
         const peer_session& session = *connected->session;
@@ -368,16 +372,19 @@
             timeout = rows_reply_timeout;
         }
     }
-    return !is_outstanding(request, timeout, std::chrono::steady_clock::now());
+    return is_outstanding(request, timeout, std::chrono::steady_clock::now());
 }
 
 /// Requests the rows that this process lacks from one of the gateways that announced them.
 void cluster_node::request_rows_from_any(const std::string& table) {
+    if (is_rows_request_outstanding(table)) {
+        return;
+    }
     std::vector<row_source> sources;
     std::map<std::string_view, std::uint64_t> versions;
     for (const connected_member* connected : mesh_->members()) {
         const std::uint64_t version = announced_version(*connected, table);
-        if (connected->process.role != process_role::gateway || !may_request_rows(table, version)) {
+        if (connected->process.role != process_role::gateway || !are_rows_missing(table, version)) {
             continue;
         }
         const auto busy_at = busy_at_.find(connected->session->number());
@@ -415,7 +422,7 @@
 
 void cluster_node::request_rows(const std::string& instance, const std::string& table,
                                 std::uint64_t version) {
-    if (!may_request_rows(table, version)) {
+    if (!are_rows_missing(table, version) || is_rows_request_outstanding(table)) {
         return;
     }
     const auto now = std::chrono::steady_clock::now();
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -113,7 +113,8 @@
     void handle_offer(const connected_member& from, const std::string& table,
                       std::uint64_t version);
     milliseconds rows_grace(const connected_member& from, const std::string& table) const;
-    bool may_request_rows(const std::string& table, std::uint64_t version);
+    bool are_rows_missing(const std::string& table, std::uint64_t version);
+    bool is_rows_request_outstanding(const std::string& table);
     void update_outdated(std::uint64_t announced);
     std::uint64_t newest_announced_version() const;
     bool is_announcer_lost() const;
