Keep the newest known weights of a server while its reports pause

When the reports of an engine paused for a second, the gateway went back to the weights of its entry in the server list, which can be seconds older than the last report. Requests that waited there were given up on as waiting at replaced weights; one that may not be repeated ended with 502. Found in a review, by reading. Entry and report are of one incarnation, which does not go back, so the higher version counts. The new unit test gets version 1 instead of 2 without the change.

--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -173,8 +173,12 @@
 }
 
 std::uint64_t held_weights_version(const server_state& server, time_point now) noexcept {
-    return is_report_fresh(server, now) ? server.report.weights_version
-                                        : server.entry.weights_version;
+    if (is_report_fresh(server, now)) {
+        return server.report.weights_version;
+    }
+    // Both are of this incarnation, which does not go back to older weights.
+    const std::uint64_t reported = server.has_report ? server.report.weights_version : 0;
+    return std::max(reported, server.entry.weights_version);
 }
 
 bool delays_weight_load(const server_state& server, milliseconds remaining_time,
--- a/tests/server_choice_test.cpp
+++ b/tests/server_choice_test.cpp
@@ -51,6 +51,17 @@
     std::vector<std::unique_ptr<server_state>> servers;
 };
 
+// Guards against a server whose reports pause and whose list entry is older than the last one: its
+// requests were given up on as waiting at replaced weights.
+TEST_F(choice, weights_do_not_go_back_when_reports_pause) {
+    server_state& server = add("engine");
+    apply_report(server, {0, 2, false, true, std::nullopt}, start);
+    EXPECT_EQ(held_weights_version(server, start), 2U);
+    EXPECT_EQ(held_weights_version(server, start + max_report_age + milliseconds(1)), 2U);
+    server.entry.weights_version = 3;
+    EXPECT_EQ(held_weights_version(server, start + max_report_age + milliseconds(1)), 3U);
+}
+
 TEST_F(choice, draining_excluded_or_disallowed_servers_are_never_chosen) {
     add("draining").entry.is_draining = true;
     add("tried");
