Send small rows although large ones have to wait

A process whose request for rows met a busy gateway got nothing, also when announced weights or an evacuation were among the missing rows: they waited for the transfer of the configuration, and the time within which weights are due began late. The answer of a busy gateway carries the rows that are small, without raising the version of the copy, so the large row still counts as missing.

--- a/include/citronseam/process/versioned_row.h
+++ b/include/citronseam/process/versioned_row.h
@@ -74,6 +74,10 @@
 /// complete
 row_batch changes_since(const row_cache& cache, std::uint64_t after);
 
+/// Leaves large rows out of a batch, which then no longer tells up to which version it is complete.
+/// @param max_bytes size of the values that are kept
+void keep_small_rows(row_batch& batch, std::size_t max_bytes);
+
 /// @return the highest version of a row of a batch, 0 when there is none
 std::uint64_t newest_version(const row_batch& batch) noexcept;
 
--- a/src/process/versioned_row.cpp
+++ b/src/process/versioned_row.cpp
@@ -87,6 +87,17 @@
     return {rows_newer_than(cache, is_whole ? 0 : after), cache.version, is_whole, after};
 }
 
+void keep_small_rows(row_batch& batch, std::size_t max_bytes) {
+    std::size_t kept_bytes = 0;
+    std::erase_if(batch.rows, [&](const versioned_row& row) {
+        const bool is_kept = kept_bytes + row.value.size() <= max_bytes;
+        kept_bytes += is_kept ? row.value.size() : 0;
+        return !is_kept;
+    });
+    batch.version = 0;
+    batch.is_whole = false;
+}
+
 std::uint64_t newest_version(const row_batch& batch) noexcept {
     std::uint64_t newest = 0;
     for (const versioned_row& row : batch.rows) {
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -167,6 +167,10 @@
         return;
     }
     if (answer.is_busy) {
+        // Small rows, such as announced weights and evacuations, do not wait for large ones.
+        if (found->second->settling_time(newest_version(batch)).count() == 0) {
+            found->second->apply_from_member(batch);
+        }
         handle_busy(from, table);
         return;
     }
@@ -210,7 +214,7 @@
     const std::size_t bytes = value_bytes(batch);
     const std::size_t under_way = transfers_under_way();
     if (!may_send_rows(bytes, under_way, answer_limits)) {
-        answer.rows = {};
+        keep_small_rows(batch, answer_limits.large_bytes);
         answer.is_busy = true;
         return answer;
     }
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -238,6 +238,20 @@
     EXPECT_EQ(cache.version, 12U);
 }
 
+// Guards against small rows, such as announced weights, that wait for the transfer of a large one.
+TEST(versioned_row, small_rows_are_applied_before_a_large_one_without_raising_the_version) {
+    row_cache cache;
+    merge(cache, {{{"config", "old", 1, false}}, 1, true, 0});
+    row_batch batch{
+        {{"config", std::string(100, 'x'), 2, false}, {"version/m", "2", 3, false}}, 3, false, 1};
+    keep_small_rows(batch, 50);
+    const auto changed = merge(cache, batch);
+    ASSERT_EQ(changed.size(), 1U);
+    EXPECT_EQ(changed[0].key, "version/m");
+    EXPECT_EQ(cache.version, 1U) << "the large row is still missing";
+    EXPECT_EQ(newest_row_version(cache), 1U) << "and is not announced as held";
+}
+
 TEST(versioned_row, copy_is_complete_after_a_batch_of_all_rows) {
     row_cache cache;
     merge(cache, {{{"a", "1", 12, false}}, 12, false, 11});
