Do not give up a sending server for one that is silent

On a route that names no pause between events, events of the first server were held without limit during a move, and when the second server was silent for a second, the first one was given up as silent although it was sending. Found in a review, by reading. Such a route gets a pause of 300 ms, and the first server is given up for a third one only if nothing of it has arrived since the move began.

--- a/src/programs/gateway/gateway_exchange_moves.cpp
+++ b/src/programs/gateway/gateway_exchange_moves.cpp
@@ -9,6 +9,8 @@
 
 /// Pause between two attempts to find another server.
 constexpr milliseconds move_check_interval{100};
+/// Longest pause between events of a route that names none.
+constexpr milliseconds default_max_pause{300};
 
 constexpr std::string_view stalled = "stalled";
 constexpr std::string_view engine_loads = "engine_loads";
@@ -55,8 +57,10 @@
         return;
     }
     if (is_moving()) {
-        // Both servers are silent; the one that was for longer makes place for a third one.
-        end_move(move_decision::second, stalled, now);
+        // A third server takes the place of the first one if that is silent for longer than the
+        // second one.
+        const bool is_first_silent = attempt_->progress == attempt_progress::silent;
+        end_move(is_first_silent ? move_decision::second : move_decision::first, stalled, now);
     }
     log_event(log_level::info, "move_started",
               {{"request", caller_.attempt},
@@ -83,7 +87,8 @@
     state.is_stream = rule_->kind == retry_class::streaming;
     state.has_forwarded = events_forwarded_ > 0;
     state.last_forwarded_at = last_forwarded_at_;
-    state.max_pause = rule_->event_gap_objective;
+    state.max_pause =
+        rule_->event_gap_objective.count() > 0 ? rule_->event_gap_objective : default_max_pause;
     const move_decision decision = decide_move(state, now);
     if (decision != move_decision::undecided) {
         end_move(decision, "settled", now);
