Tell two functions of cluster_node apart by name

apply_member_rows was the name of two functions: for the rows that another process sent, and for changes of the table of members. The former is apply_rows_from_member. No change of logic; process_distribution_test and slow_links of process_rows_test pass.

--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -147,13 +147,13 @@
     observer.make_greeting = observer_.make_greeting;
     observer.on_rows = [this](const connected_member& from, const std::string& table,
                               const rows_answer& answer) {
-        apply_member_rows(from, table, answer);
+        apply_rows_from_member(from, table, answer);
     };
     return observer;
 }
 
-void cluster_node::apply_member_rows(const connected_member& from, const std::string& table,
-                                     const rows_answer& answer) {
+void cluster_node::apply_rows_from_member(const connected_member& from, const std::string& table,
+                                          const rows_answer& answer) {
     const row_batch& batch = answer.rows;
     const auto found = shared_tables_.find(table);
     if (found == shared_tables_.end()) {
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -98,9 +98,16 @@
     const member& self() const noexcept { return self_; }
 
 private:
+    /// A large answer and its receiver.
+    struct sent_rows {
+        std::uint64_t session{0};
+        std::string table;
+        row_transfer transfer;
+    };
+
     mesh_observer make_mesh_observer();
-    void apply_member_rows(const connected_member& from, const std::string& table,
-                           const rows_answer& answer);
+    void apply_rows_from_member(const connected_member& from, const std::string& table,
+                                const rows_answer& answer);
     rows_answer make_answer(const connected_member& from, const std::string& table,
                             std::uint64_t after);
     void reduce_for_sidecars(row_batch& batch);
@@ -138,12 +145,6 @@
     table_follower member_rows_;
     std::map<std::string, table_follower*> shared_tables_;
     std::map<std::string, member> known_members_; ///< by instance
-    /// A large answer and its receiver.
-    struct sent_rows {
-        std::uint64_t session{0};
-        std::string table;
-        row_transfer transfer;
-    };
     std::vector<sent_rows> transfers_;            ///< large answers that may be under way
     std::map<std::uint64_t, time_point> busy_at_; ///< when a session's process was busy
     std::set<std::string> tables_to_retry_;       ///< whose sources were all busy
