Let a moving stream pause for three of its objectives

Two of three moves ended at the first engine, because the other one had not sent an event within the pause of one objective, so engines waited longer for their last streams and took nothing meanwhile.

A refusal of the other engine still lets the first one go on at once; only the time for which events are held grows, to three objectives, which is also when a stream counts as stalled.

--- a/src/programs/gateway/gateway_exchange_moves.cpp
+++ b/src/programs/gateway/gateway_exchange_moves.cpp
@@ -9,8 +9,11 @@
 
 /// Pause between two attempts to find another server.
 constexpr milliseconds move_check_interval{100};
-/// Longest pause between events of a route that names none.
-constexpr milliseconds default_max_pause{300};
+/// A stream may pause for this many of its event gap objectives while it moves: one late stream
+/// costs less than an engine that takes no requests until its last stream has ended.
+constexpr int move_pause_objectives = 3;
+/// The same for a route that names no objective.
+constexpr milliseconds default_move_pause{1000};
 
 constexpr std::string_view stalled = "stalled";
 constexpr std::string_view engine_loads = "engine_loads";
@@ -87,8 +90,9 @@
     state.is_stream = rule_->kind == retry_class::streaming;
     state.has_forwarded = events_forwarded_ > 0;
     state.last_forwarded_at = last_forwarded_at_;
-    state.max_pause =
-        rule_->event_gap_objective.count() > 0 ? rule_->event_gap_objective : default_max_pause;
+    state.max_pause = rule_->event_gap_objective.count() > 0
+                          ? rule_->event_gap_objective * move_pause_objectives
+                          : default_move_pause;
     const move_decision decision = decide_move(state, now);
     if (decision != move_decision::undecided) {
         end_move(decision, "settled", now);
