Keep store reads and messages between processes from growing with the fleet

Change: - a process registers, then reads the table of members once: of two processes the later one finds the other. Further reads are two a second for all processes together, more only for a process that lacks others. A process whose store was restored registers again when it sees the new era. - only the reader of a zone reads the server list, five times within the time in which a change must be applied. A gateway that has known of newer rows for two fifths of that time reads the store itself, and asks others. So the age of a copy has a bound, which it had not. - a report replaces the next heartbeat; heartbeats to other zones come every second and are silent after four. The readers of the operator's table announce changes to all zones at once. - the list of processes is asked of gateways of the own zone and left out while its fingerprint is the same.

The parts are one commit since they share the constructor and timing of the mesh.

--- a/include/citronseam/process/settings.h
+++ b/include/citronseam/process/settings.h
@@ -58,6 +58,9 @@
     /// Time after the acknowledgement of a configuration from which no request is handled as only
     /// an older one allows.
     milliseconds configuration_due{2000};
+    /// Time after the store lists a backend server as draining or gone from which no request
+    /// reaches it.
+    milliseconds server_removal_due{2000};
     /// Time after the announcement of new weights from which no request starts on older ones.
     milliseconds weights_switch_deadline{8000};
     milliseconds settling_time{
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -75,6 +75,10 @@
     node.cold_rate_factor = reader.decimal_or("cold_factor", node.cold_rate_factor);
     node.cold_rate_slack = reader.decimal_or("cold_slack", node.cold_rate_slack);
     node.configuration_due = reader.duration_or("configuration_due", node.configuration_due);
+    node.server_removal_due = reader.duration_or("removal_due", node.server_removal_due);
+    if (node.server_removal_due.count() == 0) {
+        reader.report("removal_due", "must be longer than zero");
+    }
     node.weights_switch_deadline = reader.duration_or("weights_due", node.weights_switch_deadline);
     node.settling_time = reader.duration_or("contact", node.settling_time);
     node.grace_period = reader.duration_or("grace_period", node.grace_period);
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "citronseam/process/log.h"
+#include "citronseam/process/store_reads.h"
 #include "platform/directory.h"
 #include "programs/daemon/operator_server.h"
 #include "programs/daemon/role_runner.h"
@@ -15,13 +16,6 @@
 namespace citronseam {
 namespace {
 
-/// Between gateways. The directory stops listing a lost gateway after the silence timeout.
-constexpr session_timing mesh_timing{milliseconds(500), milliseconds(2000)};
-/// The server list changes with every heartbeat of a server, so it is polled instead of watched.
-/// At this interval a draining server is noticed well before requests to it are forbidden.
-constexpr milliseconds servers_interval{400};
-/// Fallback interval while another gateway reads the list for this zone.
-constexpr milliseconds backup_servers_interval{5000};
 constexpr milliseconds reader_check_interval{200};
 /// Granularity of time limits on requests.
 constexpr milliseconds sweep_interval{50};
@@ -45,9 +39,9 @@
         : options_(options), control_(1),
           pool_(options, metrics_), context_{options_, control_, traffic_,
                                              metrics_, pool_,    crashes_},
-          cluster_(options_, control_, traffic_, metrics_, mesh_timing, make_observer()),
+          cluster_(options_, control_, traffic_, metrics_, make_observer()),
           server_rows_(control_, cluster_.store(), std::string(platform::servers_table),
-                       follow_mode::poll, servers_interval),
+                       follow_mode::poll, servers_read_interval(options.node.server_removal_due)),
           view_builder_(options.node.weights_switch_deadline - options.node.settling_time),
           random_(seeded_random_source()) {}
 
@@ -65,10 +59,14 @@
         open_servers();
         control_.post([this] {
             cluster_.start({&server_rows_});
+            // The server list changes with every heartbeat of a server, so it is polled instead of
+            // watched.
+            server_rows_.set_needed_check(
+                [this] { return is_zone_reader_ || cluster_.is_server_list_outdated(); });
             server_rows_.start([this](const table_change& change) { apply_server_rows(change); });
             run_periodically(control_, reader_check_interval, [this] {
                 update_heartbeat();
-                update_servers_interval();
+                update_zone_reader();
                 update_readiness();
             });
         });
@@ -95,7 +93,7 @@
     }
 
     /// One gateway of each zone polls the server list often and sends the changes to the others.
-    void update_servers_interval() {
+    void update_zone_reader() {
         const bool is_zone_reader = cluster_.is_server_reader();
         if (is_zone_reader != is_zone_reader_) {
             log_event(log_level::info,
@@ -103,7 +101,6 @@
                       {{"zone", options_.availability_zone}});
         }
         is_zone_reader_ = is_zone_reader;
-        server_rows_.set_interval(is_zone_reader ? servers_interval : backup_servers_interval);
     }
 
     void open_servers() {
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "citronseam/process/log.h"
 #include "citronseam/process/sizes.h"
+#include "citronseam/process/store_reads.h"
 #include "platform/sidecar_rows.h"
 
 namespace citronseam {
@@ -19,13 +21,10 @@
 /// the links between regions once for each. A read of large rows over a crowded link takes seconds,
 /// during which few others may add theirs.
 constexpr reader_policy operator_readers{2, milliseconds(2000), milliseconds(1000)};
-/// The server list is read every 400 ms, which is reported every 500 ms.
-constexpr reader_policy server_readers{1, milliseconds(1300)};
-/// Interval between reads of the members table; in between processes learn of each other directly.
-constexpr milliseconds members_interval{10000};
-/// The same just after the start, and while no other process is connected.
-constexpr milliseconds startup_members_interval{500};
-constexpr milliseconds startup_period{2000};
+/// A reader of the server list counts as silent after this many of its reads, and one heartbeat.
+constexpr int server_reads_until_silent = 2;
+constexpr milliseconds reader_heartbeat{500};
+constexpr milliseconds members_check_interval{500};
 /// For this long after its start a process connects to all gateways, so that they learn of it.
 constexpr milliseconds introduction_period{6000};
 constexpr milliseconds registration_retry_delay{400};
@@ -37,8 +36,6 @@
 /// the time within which a configuration is due leave time for the transfer.
 constexpr int remote_rows_grace_part = 4;
 constexpr int remote_rows_backup_grace_part = 2;
-/// The reader of the zone sends changes of the server list, which it reads every 400 ms.
-constexpr milliseconds server_rows_grace{1500};
 /// A sidecar that starts requests rows from a gateway, and reads the store itself only when none
 /// has arrived after this time.
 constexpr milliseconds first_rows_grace{2000};
@@ -72,20 +69,18 @@
 } // namespace
 
 cluster_node::cluster_node(const settings& options, io_thread_pool& control, http_client& http,
-                           metrics& metric_registry, session_timing timing,
-                           cluster_observer observer)
+                           metrics& metric_registry, cluster_observer observer)
     : options_(options), control_(control), metrics_(metric_registry),
       observer_(std::move(observer)),
       store_(control, http, metric_registry, options.node.store_address), self_(make_self(options)),
-      mesh_(std::make_shared<member_mesh>(control, self_, timing, make_mesh_observer())),
+      mesh_(std::make_shared<member_mesh>(control, self_, mesh_timing{}, make_mesh_observer())),
       operator_rows_(control, store_, std::string(platform::operator_table), follow_mode::feed,
                      feed_wait),
-      member_rows_(control, store_, members_table, follow_mode::poll, members_interval) {}
+      member_rows_(control, store_, members_table, follow_mode::poll, members_read_interval({})) {}
 
 void cluster_node::start(const std::vector<table_follower*>& tables) {
     started_at_ = std::chrono::steady_clock::now();
     control_.post_after(introduction_period, [this] { update_targets(); });
-    update_members_interval();
     shared_tables_[operator_rows_.table()] = &operator_rows_;
     for (table_follower* table : tables) {
         shared_tables_[table->table()] = table;
@@ -110,7 +105,6 @@
     });
     operator_rows_.start([this](const table_change& change) { apply_operator_rows(change); },
                          self_.role == process_role::gateway ? milliseconds(0) : first_rows_grace);
-    member_rows_.start([this](const table_change& change) { apply_member_rows(change); });
 }
 
 void cluster_node::stop() {
@@ -132,9 +126,9 @@
                                    const wire::member_beat& heartbeat) {
         if (from.process.role == process_role::gateway) {
             update_outdated(std::max(announced_operator_version_, from.operator_version));
+            update_server_list_lag(from.servers_version);
         }
         handle_offer(from, std::string(platform::operator_table), from.operator_version);
-        handle_offer(from, std::string(platform::servers_table), from.servers_version);
         observer_.on_heartbeat(from, heartbeat);
     };
     observer.on_rows_request = [this](const connected_member& from, const std::string& table,
@@ -268,6 +262,7 @@
 
 void cluster_node::apply_operator_rows(const table_change& change) {
     update_outdated(announced_operator_version_);
+    register_in_new_era();
     if (change.rows.empty() && change.previous_version > 0) {
         return;
     }
@@ -284,6 +279,10 @@
         // Sidecars and the gateways that do not read for the zone request the rows: each from one
         // gateway, so that they take its link once.
         mesh_->send_heartbeat_to_zone();
+        if (change.is_own_read) {
+            // Zones whose readers do not reach the store need the news in time.
+            mesh_->send_heartbeat_to_other_zones();
+        }
     }
 }
 
@@ -317,6 +316,32 @@
     }
 }
 
+/// Records what the copy of the server list lacks.
+/// @param announced version that a gateway announces, 0: none
+void cluster_node::update_server_list_lag(std::uint64_t announced) {
+    const auto found = shared_tables_.find(platform::servers_table);
+    if (found == shared_tables_.end()) {
+        return;
+    }
+    table_follower& servers = *found->second;
+    const bool is_settling = servers.settling_time(announced).count() > 0;
+    update_missing_versions(missing_server_versions_,
+                            {servers.rows().version, servers.last_read_begun_at()},
+                            is_settling ? 0 : announced, std::chrono::steady_clock::now());
+}
+
+bool cluster_node::is_server_list_outdated() {
+    update_server_list_lag(0);
+    const auto since = missing_since(missing_server_versions_);
+    const milliseconds max_lag = max_server_list_lag(options_.node.server_removal_due);
+    if (!since || std::chrono::steady_clock::now() - *since <= max_lag) {
+        return false;
+    }
+    // The store may refuse this process.
+    request_rows_from_any(std::string(platform::servers_table));
+    return true;
+}
+
 /// Requests rows that another process announced, if they do not arrive otherwise.
 void cluster_node::handle_offer(const connected_member& from, const std::string& table,
                                 std::uint64_t version) {
@@ -331,7 +356,7 @@
         request_rows(instance, table, version);
         return;
     }
-    control_.post_after(rows_grace(from, table), [this, instance, table, version] {
+    control_.post_after(rows_grace(from), [this, instance, table, version] {
         if (self_.role == process_role::gateway) {
             request_rows_from_any(table);
         } else {
@@ -341,11 +366,7 @@
 }
 
 /// @return how long rows that a process announced may take to arrive otherwise
-milliseconds cluster_node::rows_grace(const connected_member& from,
-                                      const std::string& table) const {
-    if (table == platform::servers_table) {
-        return server_rows_grace;
-    }
+milliseconds cluster_node::rows_grace(const connected_member& from) const {
     const bool is_gateway = self_.role == process_role::gateway;
     if (from.process.zone == self_.zone) {
         return is_gateway && !is_operator_reader() ? milliseconds(0) : operator_rows_grace;
@@ -509,6 +530,7 @@
 
 void cluster_node::register_self() {
     if (is_registering_) {
+        must_register_again_ = true;
         return;
     }
     is_registering_ = true;
@@ -520,9 +542,33 @@
                 return;
             }
             log_event(log_level::info, "registered", {{"incarnation", self_.incarnation}});
+            follow_members();
+            if (std::exchange(must_register_again_, false)) {
+                register_self();
+            }
         });
 }
 
+/// Of two processes the one that registers later finds the other one in the table, so each reads it
+/// once after it has registered.
+void cluster_node::follow_members() {
+    if (std::exchange(is_following_members_, true)) {
+        return;
+    }
+    member_rows_.start([this](const table_change& change) { apply_member_rows(change); });
+    update_members_interval();
+}
+
+/// A store that was restored from a copy may have lost the row of this process.
+void cluster_node::register_in_new_era() {
+    const std::uint64_t era = era_of(operator_rows_.rows().version);
+    const bool is_new = registered_era_ && era > *registered_era_;
+    registered_era_ = std::max(era, registered_era_.value_or(era));
+    if (is_new) {
+        register_self();
+    }
+}
+
 /// Chooses targets so that each pair has one connection: of two gateways the one with the lower
 /// instance name dials, and sidecars dial gateways. Seed addresses are used until a member is
 /// known.
@@ -555,6 +601,16 @@
     }
 }
 
+const connected_member* cluster_node::next_informant() {
+    std::vector<const connected_member*> informants = mesh_->members();
+    const bool has_same_zone = !preferred_gateway().empty();
+    std::erase_if(informants, [&](const connected_member* connected) {
+        return connected->process.role != process_role::gateway ||
+               (has_same_zone && connected->process.zone != self_.zone);
+    });
+    return informants.empty() ? nullptr : informants[++informant_turn_ % informants.size()];
+}
+
 void cluster_node::add_gateways(const wire::neighbours_reply& reply) {
     if (reply.gateways() == nullptr) {
         return;
@@ -578,7 +634,9 @@
 }
 
 bool cluster_node::is_server_reader() const {
-    return is_reader(&connected_member::servers_read_at, server_readers);
+    const milliseconds interval = servers_read_interval(options_.node.server_removal_due);
+    return is_reader(&connected_member::servers_read_at,
+                     {1, server_reads_until_silent * interval + reader_heartbeat});
 }
 
 bool cluster_node::is_operator_reader() const {
@@ -607,13 +665,21 @@
     }
 }
 
-/// Polls often after the start, since processes that start at the same time register a little
-/// later.
 void cluster_node::update_members_interval() {
-    const bool is_new = std::chrono::steady_clock::now() - started_at_ < startup_period;
-    const bool is_alone = mesh_->members().empty();
-    member_rows_.set_interval(is_new || is_alone ? startup_members_interval : members_interval);
-    control_.post_after(startup_members_interval, [this] { update_members_interval(); });
+    const std::vector<const connected_member*> connected = mesh_->members();
+    const auto known_gateways = static_cast<std::size_t>(
+        std::count_if(known_members_.begin(), known_members_.end(), [](const auto& entry) {
+            return entry.second.role == process_role::gateway;
+        }));
+    member_knowledge knowledge;
+    knowledge.known = known_members_.size();
+    knowledge.is_connected = !connected.empty();
+    knowledge.is_incomplete =
+        std::any_of(connected.begin(), connected.end(), [&](const connected_member* other) {
+            return other->gateway_count > known_gateways;
+        });
+    member_rows_.set_interval(members_read_interval(knowledge));
+    control_.post_after(members_check_interval, [this] { update_members_interval(); });
 }
 
 sender_list cluster_node::gateways() const {
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -54,9 +54,8 @@
 class cluster_node {
 public:
     /// @param options settings; must outlive this object
-    /// @param timing  of the connections between processes
     cluster_node(const settings& options, io_thread_pool& control, http_client& http,
-                 metrics& metric_registry, session_timing timing, cluster_observer observer);
+                 metrics& metric_registry, cluster_observer observer);
 
     /// Listens, registers, follows the operator's table and connects to the other processes.
     /// @param tables further tables whose rows are sent to processes that request them
@@ -87,11 +86,17 @@
     /// @return whether this process polls the server list for its zone and sends the changes to its
     /// other gateways
     bool is_server_reader() const;
+    /// @return whether other gateways have had newer rows of the server list for longer than its
+    /// changes may take; requests the rows in that case
+    bool is_server_list_outdated();
     /// @return number of this process's successful reads of the operator's table
     std::uint64_t operator_reads() const noexcept { return operator_rows_.read_count(); }
     /// Sends rows to the connected processes of the own zone.
     /// @param role of those processes
     void send_rows_to_zone(process_role role, const std::string& table, const row_batch& batch);
+    /// @return the gateway to ask for lists of processes, each time another one, of the own zone if
+    /// one is connected; nullptr when none is connected
+    const connected_member* next_informant();
     /// Adds gateways that another process listed.
     void add_gateways(const wire::neighbours_reply& reply);
     /// @return this process
@@ -116,13 +121,16 @@
     void add_member(const member& process);
     void update_members_interval();
     void register_self();
+    void register_in_new_era();
+    void follow_members();
     void update_targets();
     void handle_offer(const connected_member& from, const std::string& table,
                       std::uint64_t version);
-    milliseconds rows_grace(const connected_member& from, const std::string& table) const;
+    milliseconds rows_grace(const connected_member& from) const;
     bool are_rows_missing(const std::string& table, std::uint64_t version);
     bool is_rows_request_outstanding(const std::string& table);
     void update_outdated(std::uint64_t announced);
+    void update_server_list_lag(std::uint64_t announced);
     std::uint64_t newest_announced_version() const;
     bool is_announcer_lost() const;
     void request_rows(const std::string& instance, const std::string& table, std::uint64_t version);
@@ -143,7 +151,7 @@
     std::shared_ptr<member_mesh> mesh_;
     table_follower operator_rows_;
     table_follower member_rows_;
-    std::map<std::string, table_follower*> shared_tables_;
+    std::map<std::string, table_follower*, std::less<>> shared_tables_;
     std::map<std::string, member> known_members_; ///< by instance
     std::vector<sent_rows> transfers_;            ///< large answers that may be under way
     std::map<std::uint64_t, time_point> busy_at_; ///< when a session's process was busy
@@ -152,10 +160,15 @@
     std::map<std::string, versioned_row> reduced_rows_;    ///< for sidecars, by key
     std::map<std::string, pending_request> rows_requests_; ///< requests for rows, by table
     missing_versions missing_operator_versions_;
+    missing_versions missing_server_versions_;
     std::uint64_t announced_operator_version_{0}; ///< newest of the connected gateways
     bool is_registering_{false};                  ///< a write of the own row is outstanding
+    bool must_register_again_{false};             ///< once the outstanding write has ended
+    bool is_following_members_{false};
+    std::optional<std::uint64_t> registered_era_; ///< of the store, when this process registered
     bool is_reading_operator_rows_{false};        ///< as the follower was last told
     time_point started_at_;
+    std::size_t informant_turn_{0};
 };
 
 } // namespace citronseam
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -2,10 +2,14 @@
 
 #include "citronseam/connection/frame.h"
 #include "citronseam/process/log.h"
+#include "citronseam/process/random.h"
 
 namespace citronseam {
 namespace {
 
+/// A heartbeat replaces the next periodic one if it was sent within this part of the interval.
+constexpr double recent_heartbeat_share = 0.9;
+
 wire::role to_wire(process_role role) {
     return role == process_role::sidecar ? wire::role::sidecar : wire::role::gateway;
 }
@@ -53,9 +57,26 @@
     return neighbour;
 }
 
+/// @return a fingerprint of the lists of a reply, the sender included
+std::uint64_t fingerprint_of(const wire::neighbours_replyT& reply, const member& sender) {
+    std::string text;
+    for (const auto& sidecar : reply.neighbours) {
+        text += sidecar->instance + (sidecar->is_ready ? "+" : "-") + sidecar->peer_address + " ";
+    }
+    // Every gateway lists all but itself, so their order is restored here.
+    std::set<std::string_view> gateways{sender.instance};
+    for (const auto& gateway : reply.gateways) {
+        gateways.insert(gateway->instance);
+    }
+    for (const std::string_view instance : gateways) {
+        text.append(instance).append(" ");
+    }
+    return hash_text(text);
+}
+
 } // namespace
 
-member_mesh::member_mesh(io_thread_pool& control, member self, session_timing timing,
+member_mesh::member_mesh(io_thread_pool& control, member self, mesh_timing timing,
                          mesh_observer observer)
     : control_(control), self_(std::move(self)), timing_(timing), observer_(std::move(observer)),
       heartbeat_(make_frame(wire::member_beatT{})) {}
@@ -92,19 +113,39 @@
             self->handle_closed(session, reason);
         }
     };
-    observer.make_heartbeat = [weak](const session_pointer&) {
+    observer.make_heartbeat = [weak](const session_pointer& session) {
         const auto self = weak.lock();
-        return self == nullptr ? shared_frame{} : self->heartbeat_;
+        return self == nullptr ? shared_frame{} : self->take_due_heartbeat(session);
     };
     return observer;
 }
 
+const session_timing& member_mesh::timing_for(const member& process) const {
+    return process.zone == self_.zone ? timing_.same_zone : timing_.other_zones;
+}
+
+/// @return the heartbeat for a session, nullptr if one was sent shortly before
+shared_frame member_mesh::take_due_heartbeat(const session_pointer& session) {
+    const auto found = sessions_.find(session->number());
+    if (found == sessions_.end()) {
+        return nullptr;
+    }
+    connected_member& to = found->second;
+    const auto now = std::chrono::steady_clock::now();
+    if (now - to.beat_sent_at <
+        recent_heartbeat_share * timing_for(to.process).heartbeat_interval) {
+        return nullptr;
+    }
+    to.beat_sent_at = now;
+    return heartbeat_;
+}
+
 void member_mesh::listen(const host_port& address) {
     listener_ = std::make_shared<peer_listener>(
         control_.context(), address, [weak = weak_from_this()](asio::ip::tcp::socket socket) {
             if (const auto self = weak.lock()) {
-                std::make_shared<peer_session>(std::move(socket), self->make_hello(), self->timing_,
-                                               self->make_observer())
+                std::make_shared<peer_session>(std::move(socket), self->make_hello(),
+                                               self->timing_.same_zone, self->make_observer())
                     ->start();
             }
         });
@@ -119,7 +160,7 @@
                 const auto self = weak.lock();
                 return self == nullptr ? make_frame(wire::helloT{}) : self->make_hello();
             },
-            timing_, make_observer());
+            timing_.same_zone, make_observer());
     }
     dialer_->set_targets(std::move(targets));
 }
@@ -130,8 +171,10 @@
 
 void member_mesh::broadcast(wire::member_beatT heartbeat, bool is_same_region_only) {
     const shared_frame frame = make_frame(std::move(heartbeat));
-    for (const auto& [number, connected] : sessions_) {
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [number, connected] : sessions_) {
         if (!is_same_region_only || connected.process.region == self_.region) {
+            connected.beat_sent_at = now;
             connected.session->send(frame);
         }
     }
@@ -153,8 +196,21 @@
     }
 }
 
-void member_mesh::request_neighbours(const connected_member& from, const std::string& service) {
+void member_mesh::send_heartbeat_to_other_zones() {
+    const auto now = std::chrono::steady_clock::now();
+    for (auto& [number, connected] : sessions_) {
+        if (connected.process.role == process_role::gateway &&
+            connected.process.zone != self_.zone) {
+            connected.beat_sent_at = now;
+            connected.session->send(heartbeat_);
+        }
+    }
+}
+
+void member_mesh::request_neighbours(const connected_member& from, const std::string& service,
+                                     std::uint64_t known) {
     wire::neighbours_requestT request;
+    request.known = known;
     request.service = service;
     request.availability_zone = self_.zone;
     from.session->send(make_frame(std::move(request)));
@@ -210,6 +266,8 @@
               {{"member", connected.process.instance},
                {"zone", connected.process.zone},
                {"incarnation", connected.process.incarnation}});
+    // The timing of the own zone holds until the peer has said where it is.
+    session->set_timing(timing_for(connected.process));
     if (observer_.make_greeting) {
         for (const auto& frame : observer_.make_greeting(connected.process)) {
             session->send(frame);
@@ -280,6 +338,12 @@
         }
         reply.neighbours.push_back(to_neighbour(process, connected->is_ready));
     }
+    reply.fingerprint = fingerprint_of(reply, self_);
+    reply.is_unchanged = request.known() == reply.fingerprint;
+    if (reply.is_unchanged) {
+        reply.neighbours.clear();
+        reply.gateways.clear();
+    }
     session->send(make_frame(std::move(reply)));
 }
 
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -33,6 +33,14 @@
     std::uint64_t operator_reads{0};   ///< number of its own reads of the operator's table
     time_point operator_read_at;       ///< when operator_reads last increased
     std::size_t gateway_count{0};      ///< gateways that it knows of; of gateways only
+    time_point beat_sent_at;           ///< when this process last sent it a heartbeat
+};
+
+/// Timing of the connections between processes. Heartbeats to other zones are rarer, since links
+/// between zones and regions are scarce.
+struct mesh_timing {
+    session_timing same_zone{milliseconds(500), milliseconds(2000)};
+    session_timing other_zones{milliseconds(1000), milliseconds(4000)};
 };
 
 /// Answer to a request for rows.
@@ -74,10 +82,9 @@
 public:
     /// @param control  loop of the control thread; runs the sockets
     /// @param self     this process
-    /// @param timing   heartbeat interval and silence timeout
+    /// @param timing   heartbeat intervals and silence timeouts
     /// @param observer receives events and messages
-    member_mesh(io_thread_pool& control, member self, session_timing timing,
-                mesh_observer observer);
+    member_mesh(io_thread_pool& control, member self, mesh_timing timing, mesh_observer observer);
 
     /// Accepts connections from other processes.
     void listen(const host_port& address);
@@ -92,8 +99,12 @@
     void send_to_gateways(const shared_frame& frame);
     /// Sends the heartbeat at once to the connected processes of the own zone.
     void send_heartbeat_to_zone();
+    /// Sends the heartbeat at once to the connected gateways of the other zones.
+    void send_heartbeat_to_other_zones();
     /// Requests the sidecars of a service from a gateway.
-    void request_neighbours(const connected_member& from, const std::string& service);
+    /// @param known fingerprint of the list that this process has, 0: none
+    void request_neighbours(const connected_member& from, const std::string& service,
+                            std::uint64_t known);
     /// Sends rows to a process without a request.
     void send_rows(const connected_member& to, const std::string& table, const row_batch& rows);
     /// Requests rows after a version from a process.
@@ -108,6 +119,8 @@
     using session_pointer = std::shared_ptr<peer_session>;
 
     shared_frame make_hello() const;
+    const session_timing& timing_for(const member& process) const;
+    shared_frame take_due_heartbeat(const session_pointer& session);
     session_observer make_observer();
     void handle_hello(const session_pointer& session, const wire::hello& hello);
     void handle_message(const session_pointer& session, const wire::envelope& message);
@@ -119,7 +132,7 @@
 
     io_thread_pool& control_;
     member self_;
-    session_timing timing_;
+    mesh_timing timing_;
     mesh_observer observer_;
     std::shared_ptr<peer_listener> listener_;
     std::shared_ptr<dialer> dialer_;
--- a/src/programs/node/table_follower.cpp
+++ b/src/programs/node/table_follower.cpp
@@ -100,9 +100,10 @@
     control_.post_after(delay, [this, step] { (this->*step)(); });
 }
 
-/// Reads the table once the interval has passed.
+/// Reads the table once the interval has passed, unless another process sends the rows.
 void table_follower::poll() {
-    if (std::chrono::steady_clock::now() - call_started_at_ >= interval_) {
+    const bool is_due = std::chrono::steady_clock::now() - call_started_at_ >= interval_;
+    if (is_due && (!is_needed_ || is_needed_())) {
         read_full_table();
     } else {
         schedule(poll_tick, &table_follower::poll);
@@ -139,7 +140,10 @@
 
 /// Reads the table after a failure or a grace period, unless another process sends the rows.
 void table_follower::read_again() {
-    if (cache_.is_complete && is_needed_ && !is_needed_()) {
+    const bool is_needed = !cache_.is_complete || !is_needed_ || is_needed_();
+    if (!is_needed && mode_ == follow_mode::poll) {
+        poll();
+    } else if (!is_needed) {
         wait_for_changes();
     } else {
         read_full_table();
--- a/src/programs/node/table_follower.h
+++ b/src/programs/node/table_follower.h
@@ -41,7 +41,7 @@
     /// Reads the table and begins to follow it.
     /// @param grace time within which another process may send the rows instead
     void start(change_handler handle, milliseconds grace = milliseconds(0));
-    /// Sets a check whether this process must follow the feed itself; while it returns false,
+    /// Sets a check whether this process must read the store itself; while it returns false,
     /// another process sends the rows.
     void set_needed_check(std::function<bool()> is_needed) { is_needed_ = std::move(is_needed); }
     /// Changes the time between two reads. A longer wait in progress is cut short.
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -15,7 +15,8 @@
 namespace citronseam {
 namespace {
 
-constexpr session_timing mesh_timing{milliseconds(500), milliseconds(2000)};
+/// Of the connections to other sidecars, over which pieces are sent.
+constexpr session_timing swarm_timing{milliseconds(500), milliseconds(2000)};
 constexpr milliseconds reconcile_interval{50};
 /// Interval of requests for the list of sidecars, so that it is up to date when a fetch starts.
 constexpr milliseconds members_interval{500};
@@ -54,9 +55,9 @@
 public:
     explicit sidecar(const settings& options)
         : options_(options), control_(1), context_{options_, control_, http_, metrics_},
-          cluster_(options_, control_, http_, metrics_, mesh_timing, make_observer()),
-          engine_(context_), swarm_(std::make_shared<chunk_swarm>(
-                                 make_swarm_context(), [this] { return make_swarm_hello(); })),
+          cluster_(options_, control_, http_, metrics_, make_observer()), engine_(context_),
+          swarm_(std::make_shared<chunk_swarm>(make_swarm_context(),
+                                               [this] { return make_swarm_hello(); })),
           loader_(std::make_shared<weights_loader>(context_, engine_, make_loader_callbacks())),
           fetcher_(std::make_shared<weights_fetcher>(
               context_, engine_, swarm_, [this](std::shared_ptr<const complete_weights> weights) {
@@ -115,7 +116,7 @@
                               options_.backend_server.service,
                               options_.peer_address,
                               wire::role::sidecar,
-                              mesh_timing,
+                              swarm_timing,
                               options_.weight_memory_bytes,
                               control_,
                               control_,
@@ -219,18 +220,19 @@
         return found == options_.node.region_of_zone.end() ? options_.node.region : found->second;
     }
 
-    /// Asks the gateways in turn for the list of sidecars of the service.
+    /// Asks the gateways of the zone in turn for the list of sidecars of the service.
     void request_members() {
-        const auto members = cluster_.mesh().members();
-        if (members.empty()) {
-            return;
+        if (const connected_member* informant = cluster_.next_informant()) {
+            cluster_.mesh().request_neighbours(*informant, options_.backend_server.service,
+                                               members_fingerprint_);
         }
-        ++member_requests_;
-        cluster_.mesh().request_neighbours(*members[member_requests_ % members.size()],
-                                           options_.backend_server.service);
     }
 
     void handle_neighbours(const wire::neighbours_reply& reply) {
+        if (reply.is_unchanged()) {
+            swarm_->set_members(members_, options_.node.region, origin_region_);
+            return;
+        }
         std::vector<swarm_member> members;
         if (reply.neighbours() != nullptr) {
             for (const auto* neighbour : *reply.neighbours()) {
@@ -245,7 +247,9 @@
             }
         }
         cluster_.add_gateways(reply);
-        swarm_->set_members(std::move(members), options_.node.region, origin_region_);
+        members_fingerprint_ = reply.fingerprint();
+        members_ = std::move(members);
+        swarm_->set_members(members_, options_.node.region, origin_region_);
     }
 
     /// Reports to the gateways at regular intervals, and immediately after a large change of load.
@@ -306,7 +310,8 @@
     std::map<std::string, std::uint64_t> announced_versions_; ///< announced version by model
     std::string model_;                                       ///< model of the sidecar's engine
     std::string origin_region_;
-    std::size_t member_requests_{0};
+    std::vector<swarm_member> members_;    ///< sidecars of the service, as last listed
+    std::uint64_t members_fingerprint_{0}; ///< of that list
     time_point reported_to_all_at_;
     time_point reported_at_; ///< time of the last report
     std::uint32_t reported_busy_{0};
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -67,13 +67,13 @@
     std::uint32_t last_offset_{0};
 };
 
+} // namespace
+
 std::uint16_t free_port() {
     static port_block block;
     return block.next();
 }
 
-} // namespace
-
 platform_world::platform_world(std::size_t gateways_per_zone)
     : directory_(std::filesystem::temp_directory_path() /
                  ("citronseam-platform-" + std::to_string(getpid()))) {
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -18,6 +18,9 @@
 
 namespace citronseam::harness {
 
+/// @return a port on the loopback address that no other test process uses
+std::uint16_t free_port();
+
 /// A complete deployment: two zones, each with an engine, a plain server, a sidecar and gateways.
 class platform_world {
 public:
