Let the readers of the operator's table wait in proportion to the bound

Cause: each of the two readers of a zone called the store every second, whatever the time is within which a configuration must be in force. On a deployment of five zones these were 10 of some 17 calls a second, by calculation.

Change: a call waits for half of that time, and a reader counts as silent a second after that. Nothing changes where configurations are due within 2 s.

Test: store_reads.silent_call_for_changes_ends_within_the_time_that_a_change_may_take.

--- a/include/citronseam/process/store_reads.h
+++ b/include/citronseam/process/store_reads.h
@@ -22,6 +22,11 @@
 /// @return time between two reads of the table of members
 milliseconds members_read_interval(const member_knowledge& knowledge) noexcept;
 
+/// @param due time after its acknowledgement within which a configuration must be in force
+/// @return longest wait of one call for changes of the operator's table. Each response shows that
+/// the reader still reads, so it is short against that time.
+milliseconds operator_feed_wait(milliseconds due) noexcept;
+
 /// @param bound time after the store's answer within which a change of the server list must be
 /// applied everywhere
 /// @return time between two reads of the server list by the reader of a zone
--- a/src/process/store_reads.cpp
+++ b/src/process/store_reads.cpp
@@ -12,6 +12,8 @@
 /// Interval of a process that is connected to none.
 constexpr milliseconds alone_members_interval{500};
 
+/// Two, so that a reader whose calls fail is replaced within about the time itself.
+constexpr int feed_calls_per_due_time = 2;
 /// Reads of the server list within the time in which a change must be applied. The rest is for the
 /// way to the other processes of the zone, and for one read that fails.
 constexpr int server_reads_per_bound = 5;
@@ -31,6 +33,10 @@
     return std::max(min_members_interval, members_interval_per_process * process_count);
 }
 
+milliseconds operator_feed_wait(milliseconds due) noexcept {
+    return due / feed_calls_per_due_time;
+}
+
 milliseconds servers_read_interval(milliseconds bound) noexcept {
     return bound / server_reads_per_bound;
 }
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -15,12 +15,13 @@
 /// Table of the processes of the system, one row each.
 constexpr const char* members_table = "citronseam_members";
 
-/// Longest wait of one feed call. Each response shows that the reader still reads.
-constexpr milliseconds feed_wait{1000};
 /// Readers of the operator's table in a zone: two, so that one may fail unnoticed. Large rows take
-/// the links between regions once for each. A read of large rows over a crowded link takes seconds,
-/// during which few others may add theirs.
-constexpr reader_policy operator_readers{2, milliseconds(2000), milliseconds(1000)};
+/// the links between regions once for each.
+constexpr std::size_t operator_readers = 2;
+/// A reader counts as silent this long after the longest wait of its calls.
+constexpr milliseconds operator_response_time{1000};
+/// A read of large rows over a crowded link takes seconds, during which few others may add theirs.
+constexpr milliseconds operator_takeover_step{1000};
 /// A reader of the server list counts as silent after this many of its reads, and one heartbeat.
 constexpr int server_reads_until_silent = 2;
 constexpr milliseconds reader_heartbeat{500};
@@ -75,7 +76,7 @@
       store_(control, http, metric_registry, options.node.store_address), self_(make_self(options)),
       mesh_(std::make_shared<member_mesh>(control, self_, mesh_timing{}, make_mesh_observer())),
       operator_rows_(control, store_, std::string(platform::operator_table), follow_mode::feed,
-                     feed_wait),
+                     operator_feed_wait(options.node.configuration_due)),
       member_rows_(control, store_, members_table, follow_mode::poll, members_read_interval({})) {}
 
 void cluster_node::start(const std::vector<table_follower*>& tables) {
@@ -640,7 +641,9 @@
 }
 
 bool cluster_node::is_operator_reader() const {
-    return is_reader(&connected_member::operator_read_at, operator_readers);
+    const milliseconds wait = operator_feed_wait(options_.node.configuration_due);
+    return is_reader(&connected_member::operator_read_at,
+                     {operator_readers, wait + operator_response_time, operator_takeover_step});
 }
 
 bool cluster_node::is_reader(time_point connected_member::*read_at,
--- a/tests/store_reads_test.cpp
+++ b/tests/store_reads_test.cpp
@@ -46,6 +46,15 @@
     }
 }
 
+// Guards against CONFIG: a reader of the operator's table that gets no answers is noticed within
+// the time in which a configuration is due.
+TEST(store_reads, silent_call_for_changes_ends_within_the_time_that_a_change_may_take) {
+    EXPECT_EQ(operator_feed_wait(milliseconds(2000)), milliseconds(1000));
+    for (const milliseconds due : {milliseconds(2000), milliseconds(3000), milliseconds(4000)}) {
+        EXPECT_LE(2 * operator_feed_wait(due), due);
+    }
+}
+
 TEST(store_reads, copy_that_is_a_read_behind_another_zones_is_not_outdated) {
     for (const milliseconds bound : {milliseconds(2000), milliseconds(3000), milliseconds(4000)}) {
         EXPECT_GE(max_server_list_lag(bound), servers_read_interval(bound) * 3 / 2);
