Wait for the traffic thread in the test of allowed regions

Cause, by reading: the test waits for the line configuration_in_force, which the control thread logs before it passes the routes on to the traffic thread; a request in between follows the earlier configuration, as it may within the time in which a configuration is due. The traffic thread logs regions_in_force when it takes the routes.

Change: the cases wait for that line. They check as much as before.

--- a/tests/process_allowed_regions_test.cpp
+++ b/tests/process_allowed_regions_test.cpp
@@ -22,7 +22,8 @@
         ASSERT_TRUE(world.start()) << world.gateway(0).output() << world.gateway(1).output();
     }
 
-    /// Restricts a route or a workspace and waits until the first gateway knows of it.
+    /// Restricts a route or a workspace and waits until requests at the first gateway follow it.
+    /// The line configuration_in_force comes earlier, when the control thread has read it.
     /// @param list `routes` or `tenants`
     void restrict(const std::string& list, const std::string& name, const json& regions) {
         world.edit_configuration([&](json& configuration) {
@@ -34,7 +35,7 @@
         });
         const auto version =
             json::parse(world.store.value("op", "config")).at("version").get<int>();
-        ASSERT_NE(world.gateway(0).wait_for_line("event=configuration_in_force version=" +
+        ASSERT_NE(world.gateway(0).wait_for_line("event=regions_in_force version=" +
                                                      std::to_string(version),
                                                  propagation_time),
                   "");
@@ -101,9 +102,8 @@
 TEST_F(allowed_regions, later_attempt_is_not_made_on_a_removed_route) {
     auto response = start_waiting_stream();
     world.edit_configuration([](json& configuration) { configuration.at("routes").erase(0); });
-    ASSERT_NE(
-        world.gateway(0).wait_for_line("event=configuration_in_force version=2", propagation_time),
-        "");
+    ASSERT_NE(world.gateway(0).wait_for_line("event=regions_in_force version=2", propagation_time),
+              "");
     EXPECT_NE(response.get().outcome.status, 200);
     EXPECT_TRUE(world.engines[1]->runs_per_attempt().empty()) << world.gateway(0).output();
 }
@@ -118,9 +118,8 @@
         longer["allowed_regions"] = {"region-a"};
         configuration.at("routes").push_back(longer);
     });
-    ASSERT_NE(
-        world.gateway(0).wait_for_line("event=configuration_in_force version=2", propagation_time),
-        "");
+    ASSERT_NE(world.gateway(0).wait_for_line("event=regions_in_force version=2", propagation_time),
+              "");
     EXPECT_NE(response.get().outcome.status, 200) << "no other engine is in the allowed region";
     EXPECT_TRUE(world.engines[1]->runs_per_attempt().empty()) << world.gateway(0).output();
 }
