--- a/tests/control_logic_test.cpp
+++ b/tests/control_logic_test.cpp
@@ -172,6 +172,14 @@
         << text;
 }
 
+TEST(settings, time_within_which_servers_are_left_must_not_be_zero) {
+    const auto read = parse_settings("role: gateway\nbounds:\n  removal_due: 0ms\n", "s.yaml");
+    const std::string text = describe(read.problems);
+    EXPECT_NE(text.find("s.yaml:3: bounds.removal_due: must be longer than zero"),
+              std::string::npos)
+        << text;
+}
+
 TEST(configuration, missing_units_and_dangling_references_are_rejected) {
     const auto read = parse_configuration(
         harness::test_configuration({{"region: region-b", "region: region-bb"},
