Send fewer messages to other zones in a large fleet

Every gateway is connected to the 238 other processes, so the messages between them grow with the square of the fleet: by calculation 133,000 a second before, 77,000 after it, most of them heartbeats and reports to other regions.

Change: the interval of heartbeats to other zones and of reports on an engine to gateways of other regions grows by 10 ms for each receiver, from 1 s to 2 s and from 0.5 s to 4 s. A report says how long it counts, twice its interval. Nothing changes below 50 gateways in other regions. By calculation 48,000 messages a second. A silent process of another zone is lost after 4.5 s.

Ruled out for now: sidecars that report to two gateways of each zone, which pass a digest on. It would save more, and needs a way for the reports of lost servers and of limits, which go to all gateways.

Tests: message_rates_test; choice.report_counts_for_as_long_as_it_says.

--- a/include/citronseam/connection/peer_session.h
+++ b/include/citronseam/connection/peer_session.h
@@ -65,11 +65,8 @@
     /// Closes the connection. May be called from any thread.
     void close(close_reason reason);
 
-    /// Replaces the timing. Runs on the session's strand. The shortest interval at which
-    /// make_heartbeat is asked for a frame stays the one of the constructor.
-    void set_timing(const session_timing& timing) {
-        timing_.silence_timeout = timing.silence_timeout;
-    }
+    /// Replaces the silence timeout. Must run on the session's executor.
+    void set_silence_timeout(milliseconds timeout) { timing_.silence_timeout = timeout; }
 
     /// @return whether the connection is open. May be called from any thread.
     bool is_open() const noexcept { return is_open_.load(std::memory_order_acquire); }
--- a/include/citronseam/request/server_choice.h
+++ b/include/citronseam/request/server_choice.h
@@ -24,6 +24,7 @@
     bool is_loading{false};           ///< accepts no requests until the weights are loaded
     bool is_reachable{true};
     std::optional<milliseconds> time_until_load; ///< until it begins to load new weights
+    milliseconds lifetime{1000};                 ///< older reports are ignored
 };
 
 /// State of one backend server as known to this process.
@@ -92,9 +93,6 @@
     double busy{0}; ///< estimated number of requests that run or wait there
 };
 
-/// Reports older than this are ignored: several consecutive reports were lost.
-constexpr milliseconds max_report_age{1000};
-
 /// @return version of the complete model at a server, as last reported; 0 for none
 std::uint64_t held_weights_version(const server_state& server, time_point now) noexcept;
 
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -236,8 +236,12 @@
 
     void handle_heartbeat(const wire::member_beat& heartbeat) {
         if (const auto* engine = heartbeat.engine()) {
-            engine_report report{engine->busy(), engine->weights_version(), engine->is_loading(),
-                                 engine->is_reachable(), std::nullopt};
+            engine_report report{engine->busy(),       engine->weights_version(),
+                                 engine->is_loading(), engine->is_reachable(),
+                                 std::nullopt,         engine_report{}.lifetime};
+            if (engine->lifetime_ms() > 0) {
+                report.lifetime = milliseconds(engine->lifetime_ms());
+            }
             if (engine->is_load_planned()) {
                 report.time_until_load = milliseconds(engine->load_in_ms());
             }
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -1,7 +1,10 @@
 #include "programs/node/member_mesh.h"
 
+#include <algorithm>
+
 #include "citronseam/connection/frame.h"
 #include "citronseam/process/log.h"
+#include "citronseam/process/message_rates.h"
 #include "citronseam/process/random.h"
 
 namespace citronseam {
@@ -120,8 +123,17 @@
     return observer;
 }
 
-const session_timing& member_mesh::timing_for(const member& process) const {
-    return process.zone == self_.zone ? timing_.same_zone : timing_.other_zones;
+milliseconds member_mesh::heartbeat_interval_for(const member& process) const {
+    return process.zone == self_.zone ? timing_.same_zone.heartbeat_interval
+                                      : remote_heartbeat_interval(sessions_.size());
+}
+
+std::size_t member_mesh::remote_gateway_count() const {
+    return static_cast<std::size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(), [this](const auto& entry) {
+            const member& process = entry.second.process;
+            return process.role == process_role::gateway && process.region != self_.region;
+        }));
 }
 
 /// @return the heartbeat for a session, nullptr if one was sent shortly before
@@ -132,8 +144,7 @@
     }
     connected_member& to = found->second;
     const auto now = std::chrono::steady_clock::now();
-    if (now - to.beat_sent_at <
-        recent_heartbeat_share * timing_for(to.process).heartbeat_interval) {
+    if (now - to.beat_sent_at < recent_heartbeat_share * heartbeat_interval_for(to.process)) {
         return nullptr;
     }
     to.beat_sent_at = now;
@@ -267,7 +278,9 @@
                {"zone", connected.process.zone},
                {"incarnation", connected.process.incarnation}});
     // The timing of the own zone holds until the peer has said where it is.
-    session->set_timing(timing_for(connected.process));
+    if (connected.process.zone != self_.zone) {
+        session->set_silence_timeout(timing_.other_zones_silence_timeout);
+    }
     if (observer_.make_greeting) {
         for (const auto& frame : observer_.make_greeting(connected.process)) {
             session->send(frame);
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -37,10 +37,10 @@
 };
 
 /// Timing of the connections between processes. Heartbeats to other zones are rarer, since links
-/// between zones and regions are scarce.
+/// between zones and regions are scarce; their interval is remote_heartbeat_interval().
 struct mesh_timing {
     session_timing same_zone{milliseconds(500), milliseconds(2000)};
-    session_timing other_zones{milliseconds(1000), milliseconds(4000)};
+    milliseconds other_zones_silence_timeout{4500};
 };
 
 /// Answer to a request for rows.
@@ -112,6 +112,8 @@
     /// Closes all connections.
     void stop();
 
+    /// @return number of connections to gateways of other regions
+    std::size_t remote_gateway_count() const;
     /// @return the connected processes, one entry for each instance
     std::vector<const connected_member*> members() const;
 
@@ -119,7 +121,7 @@
     using session_pointer = std::shared_ptr<peer_session>;
 
     shared_frame make_hello() const;
-    const session_timing& timing_for(const member& process) const;
+    milliseconds heartbeat_interval_for(const member& process) const;
     shared_frame take_due_heartbeat(const session_pointer& session);
     session_observer make_observer();
     void handle_hello(const session_pointer& session, const wire::hello& hello);
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "citronseam/process/log.h"
+#include "citronseam/process/message_rates.h"
 #include "platform/decode.h"
 #include "programs/daemon/operator_server.h"
 #include "programs/daemon/role_runner.h"
@@ -44,7 +45,6 @@
 /// Gateways add the requests that they sent since the last report, so frequent reports are needed
 /// only after larger changes.
 constexpr milliseconds report_interval{200};
-constexpr milliseconds remote_report_interval{500};
 /// Change of the load, in requests, that is reported immediately.
 constexpr std::uint32_t significant_load_change = 3;
 /// Version of the weights until the operator announces another.
@@ -266,11 +266,13 @@
         if (!is_change && now - reported_at_ < report_interval) {
             return;
         }
+        const milliseconds remote_interval =
+            remote_report_interval(cluster_.mesh().remote_gateway_count());
         // Links between regions are slow, and remote gateways send requests here only when the
         // engines of their own region are full.
         const bool is_sent_to_all = is_loading != reported_loading_ ||
                                     last_state.has_value() != reported_reachable_ ||
-                                    now - reported_to_all_at_ >= remote_report_interval;
+                                    now - reported_to_all_at_ >= remote_interval;
         reported_to_all_at_ = is_sent_to_all ? now : reported_to_all_at_;
         reported_at_ = now;
         reported_busy_ = busy;
@@ -283,6 +285,10 @@
         heartbeat.engine = std::make_unique<wire::engine_statusT>();
         heartbeat.engine->address = options_.backend_server.address;
         heartbeat.engine->is_reachable = engine_.state().has_value();
+        if (is_sent_to_all) {
+            heartbeat.engine->lifetime_ms =
+                static_cast<std::uint32_t>(report_lifetime(remote_interval).count());
+        }
         if (engine_.state()) {
             const platform::engine_state& state = *engine_.state();
             heartbeat.engine->weights_version = state.weights_version;
--- a/src/request/server_choice.cpp
+++ b/src/request/server_choice.cpp
@@ -74,7 +74,7 @@
 }
 
 bool is_report_fresh(const server_state& server, time_point now) noexcept {
-    return server.has_report && now - server.reported_at <= max_report_age;
+    return server.has_report && now - server.reported_at <= server.report.lifetime;
 }
 
 bool has_required_weights(const server_state& server, const choice_constraints& constraints) {
--- a/tests/process_outdated_test.cpp
+++ b/tests/process_outdated_test.cpp
@@ -18,7 +18,7 @@
 /// All tables of the store share one counter, which other writes raise during a test.
 constexpr std::uint64_t announced_ahead = 1000;
 constexpr session_timing session_limits{milliseconds(300), milliseconds(2000)};
-constexpr mesh_timing timing{session_limits, session_limits};
+constexpr mesh_timing timing{session_limits, session_limits.silence_timeout};
 
 /// A gateway that announces rows of the operator's table and never sends them.
 class stalled_gateway {
--- a/tests/server_choice_test.cpp
+++ b/tests/server_choice_test.cpp
@@ -11,6 +11,8 @@
 
 using namespace citronseam;
 
+const milliseconds max_report_age = engine_report{}.lifetime;
+
 constexpr std::uint64_t seed = 20261203;
 const time_point start = time_point{} + std::chrono::hours(1);
 
@@ -369,6 +371,16 @@
     }
 }
 
+// Pattern: a large fleet, in which engines report to gateways of other regions less often.
+TEST_F(choice, report_counts_for_as_long_as_it_says) {
+    server_state& server = add("remote");
+    engine_report report{8, 2, false, true, std::nullopt};
+    report.lifetime = milliseconds(2400);
+    apply_report(server, report, start);
+    EXPECT_EQ(estimate_request_count(server, start + milliseconds(2400)), 8);
+    EXPECT_EQ(estimate_request_count(server, start + milliseconds(2401)), 0);
+}
+
 TEST_F(choice, long_requests_avoid_an_engine_that_loads_weights_soon) {
     server_state& soon = add("soon");
     add("later", "zone-b");
