--- a/tests/server_list_test.cpp
+++ b/tests/server_list_test.cpp
@@ -25,6 +25,7 @@
 
     std::vector<versioned_row> rows(std::uint64_t heartbeat) {
         std::vector<versioned_row> all;
+        all.reserve(server_count);
         for (int server = 0; server < server_count; ++server) {
             all.push_back(row(server, heartbeat));
         }
