Log the parts of a prompt with each broken attempt

Cause: the logs of the incident could not tell requests with the crashing part from those that ran beside them: fingerprints differ with each request. Unreadable lists are logged and left out. No logic changed.

--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -57,6 +57,9 @@
             }
         });
     });
+    if (caller_.has_invalid_prompt_parts) {
+        log_event(log_level::warning, "prompt_parts_invalid", {{"request", caller_.attempt}});
+    }
     if (!resolve_route()) {
         return;
     }
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -49,6 +49,7 @@
         double pending_prefill_ms{0};         ///< expected prefill time; 0 once the response began
         std::shared_ptr<server_state> server; ///< nullptr once it has ended or was cancelled
         time_point started_at;
+        time_point begun_at;     ///< when the first part of the body arrived
         time_point last_data_at; ///< when the last part of the response arrived
         bool has_head{false};
         bool has_data{false}; ///< the engine has begun: it sends data from its first token on
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -14,6 +14,15 @@
 constexpr milliseconds no_server_retry_delay{500}; ///< servers finish loading weights within this
 constexpr milliseconds failure_retry_delay{200};   ///< usual exclusion of a failing server
 
+/// @return identifiers separated by commas
+std::string join(const std::vector<std::string>& identifiers) {
+    std::string text;
+    for (const std::string& identifier : identifiers) {
+        text += (text.empty() ? "" : ",") + identifier;
+    }
+    return text;
+}
+
 bool is_success(int status) {
     constexpr int first = 200;
     constexpr int end = 300;
@@ -95,6 +104,9 @@
     if (current.is_unusable) {
         return false;
     }
+    if (!current.has_data) {
+        current.begun_at = current.last_data_at;
+    }
     current.has_data = true;
     record_response_start(current);
     if (current.is_stream) {
@@ -251,16 +263,19 @@
 }
 
 void gateway_exchange::record_broken(attempt& source, const http_outcome& outcome) {
-    const bool is_out_of_time =
-        outcome.is_timed_out && time_left(std::chrono::steady_clock::now()) < min_send_time;
+    const auto now = std::chrono::steady_clock::now();
+    const bool is_out_of_time = outcome.is_timed_out && time_left(now) < min_send_time;
     const bool is_sent = outcome.verdict != run_verdict::not_run;
     const bool is_connection_lost = is_sent && !source.is_unusable && !outcome.is_timed_out &&
                                     !outcome.is_cancelled && !outcome.is_complete;
     log_event(log_level::info, "attempt_broken",
               {{"request", caller_.attempt},
                {"fingerprint", fingerprint_},
+               {"prompt_parts", join(caller_.shared_prompt_parts)},
                {"server", source.server->entry.id},
                {"sent", is_sent ? 1 : 0},
+               {"sent_ms_ago", elapsed_ms(source.started_at, now)},
+               {"begun_ms_ago", source.has_data ? elapsed_ms(source.begun_at, now) : 0},
                {"events", events_forwarded_},
                {"status", source.status},
                {"reason", source.is_unusable ? "unusable answer" : outcome.message}});
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -159,6 +159,23 @@
     EXPECT_EQ(find_header(headers, "X-Citronseam-Request-Priority"), "");
 }
 
+// Guards against losses that no part of a prompt is held responsible for, or a request's own part.
+TEST(exchange, shared_parts_of_a_prompt_are_all_but_the_last_one) {
+    const auto parse = [](const std::string& value) {
+        return platform::parse_caller_headers({{"X-Citronseam-Prompt-Prefix", value}});
+    };
+    EXPECT_EQ(parse("5c1e07a2:800,91BD3f06:410, e4402b7d:250").shared_prompt_parts,
+              (std::vector<std::string>{"5c1e07a2", "91bd3f06"}));
+    EXPECT_FALSE(parse("5c1e07a2:800,e4402b7d:250").has_invalid_prompt_parts);
+    EXPECT_TRUE(parse("e4402b7d:250").shared_prompt_parts.empty());
+    EXPECT_FALSE(parse("e4402b7d:250").has_invalid_prompt_parts);
+    EXPECT_FALSE(platform::parse_caller_headers({}).has_invalid_prompt_parts);
+    for (const char* malformed : {"a,b", "a:1,", "x-1:2,b:1", ":4,b:1", "a:1,b:many"}) {
+        EXPECT_TRUE(parse(malformed).shared_prompt_parts.empty()) << malformed;
+        EXPECT_TRUE(parse(malformed).has_invalid_prompt_parts) << malformed;
+    }
+}
+
 TEST(exchange, responses_that_state_no_execution_are_recognized) {
     EXPECT_TRUE(platform::parse_response_headers(421, {}).is_not_run);
     EXPECT_TRUE(
