Keep the record of crashes when a server answers with a failure

Looking for its cause once more found one way in which the record of a request that crashes servers ends too early. Cause: any sealed answer released the record at all gateways, also a server's own 500, which it may send without running the request. Change: only a success releases it. Why it works: a request that crashes its servers never gets a success.

--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -219,7 +219,8 @@
 
 void gateway_exchange::record_server_answer(const attempt& source) {
     context_.crashes.record_answer(attempted_server(source), source.started_at);
-    if (context_.crashes.status_of(fingerprint_) != quarantine_status::clear) {
+    // A server may fail a request before it runs it.
+    if (is_success(source.status) && context_.crashes.status_of(fingerprint_) != quarantine_status::clear) {
         context_.crashes.release(fingerprint_);
     }
 }
--- /dev/null
+++ b/src/request/crash_attribution.cpp
@@ -0,0 +1,261 @@
+#include "citronseam/request/crash_attribution.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+#include "citronseam/process/random.h"
+
+namespace citronseam {
+namespace {
+
+constexpr std::size_t max_crashes = 256;
+/// More than the slots and the queue of an engine.
+constexpr std::size_t max_suspects = 64;
+/// A server that was lost does not answer again within this time.
+constexpr milliseconds min_restart_time{2000};
+
+/// One crash that ended requests with a certain trait.
+struct trait_crash {
+    std::size_t index{0}; ///< in crash_attribution::crashes
+    time_point last_sent_at;
+    std::vector<std::uint64_t> requests;
+};
+
+/// The crashes of one trait, oldest first.
+struct trait_record {
+    std::uint64_t trait{0};
+    std::vector<trait_crash> crashes;
+};
+
+std::vector<server_crash>::iterator find_crash(crash_attribution& state,
+                                               const lost_server& server) {
+    return std::find_if(state.crashes.begin(), state.crashes.end(),
+                        [&](const server_crash& crash) { return crash.server == server; });
+}
+
+bool add_suspect(server_crash& crash, const crash_suspect& added) {
+    const bool is_known =
+        std::any_of(crash.suspects.begin(), crash.suspects.end(),
+                    [&](const crash_suspect& suspect) { return suspect.request == added.request; });
+    if (is_known || crash.suspects.size() >= max_suspects) {
+        return false;
+    }
+    crash.suspects.push_back(added);
+    return true;
+}
+
+/// @return the traits that are in at least `min_crashes` confirmed crashes
+std::vector<trait_record> collect_traits(const crash_attribution& state, std::size_t min_crashes) {
+    std::unordered_map<std::uint64_t, trait_record> by_trait;
+    for (std::size_t i = 0; i < state.crashes.size(); ++i) {
+        if (!state.crashes[i].is_confirmed) {
+            continue;
+        }
+        for (const crash_suspect& suspect : state.crashes[i].suspects) {
+            for (const std::uint64_t trait : suspect.traits) {
+                std::vector<trait_crash>& crashes = by_trait[trait].crashes;
+                if (crashes.empty() || crashes.back().index != i) {
+                    crashes.push_back({i, suspect.sent_at, {}});
+                }
+                trait_crash& crash = crashes.back();
+                crash.last_sent_at = std::max(crash.last_sent_at, suspect.sent_at);
+                crash.requests.push_back(suspect.request);
+            }
+        }
+    }
+    std::vector<trait_record> collected;
+    for (auto& [trait, record] : by_trait) {
+        if (record.crashes.size() >= min_crashes) {
+            record.trait = trait;
+            collected.push_back(std::move(record));
+        }
+    }
+    return collected;
+}
+
+/// A request that is in both crashes was sent again after the first one. This holds although the
+/// times of other processes are known to some milliseconds only.
+bool has_common_request(const trait_crash& left, const trait_crash& right) {
+    return std::find_first_of(left.requests.begin(), left.requests.end(), right.requests.begin(),
+                              right.requests.end()) != left.requests.end();
+}
+
+/// Counts crashes of which each had a request that was sent after the crash before it: servers that
+/// are lost at the same moment share another cause, such as a loss of power.
+std::size_t count_successive(const crash_attribution& state, const trait_record& record) {
+    std::size_t count = 0;
+    const trait_crash* last = nullptr;
+    for (const trait_crash& crash : record.crashes) {
+        if (last == nullptr || crash.last_sent_at >= state.crashes[last->index].lost_at ||
+            has_common_request(*last, crash)) {
+            ++count;
+            last = &crash;
+        }
+    }
+    return count;
+}
+
+bool has_same_crashes(const trait_record& left, const trait_record& right) {
+    return std::equal(
+        left.crashes.begin(), left.crashes.end(), right.crashes.begin(), right.crashes.end(),
+        [](const trait_crash& a, const trait_crash& b) { return a.index == b.index; });
+}
+
+/// Removes crashes that another trait explains.
+void remove_explained(trait_record& record, const trait_record& cause) {
+    std::erase_if(record.crashes, [&](const trait_crash& crash) {
+        return std::any_of(cause.crashes.begin(), cause.crashes.end(),
+                           [&](const trait_crash& other) { return other.index == crash.index; });
+    });
+}
+
+std::vector<trait_set> find_causes(const crash_attribution& state) {
+    std::vector<trait_record> candidates = collect_traits(state, state.crashes_to_refuse);
+    std::vector<trait_set> causes;
+    while (true) {
+        const trait_record* best = nullptr;
+        for (const trait_record& record : candidates) {
+            const bool is_better = best == nullptr || record.crashes.size() > best->crashes.size();
+            if (is_better && count_successive(state, record) >= state.crashes_to_refuse) {
+                best = &record;
+            }
+        }
+        if (best == nullptr) {
+            return causes;
+        }
+        const trait_record cause = *best;
+        trait_set traits;
+        for (trait_record& record : candidates) {
+            if (has_same_crashes(record, cause)) {
+                traits.push_back(record.trait);
+            }
+        }
+        std::sort(traits.begin(), traits.end());
+        causes.push_back(std::move(traits));
+        for (trait_record& record : candidates) {
+            remove_explained(record, cause);
+        }
+    }
+}
+
+/// Drops the oldest crash, if possible one whose suspects have all been cleared.
+void drop_one(std::vector<server_crash>& crashes) {
+    const auto is_cleared = [](const server_crash& crash) {
+        return std::all_of(crash.suspects.begin(), crash.suspects.end(),
+                           [](const crash_suspect& suspect) { return suspect.traits.empty(); });
+    };
+    const auto cleared = std::find_if(crashes.begin(), crashes.end(), is_cleared);
+    crashes.erase(cleared == crashes.end() ? crashes.begin() : cleared);
+}
+
+} // namespace
+
+std::uint64_t prompt_part_trait(std::string_view model, std::string_view part) noexcept {
+    return hash_text(part, hash_text(model));
+}
+
+bool add_crash(crash_attribution& state, const server_crash& loss, time_point now) {
+    if (now - loss.lost_at >= state.lifetime) {
+        return false;
+    }
+    auto crash = find_crash(state, loss.server);
+    bool is_new = crash == state.crashes.end();
+    if (is_new) {
+        const auto later =
+            std::find_if(state.crashes.begin(), state.crashes.end(),
+                         [&](const server_crash& known) { return known.lost_at > loss.lost_at; });
+        crash = state.crashes.insert(later, {loss.server, loss.lost_at, false, {}});
+    }
+    if (loss.is_confirmed && !crash->is_confirmed) {
+        crash->is_confirmed = true;
+        is_new = true;
+    }
+    for (const crash_suspect& suspect : loss.suspects) {
+        if (add_suspect(*crash, suspect)) {
+            is_new = true;
+            state.suspected.insert(suspect.traits.begin(), suspect.traits.end());
+        }
+    }
+    if (state.crashes.size() > max_crashes) {
+        drop_one(state.crashes);
+    }
+    state.is_outdated = state.is_outdated || is_new;
+    return is_new;
+}
+
+bool confirm_crash(crash_attribution& state, const lost_server& server, time_point now) {
+    const auto crash = find_crash(state, server);
+    if (crash == state.crashes.end() || crash->is_confirmed ||
+        now - crash->lost_at >= min_restart_time) {
+        return false;
+    }
+    crash->is_confirmed = true;
+    state.is_outdated = true;
+    return true;
+}
+
+bool refute_crash(crash_attribution& state, const lost_server& server, time_point sent_at) {
+    const auto crash = find_crash(state, server);
+    if (crash == state.crashes.end() || sent_at <= crash->lost_at ||
+        sent_at - crash->lost_at >= min_restart_time) {
+        return false;
+    }
+    state.crashes.erase(crash);
+    state.is_outdated = true;
+    return true;
+}
+
+std::vector<std::uint64_t> clear_traits(crash_attribution& state,
+                                        const std::vector<std::uint64_t>& traits) {
+    std::vector<std::uint64_t> cleared;
+    for (const std::uint64_t trait : traits) {
+        if (state.suspected.erase(trait) > 0) {
+            cleared.push_back(trait);
+        }
+    }
+    if (cleared.empty()) {
+        return cleared;
+    }
+    const auto is_cleared = [&](std::uint64_t trait) {
+        return std::find(cleared.begin(), cleared.end(), trait) != cleared.end();
+    };
+    for (server_crash& crash : state.crashes) {
+        for (crash_suspect& suspect : crash.suspects) {
+            std::erase_if(suspect.traits, is_cleared);
+        }
+    }
+    state.is_outdated = true;
+    return cleared;
+}
+
+bool update_refused_traits(crash_attribution& state, time_point now) {
+    const std::size_t expired = std::erase_if(state.crashes, [&](const server_crash& crash) {
+        return now - crash.lost_at >= state.lifetime;
+    });
+    if (expired == 0 && !state.is_outdated) {
+        return false;
+    }
+    state.is_outdated = false;
+    std::vector<trait_set> causes = find_causes(state);
+    const bool is_changed = causes != state.refused;
+    state.refused = std::move(causes);
+    return is_changed;
+}
+
+bool is_refused(const crash_attribution& state, const std::vector<std::uint64_t>& traits) {
+    return std::any_of(state.refused.begin(), state.refused.end(), [&](const trait_set& cause) {
+        return std::all_of(cause.begin(), cause.end(), [&](std::uint64_t trait) {
+            return std::find(traits.begin(), traits.end(), trait) != traits.end();
+        });
+    });
+}
+
+milliseconds time_to_expiry(const crash_attribution& state, time_point now) noexcept {
+    if (state.crashes.empty()) {
+        return milliseconds(0);
+    }
+    const auto expires_at = state.crashes.back().lost_at + state.lifetime;
+    return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(expires_at - now));
+}
+
+} // namespace citronseam
--- a/tests/process_quarantine_test.cpp
+++ b/tests/process_quarantine_test.cpp
@@ -18,11 +18,12 @@
         for (std::size_t i = 0; i < world.plain_servers.size(); ++i) {
             platform_server& server = *world.plain_servers[i];
             const std::string zone = i == 0 ? "zone-a" : "zone-b";
-            server.set_crash_target(crashing_target,
-                                    [this, &server, zone](const std::string& previous_id) {
-                                        world.store.remove("servers", previous_id);
-                                        world.put_server_row(server, "desk", zone);
-                                    });
+            server.set_crash_condition(
+                [](const server_request& request) { return request.target == crashing_target; },
+                [this, &server, zone](const std::string& previous_id) {
+                    world.store.remove("servers", previous_id);
+                    world.put_server_row(server, "desk", zone);
+                });
             world.put_server_row(server, "desk", zone);
         }
         ASSERT_TRUE(world.start());
@@ -48,6 +49,22 @@
             recovery_timeout);
     }
 
+    /// Waits until each gateway is served by any server.
+    bool wait_until_served() {
+        return wait_until(
+            [&] {
+                return look(0, "/look/1").outcome.status == 200 &&
+                       look(1, "/look/1").outcome.status == 200;
+            },
+            recovery_timeout);
+    }
+
+    void set_failures(int count) {
+        for (const auto& server : world.plain_servers) {
+            server->failures_to_answer = count;
+        }
+    }
+
     void set_dropped_responses(int count) {
         for (const auto& server : world.plain_servers) {
             server->responses_to_drop = count;
@@ -95,6 +112,27 @@
     ASSERT_TRUE(wait_for_servers()) << "other requests are served";
 }
 
+// Guards against BUDGET: a server that fails a request without running it ends the record of the
+// servers that the request has crashed.
+TEST_F(crashing_requests, failure_of_a_server_does_not_end_the_record_of_crashes) {
+    constexpr int crashes_until_refusal = 3;
+    constexpr std::size_t caller_attempts = 6;
+    ASSERT_TRUE(wait_for_servers());
+    look(0, crashing_target);
+    ASSERT_EQ(crash_count(), 2) << "the request is sent to both servers";
+    ASSERT_TRUE(wait_for_servers());
+    set_failures(1);
+    EXPECT_EQ(look(1, crashing_target).outcome.status, 500);
+    set_failures(0);
+    int status = 0;
+    for (std::size_t i = 0; i < caller_attempts && status != 503; ++i) {
+        ASSERT_TRUE(wait_until_served()) << "after " << crash_count() << " crashes";
+        status = look(i % world.gateway_count(), crashing_target).outcome.status;
+    }
+    EXPECT_EQ(status, 503);
+    EXPECT_EQ(crash_count(), crashes_until_refusal);
+}
+
 // Guards against BUDGET: a gateway that starts again knows nothing of the crashes before.
 TEST_F(crashing_requests, restarted_gateway_learns_the_crashes_from_the_others) {
     ASSERT_EQ(send_until_refused(), 503);
--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -11,6 +11,8 @@
 using nlohmann::json;
 
 constexpr milliseconds weight_load_delay{200};
+/// From the head of an engine's response until it crashes.
+constexpr milliseconds engine_crash_delay{50};
 /// From a crash until the server starts again.
 constexpr milliseconds restart_delay{300};
 /// From the end of the connections until new ones are refused.
@@ -43,17 +45,28 @@
     return id_;
 }
 
-void platform_server::set_crash_target(std::string target,
-                                       std::function<void(const std::string&)> on_restart) {
+void platform_server::set_crash_condition(std::function<bool(const server_request&)> condition,
+                                          std::function<void(const std::string&)> on_restart) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    crash_target_ = std::move(target);
+    crash_condition_ = std::move(condition);
     on_restart_ = std::move(on_restart);
     front_ = std::make_unique<relay>(loopback_address(server_->port()));
 }
 
 bool platform_server::is_crashing(const server_request& request) const {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return !crash_target_.empty() && request.target == crash_target_;
+    return crash_condition_ && crash_condition_(request);
+}
+
+/// An engine crashes shortly after it began to answer, a plain server without an answer.
+void platform_server::begin_crash(const std::vector<http_header>& headers,
+                                  const std::shared_ptr<http_responder>& responder) {
+    if (!is_engine_) {
+        crash();
+        return;
+    }
+    responder->begin(200, headers);
+    timers_.post_after(engine_crash_delay, [this, responder] { crash(); });
 }
 
 void platform_server::crash() {
@@ -306,14 +319,14 @@
         ++runs_per_attempt_[find_header(request.headers, "X-Citronseam-Attempt-Id")];
         last_headers_ = request.headers;
     }
-    if (is_crashing(request)) {
-        crash();
+    if (failures_to_answer > 0) {
+        --failures_to_answer;
+        responder->respond(500, headers, "failed at " + id());
+    } else if (is_crashing(request)) {
+        begin_crash(headers, responder);
     } else if (responses_to_drop > 0) {
         --responses_to_drop;
         responder->abort();
-    } else if (failures_to_answer > 0) {
-        --failures_to_answer;
-        responder->respond(500, headers, "failed at " + id());
     } else if (!is_engine_) {
         responder->respond(200, headers, "booked " + request.target);
     } else {
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -35,12 +35,13 @@
     std::string address() const;
     /// @return instance identifier; a restart changes it
     std::string id() const;
-    /// Lets requests for a target crash the server: it closes all connections, refuses new ones for
-    /// a while, and starts again under another identifier and address. Call it before the first
-    /// request; it changes the address.
+    /// Lets some requests crash the server: it closes all connections, refuses new ones for a
+    /// while, and starts again under another identifier and address. An engine sends the head of
+    /// its response first. Call it before the first request; it changes the address.
+    /// @param condition  whether a request crashes the server
     /// @param on_restart called after each restart with the previous identifier
-    void set_crash_target(std::string target,
-                          std::function<void(const std::string& previous_id)> on_restart);
+    void set_crash_condition(std::function<bool(const server_request&)> condition,
+                             std::function<void(const std::string& previous_id)> on_restart);
     /// @return number of crashes so far
     int crash_count() const { return crash_count_; }
     /// @return version of the loaded weights
@@ -74,7 +75,7 @@
 
     std::atomic<int> streams_to_truncate{0}; ///< next streams to abort after three events
     std::atomic<int> responses_to_drop{0};   ///< next requests to run without a response
-    std::atomic<int> failures_to_answer{0};  ///< next requests to run and answer with 500
+    std::atomic<int> failures_to_answer{0};  ///< next requests to answer with 500 and not run
     std::atomic<bool> is_overloaded{false};  ///< answers 503 "not executed" to requests
     std::atomic<int> queue_delay_ms{0};      ///< requests wait this long before they begin to run
     std::atomic<double> request_limit{0};    ///< requests a second that its answers name; 0: none
@@ -105,6 +106,8 @@
     std::vector<http_header> response_headers(const server_request& request) const;
     std::vector<http_header> refusal_headers() const;
     bool is_crashing(const server_request& request) const;
+    void begin_crash(const std::vector<http_header>& headers,
+                     const std::shared_ptr<http_responder>& responder);
     void crash();
     void restart();
 
@@ -124,7 +127,7 @@
     std::vector<held_order> held_orders_;
     std::map<std::string, int> runs_per_attempt_;
     std::vector<http_header> last_headers_;
-    std::string crash_target_;
+    std::function<bool(const server_request&)> crash_condition_; ///< may be empty
     std::function<void(const std::string&)> on_restart_;
     std::atomic<int> crash_count_{0};
     std::atomic<int> arrival_count_{0};
