--- a/tests/process_quarantine_test.cpp
+++ b/tests/process_quarantine_test.cpp
@@ -1,4 +1,7 @@
 // Requests that crash the backend servers that run them, at gateways on a simulated platform.
+#include <atomic>
+#include <future>
+
 #include <gtest/gtest.h>
 
 #include "support/platform_world.h"
@@ -163,4 +166,139 @@
         wait_until([&] { return look(0, "/look/2").outcome.status == 200; }, recovery_timeout));
 }
 
+constexpr const char* crashing_part = "bad0";
+constexpr const char* sound_part = "50d0";
+
+/// Two gateways in front of two engines, which crash shortly after they begin to answer a request
+/// whose prompt has a certain part. All prompts share their first part.
+class crashing_prompt_parts : public ::testing::Test {
+protected:
+    void SetUp() override {
+        for (std::size_t i = 0; i < world.engines.size(); ++i) {
+            platform_server& engine = *world.engines[i];
+            const std::string zone = i == 0 ? "zone-a" : "zone-b";
+            engine.set_crash_condition(
+                [](const server_request& request) {
+                    const auto parts = find_header(request.headers, "X-Citronseam-Prompt-Prefix");
+                    return parts.find(crashing_part) != std::string::npos;
+                },
+                [this, &engine, zone](const std::string& previous_id) {
+                    world.store.remove("servers", previous_id);
+                    world.put_server_row(engine, "drafts", zone);
+                });
+            world.put_server_row(engine, "drafts", zone);
+        }
+        ASSERT_TRUE(world.start());
+    }
+
+    /// Sends a request that is like no other one but for the shared parts of its prompt.
+    http_response draft(std::size_t gateway, const std::string& part) {
+        const std::string number = std::to_string(++request_count);
+        return world.call(
+            gateway, "POST", "/draft/" + number,
+            {{"Authorization", std::string("Token ") + platform_world::api_key},
+             {"X-Citronseam-Token-Usage", "110,20"},
+             {"X-Citronseam-Prompt-Prefix", "c0ffee:40," + part + ":60,1" + number + ":10"}});
+    }
+
+    /// Waits until both engines serve sound requests of both gateways.
+    bool wait_for_engines() {
+        return wait_until(
+            [&] {
+                for (std::size_t i = 0; i < world.engines.size(); ++i) {
+                    const auto answer = draft(i, sound_part);
+                    const std::string expected = "seal-of-" + world.engines[i]->id();
+                    if (find_header(answer.headers, "X-Citronseam-Response-Seal") != expected) {
+                        return false;
+                    }
+                }
+                return true;
+            },
+            recovery_timeout);
+    }
+
+    int crash_count() const {
+        int total = 0;
+        for (const auto& engine : world.engines) {
+            total += engine->crash_count();
+        }
+        return total;
+    }
+
+    /// Sends requests with the crashing part to the gateways in turn.
+    /// @return the last response
+    http_response send_crashing_requests(std::size_t count) {
+        http_response last;
+        for (std::size_t i = 0; i < count; ++i) {
+            EXPECT_TRUE(wait_for_engines()) << "after " << crash_count() << " crashes";
+            last = draft(i % world.gateway_count(), crashing_part);
+        }
+        return last;
+    }
+
+    platform_world world;
+    std::atomic<int> request_count{0};
+};
+
+/// The users' bound: five crashes, and three requests more.
+constexpr int max_crashes_of_a_part = 8;
+
+// Guards against BUDGET: requests that share a part of their prompts crash one engine after the
+// other, since no two of them are alike.
+TEST_F(crashing_prompt_parts, part_that_crashes_engines_is_refused_by_all_gateways) {
+    constexpr std::size_t caller_requests = 10;
+    const http_response last = send_crashing_requests(caller_requests);
+    EXPECT_LE(crash_count(), max_crashes_of_a_part);
+    EXPECT_EQ(last.outcome.status, 503);
+    EXPECT_NE(find_header(last.headers, "Retry-After"), "");
+    const int crashes = crash_count();
+    for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+        EXPECT_EQ(draft(i, crashing_part).outcome.status, 503);
+        EXPECT_EQ(draft(i, sound_part).outcome.status, 200)
+            << "requests with the same caller and first part are served";
+    }
+    EXPECT_EQ(crash_count(), crashes);
+}
+
+// Guards against LOST: a part whose requests run beside those that crash engines is refused too.
+TEST_F(crashing_prompt_parts, part_of_requests_that_run_beside_is_served) {
+    constexpr std::size_t crashing_requests_sent = 6;
+    constexpr const char* neighbour_part = "beef";
+    // Each event takes longer than the engine lives, so that the neighbours never get far.
+    for (const auto& engine : world.engines) {
+        engine->event_interval_ms = 80;
+    }
+    std::vector<std::future<http_response>> neighbours;
+    for (std::size_t i = 0; i < crashing_requests_sent; ++i) {
+        ASSERT_TRUE(wait_for_engines());
+        const std::size_t gateway = i % world.gateway_count();
+        neighbours.push_back(
+            std::async(std::launch::async, [=, this] { return draft(gateway, neighbour_part); }));
+        draft(gateway, crashing_part);
+    }
+    for (auto& neighbour : neighbours) {
+        neighbour.wait();
+    }
+    EXPECT_LE(crash_count(), max_crashes_of_a_part);
+    EXPECT_EQ(draft(0, crashing_part).outcome.status, 503);
+    EXPECT_TRUE(wait_until([&] { return draft(0, neighbour_part).outcome.status == 200; },
+                           recovery_timeout));
+    EXPECT_TRUE(wait_until([&] { return draft(1, neighbour_part).outcome.status == 200; },
+                           recovery_timeout));
+}
+
+// Guards against BUDGET: a gateway that starts again knows nothing of the crashes before.
+TEST_F(crashing_prompt_parts, restarted_gateway_learns_the_crashes_from_the_others) {
+    constexpr std::size_t caller_requests = 6;
+    EXPECT_EQ(send_crashing_requests(caller_requests).outcome.status, 503);
+    const int crashes = crash_count();
+    EXPECT_LE(crashes, max_crashes_of_a_part);
+    ASSERT_TRUE(world.restart_gateway(0));
+    ASSERT_NE(world.gateway(0).wait_for_line("event=backend_server_lost", recovery_timeout), "");
+    EXPECT_TRUE(
+        wait_until([&] { return draft(0, sound_part).outcome.status == 200; }, recovery_timeout));
+    EXPECT_EQ(draft(0, crashing_part).outcome.status, 503);
+    EXPECT_EQ(crash_count(), crashes);
+}
+
 } // namespace
