Attribute the loss of a server to what its requests share

Callers saw: engines of the drafting service ended one after the other, 68 and 72 under each of two parts of prompts; sound streams broke with them, and requests with the part got 502 after two engines. Cause: losses were counted by the fingerprint of a whole request. Requests that share one part of their prompt have different fingerprints, so no record ever had three losses. Class: evidence is kept under the wrong subject. Change: a lost server is one crash with all requests that ended with it as suspects, joined over gateways by its incarnation. Traits of a request are its fingerprint and the shared parts of its prompt. A trait is cleared when a server goes on for 500 ms after it began to answer, or answers whole; of the others the one with the most crashes explains them. It is refused after three crashes of which each had a request that was sent after the one before, since servers that are lost together share another cause. Traits with the same crashes are refused only together. A stream that waits at an engine when its part becomes known is cancelled. An answer that ends with its connection neither clears its request nor refutes a loss; it counts as a loss once the server refuses a connection. The entry keeps its quarantine by fingerprint; what only gateways used of it is gone, its test of refuted losses stands in the new module's. Why it works: each crash names the guilty part, whichever gateway sent its request, while all sound parts are cleared or explained by it.

--- a/include/citronseam/connection/http_client.h
+++ b/include/citronseam/connection/http_client.h
@@ -35,6 +35,9 @@
     /// cancel() was called, on_data() returned false, or the head was too long
     bool is_cancelled{false};
     bool is_timed_out{false};
+    /// The response has neither a length nor chunks: it ends with its connection, so it may have
+    /// been cut off although it is_complete.
+    bool ends_with_connection{false};
     run_verdict verdict{run_verdict::not_run}; ///< whether the server may have run it
     int status{0};
     std::string message; ///< human-readable error
--- a/include/citronseam/request/quarantine.h
+++ b/include/citronseam/request/quarantine.h
@@ -1,11 +1,10 @@
 /// @file
 /// Quarantine for requests that crash the backend servers that run them.
 ///
-/// Every entry and gateway process counts, by fingerprint, the backend servers that were lost while
-/// they ran a request. At an entry the request runs alone on its server after the first loss, so
-/// that a second loss cannot be due to a concurrent request, and is refused after the second one. A
-/// gateway cannot reserve a server, so it refuses the request after the third loss. A record lasts
-/// until it expires or the request is answered.
+/// Every entry counts, by fingerprint, the backend servers that were lost while they ran a request.
+/// The request runs alone on its server after the first loss, so that a second loss cannot be due
+/// to a concurrent request, and is refused after the second one. A record lasts until it expires or
+/// the request is answered. Gateways cannot reserve a server; see crash_attribution.h.
 #ifndef CITRONSEAM_REQUEST_QUARANTINE_H
 #define CITRONSEAM_REQUEST_QUARANTINE_H
 
@@ -27,15 +26,9 @@
     bool operator==(const lost_server&) const = default;
 };
 
-/// A loss, with the time at which this process learned of it.
-struct server_loss {
-    lost_server server;
-    time_point lost_at;
-};
-
 /// Server losses attributed to one fingerprint.
 struct crash_record {
-    std::vector<server_loss> losses;
+    std::vector<lost_server> losses;
     time_point last_loss;
 };
 
@@ -44,7 +37,6 @@
     std::unordered_map<std::uint64_t, crash_record> records;
     milliseconds lifetime{600000}; ///< a record expires this long after its last loss
     std::size_t losses_to_refuse{2};
-    time_point newest_loss; ///< of all records
 };
 
 /// How a request must be handled.
@@ -66,16 +58,6 @@
 bool record_loss(quarantine& state, std::uint64_t fingerprint, const lost_server& loss,
                  time_point now);
 
-/// Removes the losses of a server that has answered a request, unless it may have restarted since.
-/// @param sent_at when the request was sent
-/// @return fingerprints whose records changed
-std::vector<std::uint64_t> refute_losses(quarantine& state, const lost_server& server,
-                                         time_point sent_at);
-
-/// Removes one loss.
-/// @return whether the record had it
-bool remove_loss(quarantine& state, std::uint64_t fingerprint, const lost_server& server);
-
 /// @return how a request with this fingerprint must be handled now
 quarantine_status quarantine_status_of(const quarantine& state, std::uint64_t fingerprint,
                                        time_point now) noexcept;
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -181,6 +181,14 @@
     set_headers(current);
 }
 
+bool has_length_or_chunks(const exchange& current, long status) {
+    constexpr long no_content = 204;
+    constexpr long not_modified = 304;
+    return current.request.method == "HEAD" || status == no_content || status == not_modified ||
+           !find_header(current.headers, "Content-Length").empty() ||
+           !find_header(current.headers, "Transfer-Encoding").empty();
+}
+
 /// Bytes of the request passed to the operating system, headers included.
 long sent_request_bytes(CURL* easy) {
     long size = 0;
@@ -198,6 +206,7 @@
     outcome.is_timed_out = code == CURLE_OPERATION_TIMEDOUT;
     if (code == CURLE_OK) {
         outcome.verdict = run_verdict::ran;
+        outcome.ends_with_connection = !has_length_or_chunks(current, status);
         return outcome;
     }
     // A request of which no byte was sent cannot have run.
--- a/src/programs/daemon/crash_registry.cpp
+++ b/src/programs/daemon/crash_registry.cpp
@@ -5,7 +5,7 @@
 namespace citronseam {
 namespace {
 
-enum class report_kind : std::uint8_t { loss, release, refutation };
+enum class report_kind : std::uint8_t { loss, release };
 
 shared_frame make_report(std::uint64_t fingerprint, const lost_server& server, report_kind kind) {
     wire::crash_reportT report;
@@ -13,7 +13,6 @@
     report.instance = server.instance;
     report.incarnation = server.incarnation;
     report.is_release = kind == report_kind::release;
-    report.is_refuted = kind == report_kind::refutation;
     return make_frame(std::move(report));
 }
 
@@ -21,11 +20,6 @@
     return {std::string(view(message.instance())), message.incarnation()};
 }
 
-void log_refutation(std::uint64_t fingerprint, const lost_server& server) {
-    log_event(log_level::info, "backend_server_answers",
-              {{"fingerprint", fingerprint}, {"instance", server.instance}});
-}
-
 } // namespace
 
 crash_registry::crash_registry(std::size_t losses_to_refuse) {
@@ -69,18 +63,6 @@
     }
 }
 
-void crash_registry::record_answer(const lost_server& server, time_point sent_at) {
-    std::vector<std::uint64_t> fingerprints;
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        fingerprints = refute_losses(state_, server, sent_at);
-    }
-    for (const std::uint64_t fingerprint : fingerprints) {
-        log_refutation(fingerprint, server);
-        broadcast_(make_report(fingerprint, server, report_kind::refutation));
-    }
-}
-
 void crash_registry::handle_report(const wire::crash_report& message) {
     if (message.is_release()) {
         release(message.fingerprint());
@@ -89,21 +71,6 @@
     }
 }
 
-void crash_registry::apply_report(const wire::crash_report& message) {
-    const std::uint64_t fingerprint = message.fingerprint();
-    const lost_server server = server_of(message);
-    if (message.is_release()) {
-        remove_record(fingerprint);
-    } else if (!message.is_refuted()) {
-        add_loss(fingerprint, server);
-    } else {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        if (remove_loss(state_, fingerprint, server)) {
-            log_refutation(fingerprint, server);
-        }
-    }
-}
-
 bool crash_registry::release(std::uint64_t fingerprint) {
     if (!remove_record(fingerprint)) {
         return false;
@@ -132,9 +99,7 @@
             continue;
         }
         crash_summary summary{fingerprint, status, {}, time_to_expiry(state_, fingerprint, now)};
-        for (const server_loss& loss : record.losses) {
-            summary.losses.push_back(loss.server);
-        }
+        summary.losses = record.losses;
         listing.push_back(std::move(summary));
     }
     return listing;
--- a/src/programs/daemon/crash_registry.h
+++ b/src/programs/daemon/crash_registry.h
@@ -1,5 +1,5 @@
 /// @file
-/// Records of requests that crash backend servers, replicated between entries or gateways.
+/// Records of requests that crash backend servers, replicated between entries.
 #ifndef CITRONSEAM_PROGRAMS_DAEMON_CRASH_REGISTRY_H
 #define CITRONSEAM_PROGRAMS_DAEMON_CRASH_REGISTRY_H
 
@@ -31,13 +31,8 @@
 
     /// Records the loss of a server, and broadcasts it if it is new.
     void record_loss(std::uint64_t fingerprint, const lost_server& loss);
-    /// Records that a server answered a request: losses of the server from shortly before it was
-    /// sent are removed here and at the other processes.
-    void record_answer(const lost_server& server, time_point sent_at);
     /// Applies a report of an agent or another entry, and broadcasts it if it changed a record.
     void handle_report(const wire::crash_report& message);
-    /// Applies a report of another gateway, which has sent it to all gateways.
-    void apply_report(const wire::crash_report& message);
     /// Removes the record of a fingerprint here and at the other processes.
     /// @return whether there was a record here
     bool release(std::uint64_t fingerprint);
--- /dev/null
+++ b/src/programs/gateway/crash_evidence.h
@@ -0,0 +1,69 @@
+/// @file
+/// What the gateways know together of lost backend servers, and which requests they refuse for it.
+#ifndef CITRONSEAM_PROGRAMS_GATEWAY_CRASH_EVIDENCE_H
+#define CITRONSEAM_PROGRAMS_GATEWAY_CRASH_EVIDENCE_H
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "citronseam/connection/io_thread_pool.h"
+#include "citronseam/connection/wire_message.h"
+#include "citronseam/request/crash_attribution.h"
+
+namespace citronseam {
+
+/// Thread-safe access to the crash attribution of a gateway. Changes are sent to all gateways,
+/// those of some milliseconds together: the loss of one server ends many requests.
+class crash_evidence {
+public:
+    /// @param control loop on which reports are sent
+    explicit crash_evidence(io_thread_pool& control) : control_(control) {}
+
+    /// Sets the function that sends a frame to all other gateways. It runs on the control thread.
+    void set_broadcast(std::function<void(const shared_frame&)> broadcast);
+
+    /// Records that a server was lost while it may have been running a request.
+    /// @param is_confirmed false: its response may have been whole, see server_crash
+    void record_loss(const lost_server& server, bool is_confirmed, crash_suspect suspect);
+    /// Records that a server refused a connection, or ended one whose request is no suspect.
+    void confirm_loss(const lost_server& server);
+    /// Records that a server answered a request.
+    void record_answer(const lost_server& server, time_point sent_at);
+    /// Records that a server went on after it began to answer a request with these traits.
+    void record_survival(const std::vector<std::uint64_t>& traits);
+
+    /// Applies a report of another gateway.
+    void apply(const wire::server_loss_report& report);
+    void apply(const wire::survival_report& report);
+
+    /// @return whether a request with these traits must not be sent to a server
+    bool is_refused(const std::vector<std::uint64_t>& traits);
+    /// @return time until the newest crash is forgotten
+    milliseconds expires_in() const;
+    /// @return frames that send all crashes to another gateway
+    std::vector<shared_frame> make_report_frames() const;
+
+private:
+    void add_pending(const server_crash& loss);
+    void send_later();
+    void send_pending();
+
+    io_thread_pool& control_;
+    mutable std::mutex mutex_;
+    crash_attribution state_;
+    std::function<void(const shared_frame&)> broadcast_;
+    std::map<std::pair<std::string, std::uint64_t>, server_crash> pending_losses_;
+    std::vector<std::uint64_t> pending_cleared_;
+    bool is_sending_scheduled_{false};
+    time_point last_sent_at_;              ///< when reports were last sent
+    std::atomic<bool> has_crashes_{false}; ///< saves the lock for each request when there are none
+};
+
+} // namespace citronseam
+
+#endif
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -29,8 +29,6 @@
 /// while it sends a response.
 constexpr milliseconds grace_margin{1000};
 constexpr milliseconds drain_check_interval{50};
-/// One loss more than an entry needs: other requests may run on the same server.
-constexpr std::size_t losses_to_refuse = 3;
 
 /// Owns the components of a gateway process and connects them.
 class gateway {
@@ -54,7 +52,8 @@
         const auto broadcast = [this](const shared_frame& frame) {
             control_.post([this, frame] { cluster_.mesh().send_to_gateways(frame); });
         };
-        crashes_.set_broadcast(broadcast);
+        crashes_.set_broadcast(
+            [this](const shared_frame& frame) { cluster_.mesh().send_to_gateways(frame); });
         pool_.set_broadcast(broadcast);
         open_servers();
         control_.post([this] {
@@ -221,8 +220,11 @@
                                        const wire::member_beat& heartbeat) {
             handle_heartbeat(heartbeat);
         };
-        observer.on_crash_report = [this](const wire::crash_report& report) {
-            crashes_.apply_report(report);
+        observer.on_loss_report = [this](const wire::server_loss_report& report) {
+            crashes_.apply(report);
+        };
+        observer.on_survival_report = [this](const wire::survival_report& report) {
+            crashes_.apply(report);
         };
         observer.on_limit_report = [this](const wire::limit_report& report) {
             apply_limit_report(report);
@@ -347,7 +349,7 @@
     metrics metrics_;
     io_thread_pool control_;
     server_pool pool_;
-    crash_registry crashes_{losses_to_refuse};
+    crash_evidence crashes_{control_};
     gateway_context context_;
     cluster_node cluster_;
     table_follower server_rows_;
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -11,7 +11,7 @@
 #include "citronseam/process/metrics.h"
 #include "citronseam/process/settings.h"
 #include "citronseam/request/buffer_budget.h"
-#include "programs/daemon/crash_registry.h"
+#include "programs/gateway/crash_evidence.h"
 #include "programs/gateway/server_pool.h"
 
 namespace citronseam {
@@ -23,7 +23,7 @@
     http_client& traffic; ///< its thread is the traffic thread
     metrics& metric_registry;
     server_pool& pool;
-    crash_registry& crashes;
+    crash_evidence& crashes;
     std::atomic<std::uint32_t> requests_in_flight{0}; ///< of callers
     buffer_budget response_buffers{};                 ///< used on the traffic thread only
 };
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -4,7 +4,6 @@
 #include <charconv>
 
 #include "citronseam/process/log.h"
-#include "citronseam/request/quarantine.h"
 #include "citronseam/request/retry_budget.h"
 #include "citronseam/request/shutdown_admission.h"
 #include "programs/gateway/http_status.h"
@@ -26,6 +25,9 @@
 constexpr milliseconds configuration_retry_delay{300}; ///< a starting process reads it within this
 constexpr milliseconds shutdown_retry_delay{50};       ///< other gateways accept requests already
 
+/// More parts of a prompt are not compared.
+constexpr std::size_t max_prompt_parts = 32;
+
 std::optional<std::uint64_t> parse_event_id(const std::optional<std::string>& text) {
     if (!text) {
         return std::nullopt;
@@ -35,6 +37,18 @@
     return read.ec == std::errc{} ? std::optional(number) : std::nullopt;
 }
 
+/// @return what a request shares with others that may crash the same servers
+std::vector<std::uint64_t> make_traits(std::uint64_t fingerprint,
+                                       const platform::caller_parameters& caller) {
+    std::vector<std::uint64_t> traits{fingerprint};
+    for (const std::string& part : caller.shared_prompt_parts) {
+        if (traits.size() <= max_prompt_parts) {
+            traits.push_back(prompt_part_trait(caller.model, part));
+        }
+    }
+    return traits;
+}
+
 } // namespace
 
 gateway_exchange::gateway_exchange(gateway_context& context, server_request request,
@@ -65,7 +79,7 @@
     }
     if (is_quarantined()) {
         refuse({status_unavailable, "quarantined", "this request has crashed backend servers",
-                context_.crashes.expires_in(fingerprint_)});
+                context_.crashes.expires_in()});
         return;
     }
     last_event_id_ = parse_event_id(caller_.last_event_id);
@@ -103,6 +117,7 @@
     fingerprint_ =
         request_fingerprint(caller_.host + " " + (workspace_ == nullptr ? "" : workspace_->name),
                             request_.method, request_.target, request_.body);
+    traits_ = make_traits(fingerprint_, caller_);
     service_ = choose_service(*rule_, context_.pool.random());
     if (!can_finish_before_exit(
             received_at_, view_->shutdown_at,
@@ -117,7 +132,7 @@
 }
 
 bool gateway_exchange::is_quarantined() const {
-    return context_.crashes.status_of(fingerprint_) == quarantine_status::refused;
+    return context_.crashes.is_refused(traits_);
 }
 
 milliseconds gateway_exchange::time_left(time_point now) const {
@@ -273,6 +288,7 @@
     }
     settle_move(now);
     leave_replaced_weights(now);
+    leave_quarantine(now);
     if (is_done_) {
         return;
     }
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -13,7 +13,6 @@
 #include "citronseam/request/attempt_move.h"
 #include "citronseam/request/buffer_budget.h"
 #include "citronseam/request/event_stream.h"
-#include "citronseam/request/quarantine.h"
 #include "citronseam/request/verdict.h"
 #include "platform/http_headers.h"
 #include "programs/gateway/gateway_context.h"
@@ -52,7 +51,8 @@
         time_point begun_at;     ///< when the first part of the body arrived
         time_point last_data_at; ///< when the last part of the response arrived
         bool has_head{false};
-        bool has_data{false}; ///< the engine has begun: it sends data from its first token on
+        bool has_data{false};     ///< the engine has begun: it sends data from its first token on
+        bool has_survived{false}; ///< the server went on after it began to answer
         int status{0};
         std::vector<http_header> headers;
         platform::response_parameters parameters;
@@ -109,7 +109,9 @@
     /// @return whether the request has crashed too many servers to be sent again
     bool is_quarantined() const;
     static lost_server attempted_server(const attempt& source);
-    void record_server_answer(const attempt& source);
+    void record_answer(attempt& source, const http_outcome& outcome, response_kind kind);
+    void record_survival(attempt& source);
+    void record_loss(const attempt& source, bool is_confirmed);
     void record_server_signals(const attempt& source);
     void record_server_limit(const attempt& source);
     void deliver_response();
@@ -118,6 +120,7 @@
     void fail_deadline();
     bool is_out_of_weights(const attempt& waiting, time_point now) const;
     void leave_replaced_weights(time_point now);
+    void leave_quarantine(time_point now);
     bool is_moving() const noexcept { return replacement_ != nullptr; }
     std::string_view reason_to_move(time_point now) const;
     void start_move(std::string_view reason, time_point now);
@@ -140,7 +143,8 @@
     const route* rule_{nullptr};
     const workspace_config* workspace_{nullptr};
     std::string service_;
-    std::uint64_t fingerprint_{0}; ///< equal for a request that a caller sends again
+    std::uint64_t fingerprint_{0};      ///< equal for a request that a caller sends again
+    std::vector<std::uint64_t> traits_; ///< the fingerprint, then the shared parts of the prompt
     time_point deadline_;
 
     std::shared_ptr<attempt> attempt_;      ///< nullptr before the first one
--- a/src/programs/gateway/gateway_exchange_moves.cpp
+++ b/src/programs/gateway/gateway_exchange_moves.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view stalled = "stalled";
 constexpr std::string_view engine_loads = "engine_loads";
 constexpr std::string_view weights_replaced = "weights_replaced";
+constexpr std::string_view quarantined = "quarantined";
 
 } // namespace
 
@@ -174,4 +175,22 @@
     }
 }
 
+/// Cancels a stream that waits at an engine and has become known to crash engines as it begins.
+void gateway_exchange::leave_quarantine(time_point now) {
+    const bool is_waiting = attempt_ != nullptr && attempt_->server != nullptr &&
+                            !attempt_->has_data && (!is_moving() || !replacement_->has_data);
+    if (is_done_ || !is_waiting || rule_->kind != retry_class::streaming || !is_quarantined()) {
+        return;
+    }
+    log_event(log_level::info, "attempt_cancelled",
+              {{"request", caller_.attempt},
+               {"server", attempt_->server->entry.id},
+               {"reason", quarantined},
+               {"events", events_forwarded_},
+               {"sent_ms_ago", elapsed_ms(attempt_->started_at, now)},
+               {"silent_ms", elapsed_ms(attempt_->last_data_at, now)}});
+    verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
+    fail_broken(quarantined);
+}
+
 } // namespace citronseam
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -1,7 +1,9 @@
 // Response handling of gateway_exchange: from backend servers and to callers.
 #include <algorithm>
+#include <sstream>
 
 #include "citronseam/process/log.h"
+#include "citronseam/process/random.h"
 #include "citronseam/request/retry_budget.h"
 #include "programs/gateway/gateway_exchange.h"
 #include "programs/gateway/http_status.h"
@@ -11,16 +13,21 @@
 
 constexpr std::size_t max_response_bytes = 8 * mebibyte;
 
+/// A server that goes on for this long after it began to answer is not crashed by the request: that
+/// happens as it begins.
+constexpr milliseconds survival_time{500};
+
 constexpr milliseconds no_server_retry_delay{500}; ///< servers finish loading weights within this
 constexpr milliseconds failure_retry_delay{200};   ///< usual exclusion of a failing server
 
-/// @return identifiers separated by commas
-std::string join(const std::vector<std::string>& identifiers) {
-    std::string text;
-    for (const std::string& identifier : identifiers) {
-        text += (text.empty() ? "" : ",") + identifier;
+/// @return the items separated by commas
+template<typename Item>
+std::string join(const std::vector<Item>& items) {
+    std::ostringstream text;
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        text << (i == 0 ? "" : ",") << items[i];
     }
-    return text;
+    return text.str();
 }
 
 bool is_success(int status) {
@@ -108,6 +115,9 @@
         current.begun_at = current.last_data_at;
     }
     current.has_data = true;
+    if (current.last_data_at - current.begun_at >= survival_time) {
+        record_survival(current);
+    }
     record_response_start(current);
     if (current.is_stream) {
         current.is_unusable =
@@ -217,11 +227,38 @@
     return {source.server->entry.id, source.server->entry.started_at_ms};
 }
 
-void gateway_exchange::record_server_answer(const attempt& source) {
-    context_.crashes.record_answer(attempted_server(source), source.started_at);
+/// Records what an answer shows of its server and of the request.
+void gateway_exchange::record_answer(attempt& source, const http_outcome& outcome,
+                                     response_kind kind) {
+    if (!outcome.ends_with_connection) {
+        context_.crashes.record_answer(attempted_server(source), source.started_at);
+    }
     // A server may fail a request before it runs it.
-    if (is_success(source.status) && context_.crashes.status_of(fingerprint_) != quarantine_status::clear) {
-        context_.crashes.release(fingerprint_);
+    if (kind != response_kind::usable || !is_success(source.status)) {
+        return;
+    }
+    if (outcome.ends_with_connection) {
+        record_loss(source, false);
+    } else {
+        record_survival(source);
+    }
+}
+
+void gateway_exchange::record_survival(attempt& source) {
+    if (!source.has_survived) {
+        source.has_survived = true;
+        context_.crashes.record_survival(traits_);
+    }
+}
+
+/// Records that the connection to the server has ended while it may have been running the request.
+/// @param is_confirmed false: the answer may be whole
+void gateway_exchange::record_loss(const attempt& source, bool is_confirmed) {
+    if (!source.has_survived) {
+        context_.crashes.record_loss(attempted_server(source), is_confirmed,
+                                     {hash_text(caller_.attempt), traits_, source.started_at});
+    } else if (is_confirmed) {
+        context_.crashes.confirm_loss(attempted_server(source));
     }
 }
 
@@ -233,7 +270,8 @@
     if (source.parameters.is_not_run) {
         return response_kind::not_run;
     }
-    const bool is_truncated = source.is_stream && !source.events.pending.empty();
+    const bool is_empty = outcome.ends_with_connection && !source.has_data;
+    const bool is_truncated = source.is_stream && (!source.events.pending.empty() || is_empty);
     const bool is_resumption_refused = events_forwarded_ > 0 && !source.is_stream;
     const bool is_foreign_body = is_success(source.status) && source.parameters.has_content_coding;
     if (!source.parameters.has_seal || is_truncated || is_resumption_refused || is_foreign_body) {
@@ -256,7 +294,7 @@
         end_attempt(source, is_other_server(source) ? exchange_outcome::wrong_server
                                                     : exchange_outcome::refused);
     } else {
-        record_server_answer(source);
+        record_answer(source, outcome, kind);
         end_attempt(source, kind == response_kind::failure ? exchange_outcome::failed
                                                            : exchange_outcome::succeeded);
         verdict_ = run_verdict::ran;
@@ -269,10 +307,12 @@
     const bool is_sent = outcome.verdict != run_verdict::not_run;
     const bool is_connection_lost = is_sent && !source.is_unusable && !outcome.is_timed_out &&
                                     !outcome.is_cancelled && !outcome.is_complete;
+    const bool is_refused_connection = !is_sent && !outcome.is_timed_out && !outcome.is_cancelled;
     log_event(log_level::info, "attempt_broken",
               {{"request", caller_.attempt},
                {"fingerprint", fingerprint_},
                {"prompt_parts", join(caller_.shared_prompt_parts)},
+               {"traits", join(traits_)},
                {"server", source.server->entry.id},
                {"sent", is_sent ? 1 : 0},
                {"sent_ms_ago", elapsed_ms(source.started_at, now)},
@@ -281,7 +321,11 @@
                {"status", source.status},
                {"reason", source.is_unusable ? "unusable answer" : outcome.message}});
     if (is_connection_lost) {
-        context_.crashes.record_loss(fingerprint_, attempted_server(source));
+        record_loss(source, true);
+    } else if (outcome.is_complete && outcome.ends_with_connection) {
+        record_loss(source, false);
+    } else if (is_refused_connection) {
+        context_.crashes.confirm_loss(attempted_server(source));
     }
     end_attempt(source, is_out_of_time ? exchange_outcome::abandoned : exchange_outcome::failed);
     if (is_sent) {
--- a/src/programs/node/cluster_node.cpp
+++ b/src/programs/node/cluster_node.cpp
@@ -137,7 +137,8 @@
         return make_answer(from, table, after);
     };
     observer.on_neighbours_reply = observer_.on_neighbours_reply;
-    observer.on_crash_report = observer_.on_crash_report;
+    observer.on_loss_report = observer_.on_loss_report;
+    observer.on_survival_report = observer_.on_survival_report;
     observer.on_limit_report = observer_.on_limit_report;
     observer.make_greeting = observer_.make_greeting;
     observer.on_rows = [this](const connected_member& from, const std::string& table,
--- a/src/programs/node/cluster_node.h
+++ b/src/programs/node/cluster_node.h
@@ -41,8 +41,10 @@
         on_heartbeat;
     /// A gateway listed the sidecars of a service; may be empty.
     std::function<void(const wire::neighbours_reply&)> on_neighbours_reply;
-    /// A gateway reported a loss of a backend server; may be empty.
-    std::function<void(const wire::crash_report&)> on_crash_report;
+    /// A gateway reported the loss of a backend server; may be empty.
+    std::function<void(const wire::server_loss_report&)> on_loss_report;
+    /// A gateway reported requests whose server went on; may be empty.
+    std::function<void(const wire::survival_report&)> on_survival_report;
     /// A gateway reported the limit that a backend server names; may be empty.
     std::function<void(const wire::limit_report&)> on_limit_report;
     /// @return frames for a process that has just connected; may be empty
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -326,9 +326,13 @@
         if (observer_.on_neighbours_reply) {
             observer_.on_neighbours_reply(*neighbours);
         }
-    } else if (const auto* crash = message.body_as_crash_report()) {
-        if (observer_.on_crash_report) {
-            observer_.on_crash_report(*crash);
+    } else if (const auto* loss = message.body_as_server_loss_report()) {
+        if (observer_.on_loss_report) {
+            observer_.on_loss_report(*loss);
+        }
+    } else if (const auto* survival = message.body_as_survival_report()) {
+        if (observer_.on_survival_report) {
+            observer_.on_survival_report(*survival);
         }
     } else if (const auto* limit = message.body_as_limit_report()) {
         if (observer_.on_limit_report) {
--- a/src/request/crash_attribution.cpp
+++ b/src/request/crash_attribution.cpp
@@ -205,6 +205,16 @@
     return true;
 }
 
+bool forget_crash(crash_attribution& state, const lost_server& server) {
+    const auto crash = find_crash(state, server);
+    if (crash == state.crashes.end()) {
+        return false;
+    }
+    state.crashes.erase(crash);
+    state.is_outdated = true;
+    return true;
+}
+
 std::vector<std::uint64_t> clear_traits(crash_attribution& state,
                                         const std::vector<std::uint64_t>& traits) {
     std::vector<std::uint64_t> cleared;
--- a/src/request/quarantine.cpp
+++ b/src/request/quarantine.cpp
@@ -15,8 +15,6 @@
 }};
 
 constexpr std::size_t max_records = 10000;
-/// A server that was lost does not answer again within this time.
-constexpr milliseconds min_restart_time{2000};
 
 bool is_expired(const quarantine& state, const crash_record& record, time_point now) noexcept {
     return now - record.last_loss >= state.lifetime;
@@ -31,12 +29,6 @@
     return &found->second;
 }
 
-std::vector<server_loss>::const_iterator find_loss(const crash_record& record,
-                                                   const lost_server& server) {
-    return std::find_if(record.losses.begin(), record.losses.end(),
-                        [&](const server_loss& loss) { return loss.server == server; });
-}
-
 void drop_oldest(quarantine& state) {
     const auto oldest = std::min_element(state.records.begin(), state.records.end(),
                                          [](const auto& left, const auto& right) {
@@ -63,51 +55,14 @@
                  time_point now) {
     expire_records(state, now);
     crash_record& record = state.records[fingerprint];
-    if (find_loss(record, loss) != record.losses.end()) {
+    if (std::find(record.losses.begin(), record.losses.end(), loss) != record.losses.end()) {
         return false;
     }
-    record.losses.push_back({loss, now});
-    state.newest_loss = now;
+    record.losses.push_back(loss);
     record.last_loss = now;
     return true;
 }
 
-std::vector<std::uint64_t> refute_losses(quarantine& state, const lost_server& server,
-                                         time_point sent_at) {
-    std::vector<std::uint64_t> changed;
-    if (state.records.empty() || sent_at - state.newest_loss >= min_restart_time) {
-        return changed;
-    }
-    for (const auto& [fingerprint, record] : state.records) {
-        const auto loss = find_loss(record, server);
-        if (loss != record.losses.end() && sent_at > loss->lost_at &&
-            sent_at - loss->lost_at < min_restart_time) {
-            changed.push_back(fingerprint);
-        }
-    }
-    for (const std::uint64_t fingerprint : changed) {
-        remove_loss(state, fingerprint, server);
-    }
-    return changed;
-}
-
-bool remove_loss(quarantine& state, std::uint64_t fingerprint, const lost_server& server) {
-    const auto found = state.records.find(fingerprint);
-    if (found == state.records.end()) {
-        return false;
-    }
-    crash_record& record = found->second;
-    const auto loss = find_loss(record, server);
-    if (loss == record.losses.end()) {
-        return false;
-    }
-    record.losses.erase(loss);
-    if (record.losses.empty()) {
-        state.records.erase(found);
-    }
-    return true;
-}
-
 quarantine_status quarantine_status_of(const quarantine& state, std::uint64_t fingerprint,
                                        time_point now) noexcept {
     const crash_record* record = find_record(state, fingerprint, now);
--- /dev/null
+++ b/tests/crash_attribution_test.cpp
@@ -0,0 +1,193 @@
+// Which requests are refused after backend servers were lost.
+#include <gtest/gtest.h>
+
+#include "citronseam/request/crash_attribution.h"
+
+namespace {
+
+using namespace citronseam;
+
+constexpr std::uint64_t guilty = 1;
+constexpr std::uint64_t popular = 2;
+constexpr std::uint64_t neighbour = 3;
+constexpr milliseconds run_time{50};
+
+class crash_causes : public ::testing::Test {
+protected:
+    /// Loses a server that ran requests with the given traits, which were sent before.
+    lost_server lose(const std::vector<std::vector<std::uint64_t>>& requests,
+                     bool is_confirmed = true) {
+        server_crash loss;
+        loss.server = {"server-" + std::to_string(++count), 1};
+        loss.lost_at = now;
+        loss.is_confirmed = is_confirmed;
+        for (const auto& traits : requests) {
+            loss.suspects.push_back({++request, traits, now - run_time});
+        }
+        add_crash(state, loss, now);
+        return loss.server;
+    }
+
+    /// Loses servers one after the other.
+    void lose_in_turn(std::size_t servers,
+                      const std::vector<std::vector<std::uint64_t>>& requests) {
+        for (std::size_t i = 0; i < servers; ++i) {
+            lose(requests);
+            now += seconds(1);
+        }
+    }
+
+    bool is_refused(const std::vector<std::uint64_t>& traits) {
+        update_refused_traits(state, now);
+        return citronseam::is_refused(state, traits);
+    }
+
+    crash_attribution state;
+    time_point now = time_point{} + seconds(1000);
+    std::size_t count{0};
+    std::uint64_t request{100};
+};
+
+// Guards against BUDGET: a trait that crashes servers is sent on since its requests differ.
+TEST_F(crash_causes, trait_of_three_successive_crashes_is_refused_until_they_expire) {
+    lose_in_turn(2, {{guilty, 11}});
+    EXPECT_FALSE(is_refused({guilty}));
+    lose_in_turn(1, {{guilty, 12}});
+    EXPECT_TRUE(is_refused({guilty, 13}));
+    EXPECT_FALSE(is_refused({11, 12}));
+    EXPECT_GT(time_to_expiry(state, now), milliseconds(0));
+    now += state.lifetime;
+    EXPECT_FALSE(is_refused({guilty}));
+    EXPECT_EQ(time_to_expiry(state, now), milliseconds(0));
+}
+
+// Guards against LOST: sound requests that share the caller or the first part are refused too.
+TEST_F(crash_causes, trait_whose_requests_survive_is_served) {
+    for (int i = 0; i < 10; ++i) {
+        lose_in_turn(1, {{guilty, popular}});
+        EXPECT_EQ(clear_traits(state, {popular, 99}), std::vector<std::uint64_t>{popular});
+    }
+    EXPECT_TRUE(is_refused({guilty, popular}));
+    EXPECT_FALSE(is_refused({popular}));
+}
+
+// Guards against LOST: rare sound requests that ran beside the cause each time are refused.
+TEST_F(crash_causes, crashes_explained_by_one_trait_say_nothing_of_others) {
+    lose_in_turn(3, {{guilty}, {neighbour}});
+    lose_in_turn(1, {{guilty}});
+    EXPECT_TRUE(is_refused({guilty}));
+    EXPECT_FALSE(is_refused({neighbour}));
+}
+
+// Guards against LOST: of two traits with the same crashes the sound one is refused by itself.
+TEST_F(crash_causes, traits_with_the_same_crashes_are_refused_only_together) {
+    lose_in_turn(3, {{guilty, neighbour}});
+    EXPECT_TRUE(is_refused({guilty, neighbour, 5}));
+    EXPECT_FALSE(is_refused({neighbour}));
+    EXPECT_FALSE(is_refused({guilty})) << "not known yet";
+    lose_in_turn(1, {{guilty}});
+    EXPECT_TRUE(is_refused({guilty}));
+    EXPECT_FALSE(is_refused({neighbour}));
+}
+
+// Guards against BUDGET: the second of two causes is hidden by the first one.
+TEST_F(crash_causes, two_traits_with_crashes_of_their_own_are_both_refused) {
+    constexpr std::uint64_t other = 4;
+    lose_in_turn(5, {{guilty}});
+    lose_in_turn(3, {{other}});
+    EXPECT_TRUE(is_refused({guilty}));
+    EXPECT_TRUE(is_refused({other}));
+}
+
+// Guards against LOST: after a loss of power, a part of all prompts is refused and cannot be
+// cleared.
+TEST_F(crash_causes, servers_lost_at_the_same_moment_are_one_crash) {
+    for (int i = 0; i < 9; ++i) {
+        lose({{popular}});
+    }
+    EXPECT_FALSE(is_refused({popular}));
+    now += seconds(1);
+    lose({{popular}});
+    EXPECT_FALSE(is_refused({popular})) << "two moments";
+    now += seconds(1);
+    lose({{popular}});
+    EXPECT_TRUE(is_refused({popular}));
+}
+
+// Guards against BUDGET: a request that its gateway sends again is not counted, since the times
+// that other gateways report are known to some milliseconds only.
+TEST_F(crash_causes, crashes_of_one_request_are_successive_whatever_the_times) {
+    for (int i = 0; i < 3; ++i) {
+        server_crash loss{
+            {"server-" + std::to_string(i), 1}, now, true, {{7, {guilty}, now - run_time}}};
+        add_crash(state, loss, now);
+        now += milliseconds(1);
+    }
+    EXPECT_TRUE(is_refused({guilty}));
+}
+
+// Guards against a refusal of requests whose answers end with their connections, as they may.
+TEST_F(crash_causes, unconfirmed_losses_count_once_the_server_refuses_connections) {
+    std::vector<lost_server> servers;
+    for (int i = 0; i < 3; ++i) {
+        servers.push_back(lose({{guilty}}, false));
+        now += milliseconds(200);
+    }
+    EXPECT_FALSE(is_refused({guilty}));
+    for (const lost_server& server : servers) {
+        EXPECT_TRUE(confirm_crash(state, server, now));
+        EXPECT_FALSE(confirm_crash(state, server, now)) << "known";
+    }
+    EXPECT_FALSE(confirm_crash(state, {"unknown", 1}, now));
+    EXPECT_TRUE(is_refused({guilty}));
+}
+
+// Guards against a refusal of requests whose answers are lost on the way from servers that run.
+TEST_F(crash_causes, loss_of_a_server_that_answers_later_is_refuted) {
+    const lost_server server = lose({{guilty}});
+    const auto lost_at = now;
+    EXPECT_FALSE(refute_crash(state, server, lost_at)) << "sent before the loss";
+    EXPECT_FALSE(refute_crash(state, server, lost_at + milliseconds(3000)))
+        << "the server may have restarted under its identifier";
+    EXPECT_FALSE(refute_crash(state, {server.instance, 2}, lost_at + milliseconds(1)))
+        << "another incarnation";
+    now += seconds(1);
+    lose_in_turn(2, {{guilty}});
+    EXPECT_TRUE(is_refused({guilty}));
+    EXPECT_TRUE(refute_crash(state, server, lost_at + milliseconds(1)));
+    EXPECT_FALSE(is_refused({guilty}));
+    EXPECT_FALSE(forget_crash(state, server));
+}
+
+TEST_F(crash_causes, same_loss_counts_once_and_reports_of_several_gateways_are_joined) {
+    lose_in_turn(2, {{guilty}});
+    const server_crash loss{{"shared", 1}, now, true, {{7, {neighbour}, now - run_time}}};
+    EXPECT_TRUE(add_crash(state, loss, now));
+    EXPECT_FALSE(add_crash(state, loss, now)) << "nothing new";
+    EXPECT_FALSE(is_refused({guilty}));
+    server_crash of_other_gateway = loss;
+    of_other_gateway.suspects = {{8, {guilty}, now - run_time}};
+    EXPECT_TRUE(add_crash(state, of_other_gateway, now));
+    EXPECT_TRUE(is_refused({guilty}));
+}
+
+// Guards against a process that runs out of memory or time while whole zones are lost.
+TEST_F(crash_causes, number_of_crashes_is_bounded_and_keeps_the_cause) {
+    constexpr std::size_t lost_servers = 2000;
+    constexpr std::size_t max_known = 256;
+    lose_in_turn(3, {{guilty}});
+    for (std::size_t i = 0; i < lost_servers; ++i) {
+        lose({{1000 + i}});
+        clear_traits(state, {1000 + i});
+    }
+    EXPECT_LE(state.crashes.size(), max_known);
+    EXPECT_TRUE(is_refused({guilty}));
+}
+
+TEST(prompt_part_trait, differs_by_model_and_part) {
+    EXPECT_EQ(prompt_part_trait("m", "5c1e07a2"), prompt_part_trait("m", "5c1e07a2"));
+    EXPECT_NE(prompt_part_trait("m", "5c1e07a2"), prompt_part_trait("n", "5c1e07a2"));
+    EXPECT_NE(prompt_part_trait("m", "5c1e07a2"), prompt_part_trait("m", "5c1e07a3"));
+}
+
+} // namespace
--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -53,6 +53,11 @@
     front_ = std::make_unique<relay>(loopback_address(server_->port()));
 }
 
+bool platform_server::is_running() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return !is_crashed_;
+}
+
 bool platform_server::is_crashing(const server_request& request) const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return crash_condition_ && crash_condition_(request);
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -42,6 +42,8 @@
     /// @param on_restart called after each restart with the previous identifier
     void set_crash_condition(std::function<bool(const server_request&)> condition,
                              std::function<void(const std::string& previous_id)> on_restart);
+    /// @return whether it accepts connections
+    bool is_running() const;
     /// @return number of crashes so far
     int crash_count() const { return crash_count_; }
     /// @return version of the loaded weights
