Check that a server runs after an answer without length

Cause: the crash of a server closes its connections, which looks like the end of such an answer: a stream cut between two events was passed on as complete, and the crash counted neither for nor against its request. Change: after an answer without length or chunks the gateway opens a connection to the server, without a request. If it is refused, the answer was broken off: the stream is resumed or broken off, and the loss is recorded. A stream that ends so without any event is no answer.

--- a/include/citronseam/connection/http_client.h
+++ b/include/citronseam/connection/http_client.h
@@ -26,6 +26,7 @@
     milliseconds connect_timeout{1000};       ///< for establishing the connection
     bool may_reuse_connection{true};          ///< false: on a connection of its own
     bool may_be_resent{true};                 ///< by libcurl, when a reused connection ends
+    bool is_connect_only{false};              ///< sends nothing; complete once connected
     std::uint64_t max_receive_bytes_per_s{0}; ///< bytes per second at most; 0 is unlimited
 };
 
--- a/include/citronseam/request/crash_attribution.h
+++ b/include/citronseam/request/crash_attribution.h
@@ -32,8 +32,6 @@
 struct server_crash {
     lost_server server;
     time_point lost_at;
-    /// A response that ends with its connection may be whole, so its end alone confirms no loss.
-    bool is_confirmed{false};
     std::vector<crash_suspect> suspects;
 };
 
@@ -63,10 +61,6 @@
 /// @return whether anything was new
 bool add_crash(crash_attribution& state, const server_crash& loss, time_point now);
 
-/// Records that a connection to a server was refused, which confirms a loss from shortly before.
-/// @return whether there was an unconfirmed loss
-bool confirm_crash(crash_attribution& state, const lost_server& server, time_point now);
-
 /// Removes the loss of a server that has answered a request sent after it, unless the server may
 /// have restarted since.
 /// @return whether there was a loss to remove
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -139,6 +139,7 @@
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
+    curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, request.is_connect_only ? 1L : 0L);
     if (request.max_receive_bytes_per_s > 0) {
         curl_easy_setopt(easy, CURLOPT_MAX_RECV_SPEED_LARGE,
                          static_cast<curl_off_t>(request.max_receive_bytes_per_s));
--- a/src/programs/gateway/crash_evidence.cpp
+++ b/src/programs/gateway/crash_evidence.cpp
@@ -22,7 +22,6 @@
     report.instance = crash.server.instance;
     report.incarnation = crash.server.incarnation;
     report.lost_us_ago = microseconds_between(crash.lost_at, now);
-    report.is_confirmed = crash.is_confirmed;
     report.is_refuted = is_refuted;
     for (const crash_suspect& suspect : crash.suspects) {
         if (!suspect.traits.empty()) {
@@ -40,7 +39,6 @@
     server_crash crash;
     crash.server = {std::string(view(report.instance())), report.incarnation()};
     crash.lost_at = now - microseconds(report.lost_us_ago());
-    crash.is_confirmed = report.is_confirmed();
     if (report.suspects() == nullptr) {
         return crash;
     }
@@ -60,7 +58,6 @@
 void log_loss(const server_crash& crash, std::string_view source) {
     log_event(log_level::warning, "backend_server_lost",
               {{"instance", crash.server.instance},
-               {"confirmed", crash.is_confirmed ? 1 : 0},
                {"suspects", crash.suspects.size()},
                {"source", source}});
 }
@@ -88,27 +85,20 @@
     broadcast_ = std::move(broadcast);
 }
 
-void crash_evidence::record_loss(const lost_server& server, bool is_confirmed,
-                                 crash_suspect suspect) {
+void crash_evidence::record_loss(const lost_server& server, crash_suspect suspect) {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto now = std::chrono::steady_clock::now();
-    const server_crash loss{server, now, is_confirmed, {std::move(suspect)}};
+    const server_crash loss{server, now, {std::move(suspect)}};
     if (!add_crash(state_, loss, now)) {
         return;
     }
     has_crashes_ = true;
-    add_pending(loss);
-}
-
-void crash_evidence::confirm_loss(const lost_server& server) {
-    if (!has_crashes_) {
-        return;
-    }
-    const std::lock_guard<std::mutex> lock(mutex_);
-    const auto now = std::chrono::steady_clock::now();
-    if (confirm_crash(state_, server, now)) {
-        add_pending({server, now, true, {}});
+    const auto [pending, is_new] =
+        pending_losses_.try_emplace({server.instance, server.incarnation}, loss);
+    if (!is_new) {
+        pending->second.suspects.push_back(loss.suspects.front());
     }
+    send_later();
 }
 
 void crash_evidence::record_answer(const lost_server& server, time_point sent_at) {
@@ -186,18 +176,6 @@
     return frames;
 }
 
-/// Adds to the report on a server that is sent next. The mutex is locked.
-void crash_evidence::add_pending(const server_crash& loss) {
-    const auto [entry, is_new] =
-        pending_losses_.try_emplace({loss.server.instance, loss.server.incarnation}, loss);
-    server_crash& pending = entry->second;
-    if (!is_new) {
-        pending.is_confirmed = pending.is_confirmed || loss.is_confirmed;
-        pending.suspects.insert(pending.suspects.end(), loss.suspects.begin(), loss.suspects.end());
-    }
-    send_later();
-}
-
 /// Schedules send_pending(). The mutex is locked.
 void crash_evidence::send_later() {
     if (!is_sending_scheduled_) {
--- a/src/programs/gateway/crash_evidence.h
+++ b/src/programs/gateway/crash_evidence.h
@@ -28,10 +28,7 @@
     void set_broadcast(std::function<void(const shared_frame&)> broadcast);
 
     /// Records that a server was lost while it may have been running a request.
-    /// @param is_confirmed false: its response may have been whole, see server_crash
-    void record_loss(const lost_server& server, bool is_confirmed, crash_suspect suspect);
-    /// Records that a server refused a connection, or ended one whose request is no suspect.
-    void confirm_loss(const lost_server& server);
+    void record_loss(const lost_server& server, crash_suspect suspect);
     /// Records that a server answered a request.
     void record_answer(const lost_server& server, time_point sent_at);
     /// Records that a server went on after it began to answer a request with these traits.
@@ -49,7 +46,6 @@
     std::vector<shared_frame> make_report_frames() const;
 
 private:
-    void add_pending(const server_crash& loss);
     void send_later();
     void send_pending();
 
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -11,9 +11,6 @@
 namespace citronseam {
 namespace {
 
-/// Limit on opening a connection to a backend server: a few round trips. A lost SYN is resent only
-/// after a second, which is too late for most requests.
-constexpr milliseconds connect_timeout{400};
 /// A retryable request is moved to another server after this many latency objectives without data.
 constexpr int stall_objectives = 3;
 constexpr milliseconds min_stall_timeout{300};
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -40,6 +40,9 @@
 private:
     /// With less time left than this, no backend server can finish a request.
     static constexpr milliseconds min_send_time{20};
+    /// Limit on opening a connection to a backend server: a few round trips. A lost SYN is resent
+    /// only after a second, which is too late for most requests.
+    static constexpr milliseconds connect_timeout{400};
 
     /// One attempt at one backend server.
     struct attempt {
@@ -84,6 +87,8 @@
     void send_next();
     std::shared_ptr<attempt> send_to(const server_selection& selection);
     http_observer make_observer(const std::shared_ptr<attempt>& source);
+    bool is_current(const std::shared_ptr<attempt>& source) const;
+    void check_end(const std::shared_ptr<attempt>& source, const http_outcome& outcome);
     void handle_head(attempt& current, int status, const std::vector<http_header>& headers);
     bool handle_data(attempt& current, std::string_view data);
     bool accept_events(attempt& source);
@@ -109,9 +114,9 @@
     /// @return whether the request has crashed too many servers to be sent again
     bool is_quarantined() const;
     static lost_server attempted_server(const attempt& source);
-    void record_answer(attempt& source, const http_outcome& outcome, response_kind kind);
+    void record_answer(attempt& source, response_kind kind);
     void record_survival(attempt& source);
-    void record_loss(const attempt& source, bool is_confirmed);
+    void record_loss(const attempt& source);
     void record_server_signals(const attempt& source);
     void record_server_limit(const attempt& source);
     void deliver_response();
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -38,29 +38,65 @@
 
 } // namespace
 
+bool gateway_exchange::is_current(const std::shared_ptr<attempt>& source) const {
+    const bool has_slot = source == attempt_ || source == replacement_;
+    return has_slot && source->server != nullptr && !is_done_;
+}
+
 http_observer gateway_exchange::make_observer(const std::shared_ptr<attempt>& source) {
     http_observer observer;
-    const auto is_current = [self = shared_from_this(), source] {
-        const bool has_slot = source == self->attempt_ || source == self->replacement_;
-        return has_slot && source->server != nullptr && !self->is_done_;
-    };
-    observer.on_head = [this, source, is_current](int status,
-                                                  const std::vector<http_header>& headers) {
-        if (is_current()) {
-            handle_head(*source, status, headers);
+    observer.on_head = [self = shared_from_this(),
+                        source](int status, const std::vector<http_header>& headers) {
+        if (self->is_current(source)) {
+            self->handle_head(*source, status, headers);
         }
     };
-    observer.on_data = [this, source, is_current](std::string_view data) {
-        return is_current() && handle_data(*source, data);
+    observer.on_data = [self = shared_from_this(), source](std::string_view data) {
+        return self->is_current(source) && self->handle_data(*source, data);
     };
-    observer.on_done = [this, source, is_current](const http_outcome& outcome) {
-        if (is_current()) {
-            handle_done(*source, outcome);
+    observer.on_done = [self = shared_from_this(), source](const http_outcome& outcome) {
+        if (!self->is_current(source)) {
+            return;
+        }
+        if (outcome.is_complete && outcome.ends_with_connection) {
+            self->check_end(source, outcome);
+        } else {
+            self->handle_done(*source, outcome);
         }
     };
     return observer;
 }
 
+/// The crash of a server closes its connections, so it looks like the end of a response without
+/// length. Such a response counts as complete only if the server still accepts connections.
+void gateway_exchange::check_end(const std::shared_ptr<attempt>& source,
+                                 const http_outcome& outcome) {
+    http_request request;
+    request.url = "http://" + source->server->entry.address;
+    request.is_connect_only = true;
+    request.may_reuse_connection = false;
+    request.timeout = connect_timeout;
+    request.connect_timeout = connect_timeout;
+    http_observer observer;
+    observer.on_done = [self = shared_from_this(), source, outcome](const http_outcome& connected) {
+        if (!self->is_current(source)) {
+            return;
+        }
+        log_event(log_level::info, "response_end_checked",
+                  {{"request", self->caller_.attempt},
+                   {"server", source->server->entry.id},
+                   {"reason", connected.is_complete ? "" : connected.message}});
+        http_outcome checked = outcome;
+        if (!connected.is_complete && !connected.is_timed_out) {
+            checked.is_complete = false;
+            checked.verdict = run_verdict::may_have_run;
+            checked.message = "the server ended with its response";
+        }
+        self->handle_done(*source, checked);
+    };
+    context_.traffic.send(std::move(request), std::move(observer));
+}
+
 void gateway_exchange::handle_head(attempt& current, int status,
                                    const std::vector<http_header>& headers) {
     current.has_head = true;
@@ -228,18 +264,10 @@
 }
 
 /// Records what an answer shows of its server and of the request.
-void gateway_exchange::record_answer(attempt& source, const http_outcome& outcome,
-                                     response_kind kind) {
-    if (!outcome.ends_with_connection) {
-        context_.crashes.record_answer(attempted_server(source), source.started_at);
-    }
+void gateway_exchange::record_answer(attempt& source, response_kind kind) {
+    context_.crashes.record_answer(attempted_server(source), source.started_at);
     // A server may fail a request before it runs it.
-    if (kind != response_kind::usable || !is_success(source.status)) {
-        return;
-    }
-    if (outcome.ends_with_connection) {
-        record_loss(source, false);
-    } else {
+    if (kind == response_kind::usable && is_success(source.status)) {
         record_survival(source);
     }
 }
@@ -251,14 +279,11 @@
     }
 }
 
-/// Records that the connection to the server has ended while it may have been running the request.
-/// @param is_confirmed false: the answer may be whole
-void gateway_exchange::record_loss(const attempt& source, bool is_confirmed) {
+/// Records that the server was lost while it may have been running the request.
+void gateway_exchange::record_loss(const attempt& source) {
     if (!source.has_survived) {
-        context_.crashes.record_loss(attempted_server(source), is_confirmed,
+        context_.crashes.record_loss(attempted_server(source),
                                      {hash_text(caller_.attempt), traits_, source.started_at});
-    } else if (is_confirmed) {
-        context_.crashes.confirm_loss(attempted_server(source));
     }
 }
 
@@ -294,7 +319,7 @@
         end_attempt(source, is_other_server(source) ? exchange_outcome::wrong_server
                                                     : exchange_outcome::refused);
     } else {
-        record_answer(source, outcome, kind);
+        record_answer(source, kind);
         end_attempt(source, kind == response_kind::failure ? exchange_outcome::failed
                                                            : exchange_outcome::succeeded);
         verdict_ = run_verdict::ran;
@@ -307,7 +332,6 @@
     const bool is_sent = outcome.verdict != run_verdict::not_run;
     const bool is_connection_lost = is_sent && !source.is_unusable && !outcome.is_timed_out &&
                                     !outcome.is_cancelled && !outcome.is_complete;
-    const bool is_refused_connection = !is_sent && !outcome.is_timed_out && !outcome.is_cancelled;
     log_event(log_level::info, "attempt_broken",
               {{"request", caller_.attempt},
                {"fingerprint", fingerprint_},
@@ -321,11 +345,7 @@
                {"status", source.status},
                {"reason", source.is_unusable ? "unusable answer" : outcome.message}});
     if (is_connection_lost) {
-        record_loss(source, true);
-    } else if (outcome.is_complete && outcome.ends_with_connection) {
-        record_loss(source, false);
-    } else if (is_refused_connection) {
-        context_.crashes.confirm_loss(attempted_server(source));
+        record_loss(source);
     }
     end_attempt(source, is_out_of_time ? exchange_outcome::abandoned : exchange_outcome::failed);
     if (is_sent) {
--- a/src/request/crash_attribution.cpp
+++ b/src/request/crash_attribution.cpp
@@ -44,13 +44,10 @@
     return true;
 }
 
-/// @return the traits that are in at least `min_crashes` confirmed crashes
+/// @return the traits that are in at least `min_crashes` crashes
 std::vector<trait_record> collect_traits(const crash_attribution& state, std::size_t min_crashes) {
     std::unordered_map<std::uint64_t, trait_record> by_trait;
     for (std::size_t i = 0; i < state.crashes.size(); ++i) {
-        if (!state.crashes[i].is_confirmed) {
-            continue;
-        }
         for (const crash_suspect& suspect : state.crashes[i].suspects) {
             for (const std::uint64_t trait : suspect.traits) {
                 std::vector<trait_crash>& crashes = by_trait[trait].crashes;
@@ -164,11 +161,7 @@
         const auto later =
             std::find_if(state.crashes.begin(), state.crashes.end(),
                          [&](const server_crash& known) { return known.lost_at > loss.lost_at; });
-        crash = state.crashes.insert(later, {loss.server, loss.lost_at, false, {}});
-    }
-    if (loss.is_confirmed && !crash->is_confirmed) {
-        crash->is_confirmed = true;
-        is_new = true;
+        crash = state.crashes.insert(later, {loss.server, loss.lost_at, {}});
     }
     for (const crash_suspect& suspect : loss.suspects) {
         if (add_suspect(*crash, suspect)) {
@@ -183,17 +176,6 @@
     return is_new;
 }
 
-bool confirm_crash(crash_attribution& state, const lost_server& server, time_point now) {
-    const auto crash = find_crash(state, server);
-    if (crash == state.crashes.end() || crash->is_confirmed ||
-        now - crash->lost_at >= min_restart_time) {
-        return false;
-    }
-    crash->is_confirmed = true;
-    state.is_outdated = true;
-    return true;
-}
-
 bool refute_crash(crash_attribution& state, const lost_server& server, time_point sent_at) {
     const auto crash = find_crash(state, server);
     if (crash == state.crashes.end() || sent_at <= crash->lost_at ||
--- a/tests/crash_attribution_test.cpp
+++ b/tests/crash_attribution_test.cpp
@@ -15,12 +15,10 @@
 class crash_causes : public ::testing::Test {
 protected:
     /// Loses a server that ran requests with the given traits, which were sent before.
-    lost_server lose(const std::vector<std::vector<std::uint64_t>>& requests,
-                     bool is_confirmed = true) {
+    lost_server lose(const std::vector<std::vector<std::uint64_t>>& requests) {
         server_crash loss;
         loss.server = {"server-" + std::to_string(++count), 1};
         loss.lost_at = now;
-        loss.is_confirmed = is_confirmed;
         for (const auto& traits : requests) {
             loss.suspects.push_back({++request, traits, now - run_time});
         }
@@ -118,30 +116,13 @@
 // that other gateways report are known to some milliseconds only.
 TEST_F(crash_causes, crashes_of_one_request_are_successive_whatever_the_times) {
     for (int i = 0; i < 3; ++i) {
-        server_crash loss{
-            {"server-" + std::to_string(i), 1}, now, true, {{7, {guilty}, now - run_time}}};
+        server_crash loss{{"server-" + std::to_string(i), 1}, now, {{7, {guilty}, now - run_time}}};
         add_crash(state, loss, now);
         now += milliseconds(1);
     }
     EXPECT_TRUE(is_refused({guilty}));
 }
 
-// Guards against a refusal of requests whose answers end with their connections, as they may.
-TEST_F(crash_causes, unconfirmed_losses_count_once_the_server_refuses_connections) {
-    std::vector<lost_server> servers;
-    for (int i = 0; i < 3; ++i) {
-        servers.push_back(lose({{guilty}}, false));
-        now += milliseconds(200);
-    }
-    EXPECT_FALSE(is_refused({guilty}));
-    for (const lost_server& server : servers) {
-        EXPECT_TRUE(confirm_crash(state, server, now));
-        EXPECT_FALSE(confirm_crash(state, server, now)) << "known";
-    }
-    EXPECT_FALSE(confirm_crash(state, {"unknown", 1}, now));
-    EXPECT_TRUE(is_refused({guilty}));
-}
-
 // Guards against a refusal of requests whose answers are lost on the way from servers that run.
 TEST_F(crash_causes, loss_of_a_server_that_answers_later_is_refuted) {
     const lost_server server = lose({{guilty}});
@@ -161,7 +142,7 @@
 
 TEST_F(crash_causes, same_loss_counts_once_and_reports_of_several_gateways_are_joined) {
     lose_in_turn(2, {{guilty}});
-    const server_crash loss{{"shared", 1}, now, true, {{7, {neighbour}, now - run_time}}};
+    const server_crash loss{{"shared", 1}, now, {{7, {neighbour}, now - run_time}}};
     EXPECT_TRUE(add_crash(state, loss, now));
     EXPECT_FALSE(add_crash(state, loss, now)) << "nothing new";
     EXPECT_FALSE(is_refused({guilty}));
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -5,6 +5,7 @@
 #include "citronseam/process/sizes.h"
 
 #include "support/endless_server.h"
+#include "support/raw_server.h"
 
 namespace {
 
@@ -75,4 +76,48 @@
     EXPECT_EQ(response.body, "");
 }
 
+http_request request_to(const raw_server& server) {
+    http_request request;
+    request.url = "http://" + server.address() + "/";
+    request.timeout = exchange_timeout;
+    return request;
+}
+
+// Guards against a crash inside an answer without length, which looks like the answer's end.
+TEST(http_client, response_without_length_or_chunks_is_marked) {
+    const auto ends_with_connection = [](const std::string& response) {
+        raw_server server([response](const std::string&) { return response; });
+        http_client client;
+        const auto answer = fetch_blocking(client, request_to(server), max_body_size);
+        EXPECT_TRUE(answer.outcome.is_complete) << response;
+        return answer.outcome.ends_with_connection;
+    };
+    EXPECT_TRUE(ends_with_connection("HTTP/1.1 200 OK\r\n\r\nabc"));
+    EXPECT_TRUE(ends_with_connection("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"));
+    EXPECT_FALSE(ends_with_connection("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"));
+    EXPECT_FALSE(ends_with_connection(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"));
+    EXPECT_FALSE(ends_with_connection("HTTP/1.1 204 No Content\r\n\r\n"));
+}
+
+// Guards against a check of a server that sends it a request, or that takes a gone server for one
+// that runs.
+TEST(http_client, connection_without_request_shows_whether_a_server_runs) {
+    raw_server server([](const std::string&) { return "HTTP/1.1 200 OK\r\n\r\n"; });
+    http_client client;
+    http_request check = request_to(server);
+    check.is_connect_only = true;
+    check.may_reuse_connection = false;
+    EXPECT_TRUE(fetch_blocking(client, check, max_body_size).outcome.is_complete);
+    EXPECT_EQ(server.request_count(), 0);
+    EXPECT_EQ(server.connection_count(), 1);
+    server.crash_with_next_answer();
+    fetch_blocking(client, request_to(server), max_body_size);
+    EXPECT_EQ(server.request_count(), 1);
+    const auto refused = fetch_blocking(client, check, max_body_size);
+    EXPECT_FALSE(refused.outcome.is_complete);
+    EXPECT_FALSE(refused.outcome.is_timed_out);
+    EXPECT_EQ(client.active_count(), 0U);
+}
+
 } // namespace
--- /dev/null
+++ b/tests/process_unframed_test.cpp
@@ -0,0 +1,109 @@
+// Answers of backend servers with neither a length nor chunks, at a gateway on a simulated
+// platform.
+#include <memory>
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "support/platform_world.h"
+#include "support/raw_server.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::harness;
+
+constexpr const char* raw_engine = "raw-engine";
+constexpr const char* head = "HTTP/1.1 200 OK\r\nX-Citronseam-Response-Seal: seal-of-raw-engine\r\n"
+                             "X-Citronseam-Weight-Versions: 1\r\nConnection: close\r\n\r\n";
+constexpr const char* two_events = "id: 1\ndata: raw\n\nid: 2\ndata: raw\n\n";
+constexpr milliseconds listing_timeout{5000};
+
+/// A gateway whose zone has one engine that sends its answers without length; the other zone has an
+/// engine that sends chunks.
+class unframed_answers : public ::testing::Test {
+protected:
+    /// Starts the gateways with an engine that sends these bytes after the head of its answer.
+    void start(const std::string& body) {
+        engine = std::make_unique<raw_server>(
+            [body](const std::string&) { return std::string(head) + body; });
+        world.store.remove("servers", world.engines[0]->id());
+        world.store.put("servers", raw_engine,
+                        nlohmann::json{{"service", "drafts"},
+                                       {"address", engine->address()},
+                                       {"zone", "zone-a"},
+                                       {"version", "v1"},
+                                       {"slots", 4},
+                                       {"state", "ready"},
+                                       {"cold_ms", 0},
+                                       {"sequence", 1},
+                                       {"layers", {{{"from", 0}, {"target", 1}, {"version", 1}}}}}
+                            .dump());
+        ASSERT_TRUE(world.start()) << world.gateway(0).output();
+        ASSERT_NE(world.gateway(0).wait_for_line(raw_engine, listing_timeout), "");
+    }
+
+    http_response draft(const std::string& path) {
+        return world.call(0, "POST", path,
+                          {{"Authorization", std::string("Token ") + platform_world::api_key},
+                           {"X-Citronseam-Token-Usage", "110,20"}});
+    }
+
+    platform_world world;
+    std::unique_ptr<raw_server> engine;
+};
+
+// Guards against a sound stream that is broken off since it has no length.
+TEST_F(unframed_answers, stream_that_ends_with_its_connection_is_whole) {
+    start(two_events);
+    const auto answer = draft("/draft/1");
+    EXPECT_TRUE(answer.outcome.is_complete) << world.gateway(0).output();
+    EXPECT_EQ(answer.body, two_events);
+    EXPECT_EQ(engine->request_count(), 1);
+}
+
+// Guards against MIXED: a stream that ends inside an event is passed on as complete.
+TEST_F(unframed_answers, stream_that_ends_inside_an_event_is_resumed_elsewhere) {
+    start(std::string(two_events) + "id: 3\nda");
+    const auto answer = draft("/draft/1");
+    EXPECT_TRUE(answer.outcome.is_complete) << world.gateway(0).output();
+    EXPECT_NE(answer.body.find("id: 8\ndata: engine-zone-b"), std::string::npos) << answer.body;
+}
+
+// Guards against MIXED: a stream that may not be resumed looks whole although it broke off.
+TEST_F(unframed_answers, stream_that_may_not_be_resumed_is_broken_off_inside_an_event) {
+    start(std::string(two_events) + "id: 3\nda");
+    const auto answer = draft("/draft-once/1");
+    EXPECT_FALSE(answer.outcome.is_complete);
+    EXPECT_EQ(answer.body, two_events);
+}
+
+// Guards against MIXED: an engine that crashes before its first event has answered with nothing.
+TEST_F(unframed_answers, stream_without_events_is_no_answer) {
+    start("");
+    const auto answer = draft("/draft/1");
+    EXPECT_TRUE(answer.outcome.is_complete) << world.gateway(0).output();
+    EXPECT_EQ(find_header(answer.headers, "X-Citronseam-Response-Seal"), "seal-of-engine-zone-b");
+}
+
+// Guards against MIXED: the end of an engine looks like the end of its answer.
+TEST_F(unframed_answers, stream_whose_engine_is_gone_at_its_end_is_resumed_elsewhere) {
+    start(two_events);
+    engine->crash_with_next_answer();
+    const auto answer = draft("/draft/1");
+    EXPECT_TRUE(answer.outcome.is_complete) << world.gateway(0).output();
+    EXPECT_NE(answer.body.find("id: 8\ndata: engine-zone-b"), std::string::npos) << answer.body;
+    EXPECT_NE(world.gateway(0).wait_for_line("event=backend_server_lost", listing_timeout), "");
+}
+
+// Guards against MIXED, as above, where no other engine may go on.
+TEST_F(unframed_answers, stream_that_may_not_be_resumed_is_broken_off_with_its_engine) {
+    start(two_events);
+    engine->crash_with_next_answer();
+    const auto answer = draft("/draft-once/1");
+    EXPECT_FALSE(answer.outcome.is_complete);
+    EXPECT_EQ(answer.body, two_events);
+}
+
+} // namespace
