Do not send on a request whose caller has left

Cause: a busy gateway reads a request seconds after it was sent. The close of its connection stands in the socket behind it and is read after the request was dispatched; the flag that the gateway asked nothing of is set later still. Change: before each dispatch the socket is peeked at. A caller that has closed ends its request there.

--- a/include/citronseam/connection/http_responder.h
+++ b/include/citronseam/connection/http_responder.h
@@ -48,6 +48,9 @@
 
     /// @return whether the client is still connected
     bool is_open() const;
+    /// @return whether the client has closed the connection, also when the close has not been read
+    /// from the socket yet. It asks the operating system.
+    bool has_client_left() const;
     /// @return whether begin() or respond() was called
     bool has_started() const noexcept { return state_ != state::waiting; }
     /// Sets the callback for a client that disconnects before the response ended; called at most
--- a/src/connection/http_responder.cpp
+++ b/src/connection/http_responder.cpp
@@ -156,6 +156,10 @@
     return connection_->is_open();
 }
 
+bool http_responder::has_client_left() const {
+    return connection_->has_client_left();
+}
+
 void http_responder::on_disconnect(std::function<void()> callback) {
     connection_->on_disconnect(std::move(callback));
 }
--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -1,7 +1,9 @@
 #include "connection/server_connection.h"
 
 #include <algorithm>
+#include <cerrno>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "citronseam/process/sizes.h"
@@ -197,6 +199,16 @@
     return is_open_;
 }
 
+bool server_connection::has_client_left() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!is_open_ || !socket_) {
+        return true;
+    }
+    char next = 0;
+    const auto size = ::recv(socket_->native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void server_connection::on_disconnect(std::function<void()> callback) {
     {
         const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -62,6 +62,9 @@
 
     /// @return whether the client is connected
     bool is_open() const;
+    /// @return whether the client has closed the connection, although that may not have been read
+    /// from the socket yet
+    bool has_client_left();
     /// Sets the callback of handle_disconnect() while a response is in progress. It is called at
     /// once when the connection is already closed.
     void on_disconnect(std::function<void()> callback);
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -158,6 +158,11 @@
         fail_deadline();
         return;
     }
+    // A busy process reads a request late, and its caller's leaving later still.
+    if (responder_->has_client_left()) {
+        handle_disconnect();
+        return;
+    }
     const server_selection selection = context_.pool.choose(make_query(), now);
     if (selection.server != nullptr) {
         attempt_ = send_to(selection);
