--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -124,6 +124,7 @@
     void refuse_for(choice_failure failure_reason);
     void fail_deadline();
     bool is_out_of_weights(const attempt& waiting, time_point now) const;
+    void log_cancelled(std::string_view reason, time_point now) const;
     void leave_replaced_weights(time_point now);
     void leave_quarantine(time_point now);
     bool is_moving() const noexcept { return replacement_ != nullptr; }
--- a/src/programs/gateway/gateway_exchange_moves.cpp
+++ b/src/programs/gateway/gateway_exchange_moves.cpp
@@ -144,6 +144,16 @@
            !context_.pool.may_start_at(*waiting.server, service_, now);
 }
 
+void gateway_exchange::log_cancelled(std::string_view reason, time_point now) const {
+    log_event(log_level::info, "attempt_cancelled",
+              {{"request", caller_.attempt},
+               {"server", attempt_->server->entry.id},
+               {"reason", reason},
+               {"events", events_forwarded_},
+               {"sent_ms_ago", elapsed_ms(attempt_->started_at, now)},
+               {"silent_ms", elapsed_ms(attempt_->last_data_at, now)}});
+}
+
 /// Cancels an attempt that waits at a server whose weights are replaced, so that it does not begin
 /// on them. The request goes on at its other server, is sent to another one, or fails.
 void gateway_exchange::leave_replaced_weights(time_point now) {
@@ -157,13 +167,7 @@
         end_move(move_decision::second, weights_replaced, now);
         return;
     }
-    log_event(log_level::info, "attempt_cancelled",
-              {{"request", caller_.attempt},
-               {"server", attempt_->server->entry.id},
-               {"reason", weights_replaced},
-               {"events", events_forwarded_},
-               {"sent_ms_ago", elapsed_ms(attempt_->started_at, now)},
-               {"silent_ms", elapsed_ms(attempt_->last_data_at, now)}});
+    log_cancelled(weights_replaced, now);
     cancel_attempt(*attempt_, exchange_outcome::abandoned);
     // The cancelled attempt may run all the same.
     verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
@@ -182,13 +186,7 @@
     if (is_done_ || !is_waiting || rule_->kind != retry_class::streaming || !is_quarantined()) {
         return;
     }
-    log_event(log_level::info, "attempt_cancelled",
-              {{"request", caller_.attempt},
-               {"server", attempt_->server->entry.id},
-               {"reason", quarantined},
-               {"events", events_forwarded_},
-               {"sent_ms_ago", elapsed_ms(attempt_->started_at, now)},
-               {"silent_ms", elapsed_ms(attempt_->last_data_at, now)}});
+    log_cancelled(quarantined, now);
     verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
     fail_broken(quarantined);
 }
