Do not check the server's end after an answer that says the request has not run

Callers would see: 502 for a request that its server refused without running it, where the refusal had no length and the server ended right after it. Cause: the check of answers without length ran for refusals too, and made a stated "not run" a lost answer. Change: the check is left out for answers that state that the request has not run.

--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -58,7 +58,9 @@
         if (!self->is_current(source)) {
             return;
         }
-        if (outcome.is_complete && outcome.ends_with_connection) {
+        // That a request has not run is stated in the head.
+        const bool is_not_run = source->parameters.is_not_run;
+        if (outcome.is_complete && outcome.ends_with_connection && !is_not_run) {
             self->check_end(source, outcome);
         } else {
             self->handle_done(*source, outcome);
