Check that a refuted loss leaves the losses of other servers

The test that moved from the quarantine had lost two checks: that the other servers' losses stay, and that removing a loss takes effect. Both are back.

--- a/tests/crash_attribution_test.cpp
+++ b/tests/crash_attribution_test.cpp
@@ -137,7 +137,12 @@
     EXPECT_TRUE(is_refused({guilty}));
     EXPECT_TRUE(refute_crash(state, server, lost_at + milliseconds(1)));
     EXPECT_FALSE(is_refused({guilty}));
-    EXPECT_FALSE(forget_crash(state, server));
+    EXPECT_FALSE(forget_crash(state, server)) << "removed already";
+    EXPECT_EQ(state.crashes.size(), 2U) << "the losses of other servers stay";
+    const lost_server other = lose({{guilty}});
+    EXPECT_TRUE(is_refused({guilty})) << "with the two that stay";
+    EXPECT_TRUE(forget_crash(state, other));
+    EXPECT_FALSE(is_refused({guilty}));
 }
 
 TEST_F(crash_causes, same_loss_counts_once_and_reports_of_several_gateways_are_joined) {
