Log how the end of an answer was stated

The client reads the head itself, in a module without sockets (response_head), and request_done and attempt_broken name the four facts. No decision changes.

--- a/include/citronseam/connection/http_client.h
+++ b/include/citronseam/connection/http_client.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "citronseam/connection/response_head.h"
 #include "citronseam/process/clock.h"
 #include "citronseam/request/idempotency_record.h"
 #include "citronseam/request/verdict.h"
@@ -36,9 +37,10 @@
     /// cancel() was called, on_data() returned false, or the head was too long
     bool is_cancelled{false};
     bool is_timed_out{false};
-    /// The response has neither a length nor chunks: it ends with its connection, so it may have
-    /// been cut off although it is_complete.
-    bool ends_with_connection{false};
+    body_framing framing{body_framing::connection}; ///< how the response states its end
+    bool is_head_whole{false};                      ///< the head of the response ended
+    bool is_connection_reused{false};          ///< the connection had carried an earlier exchange
+    std::uint64_t body_bytes{0};               ///< received, without the overhead of chunks
     run_verdict verdict{run_verdict::not_run}; ///< whether the server may have run it
     int status{0};
     std::string message; ///< human-readable error
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -16,22 +16,11 @@
 namespace {
 
 constexpr long receive_buffer_size = 64 * kibibyte;
-/// Longest head of a response with its interim responses and trailers. libcurl bounds single lines.
-constexpr std::size_t max_header_bytes = 64 * kibibyte;
 
 bool equals_ignoring_case(std::string_view left, std::string_view right) {
     return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
 }
 
-std::string_view trim(std::string_view text) {
-    constexpr std::string_view whitespace = " \t\r\n";
-    const auto first = text.find_first_not_of(whitespace);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(whitespace) - first + 1);
-}
-
 void init_libcurl() {
     static std::once_flag once;
     std::call_once(once, [] { curl_global_init(CURL_GLOBAL_ALL); });
@@ -44,11 +33,11 @@
     http_observer observer;
     CURL* easy{nullptr};
     curl_slist* header_list{nullptr};
-    std::vector<http_header> headers;
+    response_head head;
+    std::uint64_t body_bytes{0};
     bool is_head_reported{false};
     bool is_aborted{false};
     bool is_sent{false}; ///< libcurl began to send it once
-    std::size_t header_bytes{0};
     std::array<char, CURL_ERROR_SIZE> error_text{};
 
     exchange() = default;
@@ -65,37 +54,26 @@
         return;
     }
     current.is_head_reported = true;
-    long status = 0;
-    curl_easy_getinfo(current.easy, CURLINFO_RESPONSE_CODE, &status);
     if (current.observer.on_head) {
-        current.observer.on_head(static_cast<int>(status), current.headers);
+        current.observer.on_head(current.head.status, current.head.headers);
     }
 }
 
 std::size_t handle_header(char* data, std::size_t size, std::size_t count, void* user) {
     auto& current = *static_cast<exchange*>(user);
     const std::string_view line(data, size * count);
-    current.header_bytes += line.size();
-    if (current.header_bytes > max_header_bytes) {
+    read_head_line(current.head, line);
+    if (current.head.defect == head_defect::too_long) {
         current.is_aborted = true;
         return 0;
     }
-    if (line.rfind("HTTP/", 0) == 0) {
-        // An interim response such as 100 Continue is followed by another header section.
-        current.headers.clear();
-        return line.size();
-    }
-    const auto colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        current.headers.push_back(
-            {std::string(trim(line.substr(0, colon))), std::string(trim(line.substr(colon + 1)))});
-    }
     return line.size();
 }
 
 std::size_t handle_body(char* data, std::size_t size, std::size_t count, void* user) {
     auto& current = *static_cast<exchange*>(user);
     const std::string_view part(data, size * count);
+    current.body_bytes += part.size();
     report_head(current);
     if (current.observer.on_data && !current.observer.on_data(part)) {
         current.is_aborted = true;
@@ -182,14 +160,6 @@
     set_headers(current);
 }
 
-bool has_length_or_chunks(const exchange& current, long status) {
-    constexpr long no_content = 204;
-    constexpr long not_modified = 304;
-    return current.request.method == "HEAD" || status == no_content || status == not_modified ||
-           !find_header(current.headers, "Content-Length").empty() ||
-           !find_header(current.headers, "Transfer-Encoding").empty();
-}
-
 /// Bytes of the request passed to the operating system, headers included.
 long sent_request_bytes(CURL* easy) {
     long size = 0;
@@ -197,23 +167,31 @@
     return size;
 }
 
+/// Whether the exchange used a connection that had carried an earlier one.
+bool is_on_reused_connection(CURL* easy) {
+    long opened = 0;
+    curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &opened);
+    return opened == 0;
+}
+
 http_outcome make_outcome(exchange& current, CURLcode code) {
     http_outcome outcome;
-    long status = 0;
-    curl_easy_getinfo(current.easy, CURLINFO_RESPONSE_CODE, &status);
-    outcome.status = static_cast<int>(status);
+    outcome.status = current.head.status;
     outcome.is_complete = code == CURLE_OK;
     outcome.is_cancelled = current.is_aborted;
     outcome.is_timed_out = code == CURLE_OPERATION_TIMEDOUT;
+    outcome.framing = find_framing(current.head, current.request.method == "HEAD");
+    outcome.is_head_whole = is_final_head_whole(current.head);
+    outcome.body_bytes = current.body_bytes;
+    outcome.is_connection_reused = is_on_reused_connection(current.easy);
     if (code == CURLE_OK) {
         outcome.verdict = run_verdict::ran;
-        outcome.ends_with_connection = !has_length_or_chunks(current, status);
         return outcome;
     }
     // A request of which no byte was sent cannot have run.
     outcome.verdict =
         sent_request_bytes(current.easy) > 0 ? run_verdict::may_have_run : run_verdict::not_run;
-    if (current.header_bytes > max_header_bytes) {
+    if (current.head.defect == head_defect::too_long) {
         outcome.message = "the head is too long";
     } else {
         outcome.message =
--- /dev/null
+++ b/src/connection/response_head.cpp
@@ -0,0 +1,168 @@
+#include "citronseam/connection/response_head.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string>
+
+#include <strings.h>
+
+#include "citronseam/process/enum_names.h"
+
+namespace citronseam {
+namespace {
+
+constexpr std::array<enum_name<body_framing>, 4> framing_names{{
+    {body_framing::none, "none"},
+    {body_framing::length, "length"},
+    {body_framing::chunks, "chunks"},
+    {body_framing::connection, "connection"},
+}};
+
+constexpr std::array<enum_name<head_defect>, 7> defect_names{{
+    {head_defect::none, "none"},
+    {head_defect::too_long, "too_long"},
+    {head_defect::status_line, "status_line"},
+    {head_defect::line_ending, "line_ending"},
+    {head_defect::header_field, "header_field"},
+    {head_defect::content_length, "content_length"},
+    {head_defect::transfer_coding, "transfer_coding"},
+}};
+
+constexpr std::string_view line_terminator = "\r\n";
+constexpr std::string_view white_space = " \t";
+constexpr int switching_protocols = 101;
+constexpr int first_final_status = 200;
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
+
+bool equals_ignoring_case(std::string_view left, std::string_view right) {
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+bool is_digits(std::string_view text) {
+    return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+std::string_view trim(std::string_view text) {
+    const auto first = text.find_first_not_of(white_space);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(white_space) - first + 1);
+}
+
+bool read_status_line(response_head& head, std::string_view line) {
+    constexpr std::size_t version_size = 8; // HTTP/1.1
+    constexpr std::size_t status_size = 3;
+    constexpr std::string_view major = "HTTP/1.";
+    const std::string_view status =
+        line.substr(std::min(line.size(), version_size + 1), status_size);
+    const std::string_view rest =
+        line.substr(std::min(line.size(), version_size + 1 + status_size));
+    const bool is_status_line =
+        line.substr(0, major.size()) == major && line.size() > version_size &&
+        line[version_size] == ' ' && is_digits(line.substr(major.size(), 1)) &&
+        status.size() == status_size && is_digits(status) && (rest.empty() || rest.front() == ' ');
+    const std::size_t received_bytes = head.received_bytes;
+    head = {};
+    head.received_bytes = received_bytes;
+    std::from_chars(status.data(), status.data() + status.size(), head.status);
+    constexpr int lowest_status = 100;
+    if (!is_status_line || head.status < lowest_status || head.status == switching_protocols) {
+        head.defect = head_defect::status_line;
+        return false;
+    }
+    return true;
+}
+
+head_defect read_content_length(response_head& head, std::string_view value) {
+    std::uint64_t length = 0;
+    const auto read = std::from_chars(value.data(), value.data() + value.size(), length);
+    const bool is_number = is_digits(value) && read.ec == std::errc{};
+    const bool is_other = head.content_length && *head.content_length != length;
+    if (!is_number || is_other) {
+        return head_defect::content_length;
+    }
+    head.content_length = length;
+    return head.is_chunked ? head_defect::transfer_coding : head_defect::none;
+}
+
+head_defect read_transfer_coding(response_head& head, std::string_view value) {
+    const bool is_alone = !head.is_chunked && !head.content_length;
+    head.is_chunked = true;
+    return is_alone && equals_ignoring_case(value, "chunked") ? head_defect::none
+                                                              : head_defect::transfer_coding;
+}
+
+head_defect read_header_field(response_head& head, std::string_view line) {
+    const auto colon = line.find(':');
+    const std::string_view field_name = line.substr(0, colon);
+    if (colon == std::string_view::npos || field_name.empty() ||
+        field_name.find_first_of(white_space) != std::string_view::npos) {
+        return head_defect::header_field;
+    }
+    const std::string_view value = trim(line.substr(colon + 1));
+    head.headers.push_back({std::string(field_name), std::string(value)});
+    if (equals_ignoring_case(field_name, "Content-Length")) {
+        return read_content_length(head, value);
+    }
+    if (equals_ignoring_case(field_name, "Transfer-Encoding")) {
+        return read_transfer_coding(head, value);
+    }
+    return head_defect::none;
+}
+
+} // namespace
+
+std::string_view name(body_framing framing) noexcept {
+    return find_name(framing_names, framing);
+}
+
+std::string_view name(head_defect defect) noexcept {
+    return find_name(defect_names, defect);
+}
+
+bool read_head_line(response_head& head, std::string_view line) {
+    head.received_bytes += line.size();
+    if (head.received_bytes > max_response_head_bytes) {
+        head.defect = head_defect::too_long;
+        return false;
+    }
+    if (is_final_head_whole(head)) {
+        return true;
+    }
+    const bool is_terminated = line.size() >= line_terminator.size() &&
+                               line.substr(line.size() - line_terminator.size()) == line_terminator;
+    if (!is_terminated) {
+        head.defect = head_defect::line_ending;
+        return false;
+    }
+    line.remove_suffix(line_terminator.size());
+    const bool is_first_line = head.status == 0 || head.is_whole;
+    if (is_first_line) {
+        return read_status_line(head, line);
+    }
+    if (line.empty()) {
+        head.is_whole = true;
+        return true;
+    }
+    head.defect = read_header_field(head, line);
+    return head.defect == head_defect::none;
+}
+
+bool is_final_head_whole(const response_head& head) noexcept {
+    return head.is_whole && head.status >= first_final_status;
+}
+
+body_framing find_framing(const response_head& head, bool is_head_request) noexcept {
+    if (is_head_request || head.status == no_content || head.status == not_modified) {
+        return body_framing::none;
+    }
+    if (head.is_chunked) {
+        return body_framing::chunks;
+    }
+    return head.content_length ? body_framing::length : body_framing::connection;
+}
+
+} // namespace citronseam
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -61,6 +61,7 @@
         platform::response_parameters parameters;
         std::string body; ///< of a response that is not forwarded event by event
         event_buffer events;
+        http_outcome outcome;  ///< once it is done
         buffer_share buffered; ///< of the body, or of events that are incomplete or held
         bool is_stream{false};
         bool is_unusable{false}; ///< cancelled: it is to another request, its event stream is
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -60,7 +60,7 @@
         }
         // That a request has not run is stated in the head.
         const bool is_not_run = source->parameters.is_not_run;
-        if (outcome.is_complete && outcome.ends_with_connection && !is_not_run) {
+        if (outcome.is_complete && outcome.framing == body_framing::connection && !is_not_run) {
             self->check_end(source, outcome);
         } else {
             self->handle_done(*source, outcome);
@@ -244,6 +244,7 @@
 }
 
 void gateway_exchange::handle_done(attempt& source, const http_outcome& outcome) {
+    source.outcome = outcome;
     if (is_moving()) {
         const bool is_usable = classify_response(source, outcome) == response_kind::usable;
         source.progress = is_usable ? attempt_progress::complete : attempt_progress::failed;
@@ -297,7 +298,7 @@
     if (source.parameters.is_not_run) {
         return response_kind::not_run;
     }
-    const bool is_empty = outcome.ends_with_connection && !source.has_data;
+    const bool is_empty = outcome.framing == body_framing::connection && !source.has_data;
     const bool is_truncated = source.is_stream && (!source.events.pending.empty() || is_empty);
     const bool is_resumption_refused = events_forwarded_ > 0 && !source.is_stream;
     const bool is_foreign_body = is_success(source.status) && source.parameters.has_content_coding;
@@ -345,6 +346,10 @@
                {"begun_ms_ago", source.has_data ? elapsed_ms(source.begun_at, now) : 0},
                {"events", events_forwarded_},
                {"status", source.status},
+               {"answer_end", name(outcome.framing)},
+               {"answer_bytes", outcome.body_bytes},
+               {"head_whole", outcome.is_head_whole ? 1 : 0},
+               {"reused", outcome.is_connection_reused ? 1 : 0},
                {"reason", source.is_unusable ? "unusable answer" : outcome.message}});
     if (is_connection_lost) {
         record_loss(source);
@@ -470,6 +475,7 @@
                                          elapsed_ms(received_at_, first_event_at_) / 1000.0);
     }
     const bool is_answered = outcome == "answered";
+    const http_outcome answer = attempt_ == nullptr ? http_outcome{} : attempt_->outcome;
     log_event(is_answered ? log_level::info : log_level::warning, "request_done",
               {{"request", caller_.attempt},
                {"outcome", outcome},
@@ -486,6 +492,10 @@
                {"output_tokens", caller_.output_tokens},
                {"expected_tokens", caller_.expected_output_tokens},
                {"events", events_forwarded_},
+               {"answer_end", is_answered ? name(answer.framing) : "none"},
+               {"answer_bytes", answer.body_bytes},
+               {"head_whole", answer.is_head_whole ? 1 : 0},
+               {"reused", answer.is_connection_reused ? 1 : 0},
                {"first_ms", events_forwarded_ > 0 ? elapsed_ms(received_at_, first_event_at_) : 0},
                {"total_ms", elapsed_ms(received_at_, now)},
                {"configuration",
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -91,7 +91,7 @@
         http_client client;
         const auto answer = fetch_blocking(client, request_to(server), max_body_size);
         EXPECT_TRUE(answer.outcome.is_complete) << response;
-        return answer.outcome.ends_with_connection;
+        return answer.outcome.framing == body_framing::connection;
     };
     EXPECT_TRUE(ends_with_connection("HTTP/1.1 200 OK\r\n\r\nabc"));
     EXPECT_TRUE(ends_with_connection("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"));
