Test responses that are cut at every byte, and heads that contradict themselves

A server that stops inside the head of its answer and closes in order reproduces it: libcurl reports the exchange as complete, the gateway passes an empty 200 on with Content-Length: 0, a non-idempotent request included, and a cut 503 becomes a promise that the request has not run.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -20,8 +20,6 @@
 function(citronseam_test name)
   add_executable(${name} ${name}.cpp)
   target_link_libraries(${name} PRIVATE citronseam_io test_support GTest::gmock GTest::gtest_main)
-  target_compile_definitions(${name} PRIVATE
-    CITRONSEAM_BIN_DIR="${CMAKE_BINARY_DIR}/bin" CITRONSEAM_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT 120 ${ARGN})
 endfunction()
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -1,5 +1,5 @@
 /// @file
-/// Stand-in for an HTTP server that answers with given bytes and closes each connection.
+/// Stand-in for an HTTP server that answers with given bytes.
 #ifndef CITRONSEAM_TESTS_SUPPORT_RAW_SERVER_H
 #define CITRONSEAM_TESTS_SUPPORT_RAW_SERVER_H
 
@@ -11,14 +11,34 @@
 #include <asio.hpp>
 
 #include "citronseam/connection/io_thread_pool.h"
+#include "citronseam/process/clock.h"
 
 namespace citronseam::harness {
 
-/// Answers each request with the bytes that a function returns, and closes the connection.
+/// What a server does once it has sent its answer.
+enum class raw_ending : std::uint8_t {
+    close,   ///< ends the connection in order
+    reset,   ///< resets the connection
+    silence, ///< keeps the connection and sends nothing more
+    keep     ///< reads the next request
+};
+
+/// The bytes of an answer, and how it ends.
+struct raw_answer {
+    std::string bytes;
+    raw_ending ending{raw_ending::close};
+    std::string late_bytes; ///< sent after the delay, also when the next request came before
+    milliseconds late_delay{0};
+};
+
+/// Answers each request with the bytes that a function returns.
 class raw_server {
 public:
-    /// @param answer called with the head of each request; runs on the server's thread
+    /// @param answer called with the head of each request; runs on the server's thread. The
+    ///               connection is closed after the answer.
     explicit raw_server(std::function<std::string(const std::string& head)> answer);
+    /// @param answer called with the head of each request; runs on the server's thread
+    explicit raw_server(std::function<raw_answer(const std::string& head)> answer);
     ~raw_server();
     raw_server(const raw_server&) = delete;
     raw_server& operator=(const raw_server&) = delete;
@@ -34,10 +54,14 @@
 
 private:
     struct connection;
+    using connection_pointer = std::shared_ptr<connection>;
     void accept();
-    void answer(const std::shared_ptr<connection>& accepted);
+    void read_request(const connection_pointer& accepted);
+    void answer(const connection_pointer& accepted);
+    void send_late(const connection_pointer& accepted, const raw_answer& answered);
+    void end(const connection_pointer& accepted, raw_ending ending);
 
-    std::function<std::string(const std::string&)> answer_;
+    std::function<raw_answer(const std::string&)> answer_;
     std::atomic<int> request_count_{0};
     std::atomic<int> connection_count_{0};
     std::atomic<bool> is_crashing_{false};
