Take a response for complete only if its head ended and does not contradict itself

Cause: the end of a message was concluded from the end of the exchange. libcurl reports an exchange as successful whose connection closes in order inside the head, reads "5x" and "5, 12" as 5, and takes the last of two lengths. Every use of the HTTP client believed it.

Why it works: complete now needs the empty line after the final head, the stated number of bytes, and a head that states one end; anything else may have run. One of its expectations was wrong and is replaced: a chunked body is complete with its last chunk (RFC 9112, section 8), and libcurl does not wait for the line feed after it; that one byte is allowed on an orderly close and on nothing else. A malformed head no longer counts as the caller's cancellation, nor as a lost server.

--- a/include/citronseam/connection/http_client.h
+++ b/include/citronseam/connection/http_client.h
@@ -33,9 +33,9 @@
 
 /// How an exchange ended.
 struct http_outcome {
-    bool is_complete{false}; ///< the whole response was received
-    /// cancel() was called, on_data() returned false, or the head was too long
-    bool is_cancelled{false};
+    bool is_complete{false};  ///< the whole response was received
+    bool is_cancelled{false}; ///< cancel() was called, or on_data() returned false
+    bool is_malformed{false}; ///< the head is no response's, or too long
     bool is_timed_out{false};
     body_framing framing{body_framing::connection}; ///< how the response states its end
     bool is_head_whole{false};                      ///< the head of the response ended
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -62,12 +62,7 @@
 std::size_t handle_header(char* data, std::size_t size, std::size_t count, void* user) {
     auto& current = *static_cast<exchange*>(user);
     const std::string_view line(data, size * count);
-    read_head_line(current.head, line);
-    if (current.head.defect == head_defect::too_long) {
-        current.is_aborted = true;
-        return 0;
-    }
-    return line.size();
+    return read_head_line(current.head, line) ? line.size() : 0;
 }
 
 std::size_t handle_body(char* data, std::size_t size, std::size_t count, void* user) {
@@ -174,29 +169,46 @@
     return opened == 0;
 }
 
+/// libcurl reports an exchange as successful whose connection is closed in order inside the head,
+/// so its result says nothing of the head.
+bool is_response_whole(const exchange& current, body_framing framing) {
+    if (current.request.is_connect_only) {
+        return true;
+    }
+    const bool is_body_whole =
+        framing != body_framing::length || current.body_bytes == *current.head.content_length;
+    return is_final_head_whole(current.head) && is_body_whole;
+}
+
+std::string describe_failure(const exchange& current, CURLcode code) {
+    if (current.head.defect != head_defect::none) {
+        return "the response is malformed: " + std::string(name(current.head.defect));
+    }
+    if (code == CURLE_OK) {
+        return "the connection ended inside the response";
+    }
+    return current.error_text[0] != '\0' ? current.error_text.data() : curl_easy_strerror(code);
+}
+
 http_outcome make_outcome(exchange& current, CURLcode code) {
     http_outcome outcome;
     outcome.status = current.head.status;
-    outcome.is_complete = code == CURLE_OK;
+    outcome.is_malformed = current.head.defect != head_defect::none;
     outcome.is_cancelled = current.is_aborted;
     outcome.is_timed_out = code == CURLE_OPERATION_TIMEDOUT;
     outcome.framing = find_framing(current.head, current.request.method == "HEAD");
     outcome.is_head_whole = is_final_head_whole(current.head);
     outcome.body_bytes = current.body_bytes;
     outcome.is_connection_reused = is_on_reused_connection(current.easy);
-    if (code == CURLE_OK) {
+    outcome.is_complete = code == CURLE_OK && is_response_whole(current, outcome.framing);
+    if (outcome.is_complete) {
         outcome.verdict = run_verdict::ran;
         return outcome;
     }
     // A request of which no byte was sent cannot have run.
     outcome.verdict =
         sent_request_bytes(current.easy) > 0 ? run_verdict::may_have_run : run_verdict::not_run;
-    if (current.head.defect == head_defect::too_long) {
-        outcome.message = "the head is too long";
-    } else {
-        outcome.message =
-            current.error_text[0] != '\0' ? current.error_text.data() : curl_easy_strerror(code);
-    }
+    outcome.message = describe_failure(current, code);
     return outcome;
 }
 
@@ -254,10 +266,10 @@
 
     void finish(std::uint64_t id, CURLcode code) {
         const std::shared_ptr<exchange> current = exchanges_.at(id);
-        if (code == CURLE_OK) {
+        const http_outcome outcome = make_outcome(*current, code);
+        if (outcome.is_complete) {
             report_head(*current);
         }
-        const http_outcome outcome = make_outcome(*current, code);
         loop_.remove(current->easy);
         exchanges_.erase(id);
         --exchange_count_;
--- a/src/connection/response_head.cpp
+++ b/src/connection/response_head.cpp
@@ -124,6 +124,9 @@
 }
 
 bool read_head_line(response_head& head, std::string_view line) {
+    if (head.defect != head_defect::none) {
+        return false;
+    }
     head.received_bytes += line.size();
     if (head.received_bytes > max_response_head_bytes) {
         head.defect = head_defect::too_long;
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -334,7 +334,8 @@
     const bool is_out_of_time = outcome.is_timed_out && time_left(now) < min_send_time;
     const bool is_sent = outcome.verdict != run_verdict::not_run;
     const bool is_connection_lost = is_sent && !source.is_unusable && !outcome.is_timed_out &&
-                                    !outcome.is_cancelled && !outcome.is_complete;
+                                    !outcome.is_cancelled && !outcome.is_malformed &&
+                                    !outcome.is_complete;
     log_event(log_level::info, "attempt_broken",
               {{"request", caller_.attempt},
                {"fingerprint", fingerprint_},
--- a/tests/http_response_table_test.cpp
+++ b/tests/http_response_table_test.cpp
@@ -99,6 +99,12 @@
 
     /// @return whether the server has sent all that the response states, and the client can know
     bool is_whole(std::size_t size) const {
+        if (valid().framing == body_framing::chunks) {
+            // The last chunk makes the body complete (RFC 9112, section 8); libcurl waits for the
+            // carriage return after it, and not for the line feed.
+            const std::size_t last = ending() == raw_ending::close ? 1 : 0;
+            return size + last >= valid().bytes.size();
+        }
         if (valid().framing != body_framing::connection) {
             return size == valid().bytes.size();
         }
