Do not give a length to an answer whose server stated none

Cause: an answer without length ends with its connection, and the gateway turned that into a length, a statement that its server had never made. The check of the server after such an answer counted as passed when it timed out, and an answer without length and without body counted as whole.

Why it works: the gateway passes such an answer on without length and closes the connection, so that it claims no more than the server did; an unproven end is a failure that promises nothing. A server that breaks off such an answer by an orderly close and lives on cannot be told from a sound one; its caller sees an answer whose end is not stated.

--- a/include/citronseam/connection/http_responder.h
+++ b/include/citronseam/connection/http_responder.h
@@ -33,6 +33,10 @@
 
     /// Sends a whole response with its Content-Length.
     void respond(int status, const std::vector<http_header>& headers, std::string_view body);
+    /// Sends a response without a length that ends with its connection. For a body whose own end is
+    /// not stated either: a length would turn what may have been cut off into a whole response.
+    void respond_until_close(int status, const std::vector<http_header>& headers,
+                             std::string_view body);
     /// Starts a streamed response: sends its status line and headers.
     void begin(int status, const std::vector<http_header>& headers);
     /// Sends one chunk. Empty data is ignored, since an empty chunk would end the response.
--- a/include/citronseam/connection/response_head.h
+++ b/include/citronseam/connection/response_head.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "citronseam/process/sizes.h"
 #include "citronseam/request/idempotency_record.h"
 
 namespace citronseam {
@@ -37,7 +38,7 @@
 std::string_view name(head_defect defect) noexcept;
 
 /// Longest head of a response with its interim responses and trailers, in bytes.
-constexpr std::size_t max_response_head_bytes = 64 * 1024;
+constexpr std::size_t max_response_head_bytes = 64 * kibibyte;
 
 /// What was read of a response's head.
 struct response_head {
--- a/src/connection/http_responder.cpp
+++ b/src/connection/http_responder.cpp
@@ -98,6 +98,17 @@
     connection_->send_last(std::move(text));
 }
 
+void http_responder::respond_until_close(int status, const std::vector<http_header>& headers,
+                                         std::string_view body) {
+    if (state_ != state::waiting) {
+        return;
+    }
+    close_after_response();
+    state_ = state::done;
+    connection_->send_last(
+        format_head(status, headers).append(closing_header()).append("\r\n").append(body));
+}
+
 void http_responder::begin(int status, const std::vector<http_header>& headers) {
     if (state_ != state::waiting) {
         return;
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -30,6 +30,11 @@
     return text.str();
 }
 
+/// @return whether only the end of the connection shows where the response ends
+bool is_unframed(const http_outcome& outcome) {
+    return outcome.framing == body_framing::connection;
+}
+
 bool is_success(int status) {
     constexpr int first = 200;
     constexpr int end = 300;
@@ -60,7 +65,7 @@
         }
         // That a request has not run is stated in the head.
         const bool is_not_run = source->parameters.is_not_run;
-        if (outcome.is_complete && outcome.framing == body_framing::connection && !is_not_run) {
+        if (outcome.is_complete && is_unframed(outcome) && !is_not_run) {
             self->check_end(source, outcome);
         } else {
             self->handle_done(*source, outcome);
@@ -70,7 +75,8 @@
 }
 
 /// The crash of a server closes its connections, so it looks like the end of a response without
-/// length. Such a response counts as complete only if the server still accepts connections.
+/// length. Such a response counts as complete only if the server is known to accept connections
+/// after it.
 void gateway_exchange::check_end(const std::shared_ptr<attempt>& source,
                                  const http_outcome& outcome) {
     http_request request;
@@ -89,10 +95,11 @@
                    {"server", source->server->entry.id},
                    {"reason", connected.is_complete ? "" : connected.message}});
         http_outcome checked = outcome;
-        if (!connected.is_complete && !connected.is_timed_out) {
+        if (!connected.is_complete) {
             checked.is_complete = false;
+            checked.is_timed_out = connected.is_timed_out;
             checked.verdict = run_verdict::may_have_run;
-            checked.message = "the server ended with its response";
+            checked.message = "no connection to the server after its response";
         }
         self->handle_done(*source, checked);
     };
@@ -298,8 +305,8 @@
     if (source.parameters.is_not_run) {
         return response_kind::not_run;
     }
-    const bool is_empty = outcome.framing == body_framing::connection && !source.has_data;
-    const bool is_truncated = source.is_stream && (!source.events.pending.empty() || is_empty);
+    const bool is_empty = is_unframed(outcome) && !source.has_data;
+    const bool is_truncated = is_empty || (source.is_stream && !source.events.pending.empty());
     const bool is_resumption_refused = events_forwarded_ > 0 && !source.is_stream;
     const bool is_foreign_body = is_success(source.status) && source.parameters.has_content_coding;
     if (!source.parameters.has_seal || is_truncated || is_resumption_refused || is_foreign_body) {
@@ -444,7 +451,11 @@
 void gateway_exchange::deliver_response() {
     const auto headers = platform::make_caller_headers(attempt_->headers);
     if (!attempt_->is_stream) {
-        responder_->respond(attempt_->status, headers, attempt_->body);
+        if (is_unframed(attempt_->outcome)) {
+            responder_->respond_until_close(attempt_->status, headers, attempt_->body);
+        } else {
+            responder_->respond(attempt_->status, headers, attempt_->body);
+        }
     } else {
         if (!responder_->has_started()) {
             begin_stream();
--- a/tests/process_cut_head_test.cpp
+++ b/tests/process_cut_head_test.cpp
@@ -3,8 +3,6 @@
 
 #include <gtest/gtest.h>
 
-#include <nlohmann/json.hpp>
-
 #include "support/platform_world.h"
 #include "support/raw_server.h"
 
@@ -38,16 +36,7 @@
         for (const auto& server : world.plain_servers) {
             world.store.remove("servers", server->id());
         }
-        world.store.put("servers", raw_desk,
-                        nlohmann::json{{"service", "desk"},
-                                       {"address", desk->address()},
-                                       {"zone", "zone-a"},
-                                       {"version", "v1"},
-                                       {"slots", 4},
-                                       {"state", "ready"},
-                                       {"cold_ms", 0},
-                                       {"sequence", 1}}
-                            .dump());
+        world.put_foreign_server_row(raw_desk, desk->address(), "desk");
         ASSERT_TRUE(world.start()) << world.gateway(0).output();
         ASSERT_NE(world.gateway(0).wait_for_line(raw_desk, listing_timeout), "");
     }
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -67,6 +67,16 @@
     std::uint32_t last_offset_{0};
 };
 
+json make_server_entry(const std::string& service, const std::string& address,
+                       const std::string& zone, const std::string& state) {
+    return {{"service", service}, {"address", address}, {"zone", zone}, {"version", "v1"},
+            {"slots", 4},         {"state", state},     {"cold_ms", 0}, {"sequence", 1}};
+}
+
+json make_layers(std::uint64_t weights) {
+    return json::array({{{"from", 0}, {"target", 1}, {"version", weights}}});
+}
+
 } // namespace
 
 std::uint16_t free_port() {
@@ -102,17 +112,22 @@
 
 void platform_world::put_server_row(const platform_server& server, const std::string& service,
                                     const std::string& zone, const std::string& state) {
-    json entry = {{"service", service}, {"address", server.address()},
-                  {"zone", zone},       {"version", "v1"},
-                  {"slots", 4},         {"state", state},
-                  {"cold_ms", 0},       {"sequence", 1}};
+    json entry = make_server_entry(service, server.address(), zone, state);
     if (service == "drafts") {
-        entry["layers"] =
-            json::array({{{"from", 0}, {"target", 1}, {"version", server.version()}}});
+        entry["layers"] = make_layers(server.version());
     }
     store.put("servers", server.id(), entry.dump());
 }
 
+void platform_world::put_foreign_server_row(const std::string& id, const std::string& address,
+                                            const std::string& service, std::uint64_t weights) {
+    json entry = make_server_entry(service, address, zone_names[0], "ready");
+    if (weights > 0) {
+        entry["layers"] = make_layers(weights);
+    }
+    store.put("servers", id, entry.dump());
+}
+
 void platform_world::set_sidecar_store(std::size_t sidecar, std::string address) {
     sidecar_stores_.at(sidecar) = std::move(address);
 }
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -57,6 +57,10 @@
     /// Writes a backend server's row to the store.
     void put_server_row(const platform_server& server, const std::string& service,
                         const std::string& zone, const std::string& state = "ready");
+    /// Writes the row of a server that is none of the world's to the store, in the first zone.
+    /// @param weights version of the model that an engine has loaded; 0 for a plain server
+    void put_foreign_server_row(const std::string& id, const std::string& address,
+                                const std::string& service, std::uint64_t weights = 0);
 
     /// Sends a client request through a gateway.
     http_response call(std::size_t gateway, const std::string& method, const std::string& path,
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -103,6 +103,9 @@
         asio::error_code ignored;
         acceptor_.close(ignored);
     }
+    if (is_hanging_) {
+        stop_accepting();
+    }
     asio::async_write(accepted->socket, asio::buffer(accepted->response),
                       [this, accepted, answered](const asio::error_code&, std::size_t) {
                           if (!answered.late_bytes.empty()) {
@@ -112,6 +115,19 @@
                       });
 }
 
+/// Fills the queue of the listener, so that the operating system ignores further connections.
+void raw_server::stop_accepting() {
+    constexpr std::size_t queue_size = 8;
+    asio::error_code ignored;
+    acceptor_.cancel(ignored);
+    acceptor_.listen(0, ignored);
+    queued_.reserve(queue_size);
+    while (queued_.size() < queue_size) {
+        asio::ip::tcp::socket& socket = queued_.emplace_back(loop_.context());
+        socket.async_connect(acceptor_.local_endpoint(), [](const asio::error_code&) {});
+    }
+}
+
 void raw_server::send_late(const connection_pointer& accepted, const raw_answer& answered) {
     accepted->late_bytes = answered.late_bytes;
     accepted->timer.expires_after(answered.late_delay);
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <asio.hpp>
 
@@ -51,6 +52,9 @@
     int connection_count() const { return connection_count_; }
     /// Refuses connections from the next answer on, which ends with its connection as usual.
     void crash_with_next_answer() { is_crashing_ = true; }
+    /// Leaves connections unanswered from the next answer on, which ends with its connection as
+    /// usual.
+    void hang_with_next_answer() { is_hanging_ = true; }
 
 private:
     struct connection;
@@ -59,14 +63,17 @@
     void read_request(const connection_pointer& accepted);
     void answer(const connection_pointer& accepted);
     void send_late(const connection_pointer& accepted, const raw_answer& answered);
+    void stop_accepting();
     void end(const connection_pointer& accepted, raw_ending ending);
 
     std::function<raw_answer(const std::string&)> answer_;
     std::atomic<int> request_count_{0};
     std::atomic<int> connection_count_{0};
     std::atomic<bool> is_crashing_{false};
+    std::atomic<bool> is_hanging_{false};
     io_thread_pool loop_{1};
     asio::ip::tcp::acceptor acceptor_;
+    std::vector<asio::ip::tcp::socket> queued_; ///< connections that fill the queue of the listener
     std::string address_;
 };
 
