Keep a connection only after an answer that names its request

Cause: refusals need not name their request, and an answer that names none counted as the request's own, also on a connection that had carried another request.

Why it works: after an answer that does not repeat the request's id, the connection is not used again, so every earlier answer on a kept connection bears an id, and a copy of it is recognized. Shown impossible, by tests that stay: a request that may run once has a connection of its own, and a server that refused a request does not get it again.

--- a/include/citronseam/connection/http_client.h
+++ b/include/citronseam/connection/http_client.h
@@ -23,9 +23,13 @@
     std::string url;
     std::vector<http_header> headers;
     std::string body;
-    milliseconds timeout{5000};               ///< for the whole exchange
-    milliseconds connect_timeout{1000};       ///< for establishing the connection
-    bool may_reuse_connection{true};          ///< false: on a connection of its own
+    milliseconds timeout{5000};         ///< for the whole exchange
+    milliseconds connect_timeout{1000}; ///< for establishing the connection
+    bool may_reuse_connection{true};    ///< false: on a connection of its own
+    /// Name of a header that the server repeats in its response. The connection is kept only after
+    /// a response that repeats its value: a later copy of any other response on that connection
+    /// could not be told from the next request's. Empty: kept after any complete response.
+    std::string echoed_header;
     bool may_be_resent{true};                 ///< by libcurl, when a reused connection ends
     bool is_connect_only{false};              ///< sends nothing; complete once connected
     std::uint64_t max_receive_bytes_per_s{0}; ///< bytes per second at most; 0 is unlimited
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -59,10 +59,23 @@
     }
 }
 
+/// Whether the response repeats the header by which it can be told from another request's.
+bool names_request(const exchange& current) {
+    const std::string& name = current.request.echoed_header;
+    return name.empty() ||
+           find_header(current.head.headers, name) == find_header(current.request.headers, name);
+}
+
 std::size_t handle_header(char* data, std::size_t size, std::size_t count, void* user) {
     auto& current = *static_cast<exchange*>(user);
     const std::string_view line(data, size * count);
-    return read_head_line(current.head, line) ? line.size() : 0;
+    if (!read_head_line(current.head, line)) {
+        return 0;
+    }
+    if (is_final_head_whole(current.head) && !names_request(current)) {
+        curl_easy_setopt(current.easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    return line.size();
 }
 
 std::size_t handle_body(char* data, std::size_t size, std::size_t count, void* user) {
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -207,6 +207,7 @@
     request.timeout = parameters.timeout;
     request.connect_timeout = std::min(connect_timeout, parameters.timeout);
     request.may_reuse_connection = is_retryable(*rule_);
+    request.echoed_header = platform::echoed_header();
     // Repeats of libcurl would count towards no limit.
     request.may_be_resent = false;
     if (attempt_count_ > 1) {
