Take text without a number for no event of a numbered stream

Cause: an event without a number counted as the next one, so whatever ends with an empty line was passed on: the error of an engine that fails inside a stream without length, the body of a 200 that is no stream, an `error` event. A number followed by other characters counted as that number.

Why it works: once a stream has numbered its events, what bears no number is a gap, and the stream goes on elsewhere or is broken off. Comments, which keep connections alive, are passed on as before. The other answers (failures with and without seal, 404, 206, a refusal, a success without seal, a cut head, noise, nothing) were broken off before, and their cases stay. An expectation of routing_logic_test said the contrary, "an event without a number is the next one", and is replaced by the stricter one.

--- a/include/citronseam/request/event_stream.h
+++ b/include/citronseam/request/event_stream.h
@@ -31,15 +31,19 @@
 /// @return the next complete event, or nothing when more bytes are needed
 std::optional<stream_event> next_event(event_buffer& buffer);
 
+/// @return whether an event has only comment lines, such as those that keep a connection alive
+bool is_comment(const stream_event& event) noexcept;
+
 /// Position of an event relative to the last one forwarded, by event number.
 enum class event_order : std::uint8_t {
     next,      ///< directly follows the last one
     duplicate, ///< was already forwarded
-    gap        ///< at least one event in between is missing
+    gap        ///< at least one event in between is missing, or it is no event of this stream
 };
 
 /// @param last_id number of the last event forwarded, empty for none
-/// @param id      number of the event; an event without a number counts as next
+/// @param id      number of the event. One without a number counts as next only in a stream that
+///                does not number its events: in any other it is text that the server wrote there.
 event_order classify_event(std::optional<std::uint64_t> last_id,
                            std::optional<std::uint64_t> id) noexcept;
 
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -61,8 +61,8 @@
         platform::response_parameters parameters;
         std::string body; ///< of a response that is not forwarded event by event
         event_buffer events;
-        http_outcome outcome;  ///< once it is done
-        buffer_share buffered; ///< of the body, or of events that are incomplete or held
+        http_outcome outcome;       ///< once it is done
+        buffer_share buffered;      ///< of the body, or of events that are incomplete or held
         bool is_stream{false};
         bool is_unusable{false}; ///< cancelled: it is to another request, its event stream is
                                  ///< broken, or too long
@@ -166,6 +166,8 @@
     std::vector<std::string> tried_servers_;
     run_verdict verdict_{run_verdict::not_run};
     std::optional<std::uint64_t> last_event_id_;
+    bool is_event_due_{
+        false}; ///< an attempt broke off inside an event, so at least one must follow
     std::uint64_t stream_weights_{0};
     std::size_t events_forwarded_{0};
     time_point first_event_at_;
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -203,6 +203,10 @@
         settle_move(std::chrono::steady_clock::now());
         return !source.is_unusable;
     }
+    if (is_comment(event)) {
+        // It does not show that the replacement goes on.
+        return true;
+    }
     if (classify_event(last_event_id_, event.id) == event_order::next) {
         source.progress = attempt_progress::begun;
         settle_move(std::chrono::steady_clock::now());
@@ -211,7 +215,8 @@
 }
 
 bool gateway_exchange::forward_event(const attempt& source, const stream_event& event) {
-    const event_order order = classify_event(last_event_id_, event.id);
+    const event_order order =
+        is_comment(event) ? event_order::next : classify_event(last_event_id_, event.id);
     if (order == event_order::duplicate) {
         return true;
     }
--- a/src/request/event_stream.cpp
+++ b/src/request/event_stream.cpp
@@ -31,9 +31,14 @@
             while (!line.empty() && line.front() == ' ') {
                 line.remove_prefix(1);
             }
+            if (!line.empty() && line.back() == '\r') {
+                line.remove_suffix(1);
+            }
             std::uint64_t number = 0;
-            const auto read = std::from_chars(line.data(), line.data() + line.size(), number);
-            return read.ec == std::errc{} ? std::optional(number) : std::nullopt;
+            const char* end = line.data() + line.size();
+            const auto read = std::from_chars(line.data(), end, number);
+            const bool is_number = read.ec == std::errc{} && read.ptr == end;
+            return is_number ? std::optional(number) : std::nullopt;
         }
         event =
             line_end == std::string_view::npos ? std::string_view{} : event.substr(line_end + 1);
@@ -60,11 +65,25 @@
     return event;
 }
 
+bool is_comment(const stream_event& event) noexcept {
+    const std::string& bytes = event.bytes;
+    for (std::size_t line = 0; line < bytes.size(); line = bytes.find('\n', line) + 1) {
+        const char first = bytes[line];
+        if (first != ':' && first != '\r' && first != '\n') {
+            return false;
+        }
+    }
+    return true;
+}
+
 event_order classify_event(std::optional<std::uint64_t> last_id,
                            std::optional<std::uint64_t> id) noexcept {
-    if (!last_id || !id || *id == *last_id + 1) {
+    if (!last_id || id == *last_id + 1) {
         return event_order::next;
     }
+    if (!id) {
+        return event_order::gap;
+    }
     return *id <= *last_id ? event_order::duplicate : event_order::gap;
 }
 
--- a/tests/routing_logic_test.cpp
+++ b/tests/routing_logic_test.cpp
@@ -182,7 +182,8 @@
     EXPECT_EQ(classify_event(4, 5), event_order::next);
     EXPECT_EQ(classify_event(4, 4), event_order::duplicate);
     EXPECT_EQ(classify_event(4, 6), event_order::gap);
-    EXPECT_EQ(classify_event(4, std::nullopt), event_order::next);
+    EXPECT_EQ(classify_event(4, std::nullopt), event_order::gap);
+    EXPECT_EQ(classify_event(std::nullopt, std::nullopt), event_order::next);
 }
 
 // Guards against CONFIG: rows of a restored store have lower versions than those that were lost.
