Expect an event of a stream that goes on after a broken one

What callers may see (ORDER): a stream that broke off inside an event ends as complete after the events before it.

Cause: a resumed request that is answered with an empty stream ended the caller's stream, although the first engine had begun one more event.

Evidence: the cases "no events" and "no events in chunks" of process_resumed_stream_test ended as complete. Why it works: after an attempt that broke off inside an event, a stream without any event is incomplete. A stream that broke off between two events may still be ended by an empty one: the engine then states that nothing follows.

--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -61,6 +61,7 @@
         platform::response_parameters parameters;
         std::string body; ///< of a response that is not forwarded event by event
         event_buffer events;
+        std::size_t event_count{0}; ///< whole events received
         http_outcome outcome;       ///< once it is done
         buffer_share buffered;      ///< of the body, or of events that are incomplete or held
         bool is_stream{false};
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -183,6 +183,7 @@
 
 bool gateway_exchange::accept_events(attempt& source) {
     while (auto event = next_event(source.events)) {
+        source.event_count += is_comment(*event) ? 0 : 1;
         if (!accept_event(source, std::move(*event))) {
             return false;
         }
@@ -311,7 +312,9 @@
         return response_kind::not_run;
     }
     const bool is_empty = is_unframed(outcome) && !source.has_data;
-    const bool is_truncated = is_empty || (source.is_stream && !source.events.pending.empty());
+    const bool is_short = is_event_due_ && source.event_count == 0;
+    const bool is_truncated =
+        is_empty || (source.is_stream && (is_short || !source.events.pending.empty()));
     const bool is_resumption_refused = events_forwarded_ > 0 && !source.is_stream;
     const bool is_foreign_body = is_success(source.status) && source.parameters.has_content_coding;
     if (!source.parameters.has_seal || is_truncated || is_resumption_refused || is_foreign_body) {
@@ -367,6 +370,7 @@
     if (is_connection_lost) {
         record_loss(source);
     }
+    is_event_due_ = is_event_due_ || (source.event_count > 0 && !source.events.pending.empty());
     end_attempt(source, is_out_of_time ? exchange_outcome::abandoned : exchange_outcome::failed);
     if (is_sent) {
         verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
--- a/tests/process_resumed_stream_test.cpp
+++ b/tests/process_resumed_stream_test.cpp
@@ -121,6 +121,8 @@
          whole(chunked(sealed_stream, {"event: error\ndata: engine error\n\n"}))},
         {"number_with_letters", whole(chunked(sealed_stream, {"id: 3x\ndata: c\n\n"}))},
         {"later_event", whole(chunked(sealed_stream, {"id: 4\ndata: d\n\n"}))},
+        {"no_events", with_length(sealed_stream, "")},
+        {"no_events_in_chunks", whole(chunked(sealed_stream, {}))},
         {"error_in_place_of_events", std::string(sealed_stream) + "\r\n" + error_text},
         {"head_that_is_cut_off", sealed_stream},
         {"noise", "engine error\n\n"},
