Give each request of an agent a connection of its own

Callers could get the answer to somebody else's request, or a 503 that promises that a request has not run while it ran. The agent kept its connection to the backend server for idempotent requests. Answers of a backend server name no request, so a late second copy of an answer or of an X-Engine-Overloaded refusal was taken for the next request's own.

Evidence: process_unproven_test, a raw server that sends its first answer twice. Before: the second request is answered with "answer 1"; after a repeated refusal a request runs again (3 runs for 2 requests).

No other exchange's bytes can be on a connection that carried none. The price is a connect to the server beside the agent for each request.

--- a/src/programs/agent/agent_request.cpp
+++ b/src/programs/agent/agent_request.cpp
@@ -124,7 +124,9 @@
     }
     request.body.assign(message_.body.begin(), message_.body.end());
     request.timeout = std::max(time_left(), milliseconds(1));
-    request.may_reuse_connection = message_.idempotent;
+    // A response names no request, so on a kept connection a late one to an earlier request would
+    // count as this one's.
+    request.may_reuse_connection = false;
     return request;
 }
 
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -234,6 +234,10 @@
 
 void deployment::start_backend_server(const backend_server_plan& plan) {
     const std::string name = plan.name + "-server";
+    if (!plan.address.empty()) {
+        addresses_[name]["http"] = plan.address;
+        return;
+    }
     std::vector<std::string> command{program_path("citronseam-standin"),
                                      plan.is_engine ? "engine" : "plain"};
     command.insert(command.end(), plan.arguments.begin(), plan.arguments.end());
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -26,6 +26,7 @@
     std::string availability_zone;
     bool is_engine{true};
     std::vector<std::string> arguments; ///< extra arguments of citronseam-standin
+    std::string address{}; ///< `host:port` of a server that the test runs; empty: a stand-in
 };
 
 /// Processes and settings of a deployment.
