Claim no end of an answer that its backend server did not state

Callers got a 200 with a Content-Length, or a stream that ended as complete, for an answer that its backend server had broken off: the agent took the end of the connection for the end of the answer, and the entry writes the length. Such an answer was also stored as its key's result, so each repetition got it as whole.

The entry passes such an answer on without length and ends a transfer that it began in chunks as complete only between two events. Before that the agent checks that its server accepts connections; a response without length and body is broken, and one with a body is no result of its key, whose row stays claimed.

A stream that ends between two events at a server that goes on still counts as whole; nothing tells it from a sound one. A large plain answer without length is broken off at its end, since the entry has begun it in chunks.

--- a/src/programs/agent/agent_request.cpp
+++ b/src/programs/agent/agent_request.cpp
@@ -12,6 +12,8 @@
 /// A backend server notices a closed connection only when it next writes to it, and works on the
 /// request until then. The slot of an aborted request stays reserved for this long.
 constexpr milliseconds backend_abort_delay{500};
+/// For the connect after a response without length. The server is on the same machine.
+constexpr milliseconds end_check_timeout{1000};
 constexpr std::size_t max_data_frame_bytes = 64 * kibibyte;
 constexpr int overloaded_status = 503;
 constexpr std::string_view overload_header = "X-Engine-Overloaded";
@@ -190,8 +192,43 @@
 }
 
 void agent_request::handle_done(const http_outcome& outcome) {
+    is_end_unstated_ = outcome.framing == body_framing::connection;
+    if (outcome.is_complete && is_end_unstated_ && !is_overloaded_) {
+        check_end(outcome);
+    } else {
+        handle_end(outcome);
+    }
+}
+
+/// A backend server that crashes closes its connections, which looks like the end of a response
+/// without length. Such a response counts only if it has a body and the server accepts connections
+/// after it.
+void agent_request::check_end(const http_outcome& outcome) {
+    http_request request;
+    request.url = "http://" + context_.options.backend_server.address;
+    request.is_connect_only = true;
+    request.may_reuse_connection = false;
+    request.timeout = end_check_timeout;
+    request.connect_timeout = end_check_timeout;
+    http_observer observer;
+    observer.on_done = [self = shared_from_this(), outcome](const http_outcome& connected) {
+        self->is_alive_after_end_ = connected.is_complete;
+        http_outcome checked = outcome;
+        if (!connected.is_complete || outcome.body_bytes == 0) {
+            checked.is_complete = false;
+            checked.verdict = run_verdict::may_have_run;
+            checked.message = connected.is_complete
+                                  ? "the response has neither a length nor a body"
+                                  : "no connection to the backend server after its response";
+        }
+        self->handle_end(checked);
+    };
+    context_.backend.send(std::move(request), std::move(observer));
+}
+
+void agent_request::handle_end(const http_outcome& outcome) {
     if (outcome.is_complete) {
-        handle_complete_response(outcome);
+        handle_complete_response();
         context_.on_request_ended();
     } else {
         handle_failure(outcome);
@@ -215,7 +252,7 @@
                                      std::chrono::duration<double>(elapsed).count());
 }
 
-void agent_request::handle_complete_response(const http_outcome&) {
+void agent_request::handle_complete_response() {
     record_run_time(is_overloaded_ ? "overloaded" : "answered");
     if (is_overloaded_) {
         context_.admission.release_ticket(ticket_);
@@ -231,7 +268,13 @@
     context_.admission.release_after_response(ticket_, first_byte_);
     if (claim_ != nullptr) {
         send_response(buffered_response_, false);
-        claim_->save_result(std::move(buffered_response_));
+        if (is_end_unstated_) {
+            // It may have been cut off, and a stored result is replayed as whole.
+            context_.process_metrics.count("citronseam_key_results_total",
+                                           {{"outcome", "end_unstated"}});
+        } else {
+            claim_->save_result(std::move(buffered_response_));
+        }
     }
     send_end(run_verdict::ran, refusal::none, "");
 }
@@ -258,8 +301,10 @@
         send_end(run_verdict::may_have_run, refusal::deadline, outcome.message);
         return;
     }
-    context_.admission.mark_cold(cold_reason::connection_lost);
-    context_.report_backend_loss(message_.fingerprint);
+    if (!is_alive_after_end_) {
+        context_.admission.mark_cold(cold_reason::connection_lost);
+        context_.report_backend_loss(message_.fingerprint);
+    }
     send_end(run_verdict::may_have_run, refusal::backend_lost, outcome.message);
 }
 
@@ -299,6 +344,7 @@
     end.refusal = to_wire(reason);
     end.message = message;
     end.retry_after_ms = static_cast<std::uint32_t>(retry_after.count());
+    end.is_end_unstated = is_end_unstated_;
     session_->send(make_frame(std::move(end)));
 }
 
--- a/src/programs/agent/agent_request.h
+++ b/src/programs/agent/agent_request.h
@@ -47,7 +47,9 @@
     void handle_head(int status, const std::vector<http_header>& headers);
     bool handle_data(std::string_view data);
     void handle_done(const http_outcome& outcome);
-    void handle_complete_response(const http_outcome& outcome);
+    void check_end(const http_outcome& outcome);
+    void handle_end(const http_outcome& outcome);
+    void handle_complete_response();
     void handle_failure(const http_outcome& outcome);
     void release_ticket_later();
     void record_run_time(const std::string& result);
@@ -74,6 +76,8 @@
     milliseconds first_byte_{0};
     bool has_first_byte_{false};
     bool is_overloaded_{false};
+    bool is_alive_after_end_{false};      ///< the server accepted a connection after the response
+    bool is_end_unstated_{false};         ///< the response has neither a length nor chunks
     complete_response buffered_response_; ///< non-idempotent requests only
     response_digest sent_digest_;
 };
--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -13,6 +13,8 @@
 /// A response that is not a stream is buffered until it is complete, up to this size, so that a
 /// connection lost in the middle can still be reported as an error or be retried.
 constexpr std::size_t max_buffered_bytes = mebibyte;
+/// Longest end of an event.
+constexpr std::size_t event_end_bytes = 3;
 constexpr std::string_view event_stream_type = "text/event-stream";
 
 std::uint64_t next_id() {
@@ -210,6 +212,10 @@
                 return;
             }
             append(attempt_.received, data);
+            attempt_.tail.append(data);
+            if (attempt_.tail.size() > event_end_bytes) {
+                attempt_.tail.erase(0, attempt_.tail.size() - event_end_bytes);
+            }
             forward_data(data);
         });
 }
@@ -249,10 +255,11 @@
 
 void request_exchange::handle_end(std::uint64_t attempt, const wire::response_end& message) {
     const response_digest sent{message.total(), message.checksum()};
+    const bool is_end_unstated = message.is_end_unstated();
     attempt_outcome outcome{from_wire(message.verdict()), from_wire(message.refusal()),
                             std::string(view(message.message())),
                             milliseconds(message.retry_after_ms())};
-    post_to_strand([this, attempt, sent, outcome = std::move(outcome)]() mutable {
+    post_to_strand([this, attempt, sent, is_end_unstated, outcome = std::move(outcome)]() mutable {
         if (is_done_ || attempt != attempt_.id) {
             return;
         }
@@ -265,13 +272,27 @@
                          "the answer did not arrive whole", milliseconds(0)});
             return;
         }
-        deliver_response();
+        if (is_end_unstated && has_sent_to_caller_ && !is_event_end_proven()) {
+            end_attempt({run_verdict::may_have_run, refusal::backend_lost,
+                         "the end of the answer is not stated", milliseconds(0)});
+            return;
+        }
+        deliver_response(is_end_unstated);
     });
 }
 
-void request_exchange::deliver_response() {
+/// The last chunk to the caller says that the response is complete. Without a statement of the
+/// backend server, only an event stream that ends between two events may get it.
+bool request_exchange::is_event_end_proven() const {
+    return is_stream_type(attempt_.headers) &&
+           (attempt_.tail.ends_with("\n\n") || attempt_.tail.ends_with("\n\r\n"));
+}
+
+void request_exchange::deliver_response(bool is_end_unstated) {
     if (has_sent_to_caller_) {
         responder_->finish();
+    } else if (is_end_unstated) {
+        responder_->respond_until_close(attempt_.status, response_headers(), attempt_.buffered);
     } else {
         responder_->respond(attempt_.status, response_headers(), attempt_.buffered);
     }
--- a/src/programs/entry/request_exchange.h
+++ b/src/programs/entry/request_exchange.h
@@ -101,6 +101,7 @@
         std::string model_version;
         response_digest received;
         std::string buffered;
+        std::string tail; ///< the last bytes received
     };
 
     template<typename Work>
@@ -111,7 +112,8 @@
     void send_attempt(const std::shared_ptr<backend_server_link>& link);
     shared_frame make_request_frame(std::uint64_t attempt) const;
     void forward_data(std::string_view data);
-    void deliver_response();
+    bool is_event_end_proven() const;
+    void deliver_response(bool is_end_unstated);
     void end_attempt(attempt_outcome outcome);
     void retry_or_fail(const attempt_outcome& outcome);
     bool can_retry(const attempt_outcome& outcome);
--- a/tests/process_unproven_test.cpp
+++ b/tests/process_unproven_test.cpp
@@ -1,6 +1,7 @@
 // Answers of backend servers whose end or whose request is not stated, through entry and agent.
 #include <atomic>
 #include <memory>
+#include <utility>
 
 #include <gtest/gtest.h>
 
@@ -12,6 +13,9 @@
 using namespace citronseam;
 using namespace citronseam::harness;
 
+constexpr const char* open_head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+constexpr const char* stream_head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+constexpr const char* two_events = "data: one\n\ndata: two\n\n";
 constexpr const char* refusal =
     "HTTP/1.1 503 Service Unavailable\r\nX-Engine-Overloaded: 1\r\nContent-Length: 0\r\n\r\n";
 constexpr milliseconds late_delay{100};
@@ -20,6 +24,10 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+raw_answer closing(const std::string& bytes) {
+    return {bytes, raw_ending::close, {}, {}};
+}
+
 /// An entry and an agent whose plain backend server answers with given bytes.
 class unproven_answers : public ::testing::Test {
 protected:
@@ -42,12 +50,87 @@
         return {is_free ? answer : "", raw_ending::keep, {}, {}};
     }
 
-    http_response look() { return system->call(0, "POST", "/services/desk/lookups", "berth 7"); }
+    http_response book(const std::string& key = "k") { return send_booking(*system, 0, key); }
+    http_response look(std::vector<http_header> headers = {}) {
+        return system->call(0, "POST", "/services/desk/lookups", "berth 7", std::move(headers));
+    }
 
     std::unique_ptr<raw_server> desk;
     std::unique_ptr<deployment> system;
 };
 
+// Guards against MIXED: an answer whose end its server did not state gets a length from the entry,
+// so that one that was cut off looks whole.
+TEST_F(unproven_answers, answer_without_length_is_delivered_without_length) {
+    start(closing(std::string(open_head) + "boo"));
+    for (const auto& answer : {book(), look()}) {
+        EXPECT_EQ(answer.outcome.status, 200) << answer.body;
+        EXPECT_EQ(answer.outcome.framing, body_framing::connection);
+        EXPECT_EQ(answer.body, "boo");
+    }
+}
+
+// Guards against an answer that may have been cut off and is replayed for its key as whole.
+TEST_F(unproven_answers, answer_without_length_is_no_result_of_its_key) {
+    start(closing(std::string(open_head) + "boo"));
+    EXPECT_EQ(book().outcome.status, 200);
+    const auto again = book();
+    EXPECT_NE(again.outcome.status, 200) << again.body;
+    EXPECT_EQ(verdict_of(again), "may_have_run");
+    EXPECT_EQ(desk->request_count(), 1);
+}
+
+// Guards against MIXED: the end of a backend server looks like the end of its answer.
+TEST_F(unproven_answers, answer_whose_server_is_gone_at_its_end_is_broken) {
+    start(closing(std::string(open_head) + "boo"));
+    desk->crash_with_next_answer();
+    const auto answer = book();
+    EXPECT_EQ(answer.outcome.status, 502) << answer.body;
+    EXPECT_EQ(verdict_of(answer), "may_have_run");
+}
+
+// Guards against MIXED: a backend server that ends right after the head has answered with nothing.
+TEST_F(unproven_answers, answer_without_length_and_body_is_broken) {
+    start(closing(open_head));
+    const auto booking = book();
+    EXPECT_EQ(booking.outcome.status, 502) << booking.body;
+    EXPECT_EQ(verdict_of(booking), "may_have_run");
+    // May be repeated, so it is tried until its deadline.
+    const auto lookup = look({{"X-Request-Timeout-Ms", "500"}});
+    EXPECT_GE(lookup.outcome.status, 502) << lookup.body;
+    EXPECT_EQ(verdict_of(lookup), "may_have_run");
+}
+
+// Guards against a sound stream that is broken off since it has no length.
+TEST_F(unproven_answers, stream_that_ends_with_its_connection_is_whole) {
+    start(closing(std::string(stream_head) + two_events));
+    const auto answer = look();
+    EXPECT_TRUE(answer.outcome.is_complete) << answer.outcome.message;
+    EXPECT_EQ(answer.body, two_events);
+}
+
+// Guards against MIXED: a stream that ends inside an event is passed on as complete.
+TEST_F(unproven_answers, stream_that_ends_inside_an_event_is_broken_off) {
+    start(closing(std::string(stream_head) + two_events + "da"));
+    EXPECT_FALSE(look().outcome.is_complete);
+}
+
+// Guards against MIXED: the end of a backend server looks like the end of its stream.
+TEST_F(unproven_answers, stream_whose_server_is_gone_at_its_end_is_broken_off) {
+    start(closing(std::string(stream_head) + two_events));
+    desk->crash_with_next_answer();
+    EXPECT_FALSE(look().outcome.is_complete);
+}
+
+// Guards against MIXED: a large answer, which the entry passes on in chunks, is ended as complete
+// although its server did not state the end.
+TEST_F(unproven_answers, large_answer_without_length_is_not_ended_as_complete) {
+    constexpr std::size_t size = 3U << 20U;
+    start(closing(std::string(open_head) + std::string(size, 'x')));
+    const auto answer = look();
+    EXPECT_TRUE(!answer.outcome.is_complete || answer.outcome.framing == body_framing::connection);
+}
+
 // Guards against MIXED: a late second copy of an earlier answer is taken for the next request's.
 TEST_F(unproven_answers, late_second_answer_is_not_the_next_requests) {
     auto count = std::make_shared<int>(0);
