Send an agent's load request on a connection of its own

An agent could take a load for finished that its engine had refused: the response to an uploaded chunk, come twice, was read as the load's, since both used one kept connection and neither response names its request.

Evidence: engine_client_test. Before: the load counts as finished though the engine answers 422.

A connection that carried no other request carries no other response, and libcurl has no ended connection on which to send a load once more.

--- a/src/programs/agent/engine_client.cpp
+++ b/src/programs/agent/engine_client.cpp
@@ -115,6 +115,8 @@
     request.url = "http://" + address + "/admin/load";
     request.body = body.dump();
     request.timeout = timeout;
+    // On a kept connection a late response to an uploaded chunk would count as a finished load.
+    request.may_reuse_connection = false;
     http.fetch(std::move(request), max_response_bytes,
                [done = std::move(done)](const http_response& response) {
                    done(parse_admin_response(response));
