--- a/src/programs/node/store_client.cpp
+++ b/src/programs/node/store_client.cpp
@@ -39,7 +39,7 @@
     if (outcome != store_outcome::done) {
         return std::nullopt;
     }
-    auto page = platform::parse_rows(response);
+    auto page = platform::parse_rows(response, table);
     if (!page) {
         log_event(log_level::warning, "store_answer_unreadable",
                   {{"table", table}, {"reason", page.error().message}});
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -214,7 +214,7 @@
     if (!era.empty()) {
         response.headers = {{"Store-Era", era}};
     }
-    return platform::parse_rows(response);
+    return platform::parse_rows(response, "t");
 }
 
 TEST(store, row_values_are_base64) {
