Do not take a time beyond all times for one in the past

Cause: the number was read without sign and converted to a signed duration, where it becomes negative.

Why it works: such a number counts as not given, as one beyond 64 bits already did.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -279,6 +279,21 @@
     }
 }
 
+// Guards against a long deadline that is taken for one in the past.
+TEST(caller_headers, deadline_beyond_all_times_counts_as_not_given) {
+    const auto deadline = [](const char* text) {
+        return platform::parse_caller_headers({{"X-Citronseam-Deadline-Ms", text}}).timeout;
+    };
+    EXPECT_EQ(deadline("6000"), milliseconds(6000));
+    EXPECT_EQ(deadline("0"), milliseconds(0));
+    EXPECT_EQ(deadline("9223372036854775807"), milliseconds::max());
+    EXPECT_FALSE(deadline("9223372036854775808"));
+    EXPECT_FALSE(deadline("18446744073709551615"));
+    EXPECT_FALSE(deadline("18446744073709551616"));
+    EXPECT_FALSE(deadline(""));
+    EXPECT_FALSE(deadline("-1"));
+}
+
 TEST(response_headers, leaving_server_says_so_whatever_the_status) {
     for (const int status : {200, 500, 503}) {
         EXPECT_TRUE(platform::parse_response_headers(status, {{"Server-Leaving", "1"}}).is_leaving);
