--- a/tests/response_head_test.cpp
+++ b/tests/response_head_test.cpp
@@ -145,6 +145,28 @@
     EXPECT_EQ(head.headers[1].value, "");
 }
 
+// Guards against a field that a caller's reader takes for two: a carriage return alone ends a line
+// for some readers (RFC 9112, section 2.2), and the field is passed on.
+TEST(response_head, bare_carriage_return_is_rejected) {
+    for (const char* line : {"X-Field: a\rContent-Length: 5\r\n", "X-Field: a\r\r\n",
+                             "X\r-Field: a\r\n", "\rX-Field: a\r\n", "\r\r\n"}) {
+        EXPECT_NE(read_fields({line}).defect, head_defect::none) << line;
+    }
+    response_head head;
+    EXPECT_FALSE(read_head_line(head, "HTTP/1.1 200 OK\rX-Field: a\r\n"));
+}
+
+// Guards against a name that another reader ends early or does not take for a name (RFC 9110,
+// section 5.1), and against a null in a value (section 5.5).
+TEST(response_head, control_characters_are_rejected) {
+    for (const std::string& line :
+         {std::string("Content-Length\0: 5\r\n", 20), std::string("X-Field: a\0b\r\n", 14),
+          std::string("X\x01-Field: a\r\n"), std::string("X\x7f: a\r\n"), std::string("X\v: a\r\n"),
+          std::string("Content-Length\f: 5\r\n")}) {
+        EXPECT_EQ(read_fields({line}).defect, head_defect::header_field) << line;
+    }
+}
+
 // Guards against MIXED: a length that cannot be read, or is one of two.
 TEST(response_head, length_is_one_number) {
     const std::string field = "Content-Length:";
