Start test processes without the harness's sockets

Cause: asio's sockets are inherited by posix_spawn. A connection that a relay closes or resets stays open as long as a process that was started after it, so that the fault never reaches the other side. Why this works: the child closes all descriptors above standard error before it starts.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -34,6 +34,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, out.write_end, STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, err.write_end, STDERR_FILENO);
+    // A socket of the harness that a child inherited would stay open after the harness closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::vector<char*> argv;
     argv.reserve(arguments.size() + 1);
     for (auto& argument : arguments) {
