--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -340,17 +340,19 @@
         responder->begin(200, headers);
         const bool is_truncated = streams_to_truncate > 0;
         streams_to_truncate -= is_truncated ? 1 : 0;
-        send_event(first, is_truncated ? first + 2 : events_per_stream, is_truncated, responder);
+        send_event(first, is_truncated ? first + 2 : events_per_stream, is_truncated,
+                   is_target_in_events ? " " + request.target : "", responder);
     }
 }
 
 void platform_server::send_event(int event_id, int last, bool is_truncated,
+                                 const std::string& target,
                                  const std::shared_ptr<http_responder>& responder) {
-    responder->write("id: " + std::to_string(event_id) + "\ndata: " + id() + "\n\n");
+    responder->write("id: " + std::to_string(event_id) + "\ndata: " + id() + target + "\n\n");
     if (event_id < last) {
         timers_.post_after(milliseconds(event_interval_ms),
-                           [this, event_id, last, is_truncated, responder] {
-                               send_event(event_id + 1, last, is_truncated, responder);
+                           [this, event_id, last, is_truncated, target, responder] {
+                               send_event(event_id + 1, last, is_truncated, target, responder);
                            });
     } else if (is_truncated) {
         responder->write("id: 99\nda");
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -84,6 +84,7 @@
     std::atomic<int> event_interval_ms{30};  ///< between two events of a stream
     std::atomic<bool> is_leaving{false};     ///< says so in its answers to requests
     std::atomic<double> retry_after_s{0};    ///< named in its refusals; 0: none
+    std::atomic<bool> is_target_in_events{false}; ///< events name the target of their request
     /// Reports that it executes an order to load weights, and runs what it has begun.
     std::atomic<bool> is_executing_order{false};
 
@@ -103,7 +104,7 @@
     bool is_load_wrong(std::uint64_t version) const;
     void queue(const server_request& request, const std::shared_ptr<http_responder>& responder);
     void run(const server_request& request, const std::shared_ptr<http_responder>& responder);
-    void send_event(int event_id, int last, bool is_truncated,
+    void send_event(int event_id, int last, bool is_truncated, const std::string& target,
                     const std::shared_ptr<http_responder>& responder);
     std::vector<http_header> response_headers(const server_request& request) const;
     std::vector<http_header> refusal_headers() const;
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -112,7 +112,7 @@
 
 void platform_world::put_server_row(const platform_server& server, const std::string& service,
                                     const std::string& zone, const std::string& state) {
-    json entry = make_server_entry(service, server.address(), zone, state);
+    json entry = make_server_entry(service, address_of(server), zone, state);
     if (service == "drafts") {
         entry["layers"] = make_layers(server.version());
     }
@@ -136,6 +136,18 @@
     gateway_stores_.at(gateway) = std::move(address);
 }
 
+void platform_world::set_server_address(const platform_server& server, const std::string& address) {
+    server_addresses_[server.id()] = address;
+    json entry = json::parse(store.value("servers", server.id()));
+    entry["address"] = address;
+    store.put("servers", server.id(), entry.dump());
+}
+
+std::string platform_world::address_of(const platform_server& server) const {
+    const auto found = server_addresses_.find(server.id());
+    return found == server_addresses_.end() ? server.address() : found->second;
+}
+
 std::uint64_t platform_world::put_configuration(std::uint64_t version, bool has_second_route,
                                                 std::size_t tenant_count) {
     json routes = json::array({{{"name", "draft"},
@@ -244,7 +256,7 @@
     return "role: sidecar\ninstance: sidecar-" + std::to_string(index) + region_settings(index) +
            "\nstore: " + sidecar_stores_[index] +
            "\nbounds:\n  weights_due: 5s\nbackend_server:\n  service: drafts\n  address: " +
-           engines[index]->address() +
+           address_of(*engines[index]) +
            "\nlisten:\n  peer: " + loopback_address(sidecar_ports_[index]) +
            "\n  operator: " + loopback_address(free_port()) + "\n";
 }
@@ -272,9 +284,13 @@
     sidecars_.at(index) = make_sidecar(index);
 }
 
-bool platform_world::restart_gateway(std::size_t index) {
+void platform_world::replace_gateway(std::size_t index) {
     gateways_.at(index).reset();
     gateways_.at(index) = make_gateway(index);
+}
+
+bool platform_world::restart_gateway(std::size_t index) {
+    replace_gateway(index);
     return wait_until([&] { return readiness(index) == 200; }, start_timeout);
 }
 
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -35,6 +36,9 @@
     void set_sidecar_store(std::size_t sidecar, std::string address);
     /// Sets the address of the store that a gateway uses from its start.
     void set_gateway_store(std::size_t gateway, std::string address);
+    /// Lets gateways and sidecars reach a server at another address, such as that of a proxy. Call
+    /// it before start().
+    void set_server_address(const platform_server& server, const std::string& address);
     /// Places the second zone in a region of its own, region-b. Call it before start().
     void separate_regions() { second_region_ = "region-b"; }
     /// Starts the gateways and sidecars and waits until all gateways are ready.
@@ -43,6 +47,8 @@
     /// Kills a gateway, starts it again and waits until it is ready.
     /// @return false on timeout
     bool restart_gateway(std::size_t index);
+    /// Kills a gateway and starts it again without waiting until it is ready.
+    void replace_gateway(std::size_t index);
     /// Kills a sidecar and starts it again.
     void restart_sidecar(std::size_t index);
     /// Writes the configuration to the store. Each call needs a higher version.
@@ -91,6 +97,7 @@
     };
     std::string region_settings(std::size_t index) const;
     std::string gateway_settings(std::size_t index) const;
+    std::string address_of(const platform_server& server) const;
     std::string sidecar_settings(std::size_t index) const;
     std::unique_ptr<child_process> make_gateway(std::size_t index);
     std::unique_ptr<child_process> make_sidecar(std::size_t index);
@@ -104,6 +111,7 @@
     std::vector<std::uint16_t> sidecar_ports_;
     std::vector<std::string> sidecar_stores_;
     std::vector<std::string> gateway_stores_;
+    std::map<std::string, std::string> server_addresses_; ///< by server, where they differ
     std::vector<std::unique_ptr<child_process>> gateways_;
     std::vector<std::unique_ptr<child_process>> sidecars_;
     std::atomic<int> attempt_count_{0};
