Cut answers of the soak at more bytes, and let its callers move to another gateway

Seen: a caller whose gateway was gone waited for it, so a quarter of the attempts met no process; one fault cut all answers at one byte. Each cut is now at another byte, every second one inside the head. Engines repeat answers too, and shutdowns may last longer than the grace period.

--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -53,8 +53,8 @@
     pipe requests{client, target, true};
     pipe answers{target, client, false};
     bool is_silent{false};
-    bool is_answer_cut{false}; ///< whether the current answer ends at a byte
-    std::string answer;        ///< bytes of the target since the last request
+    std::size_t cut_at{0}; ///< byte at which the current answer ends; 0: not cut
+    std::string answer;    ///< bytes of the target since the last request
     asio::steady_timer repeat_timer{client.get_executor()};
 };
 
@@ -170,12 +170,12 @@
     const bool is_cutting = kind_ == fault_kind::cut_answer || kind_ == fault_kind::reset_answer;
     if (connection->answer.empty()) {
         ++exchange_count_;
-        connection->is_answer_cut = is_cutting && exchange_count_ % 2 == 0;
+        const bool is_cut = is_cutting && exchange_count_ % 2 == 0;
+        connection->cut_at = is_cut ? next_cut_byte() : 0;
     }
     const std::size_t before = connection->answer.size();
-    if (is_cutting && connection->is_answer_cut && before < parameter_ &&
-        before + bytes.size() >= parameter_) {
-        bytes.resize(parameter_ - before);
+    if (is_cutting && before < connection->cut_at && before + bytes.size() >= connection->cut_at) {
+        bytes.resize(connection->cut_at - before);
         connection->answers.is_ended = true;
         connection->answers.is_reset = kind_ == fault_kind::reset_answer;
     }
@@ -185,6 +185,14 @@
     }
 }
 
+/// Every second cut is inside the head.
+std::size_t fault_proxy::next_cut_byte() {
+    constexpr std::uint64_t step = 37;
+    constexpr std::uint64_t head_bytes = 250;
+    const std::uint64_t range = exchange_count_ % 4 == 0 ? head_bytes : max_cut_byte;
+    return (parameter_ + exchange_count_ * step) % range + 1;
+}
+
 void fault_proxy::repeat_later(const connection_pointer& connection) {
     auto& timer = connection->repeat_timer;
     timer.expires_after(milliseconds(parameter_));
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -26,7 +26,7 @@
     /// @return `host:port` that clients connect to
     std::string address() const;
     /// Begins a fault; fault_kind::none ends it.
-    /// @param parameter byte of a cut, or milliseconds of a delay
+    /// @param parameter byte of the first cut, later ones are elsewhere; or milliseconds of a delay
     void set_fault(fault_kind kind, std::uint64_t parameter = 0);
 
 private:
@@ -37,6 +37,7 @@
     void read(const connection_pointer& connection, pipe& from);
     void handle_request_bytes(const connection_pointer& connection);
     void handle_answer_bytes(const connection_pointer& connection, std::string& bytes);
+    std::size_t next_cut_byte();
     void repeat_later(const connection_pointer& connection);
     void push(const connection_pointer& connection, pipe& to, std::string bytes);
     void pump(const connection_pointer& connection, pipe& to);
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -12,22 +12,34 @@
     fault_kind::delay,      fault_kind::hold_requests, fault_kind::hold_answers,
     fault_kind::reset,      fault_kind::silence,       fault_kind::single_bytes,
     fault_kind::cut_answer, fault_kind::reset_answer};
+/// A stream has pauses, so its repetition has to wait for the next request.
+constexpr std::array<fault_kind, 9> engine_faults{
+    fault_kind::delay,      fault_kind::hold_requests, fault_kind::hold_answers,
+    fault_kind::reset,      fault_kind::silence,       fault_kind::single_bytes,
+    fault_kind::cut_answer, fault_kind::reset_answer,  fault_kind::repeat_answer};
 constexpr std::array<fault_kind, 10> desk_faults{
     fault_kind::delay,      fault_kind::hold_requests, fault_kind::hold_answers,
     fault_kind::reset,      fault_kind::silence,       fault_kind::single_bytes,
     fault_kind::cut_answer, fault_kind::reset_answer,  fault_kind::repeat_answer,
     fault_kind::late_answer};
 
+/// Both ends of a range.
+struct number_range {
+    std::uint64_t first;
+    std::uint64_t last;
+};
+
 /// Times in milliseconds.
-constexpr std::uint64_t min_gap = 300;
-constexpr std::uint64_t max_gap = 4000;
-constexpr std::uint64_t min_link_fault = 100;
-constexpr std::uint64_t max_link_fault = 2500;
-constexpr std::uint64_t min_process_fault = 50;
-constexpr std::uint64_t max_process_fault = 3000;
-constexpr std::uint64_t max_delay = 400;
-/// Longer than the head and body of a plain server's answer.
-constexpr std::uint64_t max_cut_byte = 450;
+constexpr number_range link_gap{300, 4000};
+constexpr number_range process_gap{1000, 8000};
+constexpr number_range link_time{100, 2500};
+constexpr number_range process_time{50, 3000};
+/// Up to longer than the grace period.
+constexpr number_range shutdown_time{200, 5000};
+constexpr number_range delay{1, 400};
+/// Longer than the pauses inside an answer.
+constexpr number_range late{100, 400};
+constexpr number_range cut_byte{1, max_cut_byte};
 
 template<std::size_t Size>
 fault_kind choose(seeded_numbers& numbers, const std::array<fault_kind, Size>& kinds) {
@@ -42,12 +54,36 @@
     case target_kind::desk:
         return choose(numbers, desk_faults);
     case target_kind::engine:
+        return choose(numbers, engine_faults);
     case target_kind::store:
         break;
     }
     return choose(numbers, store_faults);
 }
 
+bool is_process(target_kind target) {
+    return target == target_kind::gateway || target == target_kind::sidecar;
+}
+
+number_range time_of(target_kind target, fault_kind kind) {
+    if (kind == fault_kind::terminate) {
+        return shutdown_time;
+    }
+    return is_process(target) ? process_time : link_time;
+}
+
+number_range parameter_of(fault_kind kind) {
+    if (kind == fault_kind::late_answer) {
+        return late;
+    }
+    const bool is_cut = kind == fault_kind::cut_answer || kind == fault_kind::reset_answer;
+    return is_cut ? cut_byte : delay;
+}
+
+milliseconds choose_time(seeded_numbers& numbers, number_range range) {
+    return milliseconds(numbers.between(range.first, range.last));
+}
+
 void add_faults(std::vector<planned_fault>& plan, seeded_numbers& numbers, milliseconds duration,
                 target_kind target, std::size_t count) {
     for (std::size_t index = 0; index < count; ++index) {
@@ -56,17 +92,11 @@
             planned_fault fault;
             fault.target = target;
             fault.index = index;
-            fault.begin = at + milliseconds(numbers.between(min_gap, max_gap));
+            fault.begin = at + choose_time(numbers, is_process(target) ? process_gap : link_gap);
             fault.kind = choose_kind(numbers, target);
-            const bool is_process =
-                target == target_kind::gateway || target == target_kind::sidecar;
-            fault.end =
-                fault.begin +
-                milliseconds(is_process ? numbers.between(min_process_fault, max_process_fault)
-                                        : numbers.between(min_link_fault, max_link_fault));
-            const bool is_cut =
-                fault.kind == fault_kind::cut_answer || fault.kind == fault_kind::reset_answer;
-            fault.parameter = numbers.between(1, is_cut ? max_cut_byte : max_delay);
+            fault.end = fault.begin + choose_time(numbers, time_of(target, fault.kind));
+            const number_range parameter = parameter_of(fault.kind);
+            fault.parameter = numbers.between(parameter.first, parameter.last);
             if (fault.end >= duration) {
                 break;
             }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -59,6 +59,9 @@
     {target_kind::store, "store"},
 }};
 
+/// Longer than a stream with its head.
+inline constexpr std::uint64_t max_cut_byte = 1200;
+
 /// One fault of a plan.
 struct planned_fault {
     milliseconds begin{0}; ///< since the start of the run
@@ -66,7 +69,7 @@
     target_kind target{target_kind::gateway};
     std::size_t index{0}; ///< of the target
     fault_kind kind{fault_kind::none};
-    std::uint64_t parameter{0}; ///< byte of a cut, or milliseconds of a delay
+    std::uint64_t parameter{0}; ///< first byte of a cut, or milliseconds of a delay
 };
 
 /// Number of targets of a deployment.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -293,16 +293,23 @@
 
 void soak_run::call_until_stopped(std::size_t caller) {
     seeded_numbers numbers(seed_ * caller_count + caller + 1);
-    caller_connection connection(world_.http_port(caller % world_.gateway_count()));
+    std::vector<std::unique_ptr<caller_connection>> connections;
+    for (std::size_t i = 0; i < world_.gateway_count(); ++i) {
+        connections.push_back(std::make_unique<caller_connection>(world_.http_port(i)));
+    }
+    std::size_t gateway = caller % connections.size();
     for (int count = 0; !is_stopping_; ++count) {
         soak_request request;
         request.kind = request_names.at(numbers.between(0, request_names.size() - 1)).value;
         request.id = make_id(request.kind, caller, count);
         const bool is_impatient = numbers.between(1, impatient_share) == 1;
         const milliseconds impatience(numbers.between(1, max_impatient_ms));
-        const auto answer = connection.exchange(make_request_bytes(request),
-                                                is_impatient ? impatience : caller_timeout);
+        const auto answer = connections[gateway]->exchange(
+            make_request_bytes(request), is_impatient ? impatience : caller_timeout);
         log_.record(request, answer);
+        if (answer.end == answer_end::unconnected) {
+            gateway = (gateway + 1) % connections.size();
+        }
         std::this_thread::sleep_for(answer.end == answer_end::unconnected
                                         ? reconnect_delay
                                         : milliseconds(numbers.between(0, max_pause_ms)));
