--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -12,6 +12,11 @@
     return found == answer.headers.end() ? "" : found->second;
 }
 
+/// @return whether the request of that identifier may run only once
+bool is_single_id(const std::string& id) {
+    return id.rfind("book-", 0) == 0 || id.rfind("draft-once-", 0) == 0;
+}
+
 std::optional<breach> make_breach(promise broken, const soak_request& request,
                                   const caller_answer& answer, const std::string& detail) {
     return breach{broken, request.id,
@@ -93,4 +98,26 @@
                     : make_breach(promise::mixed, request, answer, "not the server's body");
 }
 
+std::string make_id(request_kind kind, std::size_t caller, int count) {
+    return std::string(find_name(request_names, kind)) + "-" + std::to_string(caller) + "-" +
+           std::to_string(count);
+}
+
+std::vector<breach> check_runs(const std::map<std::string, int>& runs,
+                               const std::map<std::string, int>& refused) {
+    std::vector<breach> broken;
+    for (const auto& [id, count] : runs) {
+        if (count > 1 && is_single_id(id)) {
+            broken.push_back({promise::twice, id, std::to_string(count) + " runs"});
+        }
+    }
+    for (const auto& [id, status] : refused) {
+        if (runs.count(id) > 0) {
+            broken.push_back(
+                {promise::refused, id, "status " + std::to_string(status) + ", but it ran"});
+        }
+    }
+    return broken;
+}
+
 } // namespace citronseam::soak
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -5,8 +5,10 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "citronseam/process/enum_names.h"
 
@@ -74,6 +76,15 @@
 /// @return the promise that this answer breaks, if any
 std::optional<breach> check_answer(const soak_request& request, const caller_answer& answer);
 
+/// @return an identifier, which begins with the kind of the request
+std::string make_id(request_kind kind, std::size_t caller, int count);
+
+/// @param runs    number of runs by identifier of the request
+/// @param refused status by identifier, of requests that may run only once
+/// @return promises that these runs break
+std::vector<breach> check_runs(const std::map<std::string, int>& runs,
+                               const std::map<std::string, int>& refused);
+
 } // namespace citronseam::soak
 
 #endif
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -66,17 +66,6 @@
     return count;
 }
 
-/// Identifiers begin with the kind of the request.
-std::string make_id(request_kind kind, std::size_t caller, int count) {
-    return std::string(find_name(request_names, kind)) + "-" + std::to_string(caller) + "-" +
-           std::to_string(count);
-}
-
-/// @return whether the request of that identifier may run only once
-bool is_single_id(const std::string& id) {
-    return id.rfind("book-", 0) == 0 || id.rfind("draft-once-", 0) == 0;
-}
-
 std::string make_request_bytes(const soak_request& request) {
     const bool is_look = request.kind == request_kind::look;
     std::string bytes = (is_look ? "GET " : "POST ") + request.path() +
@@ -275,18 +264,10 @@
 }
 
 void soak_run::check_runs() {
-    // Read before the runs: what was refused until now must not have run by then.
     const auto refused = log_.refused();
-    const auto runs = count_runs();
-    for (const auto& [id, count] : runs) {
-        if (count > 1 && is_single_id(id) && !log_.is_reported(promise::twice, id)) {
-            log_.report({promise::twice, id, std::to_string(count) + " runs"});
-        }
-    }
-    for (const auto& [id, status] : refused) {
-        if (runs.count(id) > 0 && !log_.is_reported(promise::refused, id)) {
-            log_.report(
-                {promise::refused, id, "status " + std::to_string(status) + ", but it ran"});
+    for (const auto& broken : soak::check_runs(count_runs(), refused)) {
+        if (!log_.is_reported(broken.broken, broken.request)) {
+            log_.report(broken);
         }
     }
 }
