Let the stand-in engine end a stream that is resumed after its last event

Engine-zone-a was reset after its eighth and last event but before the end of the stream; the gateway resumed at engine-zone-b with Last-Event-Id 8, and the stand-in sent an event 9 that does not exist. A fault of the stand-in: the gateway passed on what it got.

--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -338,6 +338,10 @@
         const std::string last = find_header(request.headers, "Last-Event-Id");
         const int first = last.empty() ? 1 : static_cast<int>(parse_number(last)) + 1;
         responder->begin(200, headers);
+        if (first > events_per_stream) {
+            responder->finish();
+            return;
+        }
         const bool is_truncated = streams_to_truncate > 0;
         streams_to_truncate -= is_truncated ? 1 : 0;
         send_event(first, is_truncated ? first + 2 : events_per_stream, is_truncated,
