Take no unnamed answer on a connection that carried another request

What callers may see (MIXED): an extra answer without an id, written after one with an id, is delivered as the next request's.

Cause: an answer that names no request counted as the request's own. Why the fix works: engines name the request in every answer but a refusal, so an answer without it on a connection that carried another request is unusable. A refusal without it still counts there, since engines that are full leave it out: a connection is kept only after an answer with an id, so a copy of an earlier refusal cannot come there.

--- a/include/citronseam/connection/http_client.h
+++ b/include/citronseam/connection/http_client.h
@@ -93,6 +93,9 @@
     /// Runs a function on the client's thread after a delay. May be called from any thread.
     void post_after(milliseconds delay, std::function<void()> work);
 
+    /// May be called on the client's thread only, while the exchange is in progress.
+    /// @return whether the exchange uses a connection that carried an earlier one
+    bool is_on_reused_connection(std::uint64_t id) const;
     /// @return number of exchanges in progress
     std::size_t active_count() const;
 
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -62,8 +62,8 @@
 /// Whether the response repeats the header by which it can be told from another request's.
 bool names_request(const exchange& current) {
     const std::string& name = current.request.echoed_header;
-    return name.empty() ||
-           find_header(current.head.headers, name) == find_header(current.request.headers, name);
+    const std::string value = find_header(current.request.headers, name);
+    return name.empty() || (!value.empty() && find_header(current.head.headers, name) == value);
 }
 
 std::size_t handle_header(char* data, std::size_t size, std::size_t count, void* user) {
@@ -270,6 +270,12 @@
 
     std::size_t size() const { return exchange_count_; }
 
+    bool is_on_reused_connection(std::uint64_t id) const {
+        const auto found = exchanges_.find(id);
+        return found != exchanges_.end() &&
+               citronseam::is_on_reused_connection(found->second->easy);
+    }
+
 private:
     void handle_done(CURL* easy, CURLcode code) {
         exchange* current = nullptr;
@@ -345,6 +351,10 @@
     worker_->post_after(delay, std::move(work));
 }
 
+bool http_client::is_on_reused_connection(std::uint64_t id) const {
+    return worker_->is_on_reused_connection(id);
+}
+
 std::size_t http_client::active_count() const {
     return worker_->size();
 }
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -114,7 +114,11 @@
     current.parameters = platform::parse_response_headers(status, headers);
     // The server may send a late response to an earlier request instead of this one's.
     const std::string& answered = current.parameters.attempt;
-    current.is_unusable = !answered.empty() && answered != caller_.attempt;
+    // Only refusals leave it out. Any other answer without it, on a connection that carried another
+    // request, may be that one's.
+    const bool is_unnamed = answered.empty() && !current.parameters.is_not_run &&
+                            context_.traffic.is_on_reused_connection(current.number);
+    current.is_unusable = is_unnamed || (!answered.empty() && answered != caller_.attempt);
     current.is_stream = rule_->kind == retry_class::streaming && status == status_ok &&
                         current.parameters.has_seal && !current.parameters.has_content_coding;
     record_server_signals(current);
--- a/tests/process_kept_connection_test.cpp
+++ b/tests/process_kept_connection_test.cpp
@@ -61,7 +61,8 @@
             }
             const bool is_kept = desk->connection_count() == 1;
             // The request runs while the earlier answer is on its way.
-            return raw_answer{is_kept ? first_bytes_ : "", raw_ending::keep, answer_to(head),
+            const std::string& repeated = repeated_bytes.empty() ? first_bytes_ : repeated_bytes;
+            return raw_answer{is_kept ? repeated : "", raw_ending::keep, answer_to(head),
                               work_time};
         });
         for (const auto& server : world.plain_servers) {
@@ -84,6 +85,7 @@
         return answer;
     }
 
+    std::string repeated_bytes; ///< written before later answers; empty: the first answer
     platform_world world;
     std::unique_ptr<raw_server> desk;
 
@@ -133,6 +135,15 @@
     EXPECT_EQ(next.outcome.status, 502) << world.gateway(0).output();
 }
 
+// Guards against MIXED: an answer that names no request comes after one that does.
+TEST_F(kept_connections, extra_answer_without_id_is_not_taken_for_that_of_the_next_request) {
+    repeated_bytes = "HTTP/1.1 200 OK\r\nX-Citronseam-Response-Seal: seal-of-raw\r\n"
+                     "Content-Length: 5\r\n\r\nextra";
+    start([](const std::string& head) { return answer_to(head); });
+    EXPECT_EQ(call("GET", "/look/1").body, "done /look/1");
+    EXPECT_EQ(call("GET", "/look/2").outcome.status, 502) << world.gateway(0).output();
+}
+
 // Guards against a new connection for each request, which costs servers time.
 TEST_F(kept_connections, connection_is_kept_after_an_answer_that_names_its_request) {
     start([](const std::string& head) { return answer_to(head); });
