Expect an event after any attempt that had begun one

What callers may see (ORDER): a stream ends as complete although a server had begun a further event: inside its first event, after a move away from a silent server, or where the second server repeats earlier events only.

Cause: an event was due only after a broken attempt that had sent whole events, and any event met it. Why the fix works: what an attempt has begun or what was held of it is due however the attempt ends, and only an event that follows those that were forwarded meets it.

--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -61,9 +61,9 @@
         platform::response_parameters parameters;
         std::string body; ///< of a response that is not forwarded event by event
         event_buffer events;
-        std::size_t event_count{0}; ///< whole events received
-        http_outcome outcome;       ///< once it is done
-        buffer_share buffered;      ///< of the body, or of events that are incomplete or held
+        bool has_new_event{false}; ///< an event that follows those forwarded before it
+        http_outcome outcome;      ///< once it is done
+        buffer_share buffered;     ///< of the body, or of events that are incomplete or held
         bool is_stream{false};
         bool is_unusable{false}; ///< cancelled: it is to another request, its event stream is
                                  ///< broken, or too long
@@ -95,7 +95,8 @@
     bool handle_data(attempt& current, std::string_view data);
     bool accept_events(attempt& source);
     bool accept_event(attempt& source, stream_event event);
-    bool forward_event(const attempt& source, const stream_event& event);
+    static bool has_begun_event(const attempt& source);
+    bool forward_event(attempt& source, const stream_event& event);
     std::size_t buffered_bytes(const attempt& source) const;
     void begin_stream();
     void handle_done(attempt& source, const http_outcome& outcome);
--- a/src/programs/gateway/gateway_exchange_moves.cpp
+++ b/src/programs/gateway/gateway_exchange_moves.cpp
@@ -111,6 +111,8 @@
                {"goes_on", name(decision)},
                {"held_events", held_events_.size()},
                {"took_ms", elapsed_ms(move_started_at_, now)}});
+    // What the other server has begun to send must come from the one that goes on.
+    is_event_due_ = is_event_due_ || has_begun_event(*loser) || (is_taken && !held_events_.empty());
     if (is_taken) {
         attempt_ = replacement_;
         held_events_.clear();
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -187,7 +187,6 @@
 
 bool gateway_exchange::accept_events(attempt& source) {
     while (auto event = next_event(source.events)) {
-        source.event_count += is_comment(*event) ? 0 : 1;
         if (!accept_event(source, std::move(*event))) {
             return false;
         }
@@ -203,6 +202,7 @@
     }
     if (&source == attempt_.get()) {
         held_bytes_ += event.bytes.size();
+        source.has_new_event = source.has_new_event || !is_comment(event);
         held_events_.push_back(std::move(event));
         source.progress = attempt_progress::begun;
         settle_move(std::chrono::steady_clock::now());
@@ -219,7 +219,12 @@
     return forward_event(source, event);
 }
 
-bool gateway_exchange::forward_event(const attempt& source, const stream_event& event) {
+/// @return whether the server has sent a part of an event
+bool gateway_exchange::has_begun_event(const attempt& source) {
+    return source.is_stream && !source.events.pending.empty();
+}
+
+bool gateway_exchange::forward_event(attempt& source, const stream_event& event) {
     const event_order order =
         is_comment(event) ? event_order::next : classify_event(last_event_id_, event.id);
     if (order == event_order::duplicate) {
@@ -237,6 +242,7 @@
         begin_stream();
     }
     responder_->write(event.bytes);
+    source.has_new_event = source.has_new_event || !is_comment(event);
     last_event_id_ = event.id ? event.id : last_event_id_;
     last_forwarded_at_ = std::chrono::steady_clock::now();
     ++events_forwarded_;
@@ -316,7 +322,7 @@
         return response_kind::not_run;
     }
     const bool is_empty = is_unframed(outcome) && !source.has_data;
-    const bool is_short = is_event_due_ && source.event_count == 0;
+    const bool is_short = is_event_due_ && !source.has_new_event;
     const bool is_truncated =
         is_empty || (source.is_stream && (is_short || !source.events.pending.empty()));
     const bool is_resumption_refused = events_forwarded_ > 0 && !source.is_stream;
@@ -374,7 +380,7 @@
     if (is_connection_lost) {
         record_loss(source);
     }
-    is_event_due_ = is_event_due_ || (source.event_count > 0 && !source.events.pending.empty());
+    is_event_due_ = is_event_due_ || has_begun_event(source);
     end_attempt(source, is_out_of_time ? exchange_outcome::abandoned : exchange_outcome::failed);
     if (is_sent) {
         verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
--- a/tests/process_resumed_stream_test.cpp
+++ b/tests/process_resumed_stream_test.cpp
@@ -55,12 +55,15 @@
 class resumed_streams : public ::testing::TestWithParam<named_answer> {
 protected:
     void start(const std::string& first, const std::string& resumed) {
+        start_with([first, resumed](const std::string& head) {
+            const bool is_resumed = head.find("Last-Event-Id: 2") != std::string::npos;
+            return is_resumed ? resumed : first;
+        });
+    }
+
+    void start_with(const std::function<std::string(const std::string& head)>& answer) {
         for (const char* id : {"raw-engine-1", "raw-engine-2"}) {
-            engines.push_back(
-                std::make_unique<raw_server>([first, resumed](const std::string& head) {
-                    const bool is_resumed = head.find("Last-Event-Id: 2") != std::string::npos;
-                    return is_resumed ? resumed : first;
-                }));
+            engines.push_back(std::make_unique<raw_server>(answer));
             world.put_foreign_server_row(id, engines.back()->address(), "drafts", 1);
         }
         for (const auto& engine : world.engines) {
@@ -121,6 +124,7 @@
          whole(chunked(sealed_stream, {"event: error\ndata: engine error\n\n"}))},
         {"number_with_letters", whole(chunked(sealed_stream, {"id: 3x\ndata: c\n\n"}))},
         {"later_event", whole(chunked(sealed_stream, {"id: 4\ndata: d\n\n"}))},
+        {"earlier_events_only", whole(chunked(sealed_stream, {two_events}))},
         {"no_events", with_length(sealed_stream, "")},
         {"no_events_in_chunks", whole(chunked(sealed_stream, {}))},
         {"error_in_place_of_events", std::string(sealed_stream) + "\r\n" + error_text},
@@ -135,6 +139,17 @@
 
 using error_in_stream = resumed_streams;
 
+// Guards against ORDER: a stream that breaks off inside its first event ends as complete, with
+// nothing but a comment.
+TEST_F(error_in_stream, stream_that_broke_off_inside_its_first_event_is_not_ended_by_an_empty_one) {
+    int answered = 0;
+    start_with([&answered](const std::string&) {
+        return answered++ == 0 ? chunked(sealed_stream, {": alive\n\nid: 1\nda"})
+                               : with_length(sealed_stream, "");
+    });
+    EXPECT_FALSE(draft().outcome.is_complete) << world.gateway(0).output();
+}
+
 // Guards against ORDER: an engine that fails in the midst of a stream without length writes its
 // error there, head and all; the stream goes on at another engine.
 TEST_F(error_in_stream, text_is_not_passed_on_and_the_stream_goes_on) {
