Do not resume a stream whose events have no numbers

What callers may see (ORDER, MIXED): the events of two runs joined, where the first one's had no numbers: the second engine begins anew, and everything counts as next. Such a stream is broken off now.

--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -248,7 +248,8 @@
 
 bool gateway_exchange::may_retry(time_point now) {
     return attempt_count_ < rule_->max_attempts && time_left(now) >= min_send_time &&
-           !is_quarantined() && context_.pool.try_spend_retry(service_, now);
+           !has_unnumbered_event_ && !is_quarantined() &&
+           context_.pool.try_spend_retry(service_, now);
 }
 
 void gateway_exchange::fail_deadline() {
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -170,6 +170,7 @@
     std::optional<std::uint64_t> last_event_id_;
     bool is_event_due_{
         false}; ///< an attempt broke off inside an event, so at least one must follow
+    bool has_unnumbered_event_{false}; ///< forwarded, so that no server can go on after it
     std::uint64_t stream_weights_{0};
     std::size_t events_forwarded_{0};
     time_point first_event_at_;
--- a/src/programs/gateway/gateway_exchange_moves.cpp
+++ b/src/programs/gateway/gateway_exchange_moves.cpp
@@ -28,7 +28,7 @@
 std::string_view gateway_exchange::reason_to_move(time_point now) const {
     if (attempt_ == nullptr || attempt_->server == nullptr || !is_retryable(*rule_) ||
         attempt_count_ >= rule_->max_attempts || now < next_move_check_ ||
-        time_left(now) < min_send_time || is_quarantined()) {
+        time_left(now) < min_send_time || has_unnumbered_event_ || is_quarantined()) {
         return {};
     }
     const attempt& newest = is_moving() ? *replacement_ : *attempt_;
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -243,6 +243,7 @@
     }
     responder_->write(event.bytes);
     source.has_new_event = source.has_new_event || !is_comment(event);
+    has_unnumbered_event_ = has_unnumbered_event_ || (!event.id && !is_comment(event));
     last_event_id_ = event.id ? event.id : last_event_id_;
     last_forwarded_at_ = std::chrono::steady_clock::now();
     ++events_forwarded_;
--- a/tests/process_resumed_stream_test.cpp
+++ b/tests/process_resumed_stream_test.cpp
@@ -160,6 +160,19 @@
     EXPECT_TRUE(answer.outcome.is_complete) << world.gateway(0).output();
 }
 
+// Guards against ORDER: two streams are joined, since the first one's events have no numbers after
+// which another engine could go on.
+TEST_F(error_in_stream, stream_without_numbers_does_not_go_on_elsewhere) {
+    int answered = 0;
+    start_with([&answered](const std::string&) {
+        return answered++ == 0 ? chunked(sealed_stream, {"event: error\ndata: a\n\n"})
+                               : whole(chunked(sealed_stream, {two_events}));
+    });
+    const auto answer = draft();
+    EXPECT_EQ(answer.body, "event: error\ndata: a\n\n");
+    EXPECT_FALSE(answer.outcome.is_complete) << world.gateway(0).output();
+}
+
 // Guards against a sound stream that is broken off for a comment, which keeps connections alive.
 TEST_F(error_in_stream, comments_are_passed_on) {
     const std::string body = ": alive\n\nid: 1\ndata: a\n\n:\n\nid: 2\ndata: b\n\n: alive\r\n\r\n";
