--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -327,8 +327,13 @@
     const bool is_truncated =
         is_empty || (source.is_stream && (is_short || !source.events.pending.empty()));
     const bool is_resumption_refused = events_forwarded_ > 0 && !source.is_stream;
+    // These statuses promise that the request has not run, which this server did not say.
+    const bool is_unfounded_promise = source.status == status_request_timeout ||
+                                      source.status == status_too_many_requests ||
+                                      source.status == status_unavailable;
     const bool is_foreign_body = is_success(source.status) && source.parameters.has_content_coding;
-    if (!source.parameters.has_seal || is_truncated || is_resumption_refused || is_foreign_body) {
+    if (!source.parameters.has_seal || is_truncated || is_resumption_refused || is_foreign_body ||
+        is_unfounded_promise) {
         return response_kind::broken;
     }
     return source.status >= first_server_error ? response_kind::failure : response_kind::usable;
--- a/tests/process_kept_connection_test.cpp
+++ b/tests/process_kept_connection_test.cpp
@@ -165,6 +165,18 @@
     EXPECT_EQ(desk->request_count(), 5);
 }
 
+// Guards against REFUSED: a status that promises "not run" from a server that does not say so.
+TEST_F(kept_connections, status_of_a_refusal_without_its_header_promises_nothing) {
+    start([](const std::string& head) {
+        return "HTTP/1.1 503 Service Unavailable\r\nX-Citronseam-Response-Seal: seal-of-raw\r\n"
+               "X-Citronseam-Attempt-Id: " +
+               header_of(head, "X-Citronseam-Attempt-Id") + "\r\nContent-Length: 0\r\n\r\n";
+    });
+    const auto answer = call("POST", "/book/1");
+    EXPECT_EQ(answer.outcome.status, 502) << world.gateway(0).output();
+    EXPECT_EQ(find_header(answer.headers, "X-Citronseam-Response-Seal"), "");
+}
+
 // Guards against TWICE and REFUSED: a second copy of a refusal bears the id of a request that is
 // sent to the same server again. It never is.
 TEST_F(kept_connections, server_that_refused_a_request_does_not_get_it_again) {
