--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -120,7 +120,8 @@
                             context_.traffic.is_on_reused_connection(current.number);
     current.is_unusable = is_unnamed || (!answered.empty() && answered != caller_.attempt);
     current.is_stream = rule_->kind == retry_class::streaming && status == status_ok &&
-                        current.parameters.has_seal && !current.parameters.has_content_coding;
+                        current.parameters.has_seal && !current.parameters.is_not_run &&
+                        !current.parameters.has_content_coding;
     record_server_signals(current);
 }
 
--- a/tests/process_resumed_stream_test.cpp
+++ b/tests/process_resumed_stream_test.cpp
@@ -119,6 +119,8 @@
                                           {rest}))},
         {"success_without_seal",
          whole(chunked("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n", {rest}))},
+        {"success_that_has_not_run",
+         whole(chunked(std::string(sealed_stream) + "X-Citronseam-Not-Executed: 1\r\n", {rest}))},
         {"success_with_error_text", with_length(sealed_stream, "engine error\n\n")},
         {"event_without_number",
          whole(chunked(sealed_stream, {"event: error\ndata: engine error\n\n"}))},
