--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -30,8 +30,9 @@
         return std::nullopt;
     }
     std::uint64_t number = 0;
-    const auto read = std::from_chars(text->data(), text->data() + text->size(), number);
-    return read.ec == std::errc{} ? std::optional(number) : std::nullopt;
+    const char* end = text->data() + text->size();
+    const auto read = std::from_chars(text->data(), end, number);
+    return read.ec == std::errc{} && read.ptr == end ? std::optional(number) : std::nullopt;
 }
 
 /// @return what a request shares with others that may crash the same servers
--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -323,7 +323,7 @@
     if (source.parameters.is_not_run) {
         return response_kind::not_run;
     }
-    const bool is_empty = is_unframed(outcome) && !source.has_data;
+    const bool is_empty = is_unframed(outcome) && !source.has_data && is_success(source.status);
     const bool is_short = is_event_due_ && !source.has_new_event;
     const bool is_truncated =
         is_empty || (source.is_stream && (is_short || !source.events.pending.empty()));
--- a/src/request/event_stream.cpp
+++ b/src/request/event_stream.cpp
@@ -31,9 +31,7 @@
             while (!line.empty() && line.front() == ' ') {
                 line.remove_prefix(1);
             }
-            if (!line.empty() && line.back() == '\r') {
-                line.remove_suffix(1);
-            }
+            line = line.substr(0, line.find_last_not_of(" \r") + 1);
             std::uint64_t number = 0;
             const char* end = line.data() + line.size();
             const auto read = std::from_chars(line.data(), end, number);
