Stop the agent of a test inside its reload, not before or after it

Cause: the test did not know that the agent was inside its reload. It took the first "ready=false" of the whole log for the drain, which a slow status of the engine logs too, so the agent could be stopped before it had a permit; and it waited neither for the long response to run nor had it outlast the release, so the reload could be over.

Why it works: the agent logs version_drain when it holds its permits and drains; the test waits for that line with the new version, for the response to run, whose 20 s outlast a slow release, and checks after the stop that the engine has the old version. What must happen after the resumption is unchanged, and the agent's log is printed if it does not.

--- a/src/programs/agent/version_reconciler.cpp
+++ b/src/programs/agent/version_reconciler.cpp
@@ -243,6 +243,7 @@
     next_attempt_at_ = {};
     step_ = step::drain;
     step_started_at_ = std::chrono::steady_clock::now();
+    log_event(log_level::info, "version_drain", {{"version", target_version_}});
     context_.admission.set_ready(false);
     drain();
 }
--- a/tests/process_orders_test.cpp
+++ b/tests/process_orders_test.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds wait_timeout{30000};
 /// Tokens of a response that takes about five seconds, so that a reload has to wait for its end.
 constexpr int long_answer_tokens = 250;
+/// About twenty seconds, so that it still runs when a busy machine stops the agent late.
+constexpr int longest_answer_tokens = 1000;
 
 /// Places the first agent in zone-a, which the first entry prefers, and the others in zone-b.
 deployment_plan orders_plan(int agents, bool is_fencing) {
@@ -32,22 +34,6 @@
     return plan;
 }
 
-std::future<http_response> start_long_answer(deployment& system) {
-    return std::async(std::launch::async, [&system] {
-        return system.call(0, "POST", "/v1/completions",
-                           completion_body("on", long_answer_tokens, true));
-    });
-}
-
-/// Releases a version and waits until the first agent drains for the reload, while its engine still
-/// sends the long response.
-/// @return the released version
-std::string begin_reload(deployment& system) {
-    EXPECT_EQ(system.release("pool", model_bytes, next_seed).status, 0);
-    EXPECT_FALSE(system.process("agent-0").wait_for_line("ready=false", wait_timeout).empty());
-    return target_version(system);
-}
-
 bool wait_for_status(deployment& system, const std::string& process, const std::string& field,
                      const nlohmann::json& value) {
     return wait_until(
@@ -58,6 +44,28 @@
         wait_timeout);
 }
 
+/// @return a response that the first agent's engine has begun
+std::future<http_response> start_long_answer(deployment& system, int tokens = long_answer_tokens) {
+    auto answer = std::async(std::launch::async, [&system, tokens] {
+        return system.call(0, "POST", "/v1/completions", completion_body("on", tokens, true));
+    });
+    EXPECT_TRUE(wait_for_status(system, "agent-0", "running", 1));
+    return answer;
+}
+
+/// Releases a version and waits until the first agent drains for the reload, while its engine still
+/// sends the long response. The agent's readiness says nothing of it: a slow status of the engine
+/// ends it too.
+/// @return the released version
+std::string begin_reload(deployment& system) {
+    EXPECT_EQ(system.release("pool", model_bytes, next_seed).status, 0);
+    const std::string version = target_version(system);
+    EXPECT_FALSE(system.process("agent-0")
+                     .wait_for_line("event=version_drain version=" + version, wait_timeout)
+                     .empty());
+    return version;
+}
+
 /// @return the versions that the first engine loaded, oldest first
 std::vector<std::string> versions_of_first_engine(deployment& system) {
     std::vector<std::string> versions;
@@ -139,13 +147,15 @@
 TEST(process_orders, an_agent_paused_past_its_permit_expiry_does_not_reload_with_it) {
     deployment system(orders_plan(2, true));
     system.start();
-    auto answer = start_long_answer(system);
+    auto answer = start_long_answer(system, longest_answer_tokens);
     const std::string version = begin_reload(system);
     system.process("agent-0").send_signal(SIGSTOP);
+    ASSERT_NE(served_version(system, 0), version) << "it was stopped after its reload";
     std::this_thread::sleep_for(permit_lifetime + seconds(3));
     EXPECT_TRUE(wait_until([&] { return served_version(system, 1) == version; }, wait_timeout));
     system.process("agent-0").send_signal(SIGCONT);
-    EXPECT_FALSE(system.process("agent-0").wait_for_line("load_failed", wait_timeout).empty());
+    EXPECT_FALSE(system.process("agent-0").wait_for_line("load_failed", wait_timeout).empty())
+        << system.process("agent-0").output();
     EXPECT_TRUE(wait_until([&] { return served_version(system, 0) == version; }, wait_timeout));
     EXPECT_NE(answer.get().outcome.status, 0);
 }
