Check the quarantine again when a request is sent

What callers would see: a request that waits for a server at an entry is sent to a third one after copies of it have crashed two, so one more server is lost and the callers there wait until their deadlines.

Cause: the quarantine was checked on arrival and before a retry, not when a waiting request is sent.

Why it works: the state is read on the request's strand right before it is sent, which also lets it run alone after a first crash while it waited. Its verdict is that of its earlier attempts.

--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -80,14 +80,9 @@
 
 void request_exchange::start() {
     post_to_strand([this] {
-        const quarantine_status status = context_.crashes.status_of(request_.fingerprint);
-        if (status == quarantine_status::refused) {
-            fail({run_verdict::not_run, refusal::quarantined,
-                  "this request brought down backend servers; it is refused",
-                  context_.crashes.expires_in(request_.fingerprint)});
+        if (refuse_if_quarantined()) {
             return;
         }
-        is_suspected_ = status == quarantine_status::suspected;
         responder_->on_disconnect([weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
                 self->post_to_strand([raw = self.get()] { raw->handle_caller_disconnect(); });
@@ -98,6 +93,18 @@
     });
 }
 
+bool request_exchange::refuse_if_quarantined() {
+    const quarantine_status status = context_.crashes.status_of(request_.fingerprint);
+    is_suspected_ = status == quarantine_status::suspected;
+    if (status != quarantine_status::refused) {
+        return false;
+    }
+    fail({verdict_, refusal::quarantined,
+          "this request brought down backend servers; it is refused",
+          context_.crashes.expires_in(request_.fingerprint)});
+    return true;
+}
+
 void request_exchange::start_deadline_timer() {
     deadline_timer_.expires_at(deadline_);
     deadline_timer_.async_wait([self = shared_from_this()](const asio::error_code& cancelled) {
@@ -137,7 +144,8 @@
 
 void request_exchange::dispatch_to(std::shared_ptr<backend_server_link> link) {
     post_to_strand([this, link = std::move(link)] {
-        if (is_done_) {
+        // It may have waited for a server meanwhile.
+        if (is_done_ || refuse_if_quarantined()) {
             link->load().outstanding.fetch_sub(1, std::memory_order_relaxed);
             dispatcher_->handle_attempt_end(false);
             return;
--- a/src/programs/entry/request_exchange.h
+++ b/src/programs/entry/request_exchange.h
@@ -105,6 +105,8 @@
 
     template<typename Work>
     void post_to_strand(Work work);
+    /// @return whether the request has crashed servers and was refused
+    bool refuse_if_quarantined();
     void start_deadline_timer();
     void handle_deadline();
     void handle_caller_disconnect();
--- a/tests/process_fault_test.cpp
+++ b/tests/process_fault_test.cpp
@@ -1,9 +1,11 @@
 // Unresponsive connections, late responses, cold starts and requests that crash their servers.
 #include <csignal>
+#include <future>
 
 #include <gtest/gtest.h>
 
 #include "support/requests.h"
+#include "support/rollout.h"
 
 namespace {
 
@@ -184,6 +186,57 @@
         wait_timeout));
 }
 
+// Guards against a request that waits for a server while it is found to crash servers, and is then
+// sent to one more.
+TEST(process_fault, a_waiting_request_is_quarantined_too) {
+    constexpr int short_answer_tokens = 100; ///< two seconds
+    constexpr int long_answer_tokens = 400;  ///< eight seconds
+    constexpr milliseconds answer_timeout{30000};
+    auto plan = small_deployment_plan();
+    plan.entry_zones = {"zone-a"};
+    plan.configuration = test_configuration({{"max_concurrency: 8", "max_concurrency: 1"}});
+    plan.backend_servers.clear();
+    for (const auto* agent : {"agent-a", "agent-b", "agent-c"}) {
+        plan.backend_servers.push_back(
+            {agent, "pool", "zone-a", true, {"--token-ms", "20", "--cold-requests", "1"}});
+    }
+    deployment system(plan);
+    system.start();
+    const auto send = [&system](const std::string& prompt, int tokens) {
+        return std::async(std::launch::async, [&system, prompt, tokens] {
+            return system.call(0, "POST", "/v1/completions", completion_body(prompt, tokens, true),
+                               {}, answer_timeout);
+        });
+    };
+    // Each server runs one request, so the others wait until two servers are free again.
+    std::vector<std::future<http_response>> answers;
+    for (const int tokens : {long_answer_tokens, short_answer_tokens, short_answer_tokens}) {
+        answers.push_back(send("answer " + std::to_string(answers.size()), tokens));
+        const auto running = [&] {
+            std::size_t count = 0;
+            for (const auto* agent : {"agent-a", "agent-b", "agent-c"}) {
+                count += process_status(system, agent).value("running", 0) > 0 ? 1 : 0;
+            }
+            return count;
+        };
+        ASSERT_TRUE(wait_until([&] { return running() == answers.size(); }, wait_timeout));
+    }
+    std::vector<std::future<http_response>> crashing;
+    for (int i = 0; i < 3; ++i) {
+        crashing.push_back(send("crash-the-engine please", 4));
+    }
+    int quarantined = 0;
+    for (auto& request : crashing) {
+        const http_response response = request.get();
+        EXPECT_GE(response.outcome.status, 400) << response.body;
+        quarantined += find_header(response.headers, "X-Refusal") == "quarantined" ? 1 : 0;
+    }
+    EXPECT_GE(quarantined, 1) << "the last one was sent to no server";
+    EXPECT_EQ(answers.front().get().outcome.status, 200);
+    EXPECT_EQ(crash_causes(system, {"agent-a-server", "agent-b-server", "agent-c-server"}).size(),
+              2U);
+}
+
 // Guards against a crash of the entry: thousands of response parts are written while callers read
 // too slowly, which made the write queue of the HTTP library end the process.
 TEST(process_fault, an_entry_survives_callers_that_read_too_slowly) {
