--- a/tests/process_fault_test.cpp
+++ b/tests/process_fault_test.cpp
@@ -107,7 +107,8 @@
     ASSERT_TRUE(system.process("agent-a-server").is_running())
         << "the server stopped: " << system.process("agent-a-server").output() << result.dump();
     EXPECT_EQ(result["short_answers"], 0) << result.dump();
-    EXPECT_GE(result["answered"].get<int>(), 9 * result["sent"].get<int>() / 10) << result.dump();
+    EXPECT_GE(result["answered"].get<int>(), 9 * result["sent"].get<int>() / 10)
+        << result.dump() << system.process("agent-a").output();
     const auto status = system.send_http_request(
         "GET", "http://" + system.address("agent-a-server", "http") + "/admin/status");
     EXPECT_LE(nlohmann::json::parse(status.body)["most_while_cold"], 1);
