Take from the table service only what it has certainly answered

A row could get the value of another one, a stored response could be replayed cut off, and an object count as stored or removed that was not. The clients of the table and object store read on kept connections, on which a late answer to an earlier request counts as the next one's; took a body without a stated end, or the body of any 2xx, for whole; took a row without its tag, under which a later write fails its condition and counts as kept; and took a 404 whose head was cut off for "removed".

Each call now has a connection of its own, a read needs a 200 with a stated end, a row its tag, and a 404 its whole head.

Evidence: store_answers_test.

--- a/src/connection/table_client.cpp
+++ b/src/connection/table_client.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t max_list_size = 16 * mebibyte;
 constexpr std::size_t max_object_size = 64 * mebibyte;
 
+constexpr int http_ok = 200;
+
 enum class access : std::uint8_t { read, write };
 
 /// Converts a failed exchange or a response with an error status to an error.
@@ -39,6 +41,23 @@
            response.outcome.status < 300;
 }
 
+/// @return whether the response has a whole body: one without a stated end may have been cut off
+bool is_read(const http_response& response) {
+    return response.outcome.is_complete && response.outcome.status == http_ok &&
+           response.outcome.framing != body_framing::connection;
+}
+
+/// Requests that may be repeated also get a connection of their own: no response names its request,
+/// so on a kept connection a late one to an earlier request would count as this one's.
+http_request make_request(std::string method, std::string url, milliseconds timeout) {
+    http_request request;
+    request.method = std::move(method);
+    request.url = std::move(url);
+    request.timeout = timeout;
+    request.may_reuse_connection = false;
+    return request;
+}
+
 result<std::vector<table_row>> parse_rows(const std::string& text) {
     try {
         std::vector<table_row> rows;
@@ -65,28 +84,24 @@
 }
 
 void table_client::read(std::string_view table, const std::string& key, row_callback callback) {
-    http_request request;
-    request.url = row_url(table, key);
-    request.timeout = timeout_;
-    http_.fetch(std::move(request), max_row_size,
+    http_.fetch(make_request("GET", row_url(table, key), timeout_), max_row_size,
                 [key, callback = std::move(callback)](const http_response& response) {
-                    if (!is_success(response)) {
+                    std::string tag = find_header(response.headers, "ETag");
+                    if (!is_read(response) || tag.empty()) {
                         callback(tl::unexpected(to_error(response, access::read, "row " + key)));
                         return;
                     }
-                    callback(table_row{key, find_header(response.headers, "ETag"), response.body});
+                    callback(table_row{key, std::move(tag), response.body});
                 });
 }
 
 void table_client::list(std::string_view table, const std::string& prefix, std::size_t limit,
                         rows_callback callback) {
-    http_request request;
-    request.url = table_url_ + "/tables/" + std::string(table) + "/rows?prefix=" + prefix +
-                  "&limit=" + std::to_string(limit);
-    request.timeout = timeout_;
-    http_.fetch(std::move(request), max_list_size,
+    const std::string url = table_url_ + "/tables/" + std::string(table) +
+                            "/rows?prefix=" + prefix + "&limit=" + std::to_string(limit);
+    http_.fetch(make_request("GET", url, timeout_), max_list_size,
                 [prefix, callback = std::move(callback)](const http_response& response) {
-                    if (!is_success(response)) {
+                    if (!is_read(response)) {
                         callback(
                             tl::unexpected(to_error(response, access::read, "rows " + prefix)));
                         return;
@@ -98,23 +113,22 @@
 void table_client::write(std::string method, std::string_view table, const std::string& key,
                          std::string condition, std::string tag, std::string value,
                          row_callback callback) {
-    http_request request;
-    request.method = std::move(method);
-    request.url = row_url(table, key);
+    const bool leaves_row = method != "DELETE";
+    // On a connection of its own libcurl also does not resend a write: the second one would fail
+    // its precondition and hide that the first took effect.
+    http_request request = make_request(std::move(method), row_url(table, key), timeout_);
     request.headers = {{std::move(condition), std::move(tag)},
                        {"Content-Type", "application/json"}};
     request.body = std::move(value);
-    request.timeout = timeout_;
-    // libcurl must not resend a write on its own: the second one would fail its precondition and
-    // hide that the first took effect.
-    request.may_reuse_connection = false;
     http_.fetch(std::move(request), max_row_size,
-                [key, callback = std::move(callback)](const http_response& response) {
-                    if (!is_success(response)) {
+                [key, leaves_row, callback = std::move(callback)](const http_response& response) {
+                    std::string new_tag = find_header(response.headers, "ETag");
+                    // Without its tag the row could not be replaced later.
+                    if (!is_success(response) || (leaves_row && new_tag.empty())) {
                         callback(tl::unexpected(to_error(response, access::write, "row " + key)));
                         return;
                     }
-                    callback(table_row{key, find_header(response.headers, "ETag"), response.body});
+                    callback(table_row{key, std::move(new_tag), response.body});
                 });
 }
 
@@ -135,11 +149,8 @@
 
 void table_client::put_object(const std::string& name, std::string content,
                               object_callback callback) {
-    http_request request;
-    request.method = "PUT";
-    request.url = object_store_url_ + "/objects/" + name;
+    http_request request = make_request("PUT", object_store_url_ + "/objects/" + name, timeout_);
     request.body = std::move(content);
-    request.timeout = timeout_;
     http_.fetch(std::move(request), max_object_size,
                 [name, callback = std::move(callback)](const http_response& response) {
                     if (!is_success(response)) {
@@ -152,12 +163,9 @@
 }
 
 void table_client::get_object(const std::string& name, object_callback callback) {
-    http_request request;
-    request.url = object_store_url_ + "/objects/" + name;
-    request.timeout = timeout_;
-    http_.fetch(std::move(request), max_object_size,
-                [name, callback = std::move(callback)](http_response response) {
-                    if (!is_success(response)) {
+    http_.fetch(make_request("GET", object_store_url_ + "/objects/" + name, timeout_),
+                max_object_size, [name, callback = std::move(callback)](http_response response) {
+                    if (!is_read(response)) {
                         callback(
                             tl::unexpected(to_error(response, access::read, "object " + name)));
                         return;
@@ -167,20 +175,18 @@
 }
 
 void table_client::remove_object(const std::string& name, object_callback callback) {
-    http_request request;
-    request.method = "DELETE";
-    request.url = object_store_url_ + "/objects/" + name;
-    request.timeout = timeout_;
-    http_.fetch(std::move(request), max_row_size,
-                [name, callback = std::move(callback)](const http_response& response) {
-                    constexpr int http_not_found = 404;
-                    if (!is_success(response) && response.outcome.status != http_not_found) {
-                        callback(
-                            tl::unexpected(to_error(response, access::write, "object " + name)));
-                        return;
-                    }
-                    callback(name);
-                });
+    http_.fetch(
+        make_request("DELETE", object_store_url_ + "/objects/" + name, timeout_), max_row_size,
+        [name, callback = std::move(callback)](const http_response& response) {
+            constexpr int http_not_found = 404;
+            const bool is_missing =
+                response.outcome.is_complete && response.outcome.status == http_not_found;
+            if (!is_success(response) && !is_missing) {
+                callback(tl::unexpected(to_error(response, access::write, "object " + name)));
+                return;
+            }
+            callback(name);
+        });
 }
 
 } // namespace citronseam
--- a/tests/store_answers_test.cpp
+++ b/tests/store_answers_test.cpp
@@ -1,8 +1,10 @@
 // Answers of the stores that come twice, are cut off or leave out what they must state.
+#include <future>
 #include <string>
 
 #include <gtest/gtest.h>
 
+#include "citronseam/connection/table_client.h"
 #include "platform/store.h"
 #include "support/raw_server.h"
 
@@ -17,6 +19,7 @@
 constexpr const char* page_of_other_table =
     R"({"records":[{"table":"op","part":"","key":"a","value":"YQ==","ver":4}],"ver":9})";
 constexpr milliseconds late_delay{100};
+constexpr milliseconds call_timeout{2000};
 constexpr std::size_t max_page_bytes = 1U << 20U;
 
 std::string with_length(const std::string& body, const std::string& headers = "") {
@@ -49,6 +52,23 @@
     raw_server server_{[this](const std::string&) { return answer(); }};
 };
 
+/// Calls a function that takes a handler, and waits for the outcome.
+template<typename Value, typename Call>
+result<Value> wait_for(Call call) {
+    std::promise<result<Value>> promise;
+    call([&promise](const result<Value>& outcome) { promise.set_value(outcome); });
+    return promise.get_future().get();
+}
+
+/// Reads a row from a table service that answers with these bytes.
+result<table_row> read_row(const std::string& answer) {
+    raw_server server([answer](const std::string&) { return answer; });
+    http_client http;
+    table_client client(http, "http://" + server.address(), "http://" + server.address(),
+                        call_timeout);
+    return wait_for<table_row>([&](auto done) { client.read("t", "k", done); });
+}
+
 // Guards against a table that counts as empty since an empty answer to an earlier call came twice.
 TEST(platform_store, late_second_answer_is_not_the_next_calls) {
     stuttering_store store(with_length(empty_page), with_length(whole_page));
@@ -102,4 +122,71 @@
     }
 }
 
+// Guards against a row's value that is another's, which came twice.
+TEST(table_client, late_second_row_is_not_the_next_one) {
+    stuttering_store store(with_length("first", "ETag: a\r\n"), with_length("next", "ETag: b\r\n"));
+    http_client http;
+    const std::string url = "http://" + store.address();
+    table_client client(http, url, url, call_timeout);
+    for (const auto* value : {"first", "next"}) {
+        const auto row = wait_for<table_row>([&](auto done) { client.read("t", value, done); });
+        ASSERT_TRUE(row.has_value()) << row.error().message;
+        EXPECT_EQ(row->value, value);
+    }
+}
+
+// Guards against an object that counts as stored since an earlier one's answer came twice.
+TEST(table_client, late_second_answer_is_not_the_next_objects) {
+    stuttering_store store(with_length(""), "HTTP/1.1 507 Full\r\nContent-Length: 0\r\n\r\n");
+    http_client http;
+    const std::string url = "http://" + store.address();
+    table_client client(http, url, url, call_timeout);
+    EXPECT_TRUE(
+        wait_for<std::string>([&](auto done) { client.put_object("a", "1", done); }).has_value());
+    EXPECT_FALSE(
+        wait_for<std::string>([&](auto done) { client.put_object("b", "2", done); }).has_value());
+}
+
+// Guards against an object that counts as removed since a "not found" began to arrive.
+TEST(table_client, cut_not_found_does_not_show_that_an_object_is_removed) {
+    raw_server server(
+        [](const std::string&) -> std::string { return "HTTP/1.1 404 Not Found\r\nContent-"; });
+    http_client http;
+    const std::string url = "http://" + server.address();
+    table_client client(http, url, url, call_timeout);
+    EXPECT_FALSE(
+        wait_for<std::string>([&](auto done) { client.remove_object("o", done); }).has_value());
+}
+
+// Guards against a value that was cut off and is taken for the row's.
+TEST(table_client, value_whose_end_is_not_stated_is_unread) {
+    EXPECT_TRUE(read_row(with_length("value", "ETag: a\r\n")).has_value());
+    EXPECT_FALSE(read_row(without_length("val", "ETag: a\r\n")).has_value());
+    EXPECT_FALSE(read_row(without_length("", "ETag: a\r\n")).has_value());
+}
+
+// Guards against an object, such as a stored response, that was cut off and is taken for whole.
+TEST(table_client, object_whose_end_is_not_stated_is_unread) {
+    raw_server server([](const std::string&) { return without_length("obj"); });
+    http_client http;
+    const std::string url = "http://" + server.address();
+    table_client client(http, url, url, call_timeout);
+    EXPECT_FALSE(
+        wait_for<std::string>([&](auto done) { client.get_object("o", done); }).has_value());
+}
+
+// Guards against a row without a tag: what is written under it is taken for kept although the
+// condition failed.
+TEST(table_client, row_without_a_tag_is_neither_read_nor_written) {
+    EXPECT_FALSE(read_row(with_length("value")).has_value());
+    raw_server server([](const std::string&) { return with_length(""); });
+    http_client http;
+    const std::string url = "http://" + server.address();
+    table_client client(http, url, url, call_timeout);
+    const auto written =
+        wait_for<table_row>([&](auto done) { client.insert("t", "k", "value", done); });
+    ASSERT_FALSE(written.has_value());
+    EXPECT_EQ(written.error().code, error_code::outcome_unknown);
+}
+
 } // namespace
