--- a/src/programs/sidecar/weights_fetcher.cpp
+++ b/src/programs/sidecar/weights_fetcher.cpp
@@ -158,12 +158,14 @@
     if (step_ != fetch_step::list) {
         return;
     }
-    if (!parsed || parsed->version != target_.version) {
+    const bool is_wanted =
+        parsed && parsed->version == target_.version && parsed->model == target_.model;
+    if (!is_wanted) {
         swarm_->request_manifest(swarm_version(target_));
         log_event(log_level::warning, "piece_list_unread",
                   {{"version", target_.version},
                    {"status", response.outcome.status},
-                   {"reason", parsed ? "another version" : parsed.error().message}});
+                   {"reason", parsed ? "another model or version" : parsed.error().message}});
         retry_at_ = std::chrono::steady_clock::now() + retry_delay;
         return;
     }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -250,6 +250,43 @@
     EXPECT_EQ(platform::parse_order_outcome(response_with(0, false)), load_order_outcome::unknown);
 }
 
+// Guards against an order for weights of which nothing is staged: a list of no pieces is complete
+// at once.
+TEST(engine, list_that_cannot_be_one_of_pieces_is_unreadable) {
+    const std::string digest(64, 'a');
+    const auto list = [](const std::string& bytes, const std::string& digests) {
+        return platform::parse_chunk_list(R"({"model":"m","version":2,"chunk_bytes":)" + bytes +
+                                          R"(,"digests":[)" + digests + "]}");
+    };
+    const std::string quoted = '"' + digest + '"';
+    EXPECT_TRUE(list("4096", quoted + "," + quoted).has_value());
+    EXPECT_FALSE(list("4096", "").has_value());
+    EXPECT_FALSE(list("0", quoted).has_value());
+    EXPECT_FALSE(list("4096", quoted + R"(,"aa")").has_value());
+    EXPECT_FALSE(list("4096", '"' + std::string(64, 'x') + '"').has_value());
+}
+
+// Guards against a list that was cut off or came empty and counts as one of no pieces.
+TEST(engine, cut_list_of_pieces_is_unreadable) {
+    const std::string whole = R"({"model":"m","version":2,"chunk_bytes":4096,"digests":[")" +
+                              std::string(64, 'a') + "\"]}";
+    ASSERT_TRUE(platform::parse_chunk_list(whole).has_value());
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        EXPECT_FALSE(platform::parse_chunk_list(whole.substr(0, size)).has_value()) << size;
+    }
+}
+
+// Guards against a state that was read from an empty answer or from one that was cut off.
+TEST(engine, cut_state_is_unreadable) {
+    const std::string whole =
+        R"({"stage":"serving","models":[{"name":"m","version":2,"adapters":[]}],"busy":false,)"
+        R"("sequence":3,"num_waiting":0,"num_running":1})";
+    ASSERT_TRUE(platform::parse_engine_state(whole).has_value());
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        EXPECT_FALSE(platform::parse_engine_state(whole.substr(0, size)).has_value()) << size;
+    }
+}
+
 TEST(directory, address_query_is_parsed_and_answered) {
     server_request request;
     request.method = "GET";
