--- a/src/programs/node/store_client.cpp
+++ b/src/programs/node/store_client.cpp
@@ -187,7 +187,7 @@
                              const std::string& value, write_handler done) {
     call("write", platform::make_write_request(base_url_, table, key, value), milliseconds(0),
          [done = std::move(done)](const http_response& response) {
-             done(platform::parse_store_outcome(response));
+             done(platform::parse_write_outcome(response));
          });
 }
 
--- a/tests/store_answers_test.cpp
+++ b/tests/store_answers_test.cpp
@@ -122,6 +122,24 @@
     }
 }
 
+// Guards against a row that counts as written since its answer was empty or cut off.
+TEST(platform_store, write_is_done_only_with_its_version) {
+    using platform::store_outcome;
+    http_client http;
+    const auto write = [&http](const std::string& answer) {
+        raw_server server([answer](const std::string&) { return answer; });
+        const auto request =
+            platform::make_write_request("http://" + server.address(), "t", "k", "v");
+        return platform::parse_write_outcome(fetch_blocking(http, request, max_page_bytes));
+    };
+    const std::string body = R"({"ver":412,"server_time_ms":51230})";
+    EXPECT_EQ(write(with_length(body)), store_outcome::done);
+    EXPECT_EQ(write(with_length("")), store_outcome::unknown);
+    for (std::size_t size = 0; size < body.size(); ++size) {
+        EXPECT_EQ(write(without_length(body.substr(0, size))), store_outcome::unknown) << size;
+    }
+}
+
 // Guards against a row's value that is another's, which came twice.
 TEST(table_client, late_second_row_is_not_the_next_one) {
     stuttering_store store(with_length("first", "ETag: a\r\n"), with_length("next", "ETag: b\r\n"));
