--- a/src/connection/response_head.cpp
+++ b/src/connection/response_head.cpp
@@ -95,11 +95,21 @@
                                                               : head_defect::transfer_coding;
 }
 
+/// Control characters end a line for some readers and not for others.
+bool has_control_character(std::string_view line) {
+    return std::any_of(line.begin(), line.end(), [](unsigned char character) {
+        constexpr unsigned char first_printable = 0x20;
+        constexpr unsigned char delete_character = 0x7f;
+        return (character < first_printable && character != '\t') || character == delete_character;
+    });
+}
+
 head_defect read_header_field(response_head& head, std::string_view line) {
     const auto colon = line.find(':');
     const std::string_view field_name = line.substr(0, colon);
     if (colon == std::string_view::npos || field_name.empty() ||
-        field_name.find_first_of(white_space) != std::string_view::npos) {
+        field_name.find_first_of(white_space) != std::string_view::npos ||
+        has_control_character(line)) {
         return head_defect::header_field;
     }
     const std::string_view value = trim(line.substr(colon + 1));
--- a/src/request/event_stream.cpp
+++ b/src/request/event_stream.cpp
@@ -76,12 +76,15 @@
 
 event_order classify_event(std::optional<std::uint64_t> last_id,
                            std::optional<std::uint64_t> id) noexcept {
-    if (!last_id || id == *last_id + 1) {
+    if (!last_id) {
         return event_order::next;
     }
     if (!id) {
         return event_order::gap;
     }
+    if (*id > *last_id && *id - *last_id == 1) {
+        return event_order::next;
+    }
     return *id <= *last_id ? event_order::duplicate : event_order::gap;
 }
 
