--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
     void set_gateway_store(std::size_t gateway, std::string address);
     /// Places the second zone in a region of its own, region-b. Call it before start().
     void separate_regions() { second_region_ = "region-b"; }
+    /// Sets the retries that the gateways may make per request. Call it before start().
+    void set_retry_ratio(double ratio) { retry_ratio_ = ratio; }
     /// Starts the gateways and sidecars and waits until all gateways are ready.
     /// @return false on timeout
     bool start();
@@ -99,6 +102,7 @@
 
     std::string directory_;
     std::string second_region_{"region-a"};
+    std::optional<double> retry_ratio_; ///< empty for the default
     http_client client_;
     std::vector<ports> ports_;
     std::vector<std::uint16_t> sidecar_ports_;
