--- a/src/connection/http_responder.cpp
+++ b/src/connection/http_responder.cpp
@@ -87,7 +87,8 @@
         return;
     }
     std::string text = format_head(status, headers).append(closing_header());
-    if (!has_no_body(status)) {
+    // The length of the answer to a HEAD request would be that of the body which GET gets.
+    if (!is_head_request_ && !has_no_body(status)) {
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
     text += "\r\n";
--- a/src/connection/response_head.cpp
+++ b/src/connection/response_head.cpp
@@ -52,6 +52,15 @@
     return text.substr(first, text.find_last_not_of(white_space) - first + 1);
 }
 
+/// Control characters end a line for some readers and not for others.
+bool has_control_character(std::string_view line) {
+    return std::any_of(line.begin(), line.end(), [](unsigned char character) {
+        constexpr unsigned char first_printable = 0x20;
+        constexpr unsigned char delete_character = 0x7f;
+        return (character < first_printable && character != '\t') || character == delete_character;
+    });
+}
+
 bool read_status_line(response_head& head, std::string_view line) {
     constexpr std::size_t version_size = 8; // HTTP/1.1
     constexpr std::size_t status_size = 3;
@@ -63,7 +72,8 @@
     const bool is_status_line =
         line.substr(0, major.size()) == major && line.size() > version_size &&
         line[version_size] == ' ' && is_digits(line.substr(major.size(), 1)) &&
-        status.size() == status_size && is_digits(status) && (rest.empty() || rest.front() == ' ');
+        status.size() == status_size && is_digits(status) &&
+        (rest.empty() || rest.front() == ' ') && !has_control_character(line);
     const std::size_t received_bytes = head.received_bytes;
     head = {};
     head.received_bytes = received_bytes;
@@ -95,15 +105,6 @@
                                                               : head_defect::transfer_coding;
 }
 
-/// Control characters end a line for some readers and not for others.
-bool has_control_character(std::string_view line) {
-    return std::any_of(line.begin(), line.end(), [](unsigned char character) {
-        constexpr unsigned char first_printable = 0x20;
-        constexpr unsigned char delete_character = 0x7f;
-        return (character < first_printable && character != '\t') || character == delete_character;
-    });
-}
-
 head_defect read_header_field(response_head& head, std::string_view line) {
     const auto colon = line.find(':');
     const std::string_view field_name = line.substr(0, colon);
