Decode chunked request bodies before Pistache reads them

What callers saw: a request whose chunked body is divided after the CR of a chunk's line end, or whose CR is byte 4096 of what the server reads, stops a server thread for good. A sound request with chunk extensions gets a 400; so does the next request on a kept connection when the empty line at the end comes apart. A body that is cut off after its last chunk's size is handled as whole. The body of a pipelined request after a chunked one is read as a request of its own. A size over the limit is not refused.

Pistache gets a head that states the length of the decoded body, and takes no chunks any more. What follows the body is known, so the connection closes after the response, as after a body with a length. Extensions and trailers are skipped up to a bound; a malformed chunk is answered with 400, a body over the limit with 413 as soon as its size is known.

--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 #include <mutex>
+#include <optional>
 #include <sstream>
 
+#include <strings.h>
+
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
 #include <pistache/peer.h>
 
+#include "citronseam/connection/chunk_decoder.h"
 #include "citronseam/connection/http_client.h"
 #include "citronseam/connection/io_thread_pool.h"
 #include "citronseam/connection/request_guard.h"
@@ -24,17 +28,20 @@
 /// longest response; the request handler enforces deadlines.
 constexpr std::chrono::hours pistache_timeout{24};
 
+constexpr int bad_request = 400;
+
 /// Interval at which the timeouts of client connections are checked; usual timeouts are seconds.
 constexpr milliseconds timeout_check_interval{250};
 
 /// State of one connection while requests are read from it.
 struct connection_input {
     std::shared_ptr<server_connection> connection;
-    std::string head;                ///< bytes of an incomplete header section
-    std::string target;              ///< path and query as the client sent them
-    std::uint64_t body_remaining{0}; ///< bytes of the request still expected
+    std::string head;                    ///< bytes of an incomplete header section, or of the head
+                                         ///< before a chunked body
+    std::string target;                  ///< path and query as the client sent them
+    std::uint64_t body_remaining{0};     ///< bytes of the request still expected
+    std::optional<chunk_decoder> chunks; ///< of a chunked body
     bool is_in_body{false};
-    bool is_chunked{false};
     bool is_refused{false};
 };
 
@@ -74,6 +81,22 @@
     return converted;
 }
 
+/// @return the head of a chunked request as of one that states the length of its body
+std::string replace_transfer_coding(std::string_view head, std::size_t body_size) {
+    constexpr std::string_view line_end = "\r\n";
+    constexpr std::string_view replaced = "Transfer-Encoding:";
+    std::string text;
+    while (!head.starts_with(line_end)) {
+        const std::string_view line = head.substr(0, head.find(line_end) + line_end.size());
+        if (line.size() < replaced.size() ||
+            strncasecmp(line.data(), replaced.data(), replaced.size()) != 0) {
+            text += line;
+        }
+        head.remove_prefix(line.size());
+    }
+    return text + "Content-Length: " + std::to_string(body_size) + "\r\n\r\n";
+}
+
 /// The connections of a server. Responders may outlive the server and keep their connections alive.
 class connection_list {
 public:
@@ -174,8 +197,8 @@
         input->connection->record_input(connection_phase::head);
         input->head.append(buffer, size);
         const connection_limits limits = connections_->limits();
-        const head_check_result checked =
-            check_head(input->head, std::min(max_body_size_, limits.body), limits.head);
+        const std::uint64_t body_limit = std::min(max_body_size_, limits.body);
+        const head_check_result checked = check_head(input->head, body_limit, limits.head);
         if (checked.status == head_check_status::incomplete) {
             return;
         }
@@ -188,24 +211,58 @@
         input->head.clear();
         input->is_in_body = true;
         input->connection->record_input(connection_phase::body);
-        input->is_chunked = checked.is_chunked;
+        if (checked.is_chunked) {
+            input->head = bytes.substr(0, checked.head_size);
+            input->body_remaining = 0;
+            input->chunks.emplace().body_limit = body_limit;
+            feed_chunks(std::string_view(bytes).substr(checked.head_size), *input, peer);
+            return;
+        }
         input->body_remaining = checked.head_size + checked.body_size;
         feed_body(bytes, *input, peer);
     }
 
     void feed_body(std::string_view bytes, connection_input& input, const peer_pointer& peer) {
-        if (!input.is_chunked && bytes.size() > input.body_remaining) {
+        if (input.chunks) {
+            feed_chunks(bytes, input, peer);
+            return;
+        }
+        if (bytes.size() > input.body_remaining) {
             input.connection->close_after_response();
             bytes = bytes.substr(0, input.body_remaining);
         }
-        if (!input.is_chunked) {
-            input.body_remaining -= bytes.size();
-        }
+        input.body_remaining -= bytes.size();
         if (!bytes.empty()) {
             feed_parser(bytes, input, peer);
         }
     }
 
+    void feed_chunks(std::string_view bytes, connection_input& input, const peer_pointer& peer) {
+        const std::size_t used = decode_chunks(*input.chunks, bytes);
+        switch (input.chunks->status) {
+        case chunk_status::more:
+            break;
+        case chunk_status::whole: {
+            if (used < bytes.size()) {
+                input.connection->close_after_response();
+            }
+            const std::string body = std::move(input.chunks->body);
+            const std::string head = replace_transfer_coding(input.head, body.size());
+            input.chunks.reset();
+            input.head.clear();
+            feed_parser(head + body, input, peer);
+            break;
+        }
+        case chunk_status::malformed:
+            refuse(bad_request, "the chunks of the body are malformed", input);
+            break;
+        case chunk_status::too_long:
+            refuse(http_status(head_check_status::body_too_large),
+                   message(head_check_status::body_too_large), input);
+            break;
+        }
+    }
+
     void feed_parser(std::string_view bytes, connection_input& input, const peer_pointer& peer) {
         const auto parser = getParser(peer);
         try {
@@ -219,7 +276,7 @@
                 input.is_in_body = false;
                 dispatch_request(parser->request, input);
                 parser->reset();
-            } else if (!input.is_chunked && input.body_remaining == 0) {
+            } else if (input.body_remaining == 0) {
                 // All of the announced bytes were received, yet the parser expects more.
                 refuse(http_status(head_check_status::invalid_content_length),
                        "the request cannot be parsed", input);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,5 +1,9 @@
 // Tests of the HTTP server with slow, malformed, oversized and pipelined requests.
+#include <array>
 #include <atomic>
+#include <cstdio>
+#include <memory>
+#include <string>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -251,4 +255,141 @@
     EXPECT_EQ(response.find("POST abc"), response.rfind("POST abc")) << "one answer, then the end";
 }
 
+constexpr const char* chunked_head =
+    "POST / HTTP/1.1\r\nHost: h\r\ntransfer-encoding: Chunked\r\n\r\n";
+constexpr const char* last_request = "GET /target HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+/// Time in which a busy server answers on the loopback.
+constexpr milliseconds answer_timeout{5000};
+/// Interval between two parts of a request, so that the server reads them one by one.
+constexpr milliseconds part_interval{20};
+
+/// Reads until a text was received or the connection has ended.
+std::string read_until(asio::ip::tcp::socket& socket, const std::string& text) {
+    std::string received;
+    asio::error_code ec;
+    const auto deadline = std::chrono::steady_clock::now() + answer_timeout;
+    socket.non_blocking(true);
+    while (received.find(text) == std::string::npos &&
+           std::chrono::steady_clock::now() < deadline) {
+        std::array<char, kibibyte> part{};
+        const std::size_t size = socket.read_some(asio::buffer(part), ec);
+        received.append(part.data(), size);
+        if (ec && ec != asio::error::would_block) {
+            break;
+        }
+        std::this_thread::sleep_for(milliseconds(ec ? 1 : 0));
+    }
+    return received;
+}
+
+/// A server that is left behind when a test fails, as one whose parser loops cannot be stopped.
+class abandoned_on_failure {
+public:
+    ~abandoned_on_failure() {
+        if (::testing::Test::HasFailure()) {
+            static_cast<void>(server_.release());
+        }
+    }
+    streaming_server& operator*() { return *server_; }
+    streaming_server* operator->() { return server_.get(); }
+
+private:
+    std::unique_ptr<streaming_server> server_ = std::make_unique<streaming_server>();
+};
+
+/// Sends a request in two parts, then another one on the same connection.
+/// @return the answers, as far as they came in time
+std::string answer_in_two_parts(streaming_server& server, const std::string& request,
+                                std::size_t first_size) {
+    auto socket = server.connect();
+    socket.set_option(asio::ip::tcp::no_delay(true));
+    asio::error_code ec;
+    asio::write(socket, asio::buffer(request.substr(0, first_size)), ec);
+    std::this_thread::sleep_for(part_interval);
+    asio::write(socket, asio::buffer(request.substr(first_size)), ec);
+    const std::string first = read_until(socket, "POST abcdef");
+    asio::write(socket, asio::buffer(std::string(last_request)), ec);
+    return first + read_until(socket, "\r\n\r\n/target");
+}
+
+// Guards against a gateway that stops or refuses a sound request, or the next one on its
+// connection, because the network divided a chunked body.
+TEST(http_server, a_chunked_body_may_be_divided_anywhere) {
+    abandoned_on_failure server;
+    const std::string head = chunked_head;
+    const std::string request = head + "3\r\nabc\r\n3;x=y\r\ndef\r\n0\r\nX-T: 1\r\n\r\n";
+    for (std::size_t size = head.size() - 1; size < request.size(); ++size) {
+        const std::string answers = answer_in_two_parts(*server, request, size);
+        ASSERT_NE(answers.find("\r\n\r\nPOST abcdef"), std::string::npos)
+            << request.substr(size) << " after the first part: " << answers;
+        ASSERT_NE(answers.find("\r\n\r\n/target"), std::string::npos)
+            << request.substr(size) << " after the first part: " << answers;
+    }
+}
+
+// Guards against a gateway that stops when the line end after a chunk is divided by its own reads.
+TEST(http_server, a_chunk_may_end_at_the_end_of_a_read) {
+    constexpr std::size_t read_size = 4096;
+    abandoned_on_failure server;
+    const std::string filling(read_size - 1 - std::string(chunked_head).size() - 5, 'a');
+    std::array<char, 8> size{};
+    std::snprintf(size.data(), size.size(), "%03zx\r\n", filling.size());
+    const std::string request = std::string(chunked_head) + size.data() + filling;
+    ASSERT_EQ(request.size(), read_size - 1) << "the carriage return is the last byte";
+    auto socket = server->connect();
+    asio::write(socket, asio::buffer(request + "\r\n3\r\ndef\r\n0\r\n\r\n"));
+    EXPECT_NE(read_until(socket, "adef").find("POST aaa"), std::string::npos);
+}
+
+// Guards against a request that runs although its body was cut off.
+TEST(http_server, a_chunked_body_that_is_cut_off_or_malformed_is_not_handled) {
+    abandoned_on_failure server;
+    for (const char* body : {"3\r\nabc", "3\r\nabc\r\n0", "3\r\nabc\r\n0\r\n",
+                             "3\r\nabc\r\n0\r\n\r", "3\r\nabc\r\n0\r\nX-T: 1\r\n"}) {
+        auto socket = server->connect();
+        asio::write(socket, asio::buffer(std::string(chunked_head) + body));
+        socket.shutdown(asio::socket_base::shutdown_send);
+        ASSERT_EQ(read_until(socket, "POST"), "") << body;
+    }
+    for (const char* body : {"zz\r\n", "3x\r\nabc\r\n", "3\r\nabcdef\r\n", "\r\n0\r\n\r\n",
+                             "ffffffffffffffff3\r\nabc\r\n0\r\n\r\n"}) {
+        auto socket = server->connect();
+        asio::write(socket, asio::buffer(std::string(chunked_head) + body));
+        const std::string answer = read_until(socket, "not_run\"}}");
+        ASSERT_EQ(answer.substr(0, 12), "HTTP/1.1 400") << body;
+        ASSERT_NE(answer.find("\r\nConnection: close\r\n"), std::string::npos) << body;
+    }
+}
+
+// Guards against a chunked body that evades the limit of bodies.
+TEST(http_server, a_chunked_body_over_the_limit_is_refused) {
+    abandoned_on_failure server;
+    connection_limits limits;
+    limits.body = 6;
+    server->set_limits(limits);
+    const auto answer_to = [&](const std::string& body) {
+        auto socket = server->connect();
+        asio::write(socket, asio::buffer(chunked_head + body));
+        return read_until(socket, "\r\n\r\n").substr(0, 12);
+    };
+    EXPECT_EQ(answer_to("3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n"), "HTTP/1.1 200");
+    EXPECT_EQ(answer_to("3\r\nabc\r\n4\r\n"), "HTTP/1.1 413");
+}
+
+// Guards against bytes of a pipelined request's body that are read as a request of their own.
+TEST(http_server, what_follows_a_chunked_body_is_not_read_as_a_request) {
+    abandoned_on_failure server;
+    const std::string hidden = "GET /target HTTP/1.1\r\nHost: h\r\n\r\n";
+    auto socket = server->connect();
+    asio::write(socket, asio::buffer(std::string(chunked_head) + "3\r\nabc\r\n0\r\n\r\n" +
+                                     "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                                     std::to_string(hidden.size()) + "\r\n\r\n"));
+    std::string answers = read_until(socket, "POST abc");
+    asio::error_code ec;
+    asio::write(socket, asio::buffer(hidden), ec);
+    answers += read_until(socket, "\r\n\r\n/target");
+    EXPECT_NE(answers.find("POST abc"), std::string::npos);
+    EXPECT_EQ(answers.find("HTTP/1.1", 1), std::string::npos) << answers;
+}
+
 } // namespace
