Do not handle a request on a connection that is closing

What callers saw: a request that arrives while the last response of its connection is still being written is handled, although the connection is closed after that response: it may run, and is never answered.

Cause: server_connection::begin_request looked at the phase only, which is idle as soon as a response is queued.

Why the fix works: begin_request and send_locked now ask the same question under the same lock, whether the connection is closed or closing. Input on a closing connection does not change its phase either, so the idle timeout stays in force.

Evidence: the new case of http_server_test sends a second request during a response of 16 MiB with Connection: close.

--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -126,7 +126,7 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     // begin_request() handles a client that sends its next request before the response ended.
     const bool is_same_head = phase == connection_phase::head && phase_ == phase;
-    if (phase_ == connection_phase::responding || is_same_head) {
+    if (is_closing_ || phase_ == connection_phase::responding || is_same_head) {
         return;
     }
     phase_ = phase;
@@ -157,6 +157,9 @@
         is_last_response_ = true;
         return false;
     }
+    if (!is_open_ || is_closing_) {
+        return false;
+    }
     phase_ = connection_phase::responding;
     return true;
 }
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -46,7 +46,8 @@
     /// too long.
     void check_timeouts(const connection_limits& limits, time_point now);
     /// Records that a request was received.
-    /// @return false when the response to an earlier request is still in progress
+    /// @return false when it must not be handled, as it cannot be answered: the response to an
+    ///         earlier request is still in progress, or the connection is closed or closing
     bool begin_request();
     /// Records that a response ended; closes the connection if that was requested or a pipelined
     /// request was received meanwhile.
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -392,4 +392,60 @@
     EXPECT_EQ(answers.find("HTTP/1.1", 1), std::string::npos) << answers;
 }
 
+/// Response that the sockets of both sides cannot hold.
+constexpr std::size_t large_size = 16 * mebibyte;
+
+/// Server whose responses are large and the last ones of their connections.
+class large_response_server {
+public:
+    large_response_server()
+        : server_({{"127.0.0.1", 0}, 1, mebibyte},
+                  [this](const server_request& request,
+                         const std::shared_ptr<http_responder>& responder) {
+                      ++request_count_;
+                      if (request.path == "/without_length") {
+                          responder->respond_until_close(200, {}, std::string(large_size, 'x'));
+                          return;
+                      }
+                      if (request.path == "/last") {
+                          responder->close_after_response();
+                      }
+                      responder->respond(200, {}, std::string(large_size, 'x'));
+                  }) {}
+
+    void set_limits(const connection_limits& limits) { server_.set_limits(limits); }
+    std::size_t request_count() const { return request_count_; }
+
+    /// Sends a request on a new connection and waits until its response has begun.
+    asio::ip::tcp::socket request(const std::string& target) {
+        asio::ip::tcp::socket socket(client_);
+        socket.open(asio::ip::tcp::v4());
+        socket.set_option(asio::socket_base::receive_buffer_size(64 * kibibyte));
+        socket.connect({asio::ip::make_address("127.0.0.1"), server_.port()});
+        asio::write(socket, asio::buffer("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n"));
+        socket.wait(asio::socket_base::wait_read);
+        return socket;
+    }
+
+private:
+    asio::io_context client_;
+    std::atomic<std::size_t> request_count_{0};
+    http_server server_;
+};
+
+// Guards against a request that is handled although its connection will be closed without an
+// answer to it.
+TEST(http_server, a_request_during_the_last_response_is_not_handled) {
+    large_response_server server;
+    auto socket = server.request("/last");
+    asio::write(socket, asio::buffer(std::string(last_request)));
+    std::string response;
+    asio::error_code ec;
+    std::this_thread::sleep_for(part_interval);
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    EXPECT_GT(response.size(), large_size) << ec.message();
+    EXPECT_EQ(response.find("HTTP/1.1", 1), std::string::npos);
+    EXPECT_EQ(server.request_count(), 1U);
+}
+
 } // namespace
