Count a client connection as idle only once its response was taken

What callers saw: a client that reads a large response slowly loses its rest after the idle timeout. The connection closes in order, so a response without length looks whole.

Cause: the phase becomes idle when the end of a response is queued, and the idle timeout runs while the bytes are still queued or in the socket's buffer.

Why the fix works: after a response the periodic check compares what the client has acknowledged, from the bytes written and SIOCOUTQ. While the client takes bytes, the idle time starts anew, and it starts last when everything is taken. A client that takes nothing for the whole idle timeout is closed as before, so it cannot hold a response in memory. Connections whose response was taken cost no call.

Evidence: new case of http_server_test, 16 MiB read in 256 KiB each 40 ms, idle timeout 1 s. Before: bytes and an orderly end, for a response with length, a last one and one without length. After: whole in all three. A client that reads nothing is closed before and after.

--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cerrno>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -75,7 +77,12 @@
     for (const auto& part : in_flight_) {
         buffers.emplace_back(part.data(), part.size());
     }
-    asio::async_write(*socket_, buffers,
+    const auto count_and_continue = [this, written_before = written_bytes_.load()](
+                                        const asio::error_code& ec, std::size_t size) {
+        written_bytes_ = written_before + static_cast<std::int64_t>(size);
+        return asio::transfer_all()(ec, size);
+    };
+    asio::async_write(*socket_, buffers, count_and_continue,
                       [self = shared_from_this()](const asio::error_code& ec, std::size_t) {
                           self->handle_written(ec);
                       });
@@ -133,10 +140,30 @@
     phase_since_ = std::chrono::steady_clock::now();
 }
 
+/// Lets the idle time begin once the client has taken the last response. It also restarts whenever
+/// the client takes a part, so that a client that takes nothing is still closed.
+void server_connection::record_progress_locked(time_point now) {
+    if (!is_open_ || !socket_ || !is_draining_ || phase_ != connection_phase::idle) {
+        return;
+    }
+    int unacknowledged = 0;
+    const std::int64_t written = written_bytes_;
+    if (::ioctl(socket_->native_handle(), SIOCOUTQ, &unacknowledged) != 0) {
+        return;
+    }
+    const std::int64_t taken = written - unacknowledged;
+    is_draining_ = is_writing_ || unacknowledged > 0;
+    if (!is_draining_ || taken > taken_bytes_) {
+        phase_since_ = now;
+        taken_bytes_ = taken;
+    }
+}
+
 void server_connection::check_timeouts(const connection_limits& limits, time_point now) {
     timeout_action action{};
     {
         const std::lock_guard<std::mutex> lock(mutex_);
+        record_progress_locked(now);
         action =
             is_open_
                 ? choose_timeout_action(phase_, milliseconds(elapsed_ms(phase_since_, now)), limits)
@@ -176,6 +203,7 @@
 
 void server_connection::end_response_locked() {
     phase_ = connection_phase::idle;
+    is_draining_ = true;
     phase_since_ = std::chrono::steady_clock::now();
     disconnect_callback_ = nullptr;
     is_closing_ = is_last_response_;
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -3,6 +3,8 @@
 #ifndef CITRONSEAM_CONNECTION_SERVER_CONNECTION_H
 #define CITRONSEAM_CONNECTION_SERVER_CONNECTION_H
 
+#include <atomic>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -43,7 +45,7 @@
     /// @param phase head or body
     void record_input(connection_phase phase);
     /// Enforces the time limits: refuses the request or closes the connection when the client takes
-    /// too long.
+    /// too long. A connection is not idle while its client takes bytes of a response.
     void check_timeouts(const connection_limits& limits, time_point now);
     /// Records that a request was received.
     /// @return false when it must not be handled, as it cannot be answered: the response to an
@@ -74,6 +76,7 @@
     void post_locked(void (server_connection::*step)());
     bool send_locked(std::string bytes);
     void end_response_locked();
+    void record_progress_locked(time_point now);
     void write_queued();
     void handle_written(const asio::error_code& ec);
     void close_socket();
@@ -83,11 +86,14 @@
     std::deque<std::string> queue_;
     std::vector<std::string> in_flight_;
     std::size_t queued_bytes_{0};
+    std::atomic<std::int64_t> written_bytes_{0}; ///< given to the operating system
+    std::int64_t taken_bytes_{0};                ///< taken by the client at the last check
     std::function<void()> disconnect_callback_;
     bool is_open_{true};
     bool is_writing_{false};
     connection_phase phase_{connection_phase::idle};
     time_point phase_since_{std::chrono::steady_clock::now()};
+    bool is_draining_{false}; ///< the client may not have taken the whole last response yet
     bool is_last_response_{false};
     bool is_closing_{false};
 };
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -448,4 +448,40 @@
     EXPECT_EQ(server.request_count(), 1U);
 }
 
+// Guards against an answer that is cut off because its client reads slowly.
+TEST(http_server, a_connection_is_not_idle_while_its_client_reads_the_response) {
+    constexpr std::size_t part_bytes = 256 * kibibyte;
+    constexpr milliseconds read_interval{40};
+    connection_limits limits;
+    limits.idle_timeout = milliseconds(1000);
+    for (const char* target : {"/", "/last", "/without_length"}) {
+        large_response_server server;
+        server.set_limits(limits);
+        auto socket = server.request(target);
+        std::string response(part_bytes, '\0');
+        std::size_t received = 0;
+        asio::error_code ec;
+        while (!ec) {
+            std::this_thread::sleep_for(read_interval);
+            received += asio::read(socket, asio::buffer(response), ec);
+        }
+        EXPECT_GT(received, large_size) << target << " " << ec.message();
+        EXPECT_EQ(ec, asio::error::eof) << target;
+    }
+}
+
+// Guards against a client that takes nothing and yet keeps a response in memory for ever.
+TEST(http_server, a_client_that_reads_nothing_is_closed) {
+    large_response_server server;
+    connection_limits limits;
+    limits.idle_timeout = milliseconds(300);
+    server.set_limits(limits);
+    auto socket = server.request("/");
+    std::this_thread::sleep_for(milliseconds(1500));
+    std::string response;
+    asio::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    EXPECT_LT(response.size(), large_size);
+}
+
 } // namespace
