Reset a connection that is closed amid its last response

What callers saw: a response without length whose connection is closed while its bytes are still queued (idle timeout, the client's own half-close, a killed process) ends with an orderly close and looks whole.

Cause: the socket was closed the same way whether or not bytes were left.

Why the fix works: SO_LINGER 0 is set on the socket as soon as the end of a last response is queued, and cleared once all bytes are with the operating system. The option belongs to the socket, which Pistache's descriptor shares, so the last close resets the connection, also the kernel's when the process is killed. Only the receiving side is shut down before, as a FIN would tell the client the end. The end of a response that comes between two steps of the writer now closes the connection too (found by reading; no test).

Evidence: two new cases of http_server_test (idle timeout and half-close; SIGKILL of a forked server) fail before and pass after; a third one sees 50 whole large and 50 small last responses end in order, before and after.

Open: a trial that destroyed the server in the process of the test hung for 60 s, before and after; whether in the destructor or in the client's read was not traced.

--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -50,6 +50,7 @@
         return false;
     }
     queued_bytes_ += bytes.size();
+    accepted_bytes_ += static_cast<std::int64_t>(bytes.size());
     queue_.push_back(std::move(bytes));
     if (!is_writing_) {
         is_writing_ = true;
@@ -59,6 +60,7 @@
 }
 
 void server_connection::write_queued() {
+    bool is_done = false;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         const std::size_t count = std::min(queue_.size(), max_parts_per_write);
@@ -68,6 +70,13 @@
             queue_.pop_front();
         }
         is_writing_ = !in_flight_.empty();
+        is_done = is_closing_ && !is_writing_;
+        if (is_done) {
+            set_reset_on_close_locked(false);
+        }
+    }
+    if (is_done) {
+        close_socket();
     }
     if (in_flight_.empty()) {
         return;
@@ -91,29 +100,47 @@
 void server_connection::handle_written(const asio::error_code& ec) {
     in_flight_.clear();
     bool is_too_slow = false;
-    bool is_done = false;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         is_too_slow = queued_bytes_ > max_queued_bytes;
-        is_done = is_closing_ && queue_.empty();
     }
-    if (ec || is_too_slow || is_done) {
+    if (ec || is_too_slow) {
         close_socket();
         return;
     }
     write_queued();
 }
 
+/// A last response may end with its connection, so an orderly close in the middle would look like
+/// its end. Set on the socket at once, a reset also follows when the process is killed.
+void server_connection::set_reset_on_close_locked(bool is_reset) {
+    if (!socket_) {
+        return;
+    }
+    is_reset_on_close_ = is_reset;
+    // Not through asio, which would clear the option in the destructor of the socket.
+    const linger option{is_reset ? 1 : 0, 0};
+    ::setsockopt(socket_->native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 void server_connection::close_socket() {
+    bool is_reset = false;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
+        if (is_reset_on_close_ && written_bytes_ == accepted_bytes_) {
+            set_reset_on_close_locked(false);
+        }
+        is_reset = is_reset_on_close_;
         is_open_ = false;
         is_writing_ = false;
         queue_.clear();
     }
-    // This also shuts down the connection of Pistache's descriptor, which Pistache then closes.
+    // This also shuts down the connection of Pistache's descriptor, which Pistache then closes. A
+    // reset is sent with the last close; the end of an orderly shutdown must not precede it.
     asio::error_code ignored;
-    socket_->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    socket_->shutdown(is_reset ? asio::ip::tcp::socket::shutdown_receive
+                               : asio::ip::tcp::socket::shutdown_both,
+                      ignored);
     socket_->close(ignored);
 }
 
@@ -207,7 +234,9 @@
     phase_since_ = std::chrono::steady_clock::now();
     disconnect_callback_ = nullptr;
     is_closing_ = is_last_response_;
-    if (is_closing_ && !is_writing_) {
+    if (is_closing_ && is_writing_ && is_open_) {
+        set_reset_on_close_locked(true);
+    } else if (is_closing_ && !is_writing_) {
         post_locked(&server_connection::close_socket);
     }
 }
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -76,6 +76,7 @@
     void post_locked(void (server_connection::*step)());
     bool send_locked(std::string bytes);
     void end_response_locked();
+    void set_reset_on_close_locked(bool is_reset);
     void record_progress_locked(time_point now);
     void write_queued();
     void handle_written(const asio::error_code& ec);
@@ -86,6 +87,7 @@
     std::deque<std::string> queue_;
     std::vector<std::string> in_flight_;
     std::size_t queued_bytes_{0};
+    std::int64_t accepted_bytes_{0};             ///< of all calls of send()
     std::atomic<std::int64_t> written_bytes_{0}; ///< given to the operating system
     std::int64_t taken_bytes_{0};                ///< taken by the client at the last check
     std::function<void()> disconnect_callback_;
@@ -96,6 +98,7 @@
     bool is_draining_{false}; ///< the client may not have taken the whole last response yet
     bool is_last_response_{false};
     bool is_closing_{false};
+    bool is_reset_on_close_{false}; ///< bytes of the last response are not written yet
 };
 
 } // namespace citronseam
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,11 +1,15 @@
 // Tests of the HTTP server with slow, malformed, oversized and pipelined requests.
 #include <array>
 #include <atomic>
+#include <csignal>
 #include <cstdio>
 #include <memory>
 #include <string>
 #include <thread>
 
+#include <sys/wait.h>
+#include <unistd.h>
+
 #include <gtest/gtest.h>
 
 #include "citronseam/connection/http_client.h"
@@ -395,6 +399,15 @@
 /// Response that the sockets of both sides cannot hold.
 constexpr std::size_t large_size = 16 * mebibyte;
 
+/// Connects a socket, sends a request and waits until its response has begun.
+void request_on(asio::ip::tcp::socket& socket, std::uint16_t port, const std::string& target) {
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(64 * kibibyte));
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(socket, asio::buffer("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n"));
+    socket.wait(asio::socket_base::wait_read);
+}
+
 /// Server whose responses are large and the last ones of their connections.
 class large_response_server {
 public:
@@ -416,14 +429,12 @@
     void set_limits(const connection_limits& limits) { server_.set_limits(limits); }
     std::size_t request_count() const { return request_count_; }
 
+    std::uint16_t port() const { return server_.port(); }
+
     /// Sends a request on a new connection and waits until its response has begun.
     asio::ip::tcp::socket request(const std::string& target) {
         asio::ip::tcp::socket socket(client_);
-        socket.open(asio::ip::tcp::v4());
-        socket.set_option(asio::socket_base::receive_buffer_size(64 * kibibyte));
-        socket.connect({asio::ip::make_address("127.0.0.1"), server_.port()});
-        asio::write(socket, asio::buffer("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n"));
-        socket.wait(asio::socket_base::wait_read);
+        request_on(socket, port(), target);
         return socket;
     }
 
@@ -484,4 +495,74 @@
     EXPECT_LT(response.size(), large_size);
 }
 
+/// Reads to the end of a connection.
+/// @return whether the response is whole, or its end is no orderly one
+bool is_whole_or_reset(asio::ip::tcp::socket& socket) {
+    std::string response;
+    asio::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    return response.size() > large_size || ec != asio::error::eof;
+}
+
+// Guards against a response without length that ends early and looks whole.
+TEST(http_server, a_response_without_length_is_not_cut_off_in_order) {
+    connection_limits limits;
+    limits.idle_timeout = milliseconds(300);
+    auto server = std::make_unique<large_response_server>();
+    server->set_limits(limits);
+    auto stalled = server->request("/without_length");
+    std::this_thread::sleep_for(milliseconds(1500));
+    EXPECT_TRUE(is_whole_or_reset(stalled)) << "closed by the idle timeout";
+    auto half_closed = server->request("/without_length");
+    half_closed.shutdown(asio::socket_base::shutdown_send);
+    EXPECT_TRUE(is_whole_or_reset(half_closed)) << "the client has closed its side";
+}
+
+// Guards against the same when the process of the server is killed.
+TEST(http_server, a_response_without_length_is_not_cut_off_in_order_by_a_killed_process) {
+    std::array<int, 2> port_pipe{};
+    ASSERT_EQ(::pipe(port_pipe.data()), 0);
+    const pid_t child = ::fork();
+    ASSERT_GE(child, 0);
+    if (child == 0) {
+        const large_response_server server;
+        const std::uint16_t port = server.port();
+        if (::write(port_pipe[1], &port, sizeof(port)) == sizeof(port)) {
+            ::pause();
+        }
+        ::_exit(1);
+    }
+    std::uint16_t port = 0;
+    EXPECT_EQ(::read(port_pipe[0], &port, sizeof(port)), static_cast<ssize_t>(sizeof(port)));
+    asio::io_context client;
+    asio::ip::tcp::socket socket(client);
+    request_on(socket, port, "/without_length");
+    ::kill(child, SIGKILL);
+    ::waitpid(child, nullptr, 0);
+    EXPECT_TRUE(is_whole_or_reset(socket));
+    ::close(port_pipe[0]);
+    ::close(port_pipe[1]);
+}
+
+// Guards against a reset that takes the end of a whole response from its client.
+TEST(http_server, a_whole_last_response_ends_in_order) {
+    constexpr int rounds = 50;
+    streaming_server small_server;
+    large_response_server large_server;
+    for (int round = 0; round < rounds; ++round) {
+        auto large = large_server.request(round % 2 == 0 ? "/without_length" : "/last");
+        std::string response;
+        asio::error_code ec;
+        asio::read(large, asio::dynamic_buffer(response), ec);
+        EXPECT_GT(response.size(), large_size);
+        EXPECT_EQ(ec, asio::error::eof) << ec.message();
+        auto small = small_server.connect();
+        asio::write(small, asio::buffer(std::string(last_request) + last_request));
+        response.clear();
+        asio::read(small, asio::dynamic_buffer(response), ec);
+        EXPECT_NE(response.find("\r\n\r\n/target"), std::string::npos);
+        EXPECT_EQ(ec, asio::error::eof) << ec.message();
+    }
+}
+
 } // namespace
