Wait until lost answers are taken back before servers crash in a test

Trace: a gateway reports a loss up to 10 ms later, together with the other requests that ended with the server; an answer takes it back only after that. In the failed runs the servers crashed 3 ms after the answers were lost, so the request was a suspect of the crashes as well, and with the two answers lost later it had ended with three lives of servers. Such evidence is allowed to hold: in those 10 ms nothing tells the two apart.

The test waits for the reports and for an answer after them, as its name supposes; what it asks for is unchanged.

--- a/tests/process_quarantine_test.cpp
+++ b/tests/process_quarantine_test.cpp
@@ -161,7 +161,16 @@
     };
     ASSERT_TRUE(wait_for_servers());
     lose_answers();
+    // A loss is reported up to 10 ms later, and only an answer after the report takes it back.
+    for (const auto& server : world.plain_servers) {
+        const std::string lost = "event=backend_server_lost instance=" + server->id();
+        ASSERT_NE(world.gateway(1).wait_for_line(lost, recovery_timeout), "");
+    }
     ASSERT_TRUE(wait_for_servers());
+    ASSERT_NE(world.gateway(1).wait_for_line("event=backend_server_answers instance=" +
+                                                 world.plain_servers[1]->id(),
+                                             recovery_timeout),
+              "");
     look(0, crashing_target);
     ASSERT_EQ(crash_count(), 2) << "both servers have new identifiers, so losses would count again";
     ASSERT_TRUE(wait_for_servers());
