--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -168,8 +168,7 @@
     std::vector<std::string> tried_servers_;
     run_verdict verdict_{run_verdict::not_run};
     std::optional<std::uint64_t> last_event_id_;
-    bool is_event_due_{
-        false}; ///< an attempt broke off inside an event, so at least one must follow
+    bool is_event_due_{false};         ///< an attempt had begun an event that was not forwarded
     bool has_unnumbered_event_{false}; ///< forwarded, so that no server can go on after it
     std::uint64_t stream_weights_{0};
     std::size_t events_forwarded_{0};
