--- a/tests/process_fault_test.cpp
+++ b/tests/process_fault_test.cpp
@@ -192,7 +192,7 @@
 TEST(process_fault, a_waiting_request_is_quarantined_too) {
     constexpr int short_answer_tokens = 100; ///< two seconds
     constexpr int long_answer_tokens = 400;  ///< eight seconds
-    constexpr milliseconds answer_timeout{30000};
+    static constexpr milliseconds answer_timeout{30000};
     auto plan = small_deployment_plan();
     plan.entry_zones = {"zone-a"};
     plan.configuration = test_configuration({{"max_concurrency: 8", "max_concurrency: 1"}});
--- a/tests/process_orders_test.cpp
+++ b/tests/process_orders_test.cpp
@@ -59,7 +59,7 @@
 /// @return the released version
 std::string begin_reload(deployment& system) {
     EXPECT_EQ(system.release("pool", model_bytes, next_seed).status, 0);
-    const std::string version = target_version(system);
+    std::string version = target_version(system);
     EXPECT_FALSE(system.process("agent-0")
                      .wait_for_line("event=version_drain version=" + version, wait_timeout)
                      .empty());
