--- a/tests/process_fault_test.cpp
+++ b/tests/process_fault_test.cpp
@@ -222,8 +222,10 @@
         };
         ASSERT_TRUE(wait_until([&] { return running() == answers.size(); }, wait_timeout));
     }
+    constexpr std::size_t crashing_count = 3;
     std::vector<std::future<http_response>> crashing;
-    for (int i = 0; i < 3; ++i) {
+    crashing.reserve(crashing_count);
+    for (std::size_t i = 0; i < crashing_count; ++i) {
         crashing.push_back(send("crash-the-engine please", 4));
     }
     int quarantined = 0;
