--- a/tests/process_orders_test.cpp
+++ b/tests/process_orders_test.cpp
@@ -63,6 +63,7 @@
     EXPECT_FALSE(system.process("agent-0")
                      .wait_for_line("event=version_drain version=" + version, wait_timeout)
                      .empty());
+    EXPECT_FALSE(system.process("agent-0").wait_for_line("ready=false", wait_timeout).empty());
     return version;
 }
 
