--- a/tests/http_response_table_test.cpp
+++ b/tests/http_response_table_test.cpp
@@ -161,20 +161,24 @@
     return out << head.name;
 }
 
-class malformed_responses : public ::testing::TestWithParam<named_head> {};
-
-// Guards against MIXED: the end of a response is taken from one of two statements about it, or from
-// one that cannot be read.
-TEST_P(malformed_responses, are_not_complete) {
-    raw_server server([](const std::string&) {
-        return raw_answer{
-            std::string(GetParam().bytes) + "hello, world", raw_ending::close, {}, {}};
+/// @return what the client makes of a head, followed by a body, from a server that then closes
+http_response fetch_answer(const std::string& head) {
+    raw_server server([head](const std::string&) {
+        return raw_answer{head + "hello, world", raw_ending::close, {}, {}};
     });
     http_client client;
     http_request request;
     request.url = "http://" + server.address() + "/";
     request.timeout = exchange_timeout;
-    const http_response response = fetch_blocking(client, request, max_body_size);
+    return fetch_blocking(client, request, max_body_size);
+}
+
+class malformed_responses : public ::testing::TestWithParam<named_head> {};
+
+// Guards against MIXED: the end of a response is taken from one of two statements about it, or from
+// one that cannot be read.
+TEST_P(malformed_responses, are_not_complete) {
+    const http_response response = fetch_answer(GetParam().bytes);
     EXPECT_FALSE(response.outcome.is_complete);
     EXPECT_FALSE(response.outcome.is_cancelled);
     EXPECT_EQ(response.outcome.verdict, run_verdict::may_have_run);
@@ -218,15 +222,7 @@
 
 // Guards against a sound answer that is refused for its unusual form.
 TEST_P(unusual_responses, are_complete) {
-    raw_server server([](const std::string&) {
-        return raw_answer{
-            std::string(GetParam().bytes) + "hello, world", raw_ending::close, {}, {}};
-    });
-    http_client client;
-    http_request request;
-    request.url = "http://" + server.address() + "/";
-    request.timeout = exchange_timeout;
-    const http_response response = fetch_blocking(client, request, max_body_size);
+    const http_response response = fetch_answer(GetParam().bytes);
     EXPECT_TRUE(response.outcome.is_complete) << response.outcome.message;
     EXPECT_EQ(response.outcome.status, 200);
     EXPECT_EQ(response.body, "hello, world");
