Wait for the log lines of a response in two tests

Cause: the case asked for the line without waiting. The gateway logs it before it responds, but the harness reads the log through a pipe on a thread of its own, so the response may arrive first.

The check stays, with a bound on the wait. Five more checks of the same kind, here and in process_move_test, wait as well.

--- a/tests/process_move_test.cpp
+++ b/tests/process_move_test.cpp
@@ -12,6 +12,8 @@
 
 /// Longer than the silence after which a gateway takes a stream for stalled.
 constexpr int silence_ms = 1300;
+/// A response may arrive before the lines that its gateway logged earlier.
+constexpr milliseconds line_timeout{3000};
 
 class stream_move : public ::testing::Test {
 protected:
@@ -57,7 +59,7 @@
     auto stream = start_stream();
     world.engines[0]->is_executing_order = true;
     expect_first_engine_finished(stream.get());
-    EXPECT_NE(world.gateway(0).wait_for_line("event=request_moved", milliseconds(0)), "")
+    EXPECT_NE(world.gateway(0).wait_for_line("event=request_moved", line_timeout), "")
         << "the other engine was asked";
 }
 
@@ -68,7 +70,7 @@
     auto stream = start_stream();
     world.engines[0]->event_interval_ms = 30;
     expect_first_engine_finished(stream.get());
-    EXPECT_NE(world.gateway(0).wait_for_line("event=request_moved", milliseconds(0)), "")
+    EXPECT_NE(world.gateway(0).wait_for_line("event=request_moved", line_timeout), "")
         << "the other engine was asked";
 }
 
@@ -98,7 +100,7 @@
                                                      "engine-zone-b");
     }
     EXPECT_TRUE(is_joined) << response.body << world.gateway(0).output();
-    EXPECT_NE(world.gateway(0).wait_for_line("goes_on=second", milliseconds(0)), "");
+    EXPECT_NE(world.gateway(0).wait_for_line("goes_on=second", line_timeout), "");
 }
 
 // Guards against holding a stream's events while another engine lets the stream wait.
@@ -108,7 +110,7 @@
     auto stream = start_stream();
     world.engines[0]->is_executing_order = true;
     expect_first_engine_finished(stream.get());
-    EXPECT_NE(world.gateway(0).wait_for_line("goes_on=first", milliseconds(0)), "");
+    EXPECT_NE(world.gateway(0).wait_for_line("goes_on=first", line_timeout), "");
     EXPECT_TRUE(world.engines[1]->runs_per_attempt().empty()) << "the second run is cancelled";
 }
 
--- a/tests/process_weights_test.cpp
+++ b/tests/process_weights_test.cpp
@@ -13,6 +13,8 @@
 /// Gateways send requests to the first version until 4.1 s after the announcement. A stream that
 /// begins now is resumed well before.
 constexpr milliseconds stream_start{3600};
+/// A response may arrive before the lines that its gateway logged earlier.
+constexpr milliseconds line_timeout{3000};
 
 class weights : public ::testing::Test {
 protected:
@@ -21,7 +23,7 @@
         // The engines keep the first version, so a resumed stream always finds its weights.
         world.origin.is_down = true;
         world.set_weights_version(2);
-        ASSERT_NE(world.gateway(0).wait_for_line("event=weights_named", milliseconds(3000)), "");
+        ASSERT_NE(world.gateway(0).wait_for_line("event=weights_named", line_timeout), "");
         announced_at = std::chrono::steady_clock::now();
     }
 
@@ -40,7 +42,7 @@
         row["layers"][0]["version"] = 2;
         world.store.put("servers", engine.id(), row.dump());
         ASSERT_NE(world.gateway(0).wait_for_line("event=server_listed server=" + engine.id(),
-                                                 milliseconds(3000)),
+                                                 line_timeout),
                   "");
     }
 
@@ -62,8 +64,7 @@
     const auto stream = call_for_broken_stream();
     EXPECT_FALSE(stream.outcome.is_complete);
     EXPECT_EQ(stream.body, make_events(1, 3, "engine-zone-a"));
-    const std::string moved =
-        world.gateway(0).wait_for_line("event=request_moved", milliseconds(0));
+    const std::string moved = world.gateway(0).wait_for_line("event=request_moved", line_timeout);
     EXPECT_NE(moved.find("engine-zone-b"), std::string::npos) << "the second engine was asked";
     std::this_thread::sleep_until(announced_at + weights_due + milliseconds(1000));
     EXPECT_TRUE(world.engines[1]->runs_per_attempt().empty()) << world.gateway(0).output();
@@ -79,7 +80,7 @@
         world.call(0, "POST", "/draft-once/1",
                    {{"Authorization", std::string("Token ") + platform_world::api_key}});
     EXPECT_NE(world.gateway(0)
-                  .wait_for_line("event=attempt_cancelled", milliseconds(0))
+                  .wait_for_line("event=attempt_cancelled", line_timeout)
                   .find("reason=weights_replaced"),
               std::string::npos);
     EXPECT_EQ(stream.outcome.status, 502);
