Reject header fields that a backend server may read as others

What a server may see: a caller's head with "X-A: b", a bare line feed and "Transfer-Encoding: chunked", with white space before a colon, with a folded line or with a NUL in a value was handled and passed on as it came.

Cause: the check before Pistache read Content-Length and Transfer-Encoding only, by exact names; what else a line holds was left to Pistache, which keeps it.

Each line must be a name, a colon and a value without control characters; else the answer is 400. The bytes allowed are those that the decoder of chunked bodies used; they stand in header_syntax.h for both.

--- /dev/null
+++ b/include/citronseam/connection/header_syntax.h
@@ -0,0 +1,27 @@
+/// @file
+/// Which bytes may stand in the header fields of HTTP messages.
+/// Source: RFC 9110, sections 5.1, 5.5 and 5.6.2.
+#ifndef CITRONSEAM_CONNECTION_HEADER_SYNTAX_H
+#define CITRONSEAM_CONNECTION_HEADER_SYNTAX_H
+
+#include <string_view>
+
+namespace citronseam {
+
+/// @return whether a byte is a space or a tab
+bool is_white_space(char byte) noexcept;
+
+/// @return whether a byte may stand in a field's value: no control character but the tab
+bool is_text(char byte) noexcept;
+
+/// @return whether a byte may stand in a field's name
+bool is_token(char byte) noexcept;
+
+/// @param line without its terminator
+/// @return whether the line is a field that all readers take for the same one: a name, a colon and
+/// a value, without white space around the name and without control characters
+bool is_header_field(std::string_view line) noexcept;
+
+} // namespace citronseam
+
+#endif
--- a/include/citronseam/connection/request_guard.h
+++ b/include/citronseam/connection/request_guard.h
@@ -3,7 +3,8 @@
 ///
 /// Pistache 0.0.5 does not respond to a body over its limit, uses the first of two conflicting
 /// Content-Length headers, answers a negative one with the text of an exception and silently drops
-/// a pipelined request. The check reads only the length and the transfer coding of the body.
+/// a pipelined request. It also accepts lines in which a backend server may find other fields: a
+/// folded line, white space before the colon, a bare line feed. Source: RFC 9112, section 5.
 #ifndef CITRONSEAM_CONNECTION_REQUEST_GUARD_H
 #define CITRONSEAM_CONNECTION_REQUEST_GUARD_H
 
@@ -17,12 +18,14 @@
 
 /// Result code of a check.
 enum class head_check_status : std::uint8_t {
-    incomplete,               ///< the header section is not complete yet
-    accepted,                 ///< the request may be parsed
-    head_too_large,           ///< the header section exceeds its limit
-    body_too_large,           ///< Content-Length exceeds the limit
-    invalid_content_length,   ///< not a number, or two different values
-    invalid_transfer_encoding ///< not `chunked`, or beside Content-Length
+    incomplete,                ///< the header section is not complete yet
+    accepted,                  ///< the request may be parsed
+    head_too_large,            ///< the header section exceeds its limit
+    body_too_large,            ///< Content-Length exceeds the limit
+    invalid_content_length,    ///< not a number, or two different values
+    invalid_transfer_encoding, ///< not `chunked`, or beside Content-Length
+    invalid_request_line,      ///< it has a control character
+    invalid_field              ///< a line that another reader may take for other fields
 };
 
 /// Result of a check.
--- a/src/connection/chunk_decoder.cpp
+++ b/src/connection/chunk_decoder.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <optional>
 
+#include "citronseam/connection/header_syntax.h"
 #include "citronseam/process/enum_names.h"
 
 namespace citronseam {
@@ -35,23 +36,6 @@
     return std::nullopt;
 }
 
-/// @return whether a byte may stand in an extension or in a trailer's value
-bool is_text(char byte) {
-    const auto code = static_cast<unsigned char>(byte);
-    return byte == '\t' || (code >= ' ' && code != 0x7f);
-}
-
-bool is_white_space(char byte) {
-    return byte == ' ' || byte == '\t';
-}
-
-/// @return whether a byte may stand in the name of a field
-bool is_token(char byte) {
-    return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') ||
-           (byte >= 'A' && byte <= 'Z') ||
-           std::string_view("!#$%&'*+-.^_`|~").find(byte) != std::string_view::npos;
-}
-
 void move_to(chunk_decoder& decoder, bool is_sound, chunk_position next) {
     if (is_sound) {
         decoder.position = next;
--- a/src/connection/request_guard.cpp
+++ b/src/connection/request_guard.cpp
@@ -7,6 +7,8 @@
 
 #include <strings.h>
 
+#include "citronseam/connection/header_syntax.h"
+
 namespace citronseam {
 namespace {
 
@@ -20,10 +22,10 @@
 
 std::string_view header_value(std::string_view line) {
     std::string_view value = line.substr(line.find(':') + 1);
-    while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
+    while (!value.empty() && is_white_space(value.front())) {
         value.remove_prefix(1);
     }
-    while (!value.empty() && (value.back() == ' ' || value.back() == '\t')) {
+    while (!value.empty() && is_white_space(value.back())) {
         value.remove_suffix(1);
     }
     return value;
@@ -45,7 +47,12 @@
     head_check_status status{head_check_status::accepted};
 };
 
+/// Backend servers must not find other fields in a forwarded head than this system did.
 void parse_header_line(std::string_view line, body_framing& body) {
+    if (!is_header_field(line)) {
+        body.status = head_check_status::invalid_field;
+        return;
+    }
     if (is_header(line, "Content-Length")) {
         const auto length = parse_length(header_value(line));
         const bool is_conflicting = body.length && length && *body.length != *length;
@@ -63,6 +70,16 @@
     }
 }
 
+/// Removes the first line with its terminator.
+/// @return the line without its terminator
+std::string_view take_line(std::string_view& lines) {
+    const auto stop = lines.find(line_end);
+    const std::string_view line = lines.substr(0, stop);
+    lines =
+        stop == std::string_view::npos ? std::string_view{} : lines.substr(stop + line_end.size());
+    return line;
+}
+
 } // namespace
 
 head_check_result check_head(std::string_view bytes, std::uint64_t max_body_size,
@@ -78,11 +95,12 @@
     }
     body_framing body;
     std::string_view lines = bytes.substr(0, end);
+    const std::string_view request_line = take_line(lines);
+    if (!std::all_of(request_line.begin(), request_line.end(), is_text)) {
+        body.status = head_check_status::invalid_request_line;
+    }
     while (!lines.empty()) {
-        const auto stop = lines.find(line_end);
-        parse_header_line(lines.substr(0, stop), body);
-        lines = stop == std::string_view::npos ? std::string_view{}
-                                               : lines.substr(stop + line_end.size());
+        parse_header_line(take_line(lines), body);
     }
     checked.status = body.status;
     checked.head_size = end + head_end.size();
@@ -118,6 +136,10 @@
         return "Content-Length must be one non-negative number";
     case head_check_status::invalid_transfer_encoding:
         return "Transfer-Encoding must be 'chunked' and stand without Content-Length";
+    case head_check_status::invalid_request_line:
+        return "the request line has a control character";
+    case head_check_status::invalid_field:
+        return "each header field must be a name, a colon and a value without control characters";
     default:
         return "the request was refused";
     }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -565,4 +565,30 @@
     }
 }
 
+// Guards against a field that is hidden in a line of another one and reaches a backend server,
+// which may end lines elsewhere.
+TEST(http_server, a_head_whose_lines_others_read_differently_is_not_handled) {
+    using namespace std::string_literals;
+    std::atomic<int> handled{0};
+    http_server server(
+        {{"127.0.0.1", 0}, 1, mebibyte},
+        [&handled](const server_request&, const std::shared_ptr<http_responder>& responder) {
+            ++handled;
+            responder->respond(200, {}, "handled");
+        });
+    for (const std::string& line :
+         {"X-A: b\nTransfer-Encoding: chunked"s, "X-A: b\rTransfer-Encoding: chunked"s,
+          "Transfer-Encoding : chunked"s, "X-A: b\r\n Transfer-Encoding: chunked"s, "X-A: b\0c"s,
+          "Content-Length : 5"s, "X-A"s}) {
+        handled = 0;
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+        asio::write(socket, asio::buffer("GET / HTTP/1.1\r\nHost: h\r\n" + line + "\r\n\r\n"));
+        const std::string answer = read_until(socket, "\r\n\r\n");
+        EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400") << line << " -> " << answer;
+        EXPECT_EQ(handled, 0) << line;
+    }
+}
+
 } // namespace
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -156,4 +156,30 @@
               head_check_status::head_too_large);
 }
 
+// Guards against a field that a backend server finds in the line of another one, such as a length
+// that makes the next request a body.
+TEST(request_guard, rejects_lines_that_a_backend_server_may_read_as_other_fields) {
+    using namespace std::string_literals;
+    const auto status_of = [](const std::string& line) {
+        return check_head("GET / HTTP/1.1\r\n" + line + "\r\nHost: h\r\n\r\n", 100).status;
+    };
+    for (const std::string& line :
+         {"X-A: b\nTransfer-Encoding: chunked"s, "X-A: b\rTransfer-Encoding: chunked"s,
+          "Transfer-Encoding : chunked"s, "Content-Length\t: 5"s,
+          "X-A: b\r\n Transfer-Encoding: chunked"s, "X-A: b\r\n\tX-Citronseam-Tenant: c"s,
+          "X-A: b\0c"s, "X-\0A: b"s, "X A: b"s, "X(A: b"s, "X-A"s, ": b"s, "X-A: \x7f"s}) {
+        EXPECT_EQ(status_of(line), head_check_status::invalid_field) << line;
+    }
+    for (const std::string& line :
+         {"X-A:b"s, "X-A:"s, "X-A: \tb c\t"s, "X-A: b:c"s, "X_a.1~: \xc3\xa4"s}) {
+        EXPECT_EQ(status_of(line), head_check_status::accepted) << line;
+    }
+    for (const std::string& line :
+         {"GET /\n HTTP/1.1"s, "GET /\r HTTP/1.1"s, "GET /\0 HTTP/1.1"s}) {
+        EXPECT_EQ(check_head(line + "\r\nHost: h\r\n\r\n", 100).status,
+                  head_check_status::invalid_request_line)
+            << line;
+    }
+}
+
 } // namespace
