Reject a head that is continued by another response

What callers saw: a 200 with the body and the seal of an answer that its server gave as 500, and a 503 that promises "not run" for a request that its server ran.

Cause: on a kept connection a server writes an earlier answer once more, breaks off inside its head, and then answers the next request. Both heads are read as one: "HTTP/1.1 200 O" and "HTTP/1.1 500 Internal Server Error" are a status line with an odd reason phrase; a cut inside a value leaves the earlier status in force for the fields that follow. The id that the answer repeats is the right one, so it counted as this request's.

Evidence: broken_heads in process_kept_connection_test failed in 3 of 4 cases before (cut in the reason phrase, in a value, and in the statement that a request has not run), response_head.status_line_inside_a_line_is_malformed at the same cuts. Requests that may run once were not affected, as each has a connection of its own.

Why it works: wherever a head breaks off, the rest of that line is the status line of what follows. A line with a status line inside it, version and three digits, makes the head malformed, so the answer is lost (502, or another server). A version alone in a value, as in Via and Upgrade, does not.

--- a/include/citronseam/connection/response_head.h
+++ b/include/citronseam/connection/response_head.h
@@ -29,9 +29,9 @@
     none,
     too_long,
     status_line,
-    line_ending,  ///< a line feed without a carriage return
-    header_field, ///< no colon, no name, white space in the name, a control character, or a folded
-                  ///< line
+    line_ending,    ///< a line feed without a carriage return
+    header_field,   ///< no colon, no name, white space in the name, a control character, a folded
+                    ///< line, or a status line inside it
     content_length, ///< no number, or two that differ
     transfer_coding ///< not chunked alone, or beside a Content-Length
 };
--- a/src/connection/response_head.cpp
+++ b/src/connection/response_head.cpp
@@ -61,19 +61,40 @@
     });
 }
 
+constexpr std::string_view version_start = "HTTP/1.";
+constexpr std::size_t version_size = 8; // HTTP/1.1
+constexpr std::size_t status_size = 3;
+
+std::string_view find_status(std::string_view line) {
+    return line.substr(std::min(line.size(), version_size + 1), status_size);
+}
+
+bool starts_with_status(std::string_view line) {
+    const std::string_view status = find_status(line);
+    return line.substr(0, version_start.size()) == version_start && line.size() > version_size &&
+           line[version_size] == ' ' && is_digits(line.substr(version_start.size(), 1)) &&
+           status.size() == status_size && is_digits(status);
+}
+
+/// @return whether a status line begins inside a line: a head broke off there, and another one,
+/// such as that of the next response on the connection, followed
+bool is_continued_by_response(std::string_view line) {
+    for (auto found = line.find(version_start, 1); found != std::string_view::npos;
+         found = line.find(version_start, found + 1)) {
+        if (starts_with_status(line.substr(found))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool read_status_line(response_head& head, std::string_view line) {
-    constexpr std::size_t version_size = 8; // HTTP/1.1
-    constexpr std::size_t status_size = 3;
-    constexpr std::string_view major = "HTTP/1.";
-    const std::string_view status =
-        line.substr(std::min(line.size(), version_size + 1), status_size);
+    const std::string_view status = find_status(line);
     const std::string_view rest =
         line.substr(std::min(line.size(), version_size + 1 + status_size));
-    const bool is_status_line =
-        line.substr(0, major.size()) == major && line.size() > version_size &&
-        line[version_size] == ' ' && is_digits(line.substr(major.size(), 1)) &&
-        status.size() == status_size && is_digits(status) &&
-        (rest.empty() || rest.front() == ' ') && !has_control_character(line);
+    const bool is_status_line = starts_with_status(line) && !is_continued_by_response(line) &&
+                                (rest.empty() || rest.front() == ' ') &&
+                                !has_control_character(line);
     const std::size_t received_bytes = head.received_bytes;
     head = {};
     head.received_bytes = received_bytes;
@@ -110,7 +131,7 @@
     const std::string_view field_name = line.substr(0, colon);
     if (colon == std::string_view::npos || field_name.empty() ||
         field_name.find_first_of(white_space) != std::string_view::npos ||
-        has_control_character(line)) {
+        has_control_character(line) || is_continued_by_response(line)) {
         return head_defect::header_field;
     }
     const std::string_view value = trim(line.substr(colon + 1));
--- a/tests/process_kept_connection_test.cpp
+++ b/tests/process_kept_connection_test.cpp
@@ -38,10 +38,10 @@
 }
 
 /// @return a whole answer that names its request
-std::string answer_to(const std::string& head) {
+std::string answer_to(const std::string& head, const std::string& status = "200 OK") {
     const std::string body = "done " + target_of(head);
-    return "HTTP/1.1 200 OK\r\nX-Citronseam-Attempt-Id: " +
-           header_of(head, "X-Citronseam-Attempt-Id") +
+    return "HTTP/1.1 " + status +
+           "\r\nX-Citronseam-Attempt-Id: " + header_of(head, "X-Citronseam-Attempt-Id") +
            "\r\nX-Citronseam-Response-Seal: seal-of-raw\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -62,8 +62,8 @@
             const bool is_kept = desk->connection_count() == 1;
             // The request runs while the earlier answer is on its way.
             const std::string& repeated = repeated_bytes.empty() ? first_bytes_ : repeated_bytes;
-            return raw_answer{is_kept ? repeated : "", raw_ending::keep, answer_to(head),
-                              work_time};
+            return raw_answer{is_kept ? repeated : "", raw_ending::keep,
+                              answer_to(head, later_status), work_time};
         });
         for (const auto& server : world.plain_servers) {
             world.store.remove("servers", server->id());
@@ -85,7 +85,8 @@
         return answer;
     }
 
-    std::string repeated_bytes; ///< written before later answers; empty: the first answer
+    std::string repeated_bytes;         ///< written before later answers; empty: the first answer
+    std::string later_status{"200 OK"}; ///< of later answers
     platform_world world;
     std::unique_ptr<raw_server> desk;
 
@@ -189,4 +190,44 @@
     EXPECT_EQ(desk->request_count(), 1);
 }
 
+/// The head of an earlier answer that breaks off right before the answer to the next request.
+struct broken_head {
+    const char* name;
+    const char* bytes;
+};
+
+std::ostream& operator<<(std::ostream& out, const broken_head& head) {
+    return out << head.name;
+}
+
+class broken_heads : public kept_connections, public ::testing::WithParamInterface<broken_head> {
+protected:
+    void start_with_failing_server() {
+        start([](const std::string& head) { return answer_to(head); });
+        later_status = "500 Internal Server Error";
+        repeated_bytes = GetParam().bytes;
+    }
+};
+
+// Guards against MIXED and REFUSED: the status of an earlier answer that broke off inside its head
+// is taken for that of the next request, whose server failed it.
+TEST_P(broken_heads, are_not_continued_by_the_next_answer) {
+    start_with_failing_server();
+    EXPECT_EQ(call("GET", "/look/1").body, "done /look/1");
+    const auto next = call("GET", "/look/2");
+    EXPECT_EQ(next.outcome.status, 502) << next.body << world.gateway(0).output();
+    EXPECT_EQ(find_header(next.headers, "X-Citronseam-Response-Seal"), "");
+    EXPECT_EQ(desk->connection_count(), 1) << "the connection is kept";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    kept_connections, broken_heads,
+    ::testing::Values(broken_head{"in_the_reason_phrase", "HTTP/1.1 200 O"},
+                      broken_head{"in_a_value", "HTTP/1.1 200 OK\r\nDate: Sat, 05"},
+                      broken_head{"in_the_reason_phrase_of_a_refusal", "HTTP/1.1 503 Service"},
+                      broken_head{"in_the_statement_of_a_refusal",
+                                  "HTTP/1.1 503 Service Unavailable\r\n"
+                                  "X-Citronseam-Not-Executed: 1"}),
+    [](const auto& tested) { return std::string(tested.param.name); });
+
 } // namespace
--- a/tests/response_head_test.cpp
+++ b/tests/response_head_test.cpp
@@ -74,6 +74,28 @@
     }
 }
 
+// Guards against MIXED: a head that broke off is continued by the head of another response, so that
+// the status of one counts for the other.
+TEST(response_head, status_line_inside_a_line_is_malformed) {
+    const std::string broken_head = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+    const std::string next = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t size = 1; size < broken_head.size(); ++size) {
+        std::string rest = broken_head.substr(0, size) + next;
+        response_head head;
+        bool is_sound = true;
+        while (is_sound && !rest.empty()) {
+            const std::size_t line_end = rest.find('\n') + 1;
+            is_sound = read_head_line(head, rest.substr(0, line_end));
+            rest.erase(0, line_end);
+        }
+        EXPECT_FALSE(is_sound) << broken_head.substr(0, size);
+    }
+    for (const char* field : {"Via: HTTP/1.1 proxy\r\n", "Upgrade: HTTP/2.0, HTTP/1.1\r\n",
+                              "X-Note: HTTP/1.1 takes 3 digits\r\n"}) {
+        EXPECT_TRUE(is_final_head_whole(read_fields({field}))) << field;
+    }
+}
+
 // Guards against an interim response that counts as the final one, or leaves fields to it.
 TEST(response_head, interim_responses_leave_nothing_to_the_final_one) {
     response_head head = read_lines({"HTTP/1.1 103 Early Hints\r\n", "Content-Length: 5\r\n",
