Promise nothing after an unnamed refusal at the server that a request has left

What callers saw: 503, "not run", for a request that a server may have been running.

Cause: a refusal without id on a connection that carried another request is no promise, but that was recorded only for the attempt whose answer is delivered. A request that moved from a silent server to a second one forgot such a refusal of the first one; when the second one refused it by name, both counted as refusals of this request.

Why it works: the verdict is recorded with each response, before it is known which attempt goes on.

--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -351,6 +351,11 @@
     if (kind == response_kind::broken) {
         record_broken(source, outcome);
     } else if (kind == response_kind::not_run) {
+        // An unnamed refusal on a connection that carried another request may be that one's, so it
+        // is no promise for this one.
+        if (source.parameters.attempt.empty() && outcome.is_connection_reused) {
+            verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
+        }
         end_attempt(source, is_other_server(source) ? exchange_outcome::wrong_server
                                                     : exchange_outcome::refused);
     } else {
@@ -398,11 +403,6 @@
 
 void gateway_exchange::handle_response(response_kind kind) {
     if (kind == response_kind::not_run) {
-        // An unnamed refusal on a connection that carried another request may be that one's, so it
-        // is no promise for this one.
-        if (attempt_->parameters.attempt.empty() && attempt_->outcome.is_connection_reused) {
-            verdict_ = combine_verdicts(verdict_, run_verdict::may_have_run);
-        }
         handle_not_run(is_other_server(*attempt_) ? "server_replaced" : "server_refused");
         return;
     }
--- a/tests/process_kept_connection_test.cpp
+++ b/tests/process_kept_connection_test.cpp
@@ -1,5 +1,8 @@
 // Servers that write an earlier answer once more on a kept connection, at a gateway on a simulated
 // platform.
+#include <algorithm>
+#include <array>
+#include <atomic>
 #include <memory>
 #include <thread>
 
@@ -230,4 +233,68 @@
                                   "X-Citronseam-Not-Executed: 1"}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+/// A gateway whose service `desk` has two servers.
+class moved_requests : public ::testing::Test {
+protected:
+    void SetUp() override {
+        for (const auto& server : world.plain_servers) {
+            world.store.remove("servers", server->id());
+        }
+        for (std::size_t i = 0; i < server_count; ++i) {
+            desks[i] = std::make_unique<raw_server>(
+                [this](const std::string& head) { return answer(head); });
+            world.put_foreign_server_row(name(i), desks[i]->address(), "desk");
+        }
+        world.set_retry_ratio(server_count);
+        ASSERT_TRUE(world.start()) << world.gateway(0).output();
+        for (std::size_t i = 0; i < server_count; ++i) {
+            ASSERT_NE(world.gateway(0).wait_for_line(name(i), listing_timeout), "");
+        }
+    }
+
+    http_response look(const std::string& path) {
+        return world.call(0, "GET", path,
+                          {{"Authorization", std::string("Token ") + platform_world::api_key}});
+    }
+
+    static constexpr std::size_t server_count = 2;
+    static constexpr const char* moved_path = "/look/moved";
+
+    std::array<std::unique_ptr<raw_server>, server_count> desks;
+    std::atomic<int> moved_arrivals{0};
+    platform_world world;
+
+private:
+    /// After a gateway has sent the request to a second server as well.
+    static constexpr milliseconds late_refusal_time{500};
+    static constexpr milliseconds refusal_time{400};
+
+    static std::string name(std::size_t server) { return "raw-desk-" + std::to_string(server); }
+
+    raw_answer answer(const std::string& head) {
+        if (target_of(head) != moved_path) {
+            return {answer_to(head), raw_ending::keep, {}, {}};
+        }
+        if (++moved_arrivals == 1) {
+            return {"", raw_ending::keep, refusal, late_refusal_time};
+        }
+        const std::string named = std::string(refusal).insert(
+            std::string(refusal).find("Content-Length"),
+            "X-Citronseam-Attempt-Id: " + header_of(head, "X-Citronseam-Attempt-Id") + "\r\n");
+        return {"", raw_ending::keep, named, refusal_time};
+    }
+};
+
+// Guards against a false promise: a request has moved from a server where an unnamed refusal, which
+// may be an earlier request's, came late, and is refused by the other one.
+TEST_F(moved_requests, late_refusal_without_id_promises_nothing) {
+    const auto has_requests = [](const auto& desk) { return desk->request_count() > 0; };
+    for (int i = 0; !std::all_of(desks.begin(), desks.end(), has_requests); ++i) {
+        ASSERT_LT(i, 100);
+        EXPECT_EQ(look("/look/" + std::to_string(i)).outcome.status, 200);
+    }
+    EXPECT_EQ(look(moved_path).outcome.status, 502) << world.gateway(0).output();
+    EXPECT_EQ(moved_arrivals, 2);
+}
+
 } // namespace
