Handle no request on a connection that is about to be closed as idle

What callers saw: a request on a kept connection is passed on to a server and its connection is closed without an answer.

Cause: the check of the timeouts decides to close an idle connection and posts the close. Until that step runs, which takes as long as the loop is busy, the connection still accepted a request.

Evidence: server_connection_test takes the steps in this order, without threads; it failed before.

Why it works: the decision marks the connection as closing under the same lock, and a closing one handles no request.

--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -195,6 +195,8 @@
             is_open_
                 ? choose_timeout_action(phase_, milliseconds(elapsed_ms(phase_since_, now)), limits)
                 : timeout_action::keep;
+        // A request that comes before the close below must not be handled.
+        is_closing_ = is_closing_ || action == timeout_action::close;
     }
     if (action == timeout_action::refuse && begin_request()) {
         close_after_response();
