Test that an interim response states no end of the final one

Fields of a 103 that state a length or chunks, before a final response with and without a length: none takes effect. Passes without a change; kept as the client relies on libcurl for it.

--- a/tests/http_response_table_test.cpp
+++ b/tests/http_response_table_test.cpp
@@ -218,6 +218,19 @@
         named_head{"old_protocol", ""}),
     [](const auto& tested) { return std::string(tested.param.name); });
 
+// Guards against MIXED: the end of a response is taken from an interim response before it.
+TEST(interim_responses, state_no_end_of_the_final_response) {
+    for (const char* field : {"Content-Length: 5", "Transfer-Encoding: chunked"}) {
+        for (const char* final_field : {"", "Content-Length: 12\r\n"}) {
+            const http_response response =
+                fetch_answer("HTTP/1.1 103 Early Hints\r\n" + std::string(field) +
+                             "\r\n\r\nHTTP/1.1 200 OK\r\n" + final_field + "\r\n");
+            EXPECT_TRUE(!response.outcome.is_complete || response.body == "hello, world")
+                << field << " " << final_field << "[" << response.body << "]";
+        }
+    }
+}
+
 class unusual_responses : public ::testing::TestWithParam<named_head> {};
 
 // Guards against a sound answer that is refused for its unusual form.
