Read on after the last response of a connection until its client closes it

What callers saw: an answer that breaks off with a reset, though all of it had been written: 127575 of 1048576 bytes arrived.

Cause: after the last response the socket was shut down in both directions. A request that the caller sends before it has read that response then meets a closed input, the operating system answers with a reset, and discards what was still to be sent (RFC 9112, section 9.6).

Evidence: http_server.a_late_request_does_not_cut_off_the_last_response failed before.

Why it works: only the output ends. Input is read and dropped, as a closing connection handles no request, until the client closes or has had two seconds after the last byte that it took. a_connection_ends_although_its_client_does_not_close_it shows the bound; tests/http_server_test passes in whole, 22 of 22.

--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -16,6 +16,9 @@
 /// A connection with more unsent bytes than this is closed, which bounds memory.
 constexpr std::size_t max_queued_bytes = 32 * mebibyte;
 constexpr std::size_t max_parts_per_write = 64;
+/// Time for a client to close its side after the last response. A client that was still sending
+/// would get a reset, which discards what it has not received yet (RFC 9112, section 9.6).
+constexpr milliseconds client_close_timeout{2000};
 
 } // namespace
 
@@ -76,7 +79,7 @@
         }
     }
     if (is_done) {
-        close_socket();
+        end_output();
     }
     if (in_flight_.empty()) {
         return;
@@ -123,6 +126,17 @@
     ::setsockopt(socket_->native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
+/// Ends the connection in order. Its input is still read, until the client closes it too.
+void server_connection::end_output() {
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        is_output_ended_ = true;
+        phase_since_ = std::chrono::steady_clock::now();
+    }
+    asio::error_code ignored;
+    socket_->shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void server_connection::close_socket() {
     bool is_reset = false;
     {
@@ -186,15 +200,23 @@
     }
 }
 
+timeout_action server_connection::choose_action_locked(const connection_limits& limits,
+                                                       time_point now) const {
+    if (!is_open_) {
+        return timeout_action::keep;
+    }
+    const milliseconds since(elapsed_ms(phase_since_, now));
+    return is_output_ended_ && since >= client_close_timeout
+               ? timeout_action::close
+               : choose_timeout_action(phase_, since, limits);
+}
+
 void server_connection::check_timeouts(const connection_limits& limits, time_point now) {
     timeout_action action{};
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         record_progress_locked(now);
-        action =
-            is_open_
-                ? choose_timeout_action(phase_, milliseconds(elapsed_ms(phase_since_, now)), limits)
-                : timeout_action::keep;
+        action = choose_action_locked(limits, now);
         // A request that comes before the close below must not be handled.
         is_closing_ = is_closing_ || action == timeout_action::close;
     }
@@ -239,7 +261,7 @@
     if (is_closing_ && is_writing_ && is_open_) {
         set_reset_on_close_locked(true);
     } else if (is_closing_ && !is_writing_) {
-        post_locked(&server_connection::close_socket);
+        post_locked(&server_connection::end_output);
     }
 }
 
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -78,8 +78,10 @@
     void end_response_locked();
     void set_reset_on_close_locked(bool is_reset);
     void record_progress_locked(time_point now);
+    timeout_action choose_action_locked(const connection_limits& limits, time_point now) const;
     void write_queued();
     void handle_written(const asio::error_code& ec);
+    void end_output();
     void close_socket();
 
     std::optional<asio::ip::tcp::socket> socket_; ///< empty after release_socket()
@@ -98,6 +100,7 @@
     bool is_draining_{false}; ///< the client may not have taken the whole last response yet
     bool is_last_response_{false};
     bool is_closing_{false};
+    bool is_output_ended_{false};   ///< the last response is written, the client may still send
     bool is_reset_on_close_{false}; ///< bytes of the last response are not written yet
 };
 
