Confirm an engine's state on a connection of its own

Symptom, by test: where an earlier answer to /report came once more on the sidecar's kept connection, it counted as the engine's present state. An older count of orders counted as a restart, so that an order that was still open was taken for lost and newer pieces could be staged under it. A state from before a restart hid that restart from the order that followed the check, and an engine without its pieces was ordered to load (WHOLE).

The answer was taken for this poll's own since nothing said otherwise.

Ruled out: the echo; and a new connection for each poll, which takes 16 times the connections to servers.

Fix: polls keep their connection, but a state that differs in more than the load from the last confirmed one is read again on a connection of its own, at once. No earlier answer can be on it. Restarts, open orders, the state that an order waits for and weights in force are taken from confirmed states only; the load report may still be one poll old. If the engine refuses the new connection, the next poll uses the kept one, so it is not taken for unreachable.

--- a/include/citronseam/version/staging_check.h
+++ b/include/citronseam/version/staging_check.h
@@ -22,7 +22,7 @@
 struct order_conditions {
     std::uint64_t version{0};            ///< of the weights to load
     std::uint64_t engine_incarnation{0}; ///< in the engine's last state
-    boot_clock::time_point polled_at;    ///< when the engine's last state was requested
+    boot_clock::time_point polled_at;    ///< when the engine's confirmed state was requested
     boot_clock::time_point now;
 };
 
--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -81,13 +81,13 @@
 }
 
 bool weights_loader::is_active() const {
-    return engine_.state()->weights_version >= weights_->target.version;
+    return engine_.confirmed_state()->weights_version >= weights_->target.version;
 }
 
 void weights_loader::reconcile() {
     const auto now = std::chrono::steady_clock::now();
     take_next_weights();
-    if (weights_ == nullptr || !engine_.state() || now < retry_at_) {
+    if (weights_ == nullptr || !engine_.confirmed_state() || now < retry_at_) {
         return;
     }
     if (incarnation_ != engine_.incarnation()) {
@@ -215,7 +215,7 @@
 
 /// An order is accepted only at its expected count, which it increments.
 void weights_loader::settle_open_order() {
-    if (!is_order_open_ || engine_.state()->accepted_order_count == ordered_count_) {
+    if (!is_order_open_ || engine_.confirmed_state()->accepted_order_count == ordered_count_) {
         return;
     }
     is_order_open_ = false;
@@ -226,22 +226,23 @@
 
 void weights_loader::order_load_when_due() {
     const auto now = std::chrono::steady_clock::now();
-    if (!engine_.state()) {
+    if (!engine_.confirmed_state()) {
         return;
     }
-    const bool serves_nothing = engine_.state()->weights_version == 0;
+    const bool serves_nothing = engine_.confirmed_state()->weights_version == 0;
     const bool is_early = now < scheduled_load_at() || should_wait_for_newer(now);
     if (!serves_nothing && !is_order_open_ && is_early) {
         return;
     }
     const order_conditions conditions{weights_->target.version, engine_.incarnation(),
-                                      engine_.polled_at(), boot_clock::now()};
+                                      engine_.confirmed_at(), boot_clock::now()};
     switch (may_order(check_, conditions)) {
     case order_permission::granted:
         send_load_order();
         break;
     case order_permission::needs_state:
-        break; // the next state is read within the poll interval
+        engine_.request_confirmation(); // read within the poll interval
+        break;
     case order_permission::needs_check:
         start_check();
         break;
@@ -256,7 +257,7 @@
     load.version = weights_->target.version;
     // Versions increase, so the engine refuses a delayed order of an earlier sidecar process.
     load.fencing_token = weights_->target.version;
-    load.accepted_order_count = engine_.state()->accepted_order_count;
+    load.accepted_order_count = engine_.confirmed_state()->accepted_order_count;
     is_order_open_ = true;
     ordered_count_ = load.accepted_order_count;
     log_event(
@@ -269,7 +270,7 @@
           std::chrono::duration_cast<milliseconds>(boot_clock::now() - check_.started_at).count()},
          {"check_life", check_.engine_incarnation},
          {"life", engine_.incarnation()},
-         {"running", engine_.state()->running},
+         {"running", engine_.confirmed_state()->running},
          {"orders", load.accepted_order_count}});
     is_busy_ = true;
     fetch_on_control(
@@ -302,10 +303,10 @@
 
 void weights_loader::watch_load() {
     const auto now = std::chrono::steady_clock::now();
-    const bool is_executing = engine_.state()->is_executing_load_order;
-    if (!is_executing && engine_.state()->accepted_order_count > 0 && is_active()) {
+    const bool is_executing = engine_.confirmed_state()->is_executing_load_order;
+    if (!is_executing && engine_.confirmed_state()->accepted_order_count > 0 && is_active()) {
         log_event(log_level::info, "weights_in_force",
-                  {{"version", engine_.state()->weights_version},
+                  {{"version", engine_.confirmed_state()->weights_version},
                    {"after_ms", elapsed_ms(weights_->target.announced_at, now)},
                    {"load_ms", elapsed_ms(ordered_at_, now)}});
         is_order_open_ = false; // it would be answered as already in effect
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -97,6 +97,7 @@
 
 void raw_server::answer(const connection_pointer& accepted) {
     ++request_count_;
+    previous_answer_ = accepted->response;
     const raw_answer answered = answer_(accepted->head);
     accepted->response = answered.bytes;
     if (is_crashing_) {
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -50,6 +50,9 @@
     int request_count() const { return request_count_; }
     /// @return number of connections accepted
     int connection_count() const { return connection_count_; }
+    /// May be called by the function that answers.
+    /// @return the last answer on the present request's connection; empty on a new connection
+    const std::string& previous_answer() const { return previous_answer_; }
     /// Refuses connections from the next answer on, which ends with its connection as usual.
     void crash_with_next_answer() { is_crashing_ = true; }
     /// Leaves connections unanswered from the next answer on, which ends with its connection as
@@ -67,6 +70,7 @@
     void end(const connection_pointer& accepted, raw_ending ending);
 
     std::function<raw_answer(const std::string&)> answer_;
+    std::string previous_answer_;
     std::atomic<int> request_count_{0};
     std::atomic<int> connection_count_{0};
     std::atomic<bool> is_crashing_{false};
