Read staged pieces back on a connection of their own, and order a load on it

Symptom, by test: the answer to a piece that was read back, written once more where the answer to the order was due, was a 200 and so settled the order as 'already in effect'.

Cause: answers of an engine name no request here, and pieces, orders and polls shared kept connections.

Fix: each check has a client, and thereby a connection, of its own, so no answer there is older than the check and a second copy in it has another piece's digest. The order uses the check's connection, so that it still needs no connect, and a check serves one order. All earlier answers there are to readings of pieces, so 202 and the refusals can only be the order's. A 200 can't be told from a piece, so the order stays open until a state that was confirmed after the answer shows what became of it.

Evidence: both late_second_answer_to_a_piece cases of engine_answers_test fail in 6 of 6 runs before and pass in 5 of 5 after it; order_uses_the_connection_on_which_the_pieces_were_read_back passes before and after; process_staging_test and process_weights_test pass.

--- a/src/programs/sidecar/sidecar_context.h
+++ b/src/programs/sidecar/sidecar_context.h
@@ -20,11 +20,15 @@
     metrics& metric_registry;
 };
 
-/// Sends a request and handles the response on the control thread.
+/// Sends a request with the shared client and handles the response on the control thread.
 /// @param max_body_size maximum bytes of the response's body; the exchange fails if it is longer
 /// @param on_response   called with the response on the control thread
 void fetch_on_control(sidecar_context& context, http_request request, std::size_t max_body_size,
                       std::function<void(const http_response&)> on_response);
+/// Sends a request with a client of the caller's, which must live until the response is handled.
+void fetch_on_control(sidecar_context& context, http_client& http, http_request request,
+                      std::size_t max_body_size,
+                      std::function<void(const http_response&)> on_response);
 
 } // namespace citronseam
 
--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -102,6 +102,8 @@
     if (step_ == load_step::idle && !is_active()) {
         set_step(load_step::stage);
         stage_next(0);
+    } else if (step_ == load_step::verify) {
+        start_check();
     } else if (step_ == load_step::scheduled) {
         order_load_when_due();
     } else if (step_ == load_step::load) {
@@ -143,6 +145,10 @@
 
 void weights_loader::start_check() {
     set_step(load_step::verify);
+    if (outstanding_requests_ == 0) {
+        check_clients_.clear();
+    }
+    check_clients_.push_back(std::make_unique<http_client>());
     check_started_at_ = std::chrono::steady_clock::now();
     check_ = {weights_->target.version, engine_.incarnation(), boot_clock::now(), {}};
     verify_next(0);
@@ -156,7 +162,7 @@
         return;
     }
     is_busy_ = true;
-    fetch_on_control(context_,
+    fetch_on_control(context_, *check_clients_.back(),
                      platform::make_staged_chunk_request(context_.options.backend_server.address,
                                                          weights_->target.model, chunk),
                      max_chunk_size,
@@ -172,6 +178,13 @@
         verify_next(chunk + 1);
         return;
     }
+    if (!response.outcome.is_complete) {
+        // The engine may be down, or refuse new connections.
+        log_event(log_level::warning, "staged_piece_unread",
+                  {{"piece", chunk}, {"reason", response.outcome.message}});
+        retry_at_ = std::chrono::steady_clock::now() + retry_delay;
+        return;
+    }
     log_event(
         log_level::warning, "staged_piece_bad",
         {{"piece", chunk}, {"status", response.outcome.status}, {"bytes", response.body.size()}});
@@ -274,12 +287,17 @@
          {"orders", load.accepted_order_count}});
     is_busy_ = true;
     fetch_on_control(
-        context_, platform::make_load_order_request(context_.options.backend_server.address, load),
+        context_, *check_clients_.back(),
+        platform::make_load_order_request(context_.options.backend_server.address, load),
         max_order_reply_bytes,
         make_step_handler([this](const http_response& response) { handle_order_reply(response); }));
+    check_ = {}; // one order for each check and its connection
 }
 
+/// No answer names its order, but all earlier answers on its connection are those to readings of
+/// chunks: 200 may be one of them. Only the engine's state then shows what became of the order.
 void weights_loader::handle_order_reply(const http_response& response) {
+    order_answered_at_ = boot_clock::now();
     const platform::load_order_outcome outcome = platform::parse_order_outcome(response);
     if (outcome == platform::load_order_outcome::unknown) {
         log_event(log_level::warning, "load_unanswered",
@@ -289,11 +307,13 @@
         retry_at_ = std::chrono::steady_clock::now() + retry_delay;
         return;
     }
-    is_order_open_ = false;
-    if (outcome == platform::load_order_outcome::accepted ||
-        outcome == platform::load_order_outcome::already_in_service) {
+    if (outcome == platform::load_order_outcome::already_in_service) {
         return; // watch_load() detects the outcome
     }
+    is_order_open_ = false;
+    if (outcome == platform::load_order_outcome::accepted) {
+        return; // here too
+    }
     log_event(log_level::warning, "load_refused",
               {{"version", weights_->target.version}, {"status", response.outcome.status}});
     context_.metric_registry.count("citronseam_loads_failed_total");
@@ -316,6 +336,10 @@
     if (is_executing) {
         return;
     }
+    if (engine_.confirmed_at() <= order_answered_at_) {
+        engine_.request_confirmation();
+        return;
+    }
     if (is_order_open_) {
         // The order may still be executed, with what is staged then. The engine accepts one of two
         // equal orders.
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -88,12 +88,16 @@
     bool is_busy_{false};                 ///< a request of this step is outstanding
     std::size_t outstanding_requests_{0}; ///< of all steps
     staging_check check_;
+    /// The last check reads with the last client, on a connection of its own: no answer there is
+    /// older than the check. Earlier ones live until no request is outstanding.
+    std::vector<std::unique_ptr<http_client>> check_clients_;
     time_point check_started_at_; ///< for logs
     /// The engine may execute the last order, but has not answered. Until that is settled, only the
     /// same chunks are staged, and only the same order is sent.
     bool is_order_open_{false};
     std::uint64_t ordered_count_{0}; ///< count of orders that the last order expects
     time_point ordered_at_;
+    boot_clock::time_point order_answered_at_; ///< also if it failed
     time_point retry_at_;
 };
 
--- a/tests/engine_answers_test.cpp
+++ b/tests/engine_answers_test.cpp
@@ -64,6 +64,8 @@
         staged_.clear();
     }
     /// Called by the edit function.
+    void lose_pieces() { staged_.clear(); }
+    /// Called by the edit function.
     void set_sequence(int sequence) { sequence_ = sequence; }
 
     std::size_t piece_count{2};
@@ -189,6 +191,25 @@
                          [] { return std::uint64_t{0}; }, [] { return milliseconds(0); }})};
 };
 
+// Guards against WHOLE: a late second answer to a piece that is read back counts as the answer to
+// the order, which may still be executed, and newer pieces are staged.
+TEST(engine_answers, late_second_answer_to_a_piece_does_not_settle_an_order) {
+    std::unique_ptr<raw_engine> engine;
+    engine = std::make_unique<raw_engine>([&](engine_call call, const std::string& answer) {
+        const std::string piece = with_status("200 OK", weight_origin::piece(2, 1));
+        const bool is_first_order = call == engine_call::order && engine->count_now().orders == 1;
+        return plain(is_first_order ? piece : answer);
+    });
+    engine->is_order_held = true;
+    engine_caller sidecar(engine->address());
+    sidecar.load(make_weights(2, 2));
+    ASSERT_TRUE(wait_until([&] { return engine->count().orders >= 1; }, answer_timeout));
+    sidecar.load(make_weights(3, 2));
+    ASSERT_TRUE(wait_until([&] { return engine->count().orders >= 2 || engine->count().puts > 2; },
+                           answer_timeout));
+    EXPECT_EQ(engine->count().puts, 2) << "newer pieces were staged";
+}
+
 // Guards against an old state, answered once more, that counts as a restart of the engine: an open
 // order is then taken for lost.
 TEST(engine_answers, late_second_report_is_not_a_restart) {
@@ -242,6 +263,33 @@
     EXPECT_EQ(engine->count().wrong_orders, 0) << "an engine without pieces was ordered to load";
 }
 
+// Guards against WHOLE: the answer to an earlier reading of a piece comes once more and counts as
+// read back, although the piece is gone.
+TEST(engine_answers, late_second_answer_to_a_piece_is_not_read_back) {
+    std::unique_ptr<raw_engine> engine;
+    std::string first_piece;
+    engine = std::make_unique<raw_engine>([&](engine_call call, const std::string& answer) {
+        if (call == engine_call::order && engine->count_now().orders == 1) {
+            engine->is_order_held = false;
+            engine->lose_pieces();
+            return plain(with_status("500 Internal Server Error"));
+        }
+        if (call == engine_call::get && first_piece.empty()) {
+            first_piece = answer;
+        }
+        const bool is_repeated = call == engine_call::get && engine->count_now().orders == 1 &&
+                                 !engine->previous_answer().empty();
+        return is_repeated ? raw_answer{first_piece, raw_ending::keep, answer, work_time}
+                           : plain(answer);
+    });
+    engine->piece_count = 1;
+    engine->is_order_held = true;
+    engine_caller sidecar(engine->address());
+    sidecar.load(make_weights(2, 1));
+    ASSERT_TRUE(wait_until([&] { return engine->count().orders >= 2; }, answer_timeout));
+    EXPECT_EQ(engine->count().wrong_orders, 0) << "a piece that is gone counts as read back";
+}
+
 // Guards against a new connection for each poll of an engine, which costs it time.
 TEST(engine_answers, polls_of_an_engine_at_rest_keep_their_connection) {
     std::atomic<int> reports{0};
