--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -81,13 +81,13 @@
 }
 
 bool weights_loader::is_active() const {
-    return engine_.state()->weights_version >= weights_->target.version;
+    return engine_.confirmed_state()->weights_version >= weights_->target.version;
 }
 
 void weights_loader::reconcile() {
     const auto now = std::chrono::steady_clock::now();
     take_next_weights();
-    if (weights_ == nullptr || !engine_.state() || now < retry_at_) {
+    if (weights_ == nullptr || !engine_.confirmed_state() || now < retry_at_) {
         return;
     }
     if (incarnation_ != engine_.incarnation()) {
@@ -102,6 +102,8 @@
     if (step_ == load_step::idle && !is_active()) {
         set_step(load_step::stage);
         stage_next(0);
+    } else if (step_ == load_step::verify) {
+        start_check();
     } else if (step_ == load_step::scheduled) {
         order_load_when_due();
     } else if (step_ == load_step::load) {
@@ -143,6 +145,10 @@
 
 void weights_loader::start_check() {
     set_step(load_step::verify);
+    if (outstanding_requests_ == 0) {
+        check_clients_.clear();
+    }
+    check_clients_.push_back(std::make_unique<http_client>());
     check_started_at_ = std::chrono::steady_clock::now();
     check_ = {weights_->target.version, engine_.incarnation(), boot_clock::now(), {}};
     verify_next(0);
@@ -156,7 +162,7 @@
         return;
     }
     is_busy_ = true;
-    fetch_on_control(context_,
+    fetch_on_control(context_, *check_clients_.back(),
                      platform::make_staged_chunk_request(context_.options.backend_server.address,
                                                          weights_->target.model, chunk),
                      max_chunk_size,
@@ -172,6 +178,13 @@
         verify_next(chunk + 1);
         return;
     }
+    if (!response.outcome.is_complete) {
+        // The engine may be down, or refuse new connections.
+        log_event(log_level::warning, "staged_piece_unread",
+                  {{"piece", chunk}, {"reason", response.outcome.message}});
+        retry_at_ = std::chrono::steady_clock::now() + retry_delay;
+        return;
+    }
     log_event(
         log_level::warning, "staged_piece_bad",
         {{"piece", chunk}, {"status", response.outcome.status}, {"bytes", response.body.size()}});
@@ -215,7 +228,7 @@
 
 /// An order is accepted only at its expected count, which it increments.
 void weights_loader::settle_open_order() {
-    if (!is_order_open_ || engine_.state()->accepted_order_count == ordered_count_) {
+    if (!is_order_open_ || engine_.confirmed_state()->accepted_order_count == ordered_count_) {
         return;
     }
     is_order_open_ = false;
@@ -226,22 +239,23 @@
 
 void weights_loader::order_load_when_due() {
     const auto now = std::chrono::steady_clock::now();
-    if (!engine_.state()) {
+    if (!engine_.confirmed_state()) {
         return;
     }
-    const bool serves_nothing = engine_.state()->weights_version == 0;
+    const bool serves_nothing = engine_.confirmed_state()->weights_version == 0;
     const bool is_early = now < scheduled_load_at() || should_wait_for_newer(now);
     if (!serves_nothing && !is_order_open_ && is_early) {
         return;
     }
     const order_conditions conditions{weights_->target.version, engine_.incarnation(),
-                                      engine_.polled_at(), boot_clock::now()};
+                                      engine_.confirmed_at(), boot_clock::now()};
     switch (may_order(check_, conditions)) {
     case order_permission::granted:
         send_load_order();
         break;
     case order_permission::needs_state:
-        break; // the next state is read within the poll interval
+        engine_.request_confirmation(); // read within the poll interval
+        break;
     case order_permission::needs_check:
         start_check();
         break;
@@ -256,7 +270,7 @@
     load.version = weights_->target.version;
     // Versions increase, so the engine refuses a delayed order of an earlier sidecar process.
     load.fencing_token = weights_->target.version;
-    load.accepted_order_count = engine_.state()->accepted_order_count;
+    load.accepted_order_count = engine_.confirmed_state()->accepted_order_count;
     is_order_open_ = true;
     ordered_count_ = load.accepted_order_count;
     log_event(
@@ -269,16 +283,21 @@
           std::chrono::duration_cast<milliseconds>(boot_clock::now() - check_.started_at).count()},
          {"check_life", check_.engine_incarnation},
          {"life", engine_.incarnation()},
-         {"running", engine_.state()->running},
+         {"running", engine_.confirmed_state()->running},
          {"orders", load.accepted_order_count}});
     is_busy_ = true;
     fetch_on_control(
-        context_, platform::make_load_order_request(context_.options.backend_server.address, load),
+        context_, *check_clients_.back(),
+        platform::make_load_order_request(context_.options.backend_server.address, load),
         max_order_reply_bytes,
         make_step_handler([this](const http_response& response) { handle_order_reply(response); }));
+    check_ = {}; // one order for each check and its connection
 }
 
+/// No answer names its order, but all earlier answers on its connection are those to readings of
+/// chunks: 200 may be one of them. Only the engine's state then shows what became of the order.
 void weights_loader::handle_order_reply(const http_response& response) {
+    order_answered_at_ = boot_clock::now();
     const platform::load_order_outcome outcome = platform::parse_order_outcome(response);
     if (outcome == platform::load_order_outcome::unknown) {
         log_event(log_level::warning, "load_unanswered",
@@ -288,11 +307,13 @@
         retry_at_ = std::chrono::steady_clock::now() + retry_delay;
         return;
     }
-    is_order_open_ = false;
-    if (outcome == platform::load_order_outcome::accepted ||
-        outcome == platform::load_order_outcome::already_in_service) {
+    if (outcome == platform::load_order_outcome::already_in_service) {
         return; // watch_load() detects the outcome
     }
+    is_order_open_ = false;
+    if (outcome == platform::load_order_outcome::accepted) {
+        return; // here too
+    }
     log_event(log_level::warning, "load_refused",
               {{"version", weights_->target.version}, {"status", response.outcome.status}});
     context_.metric_registry.count("citronseam_loads_failed_total");
@@ -302,10 +323,10 @@
 
 void weights_loader::watch_load() {
     const auto now = std::chrono::steady_clock::now();
-    const bool is_executing = engine_.state()->is_executing_load_order;
-    if (!is_executing && engine_.state()->accepted_order_count > 0 && is_active()) {
+    const bool is_executing = engine_.confirmed_state()->is_executing_load_order;
+    if (!is_executing && engine_.confirmed_state()->accepted_order_count > 0 && is_active()) {
         log_event(log_level::info, "weights_in_force",
-                  {{"version", engine_.state()->weights_version},
+                  {{"version", engine_.confirmed_state()->weights_version},
                    {"after_ms", elapsed_ms(weights_->target.announced_at, now)},
                    {"load_ms", elapsed_ms(ordered_at_, now)}});
         is_order_open_ = false; // it would be answered as already in effect
@@ -315,6 +336,10 @@
     if (is_executing) {
         return;
     }
+    if (engine_.confirmed_at() <= order_answered_at_) {
+        engine_.request_confirmation();
+        return;
+    }
     if (is_order_open_) {
         // The order may still be executed, with what is staged then. The engine accepts one of two
         // equal orders.
