Send a request that crashed a server again only after a round trip to the other entries

The first entry answers its caller at once, and the caller's retry reached the other entry before the reports of the losses did, so that entry took the request for a clear or a suspected one and sent it to the third server.

Each entry now asks all entries that it is connected to (crash_check) before it sends a request with a record, and waits for the replies, a lost connection or the silence timeout. Frames of a connection arrive in order, so the reply proves two things: the others have the reports of this entry, and this one has theirs. The second attempt thus begins only when every entry knows of the first crash; whichever entry the caller turns to asks again, and learns of the second one from the entry that ran it, which sent its report before it answered. No response is held back, only the next attempt of a request that has lost a server.

--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -15,6 +15,7 @@
 #include "programs/entry/backend_server_directory.h"
 #include "programs/entry/caller_request_handler.h"
 #include "programs/entry/configuration_poller.h"
+#include "programs/entry/crash_check.h"
 #include "programs/entry/entry_mesh.h"
 #include "programs/entry/entry_operator_api.h"
 #include "programs/entry/neighbours_reply.h"
@@ -40,16 +41,16 @@
           table_client_(platform_client_, options.platform.table_service,
                         options.platform.object_store, store_timeout),
           configuration_poller_(control_, table_client_, state_sync_, metrics_),
-          context_{
-              options_,
-              control_,
-              traffic_,
-              metrics_,
-              state_sync_,
-              crashes_,
-              traces_,
-              latencies_,
-              [this](const std::string& service) { return directory_.find_dispatcher(service); }} {}
+          context_{options_,
+                   control_,
+                   traffic_,
+                   metrics_,
+                   state_sync_,
+                   crashes_,
+                   crash_check_,
+                   traces_,
+                   latencies_,
+                   [this](const std::string& service) { return directory_.find_dispatcher(service); }} {}
 
     int run() {
         return run_role(options_, {[this] { start(); }, [this] { shut_down(); }, {}});
@@ -211,6 +212,16 @@
         case wire::body::crash_report:
             crashes_.handle_report(*message.body_as_crash_report());
             break;
+        case wire::body::crash_check: {
+            wire::crash_check_replyT reply;
+            reply.number = message.body_as_crash_check()->number();
+            session->send(make_frame(reply));
+            break;
+        }
+        case wire::body::crash_check_reply:
+            crash_check_.handle_reply(session->number(),
+                                      message.body_as_crash_check_reply()->number());
+            break;
         case wire::body::cache_report:
             if (const auto link = find_link(session->number())) {
                 directory_.handle_cache_report(*link, *message.body_as_cache_report());
@@ -273,6 +284,7 @@
                        {{"reason", std::string(name(reason))}});
         state_sync_.remove_session(session->number());
         mesh_.remove(session->number());
+        crash_check_.handle_session_lost(session->number());
         std::shared_ptr<backend_server_link> link;
         {
             const std::lock_guard<std::mutex> lock(links_mutex_);
@@ -378,6 +390,7 @@
     latency_recorder latencies_;
     backend_server_directory directory_;
     entry_mesh mesh_;
+    crash_check crash_check_{traffic_, mesh_, metrics_, options_.control.silence_timeout};
     http_client platform_client_;
     table_client table_client_;
     configuration_poller configuration_poller_;
--- a/src/programs/entry/entry_context.h
+++ b/src/programs/entry/entry_context.h
@@ -13,6 +13,7 @@
 #include "citronseam/process/settings.h"
 #include "programs/daemon/control_state_sync.h"
 #include "programs/daemon/crash_registry.h"
+#include "programs/entry/crash_check.h"
 #include "programs/entry/latency_recorder.h"
 #include "programs/entry/service_dispatcher.h"
 #include "programs/entry/trace_buffer.h"
@@ -27,6 +28,7 @@
     metrics& process_metrics;
     control_state_sync& state_sync;
     crash_registry& crashes;
+    crash_check& crash_checks;
     trace_buffer& traces;
     latency_recorder& latencies;
     /// @return the dispatcher of a service, or nullptr
--- a/src/programs/entry/entry_mesh.cpp
+++ b/src/programs/entry/entry_mesh.cpp
@@ -51,6 +51,16 @@
     return entries;
 }
 
+std::vector<std::shared_ptr<peer_session>> entry_mesh::sessions() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<std::shared_ptr<peer_session>> all;
+    all.reserve(by_session_.size());
+    for (const auto& [number, entry] : by_session_) {
+        all.push_back(entry.session);
+    }
+    return all;
+}
+
 bool entry_mesh::is_known(std::uint64_t session) const {
     const std::lock_guard<std::mutex> lock(mutex_);
     return by_session_.count(session) > 0;
--- a/src/programs/entry/entry_mesh.h
+++ b/src/programs/entry/entry_mesh.h
@@ -37,6 +37,8 @@
     void broadcast(const shared_frame& frame) const;
     /// @return the other entries that are connected
     std::vector<known_entry> list() const;
+    /// @return all connections to other entries, of which one entry may have several
+    std::vector<std::shared_ptr<peer_session>> sessions() const;
     /// @return whether the session belongs to an entry
     bool is_known(std::uint64_t session) const;
 
--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -145,15 +145,28 @@
 }
 
 void request_exchange::dispatch_to(std::shared_ptr<backend_server_link> link) {
-    post_to_strand([this, link = std::move(link)] {
-        // It may have waited for a server meanwhile.
-        if (is_done_ || refuse_if_quarantined()) {
-            link->load().outstanding.fetch_sub(1, std::memory_order_relaxed);
-            dispatcher_->handle_attempt_end(false);
-            return;
-        }
-        send_attempt(link);
-    });
+    post_to_strand([this, link = std::move(link)] { begin_attempt(link, false); });
+}
+
+/// Sends the request unless it may not run any more. A request that has crashed a server is sent
+/// only after the other entries have the reports of it, and this one has theirs: its caller may
+/// repeat it at any of them once it has crashed another server.
+/// @param is_checked whether the other entries were asked for this attempt
+void request_exchange::begin_attempt(const std::shared_ptr<backend_server_link>& link,
+                                     bool is_checked) {
+    // It may have waited for a server or for the other entries meanwhile.
+    if (is_done_ || refuse_if_quarantined()) {
+        link->load().outstanding.fetch_sub(1, std::memory_order_relaxed);
+        dispatcher_->handle_attempt_end(false);
+        return;
+    }
+    if (is_suspected_ && !is_checked) {
+        context_.crash_checks.start([self = shared_from_this(), link] {
+            self->post_to_strand([raw = self.get(), link] { raw->begin_attempt(link, true); });
+        });
+        return;
+    }
+    send_attempt(link);
 }
 
 void request_exchange::send_attempt(const std::shared_ptr<backend_server_link>& link) {
--- a/src/programs/entry/request_exchange.h
+++ b/src/programs/entry/request_exchange.h
@@ -111,6 +111,7 @@
     void start_deadline_timer();
     void handle_deadline();
     void handle_caller_disconnect();
+    void begin_attempt(const std::shared_ptr<backend_server_link>& link, bool is_checked);
     void send_attempt(const std::shared_ptr<backend_server_link>& link);
     shared_frame make_request_frame(std::uint64_t attempt) const;
     void forward_data(std::string_view data);
--- a/tests/process_fault_test.cpp
+++ b/tests/process_fault_test.cpp
@@ -187,6 +187,50 @@
         wait_timeout));
 }
 
+// Guards against a third crash by a caller that repeats a request at another entry before that one
+// has the report of the second crash.
+TEST(process_fault, a_crashing_request_is_quarantined_at_an_entry_that_gets_the_reports_late) {
+    constexpr milliseconds report_delay{150};
+    auto plan = small_deployment_plan();
+    plan.has_proxies = true;
+    plan.backend_servers = {{"agent-a", "pool", "zone-a", true, {}},
+                            {"agent-b", "pool", "zone-b", true, {}},
+                            {"agent-c", "pool", "zone-b", true, {}}};
+    deployment system(plan);
+    system.start();
+    // Agents and the first entry connect to the second one, so all that they report passes here.
+    system.proxy("peer:entry-1").set_client_delay(report_delay);
+    const std::string body = completion_body("crash-the-engine please", 4, true);
+    const auto first = system.call(0, "POST", "/v1/completions", body);
+    EXPECT_GE(first.outcome.status, 400) << first.body;
+    const auto repeated = system.call(1, "POST", "/v1/completions", body);
+    EXPECT_EQ(find_header(repeated.headers, "X-Refusal"), "quarantined") << repeated.body;
+    EXPECT_EQ(verdict_of(repeated), "not_run");
+    const auto other =
+        system.call(1, "POST", "/v1/completions", completion_body("harmless", 4, true));
+    EXPECT_EQ(other.outcome.status, 200) << "one server is left: " << other.body;
+}
+
+// Guards against a caller that waits for ever, or is refused, since an entry does not answer.
+TEST(process_fault, a_request_that_lost_its_server_is_repeated_while_another_entry_is_stopped) {
+    auto plan = small_deployment_plan();
+    plan.backend_servers = {{"agent-a", "pool", "zone-a", true, {"--token-ms", "20"}},
+                            {"agent-b", "pool", "zone-b", true, {}}};
+    deployment system(plan);
+    system.start();
+    auto answer = std::async(std::launch::async, [&system] {
+        return system.call(0, "POST", "/v1/completions", completion_body("long", 100, false));
+    });
+    ASSERT_TRUE(wait_until(
+        [&] { return process_status(system, "agent-a").value("running", 0) > 0; }, wait_timeout));
+    system.process("entry-1").send_signal(SIGSTOP);
+    system.process("agent-a-server").send_signal(SIGKILL);
+    const auto lost_at = std::chrono::steady_clock::now();
+    EXPECT_EQ(answer.get().outcome.status, 200);
+    EXPECT_LT(elapsed_ms(lost_at, std::chrono::steady_clock::now()), verdict_time_limit.count());
+    system.process("entry-1").send_signal(SIGCONT);
+}
+
 // Guards against a request that waits for a server while it is found to crash servers, and is then
 // sent to one more.
 TEST(process_fault, a_waiting_request_is_quarantined_too) {
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -109,6 +109,12 @@
                     [this, connection, size] { write_block(connection, true, size); });
                 return;
             }
+            const milliseconds delay(is_forward ? client_delay_ms_.load() : 0);
+            if (delay.count() > 0) {
+                loop_.post_after(delay,
+                                 [this, connection, size] { write_block(connection, true, size); });
+                return;
+            }
             write_block(connection, is_forward, size);
         });
 }
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -54,6 +54,8 @@
     /// Limits the rate at which each connection forwards what the target sends; 0 removes the
     /// limit.
     void set_target_rate(std::size_t bytes_per_second) { target_rate_ = bytes_per_second; }
+    /// Forwards what clients send this much later, in order.
+    void set_client_delay(milliseconds delay) { client_delay_ms_ = delay.count(); }
     /// Lets what clients and targets send pass links that may be shared with other relays; nullptr
     /// is no link. Call it before the first connection.
     void set_links(std::shared_ptr<shared_link> of_clients, std::shared_ptr<shared_link> of_target);
@@ -74,6 +76,7 @@
     std::atomic<bool> is_forwarding_paused_{false};
     std::atomic<int> paused_block_count_{0};
     std::atomic<std::size_t> target_rate_{0}; ///< bytes per second
+    std::atomic<std::int64_t> client_delay_ms_{0};
     std::shared_ptr<shared_link> client_link_;
     std::shared_ptr<shared_link> target_link_;
     std::vector<std::function<void()>> paused_writes_; ///< used on the event loop thread only
