--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -589,61 +589,62 @@
         EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400") << line << " -> " << answer;
         EXPECT_EQ(handled, 0) << line;
     }
+}
 
-    /// Server that closes its connections after each response.
-    class closing_server {
-    public:
-        explicit closing_server(std::size_t response_size)
-            : server_({{"127.0.0.1", 0}, 1, mebibyte},
-                      [response_size](const server_request&,
-                                      const std::shared_ptr<http_responder>& responder) {
-                          responder->close_after_response();
-                          responder->respond(200, {}, std::string(response_size, 'x'));
-                      }) {}
+/// Server that closes its connections after each response.
+class closing_server {
+public:
+    explicit closing_server(std::size_t response_size)
+        : server_({{"127.0.0.1", 0}, 1, mebibyte},
+                  [response_size](const server_request&,
+                                  const std::shared_ptr<http_responder>& responder) {
+                      responder->close_after_response();
+                      responder->respond(200, {}, std::string(response_size, 'x'));
+                  }) {}
 
-        std::uint16_t port() const { return server_.port(); }
+    std::uint16_t port() const { return server_.port(); }
 
-    private:
-        http_server server_;
-    };
+private:
+    http_server server_;
+};
 
-    // Guards against an answer that is cut off by a reset, as its client sends its next request
-    // before it has read it.
-    TEST(http_server, a_late_request_does_not_cut_off_the_last_response) {
-        constexpr std::size_t size = mebibyte;
-        constexpr milliseconds write_time{300}; // until the sockets hold the response
-        closing_server server(size);
-        asio::io_context context;
-        asio::ip::tcp::socket socket(context);
-        request_on(socket, server.port(), "/");
-        std::this_thread::sleep_for(write_time);
-        asio::error_code ec;
-        asio::write(socket, asio::buffer(std::string(last_request)), ec);
-        std::this_thread::sleep_for(part_interval);
-        std::string response;
-        asio::read(socket, asio::dynamic_buffer(response), ec);
-        EXPECT_GT(response.size(), size) << ec.message();
-        EXPECT_EQ(response.find("HTTP/1.1", 1), std::string::npos);
-    }
+// Guards against an answer that is cut off by a reset, as its client sends its next request
+// before it has read it.
+TEST(http_server, a_late_request_does_not_cut_off_the_last_response) {
+    constexpr std::size_t size = mebibyte;
+    constexpr milliseconds write_time{300}; // until the sockets hold the response
+    closing_server server(size);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    request_on(socket, server.port(), "/");
+    std::this_thread::sleep_for(write_time);
+    asio::error_code ec;
+    asio::write(socket, asio::buffer(std::string(last_request)), ec);
+    std::this_thread::sleep_for(part_interval);
+    std::string response;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    EXPECT_GT(response.size(), size) << ec.message();
+    EXPECT_EQ(response.find("HTTP/1.1", 1), std::string::npos);
+}
 
-    // Guards against connections that stay open as their clients never close them.
-    TEST(http_server, a_connection_ends_although_its_client_does_not_close_it) {
-        constexpr milliseconds longest_wait{5000};
-        closing_server server(1);
-        asio::io_context context;
-        asio::ip::tcp::socket socket(context);
-        request_on(socket, server.port(), "/");
-        std::string response;
-        asio::error_code ec;
-        asio::read(socket, asio::dynamic_buffer(response), ec);
-        EXPECT_EQ(ec, asio::error::eof) << "the response ends in order at once";
-        const auto deadline = std::chrono::steady_clock::now() + longest_wait;
-        ec = {};
-        while (!ec && std::chrono::steady_clock::now() < deadline) {
-            asio::write(socket, asio::buffer(std::string(1, 'x')), ec);
-            std::this_thread::sleep_for(part_interval);
-        }
-        EXPECT_TRUE(ec) << "the server still reads";
+// Guards against connections that stay open as their clients never close them.
+TEST(http_server, a_connection_ends_although_its_client_does_not_close_it) {
+    constexpr milliseconds longest_wait{5000};
+    closing_server server(1);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    request_on(socket, server.port(), "/");
+    std::string response;
+    asio::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), ec);
+    EXPECT_EQ(ec, asio::error::eof) << "the response ends in order at once";
+    const auto deadline = std::chrono::steady_clock::now() + longest_wait;
+    ec = {};
+    while (!ec && std::chrono::steady_clock::now() < deadline) {
+        asio::write(socket, asio::buffer(std::string(1, 'x')), ec);
+        std::this_thread::sleep_for(part_interval);
     }
+    EXPECT_TRUE(ec) << "the server still reads";
+}
 
 } // namespace
