--- a/include/citronseam/connection/header_syntax.h
+++ b/include/citronseam/connection/header_syntax.h
@@ -1,6 +1,6 @@
 /// @file
-/// Which bytes may stand in the header fields of HTTP messages.
-/// Source: RFC 9110, sections 5.1, 5.5 and 5.6.2.
+/// Bytes, names and values of the header fields of HTTP messages.
+/// Source: RFC 9110, sections 5.1, 5.5 and 5.6.
 #ifndef CITRONSEAM_CONNECTION_HEADER_SYNTAX_H
 #define CITRONSEAM_CONNECTION_HEADER_SYNTAX_H
 
@@ -17,6 +17,15 @@
 /// @return whether a byte may stand in a field's name
 bool is_token(char byte) noexcept;
 
+/// @return whether two names, or two values of which case says nothing, are the same
+bool equals_ignoring_case(std::string_view left, std::string_view right) noexcept;
+
+/// @return the text without white space around it
+std::string_view trim_white_space(std::string_view text) noexcept;
+
+/// Control characters end a line for some readers and not for others.
+bool has_control_character(std::string_view line) noexcept;
+
 /// @param line without its terminator
 /// @return whether the line is a field that all readers take for the same one: a name, a colon and
 /// a value, without white space around the name and without control characters
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,4 +1,5 @@
 #include "citronseam/connection/http_client.h"
+#include "citronseam/connection/header_syntax.h"
 #include "citronseam/process/sizes.h"
 #include "connection/transfer_loop.h"
 
@@ -10,17 +11,12 @@
 #include <utility>
 
 #include <curl/curl.h>
-#include <strings.h>
 
 namespace citronseam {
 namespace {
 
 constexpr long receive_buffer_size = 64 * kibibyte;
 
-bool equals_ignoring_case(std::string_view left, std::string_view right) {
-    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
 void init_libcurl() {
     static std::once_flag once;
     std::call_once(once, [] { curl_global_init(CURL_GLOBAL_ALL); });
--- a/src/connection/request_guard.cpp
+++ b/src/connection/request_guard.cpp
@@ -1,12 +1,9 @@
 #include "citronseam/connection/request_guard.h"
 
 #include <algorithm>
-
 #include <charconv>
 #include <optional>
 
-#include <strings.h>
-
 #include "citronseam/connection/header_syntax.h"
 
 namespace citronseam {
@@ -16,19 +13,11 @@
 constexpr std::string_view line_end = "\r\n";
 
 bool is_header(std::string_view line, std::string_view name) {
-    return line.size() > name.size() && line[name.size()] == ':' &&
-           strncasecmp(line.data(), name.data(), name.size()) == 0;
+    return equals_ignoring_case(line.substr(0, line.find(':')), name);
 }
 
 std::string_view header_value(std::string_view line) {
-    std::string_view value = line.substr(line.find(':') + 1);
-    while (!value.empty() && is_white_space(value.front())) {
-        value.remove_prefix(1);
-    }
-    while (!value.empty() && is_white_space(value.back())) {
-        value.remove_suffix(1);
-    }
-    return value;
+    return trim_white_space(line.substr(line.find(':') + 1));
 }
 
 std::optional<std::uint64_t> parse_length(std::string_view text) {
@@ -62,9 +51,8 @@
         body.length = length;
     }
     if (is_header(line, "Transfer-Encoding")) {
-        const std::string_view coding = header_value(line);
         body.is_chunked = true;
-        if (coding.size() != 7 || strncasecmp(coding.data(), "chunked", 7) != 0) {
+        if (!equals_ignoring_case(header_value(line), "chunked")) {
             body.status = head_check_status::invalid_transfer_encoding;
         }
     }
@@ -96,7 +84,7 @@
     body_framing body;
     std::string_view lines = bytes.substr(0, end);
     const std::string_view request_line = take_line(lines);
-    if (!std::all_of(request_line.begin(), request_line.end(), is_text)) {
+    if (has_control_character(request_line)) {
         body.status = head_check_status::invalid_request_line;
     }
     while (!lines.empty()) {
--- a/src/connection/response_head.cpp
+++ b/src/connection/response_head.cpp
@@ -5,8 +5,7 @@
 #include <charconv>
 #include <string>
 
-#include <strings.h>
-
+#include "citronseam/connection/header_syntax.h"
 #include "citronseam/process/enum_names.h"
 
 namespace citronseam {
@@ -30,37 +29,15 @@
 }};
 
 constexpr std::string_view line_terminator = "\r\n";
-constexpr std::string_view white_space = " \t";
 constexpr int switching_protocols = 101;
 constexpr int first_final_status = 200;
 constexpr int no_content = 204;
 constexpr int not_modified = 304;
 
-bool equals_ignoring_case(std::string_view left, std::string_view right) {
-    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
 bool is_digits(std::string_view text) {
     return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
-std::string_view trim(std::string_view text) {
-    const auto first = text.find_first_not_of(white_space);
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(white_space) - first + 1);
-}
-
-/// Control characters end a line for some readers and not for others.
-bool has_control_character(std::string_view line) {
-    return std::any_of(line.begin(), line.end(), [](unsigned char character) {
-        constexpr unsigned char first_printable = 0x20;
-        constexpr unsigned char delete_character = 0x7f;
-        return (character < first_printable && character != '\t') || character == delete_character;
-    });
-}
-
 constexpr std::string_view version_start = "HTTP/1.";
 constexpr std::size_t version_size = 8; // HTTP/1.1
 constexpr std::size_t status_size = 3;
@@ -130,11 +107,11 @@
     const auto colon = line.find(':');
     const std::string_view field_name = line.substr(0, colon);
     if (colon == std::string_view::npos || field_name.empty() ||
-        field_name.find_first_of(white_space) != std::string_view::npos ||
+        std::any_of(field_name.begin(), field_name.end(), is_white_space) ||
         has_control_character(line) || is_continued_by_response(line)) {
         return head_defect::header_field;
     }
-    const std::string_view value = trim(line.substr(colon + 1));
+    const std::string_view value = trim_white_space(line.substr(colon + 1));
     head.headers.push_back({std::string(field_name), std::string(value)});
     if (equals_ignoring_case(field_name, "Content-Length")) {
         return read_content_length(head, value);
