Let the requests of a check not keep the loader alive

Fix: handlers hold it weakly. They only run on the control thread, where it is alive until the process ends.

--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -42,8 +42,13 @@
 template<typename Function>
 auto weights_loader::make_step_handler(Function function) {
     ++outstanding_requests_;
-    return [self = shared_from_this(), epoch = epoch_,
+    // The loader owns the clients of its checks, whose requests must not keep it alive.
+    return [loader = weak_from_this(), epoch = epoch_,
             function = std::move(function)](const http_response& response) {
+        const auto self = loader.lock();
+        if (self == nullptr) {
+            return;
+        }
         --self->outstanding_requests_;
         if (epoch == self->epoch_) {
             self->is_busy_ = false;
--- a/tests/engine_answers_test.cpp
+++ b/tests/engine_answers_test.cpp
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -170,6 +171,8 @@
         control_.post([this, weights] { loader_->set_complete_weights(weights); });
     }
 
+    std::weak_ptr<const weights_loader> loader() const { return loader_; }
+
     /// Calls a function of the monitor on its thread.
     template<typename Function>
     auto ask(Function function) {
@@ -290,6 +293,25 @@
     EXPECT_EQ(engine->count().wrong_orders, 0) << "a piece that is gone counts as read back";
 }
 
+// Guards against a crash at exit: a check that waits for an answer kept the loader alive beyond the
+// control thread.
+TEST(engine_answers, sidecar_ends_while_a_check_waits_for_an_answer) {
+    std::weak_ptr<const weights_loader> loader;
+    std::atomic<bool> is_reading{false};
+    raw_engine engine([&](engine_call call, const std::string& answer) {
+        is_reading = is_reading || call == engine_call::get;
+        return call == engine_call::get ? raw_answer{"", raw_ending::silence, {}, {}}
+                                        : plain(answer);
+    });
+    {
+        engine_caller sidecar(engine.address());
+        sidecar.load(make_weights(2, 2));
+        loader = sidecar.loader();
+        ASSERT_TRUE(wait_until([&] { return is_reading.load(); }, answer_timeout));
+    }
+    EXPECT_TRUE(loader.expired());
+}
+
 // Guards against a new connection for each poll of an engine, which costs it time.
 TEST(engine_answers, polls_of_an_engine_at_rest_keep_their_connection) {
     std::atomic<int> reports{0};
