Keep an order open when an equal one after it is refused

Cause: a refusal settled all orders, and says something of its own only.

Fix: the loader remembers since when an order without a proven answer is open. A refusal of a later, equal one leaves it open, so that only the same pieces are staged, unless the engine has seen a higher fencing token, or the order is older than the time in which weights are due: newer weights must not wait forever for one that the engine refuses.

--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -29,6 +29,12 @@
 /// Time after which an accepted order is given again if its load has not started.
 constexpr milliseconds order_timeout{1500};
 
+/// @return whether an order with this outcome may still be executed
+bool is_answer_unproven(platform::load_order_outcome outcome) {
+    return outcome == platform::load_order_outcome::unknown ||
+           outcome == platform::load_order_outcome::already_in_service;
+}
+
 } // namespace
 
 std::string_view name(load_step step) noexcept {
@@ -97,7 +103,7 @@
     }
     if (incarnation_ != engine_.incarnation()) {
         // A restarted engine may have lost the staged chunks, and executes no earlier order.
-        is_order_open_ = false;
+        settle_order();
         set_step(load_step::idle);
     }
     settle_open_order();
@@ -236,7 +242,7 @@
     if (!is_order_open_ || engine_.confirmed_state()->accepted_order_count == ordered_count_) {
         return;
     }
-    is_order_open_ = false;
+    settle_order();
     if (step_ != load_step::load) {
         set_step(load_step::load); // it was about to be repeated
     }
@@ -299,11 +305,28 @@
     check_ = {}; // one order for each check and its connection
 }
 
+void weights_loader::settle_order() {
+    is_order_open_ = false;
+    unanswered_since_.reset();
+}
+
+/// A refusal says nothing of an equal order that got no answer before and may still be executed,
+/// unless the engine has seen a higher fencing token. An engine that refuses its weights for good
+/// must not keep newer ones waiting: beyond the time in which weights are due, the order is lost.
+bool weights_loader::is_earlier_order_open(platform::load_order_outcome refusal) const {
+    return unanswered_since_ && refusal != platform::load_order_outcome::superseded &&
+           std::chrono::steady_clock::now() - *unanswered_since_ <
+               context_.options.node.weights_switch_deadline;
+}
+
 /// No answer names its order, but all earlier answers on its connection are those to readings of
 /// chunks: 200 may be one of them. Only the engine's state then shows what became of the order.
 void weights_loader::handle_order_reply(const http_response& response) {
     order_answered_at_ = boot_clock::now();
     const platform::load_order_outcome outcome = platform::parse_order_outcome(response);
+    if (is_answer_unproven(outcome) && !unanswered_since_) {
+        unanswered_since_ = ordered_at_;
+    }
     if (outcome == platform::load_order_outcome::unknown) {
         log_event(log_level::warning, "load_unanswered",
                   {{"version", weights_->target.version},
@@ -315,15 +338,20 @@
     if (outcome == platform::load_order_outcome::already_in_service) {
         return; // watch_load() detects the outcome
     }
-    is_order_open_ = false;
     if (outcome == platform::load_order_outcome::accepted) {
-        return; // here too
+        settle_order(); // watch_load() detects the outcome
+        return;
     }
     log_event(log_level::warning, "load_refused",
-              {{"version", weights_->target.version}, {"status", response.outcome.status}});
+              {{"version", weights_->target.version},
+               {"status", response.outcome.status},
+               {"open", is_earlier_order_open(outcome)}});
     context_.metric_registry.count("citronseam_loads_failed_total");
     retry_at_ = std::chrono::steady_clock::now() + retry_delay;
-    set_step(load_step::scheduled);
+    if (!is_earlier_order_open(outcome)) {
+        settle_order();
+        set_step(load_step::scheduled);
+    }
 }
 
 void weights_loader::watch_load() {
@@ -334,7 +362,7 @@
                   {{"version", engine_.confirmed_state()->weights_version},
                    {"after_ms", elapsed_ms(weights_->target.announced_at, now)},
                    {"load_ms", elapsed_ms(ordered_at_, now)}});
-        is_order_open_ = false; // it would be answered as already in effect
+        settle_order(); // it would be answered as already in effect
         set_step(load_step::idle);
         return;
     }
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -12,6 +12,7 @@
 
 #include "citronseam/process/boot_clock.h"
 #include "citronseam/version/staging_check.h"
+#include "platform/engine.h"
 #include "programs/sidecar/complete_weights.h"
 #include "programs/sidecar/engine_monitor.h"
 #include "programs/sidecar/sidecar_context.h"
@@ -68,6 +69,8 @@
     void verify_next(std::size_t chunk);
     void handle_read_back(std::size_t chunk, const http_response& response);
     void settle_open_order();
+    void settle_order();
+    bool is_earlier_order_open(platform::load_order_outcome refusal) const;
     void order_load_when_due();
     bool should_wait_for_newer(time_point now) const;
     time_point scheduled_load_at() const;
@@ -95,7 +98,8 @@
     /// The engine may execute the last order, but has not answered. Until that is settled, only the
     /// same chunks are staged, and only the same order is sent.
     bool is_order_open_{false};
-    std::uint64_t ordered_count_{0}; ///< count of orders that the last order expects
+    std::optional<time_point> unanswered_since_; ///< first of the open orders without an answer
+    std::uint64_t ordered_count_{0};             ///< count of orders that the last order expects
     time_point ordered_at_;
     boot_clock::time_point order_answered_at_; ///< also if it failed
     time_point retry_at_;
--- a/tests/engine_answers_test.cpp
+++ b/tests/engine_answers_test.cpp
@@ -213,6 +213,42 @@
     EXPECT_EQ(engine->count().puts, 2) << "newer pieces were staged";
 }
 
+// Guards against WHOLE: a refusal of a repeated order counts for the first one, which got no answer
+// and may still be executed, and newer pieces are staged.
+TEST(engine_answers, refusal_of_a_repeated_order_does_not_settle_the_first_one) {
+    std::unique_ptr<raw_engine> engine;
+    engine = std::make_unique<raw_engine>([&](engine_call call, const std::string& answer) {
+        if (call != engine_call::order) {
+            return plain(answer);
+        }
+        const bool is_first = engine->count_now().orders == 1;
+        return is_first ? raw_answer{"", raw_ending::silence, {}, {}}
+                        : plain(with_status("409 Conflict"));
+    });
+    engine->is_order_held = true;
+    engine_caller sidecar(engine->address());
+    sidecar.load(make_weights(2, 2));
+    ASSERT_TRUE(wait_until([&] { return engine->count().orders >= 1; }, answer_timeout));
+    sidecar.load(make_weights(3, 2));
+    ASSERT_TRUE(wait_until([&] { return engine->count().orders >= 3 || engine->count().puts > 2; },
+                           answer_timeout));
+    EXPECT_EQ(engine->count().puts, 2) << "newer pieces were staged";
+}
+
+// Guards against newer weights that wait for an order which the engine refuses for good.
+TEST(engine_answers, refusal_of_the_only_order_settles_it) {
+    std::unique_ptr<raw_engine> engine;
+    engine = std::make_unique<raw_engine>([&](engine_call call, const std::string& answer) {
+        return plain(call == engine_call::order ? with_status("409 Conflict") : answer);
+    });
+    engine->is_order_held = true;
+    engine_caller sidecar(engine->address());
+    sidecar.load(make_weights(2, 2));
+    ASSERT_TRUE(wait_until([&] { return engine->count().orders >= 1; }, answer_timeout));
+    sidecar.load(make_weights(3, 2));
+    EXPECT_TRUE(wait_until([&] { return engine->count().puts > 2; }, answer_timeout));
+}
+
 // Guards against an old state, answered once more, that counts as a restart of the engine: an open
 // order is then taken for lost.
 TEST(engine_answers, late_second_report_is_not_a_restart) {
