Take a load for finished only if the response names the version

Symptom, by test: an agent took any 200 to a load request, also an empty, short, open-ended or foreign one, for a finished load: 'version_in_force', and requests were admitted to an engine that had not loaded it.

Cause: the outcome was concluded from the status alone, although the engine's response names the version.

Fix: without the version, the outcome is unknown and the load fails; the next status of the engine shows what it serves.

The test is a table over the uses of the HTTP client that have none of their own: engine state and list of pieces of a sidecar, engine status and cache events of an agent and rows of a table passed at once, the load did not.

--- a/src/programs/agent/engine_client.cpp
+++ b/src/programs/agent/engine_client.cpp
@@ -59,6 +59,22 @@
     }
 }
 
+/// @return whether the response to a load request names the version that was loaded
+bool names_version(const http_response& response, const std::string& version) {
+    const auto json = nlohmann::json::parse(response.body, nullptr, false);
+    const auto named = json.find("version");
+    return json.is_object() && named != json.end() && *named == version;
+}
+
+result<bool> parse_load_response(const http_response& response, const std::string& version) {
+    auto outcome = parse_admin_response(response);
+    if (outcome && !names_version(response, version)) {
+        return failure(error_code::outcome_unknown,
+                       "the engine's response does not name the version that it loaded");
+    }
+    return outcome;
+}
+
 } // namespace
 
 void fetch_status(http_client& http, const std::string& address,
@@ -118,8 +134,8 @@
     // On a kept connection a late response to an uploaded chunk would count as a finished load.
     request.may_reuse_connection = false;
     http.fetch(std::move(request), max_response_bytes,
-               [done = std::move(done)](const http_response& response) {
-                   done(parse_admin_response(response));
+               [version = load.version, done = std::move(done)](const http_response& response) {
+                   done(parse_load_response(response, version));
                });
 }
 
--- a/src/programs/agent/engine_client.h
+++ b/src/programs/agent/engine_client.h
@@ -55,7 +55,7 @@
 ///
 /// Errors: `precondition_failed`, the engine accepted a request with a later fencing token;
 /// `corrupt`, the engine reports incomplete or corrupt weights; `unavailable` or `outcome_unknown`,
-/// no response.
+/// no response, or one that does not name the version.
 void request_load(http_client& http, const std::string& address, const load_request& load,
                   milliseconds timeout, std::function<void(result<bool>)> done);
 
