Give each call of an agent to its engine a connection of its own

Symptom, by test: a late second response to an earlier status, upload or poll of cache events counted as the next one's. An old status hides that the engine started again, also from the check right before a load request.

Cause: these calls shared kept connections, and no response names its request. Only load requests had their own.

Fix: all four calls have connections of their own; an agent asks for the status twice a second, so they cost little.

Evidence: client_answers_test, its three client_late_answers cases fail in 3 of 3 runs before and pass in 3 of 3 after it; engine_client_test, process_rollout_test, process_orders_test and process_unproven_test pass.

--- a/src/programs/agent/engine_client.cpp
+++ b/src/programs/agent/engine_client.cpp
@@ -59,6 +59,18 @@
     }
 }
 
+/// No response names its request, so on a kept connection a late one to an earlier call would count
+/// as this one's.
+http_request make_request(std::string method, const std::string& address, const std::string& path,
+                          milliseconds timeout) {
+    http_request request;
+    request.method = std::move(method);
+    request.url = "http://" + address + path;
+    request.timeout = timeout;
+    request.may_reuse_connection = false;
+    return request;
+}
+
 /// @return whether the response to a load request names the version that was loaded
 bool names_version(const http_response& response, const std::string& version) {
     const auto json = nlohmann::json::parse(response.body, nullptr, false);
@@ -79,10 +91,7 @@
 
 void fetch_status(http_client& http, const std::string& address,
                   std::function<void(result<engine_status>)> done) {
-    http_request request;
-    request.url = "http://" + address + "/admin/status";
-    request.timeout = status_timeout;
-    http.fetch(std::move(request), max_response_bytes,
+    http.fetch(make_request("GET", address, "/admin/status", status_timeout), max_response_bytes,
                [done = std::move(done)](const http_response& response) {
                    if (!response.outcome.is_complete || response.outcome.status != 200) {
                        done(failure(error_code::unavailable,
@@ -95,10 +104,8 @@
 
 void fetch_cache_events(http_client& http, const std::string& address, std::uint64_t after,
                         std::function<void(result<std::vector<cache_event>>)> done) {
-    http_request request;
-    request.url = "http://" + address + "/admin/cache/events?after=" + std::to_string(after);
-    request.timeout = status_timeout;
-    http.fetch(std::move(request), max_response_bytes,
+    const std::string path = "/admin/cache/events?after=" + std::to_string(after);
+    http.fetch(make_request("GET", address, path, status_timeout), max_response_bytes,
                [done = std::move(done)](const http_response& response) {
                    if (!response.outcome.is_complete || response.outcome.status != 200) {
                        done(failure(error_code::unavailable, "no cache events from the engine: " +
@@ -111,11 +118,9 @@
 
 void upload_chunk(http_client& http, const std::string& address, const std::string& version,
                   std::size_t index, std::string content, std::function<void(result<bool>)> done) {
-    http_request request;
-    request.method = "PUT";
-    request.url = "http://" + address + "/admin/weights/" + version + "/" + std::to_string(index);
+    const std::string path = "/admin/weights/" + version + "/" + std::to_string(index);
+    http_request request = make_request("PUT", address, path, chunk_timeout);
     request.body = std::move(content);
-    request.timeout = chunk_timeout;
     http.fetch(std::move(request), max_response_bytes,
                [done = std::move(done)](const http_response& response) {
                    done(parse_admin_response(response));
@@ -126,13 +131,8 @@
                   milliseconds timeout, std::function<void(result<bool>)> done) {
     const nlohmann::json body = {
         {"version", load.version}, {"manifest", load.manifest}, {"fencing", load.fencing_token}};
-    http_request request;
-    request.method = "POST";
-    request.url = "http://" + address + "/admin/load";
+    http_request request = make_request("POST", address, "/admin/load", timeout);
     request.body = body.dump();
-    request.timeout = timeout;
-    // On a kept connection a late response to an uploaded chunk would count as a finished load.
-    request.may_reuse_connection = false;
     http.fetch(std::move(request), max_response_bytes,
                [version = load.version, done = std::move(done)](const http_response& response) {
                    done(parse_load_response(response, version));
--- a/tests/client_answers_test.cpp
+++ b/tests/client_answers_test.cpp
@@ -19,6 +19,7 @@
 using namespace citronseam::harness;
 
 constexpr milliseconds call_timeout{2000};
+constexpr milliseconds late_delay{100};
 constexpr std::size_t max_bytes = 1U << 20U;
 
 std::string with_length(const std::string& body, const std::string& headers = "") {
@@ -143,4 +144,64 @@
 INSTANTIATE_TEST_SUITE_P(uses, client_answers, ::testing::Range(std::size_t{0}, uses().size()),
                          &name_of);
 
+/// A server that sends its first answer twice, and another on a new connection.
+class stuttering_server {
+public:
+    stuttering_server(std::string first, std::string next)
+        : first_(std::move(first)), next_(std::move(next)) {}
+
+    std::string address() const { return server_.address(); }
+
+private:
+    raw_answer answer() const {
+        if (server_.request_count() == 1) {
+            return {first_, raw_ending::keep, first_, late_delay};
+        }
+        return {server_.connection_count() > 1 ? next_ : "", raw_ending::keep, {}, {}};
+    }
+
+    std::string first_;
+    std::string next_;
+    raw_server server_{[this](const std::string&) { return answer(); }};
+};
+
+// Guards against an engine that started again unnoticed, since an earlier status came once more.
+TEST(client_late_answers, earlier_status_is_not_the_engines_present_one) {
+    stuttering_server engine(with_length(R"({"version":"v","boot":"a","warm":true})"),
+                             with_length(R"({"version":"","boot":"b","warm":false})"));
+    http_client http;
+    for (const auto* boot : {"a", "b"}) {
+        const auto status =
+            wait_for<engine_status>([&](auto done) { fetch_status(http, engine.address(), done); });
+        ASSERT_TRUE(status.has_value()) << status.error().message;
+        EXPECT_EQ(status->boot_id, boot);
+    }
+}
+
+// Guards against a chunk that counts as uploaded since the answer to another came once more.
+TEST(client_late_answers, earlier_upload_is_not_the_next_chunks) {
+    stuttering_server engine(with_length(R"({"ok":true})"),
+                             "HTTP/1.1 507 Full\r\nContent-Length: 0\r\n\r\n");
+    http_client http;
+    for (const bool is_first : {true, false}) {
+        const auto sent = wait_for<bool>(
+            [&](auto done) { upload_chunk(http, engine.address(), "v", 0, "bytes", done); });
+        EXPECT_EQ(sent.has_value(), is_first);
+    }
+}
+
+// Guards against prompts that count as cached since earlier events came once more.
+TEST(client_late_answers, earlier_cache_events_are_not_the_next_ones) {
+    stuttering_server engine(
+        with_length(R"({"events":[]})"),
+        with_length(R"({"events":[{"number":1,"key":"7","event":"stored"}]})"));
+    http_client http;
+    for (const std::size_t count : {0U, 1U}) {
+        const auto events = wait_for<std::vector<cache_event>>(
+            [&](auto done) { fetch_cache_events(http, engine.address(), 0, done); });
+        ASSERT_TRUE(events.has_value()) << events.error().message;
+        EXPECT_EQ(events->size(), count);
+    }
+}
+
 } // namespace
