Check an accepted configuration against its hash in the operators' tool

Symptom, by test: where the object store answered the tool with an empty, short or foreign object, that was the accepted configuration. 'zone out' and 'release' edit this text and apply the result, so all other settings of the configuration could be lost; 'config show' printed it.

--- a/src/programs/tool/configuration_store.cpp
+++ b/src/programs/tool/configuration_store.cpp
@@ -111,7 +111,13 @@
     if (head.generation == 0) {
         return std::string{};
     }
-    return context.get_object(head.hash);
+    auto body = context.get_object(head.hash);
+    if (body && sha256_hex(*body) != head.hash) {
+        return failure(error_code::corrupt, "the object store's copy of generation " +
+                                                std::to_string(head.generation) +
+                                                " does not match its hash");
+    }
+    return body;
 }
 
 result<accepted_configuration_text> read_accepted_text(tool_context& context) {
--- a/tests/client_answers_test.cpp
+++ b/tests/client_answers_test.cpp
@@ -7,9 +7,11 @@
 #include <gtest/gtest.h>
 
 #include "citronseam/connection/table_client.h"
+#include "citronseam/process/control_state.h"
 #include "citronseam/version/sha256.h"
 #include "platform/engine.h"
 #include "programs/agent/engine_client.h"
+#include "programs/tool/configuration_store.h"
 #include "programs/tool/tool_context.h"
 #include "support/raw_server.h"
 
@@ -54,6 +56,8 @@
     std::function<bool(const std::string& address)> succeeds;
 };
 
+const std::string configuration_body = "services: []\n";
+
 const std::vector<use>& uses() {
     static const std::vector<use> list{
         {"engine_state_of_sidecar",
@@ -97,6 +101,14 @@
              tool::tool_context context(options_for(address));
              return context.list("t", "").has_value();
          }},
+        {"configuration_body", configuration_body,
+         [](const std::string& address) {
+             tool::tool_context context(options_for(address));
+             configuration_head head;
+             head.generation = 1;
+             head.hash = sha256_hex(configuration_body);
+             return tool::read_body(context, head).has_value();
+         }},
     };
     return list;
 }
