Soak planned work, and check LOST, CONFIG, DRAIN and WHOLE

The soak knew faults only.

New in the seeded series, overlapping the faults: SIGHUP; routes added and removed, a key taken away and given back, time-outs, 400 routes at once; further weights versions; servers that leave, known from their row, their answers or a missing row, where a plain server comes back at another address and an engine without weights; evacuated zones; faults between sidecars and store, and before the origin. Each series has calm periods of 7 to 9 s in which only planned work, the faults of one gateway and its store, and those of sidecars go on: with faults everywhere, no machine was ever undisturbed for contact_ms, so promises with a time bound would have been checked nowhere.

`timeline` takes all times as arguments. A request that has reached a server and is broken off early by an undisturbed gateway is LOST, at any time and not only around planned work. Each has a test that shows that it fires and when it does not.

Callers move to another gateway at times, so that restarted ones get requests again. `--size` sets the gateways of a zone, at most eight of which have faults; `--logs` keeps the logs of a failed run.

--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -14,7 +14,8 @@
 
 /// @return whether the request of that identifier may run only once
 bool is_single_id(const std::string& id) {
-    return id.rfind("book-", 0) == 0 || id.rfind("draft-once-", 0) == 0;
+    return id.rfind("book-", 0) == 0 || id.rfind("draft-once-", 0) == 0 ||
+           id.rfind("later-", 0) == 0;
 }
 
 std::optional<breach> make_breach(promise broken, const soak_request& request,
@@ -57,7 +58,8 @@
 } // namespace
 
 std::string soak_request::path() const {
-    return "/" + std::string(find_name(request_names, kind)) + "/" + id;
+    const auto route = kind == request_kind::guest ? request_kind::look : kind;
+    return "/" + std::string(find_name(request_names, route)) + "/" + id;
 }
 
 bool is_refusal(int status) {
@@ -98,6 +100,30 @@
                     : make_breach(promise::mixed, request, answer, "not the server's body");
 }
 
+std::optional<needed_state> needed_configuration(const soak_request& request,
+                                                 const caller_answer& answer) {
+    constexpr int success = 200;
+    constexpr int unknown_key = 401;
+    constexpr int forbidden = 403;
+    constexpr int no_route = 404;
+    const bool is_route_probe = request.kind == request_kind::later;
+    const bool is_key_probe = request.kind == request_kind::guest;
+    switch (answer.status) {
+    case success:
+        return is_route_probe ? std::optional(needed_state::route)
+               : is_key_probe ? std::optional(needed_state::key)
+                              : std::nullopt;
+    case unknown_key:
+        return is_key_probe ? needed_state::no_key : needed_state::none;
+    case no_route:
+        return is_route_probe ? needed_state::no_route : needed_state::none;
+    case forbidden:
+        return needed_state::none;
+    default:
+        return std::nullopt;
+    }
+}
+
 std::string make_id(request_kind kind, std::size_t caller, int count) {
     return std::string(find_name(request_names, kind)) + "-" + std::to_string(caller) + "-" +
            std::to_string(count);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -1,5 +1,5 @@
 /// @file
-/// One soak run: a deployment under a series of faults, with callers.
+/// One soak run: a deployment under a series of faults and planned work, with callers.
 #ifndef CITRONSEAM_TESTS_SOAK_SOAK_RUN_H
 #define CITRONSEAM_TESTS_SOAK_SOAK_RUN_H
 
@@ -13,15 +13,25 @@
 #include "support/platform_world.h"
 
 #include "soak/fault_proxy.h"
+#include "soak/planned_work.h"
 #include "soak/promise_log.h"
 #include "soak/soak_plan.h"
+#include "soak/timeline.h"
 
 namespace citronseam::soak {
 
-/// Starts two gateways in each of two zones, with proxies before the store and the servers.
+/// What a run is started with.
+struct soak_options {
+    std::uint64_t seed{0};
+    milliseconds duration{0};
+    std::size_t gateways_per_zone{2};
+    std::string log_directory; ///< where a failed run leaves all logs; empty: nowhere
+};
+
+/// Starts gateways in each of two zones, with proxies before the store, the servers and the origin.
 class soak_run {
 public:
-    soak_run(std::uint64_t seed, milliseconds duration);
+    explicit soak_run(const soak_options& options);
     ~soak_run();
     soak_run(const soak_run&) = delete;
     soak_run& operator=(const soak_run&) = delete;
@@ -40,19 +50,28 @@
     void check_processes();
     void check_process(target_kind target, std::size_t index);
     void check_runs();
+    void check_loads();
+    void watch_arrivals(harness::platform_server& server, fault_target link);
+    void check_exchange(const timed_exchange& exchange);
+    std::size_t faulty_gateway_count() const;
     std::map<std::string, int> count_runs() const;
     void call_until_stopped(std::size_t caller);
     void stop_callers();
     void keep_logs(target_kind target, std::size_t index);
+    std::map<std::string, std::string> logs();
     void print_traces();
+    void write_logs();
 
-    const std::uint64_t seed_;
-    const milliseconds duration_;
+    const soak_options options_;
     promise_log log_;
+    timeline timeline_;
     harness::platform_world world_;
     std::vector<std::unique_ptr<fault_proxy>> engine_proxies_;
     std::vector<std::unique_ptr<fault_proxy>> desk_proxies_;
     std::vector<std::unique_ptr<fault_proxy>> store_proxies_;
+    std::vector<std::unique_ptr<fault_proxy>> sidecar_store_proxies_;
+    std::vector<std::unique_ptr<fault_proxy>> origin_proxies_;
+    planned_work planned_work_;
     std::map<std::string, bool> is_ending_;         ///< processes that were told to end
     std::map<std::string, std::string> ended_logs_; ///< of earlier processes, by name
     std::atomic<bool> is_stopping_{false};
--- a/tests/soak_promises_test.cpp
+++ b/tests/soak_promises_test.cpp
@@ -4,10 +4,13 @@
 #include "support/platform_server.h"
 #include "support/platform_world.h"
 #include "support/raw_server.h"
+#include "support/standin_http.h"
+#include "support/weight_origin.h"
 
 #include "soak/fault_proxy.h"
 #include "soak/promises.h"
 #include "soak/soak_plan.h"
+#include "soak/timeline.h"
 
 namespace {
 
@@ -188,6 +191,183 @@
     EXPECT_EQ(caller.connection_count(), 3);
 }
 
+/// A run whose gateways and servers were disturbed at no time, with times since its start.
+class soak_timeline : public ::testing::Test {
+protected:
+    static time_point at(int time_ms) { return time_point(seconds(3600)) + milliseconds(time_ms); }
+    static std::string name_of(const std::optional<breach>& broken) {
+        return broken ? std::string(find_name(promise_names, broken->broken)) : "none";
+    }
+
+    /// A request at the first gateway.
+    std::string broken_by(request_kind kind, int status, int sent_ms,
+                          answer_end end = answer_end::complete, int time_ms = 50) {
+        timed_exchange exchange;
+        exchange.request = {kind, "request-1"};
+        exchange.sent_at = at(sent_ms);
+        exchange.ended_at = at(sent_ms + time_ms);
+        exchange.answer.status = status;
+        exchange.answer.end = end;
+        return name_of(times.check_exchange(exchange, {desk}));
+    }
+
+    /// The request has reached a server before its connection ends.
+    std::string broken_by_end(int sent_ms, int time_ms = 50) {
+        times.send("request-1", 0);
+        times.check_arrival("desk-zone-a", desk, "request-1", at(sent_ms));
+        return broken_by(request_kind::book, 0, sent_ms, answer_end::broken, time_ms);
+    }
+
+    std::string broken_by_arrival(int time_ms, const std::string& server = "desk-zone-a") {
+        times.send("request-1", 0);
+        return name_of(times.check_arrival(server, desk, "request-1", at(time_ms)));
+    }
+
+    void announce(configuration_state state, int time_ms) {
+        times.propose(state, at(time_ms));
+        times.acknowledge(at(time_ms + 10));
+    }
+
+    void disturb(fault_target target, int begin_ms, int end_ms, bool is_planned = false) {
+        times.begin_fault(target, is_planned, at(begin_ms));
+        times.end_fault(target, at(end_ms));
+    }
+
+    const fault_target gateway{target_kind::gateway, 0};
+    const fault_target other_gateway{target_kind::gateway, 1};
+    const fault_target gateway_store{target_kind::store, 0};
+    const fault_target desk{target_kind::desk, 0};
+    timeline times;
+};
+
+constexpr int ok = 200;
+constexpr int unknown_key = 401;
+constexpr int no_route = 404;
+constexpr int unavailable = 503;
+
+// Guards against a soak that misses a request which is cut off around a SIGTERM.
+TEST_F(soak_timeline, request_that_is_cut_around_planned_work_is_lost) {
+    EXPECT_EQ(broken_by(request_kind::book, 0, 1000, answer_end::broken), "none")
+        << "it has reached no server";
+    EXPECT_EQ(broken_by_end(1000), "LOST");
+    disturb(gateway, 900, 6000, true);
+    disturb(other_gateway, 900, 1100);
+    EXPECT_EQ(broken_by_end(1000), "LOST");
+}
+
+// Guards against a soak that blames a gateway for the end of its server, its kill or a timeout.
+TEST_F(soak_timeline, request_that_is_cut_by_a_fault_or_late_is_not_lost) {
+    EXPECT_EQ(broken_by_end(1000, 700), "none") << "its time is over";
+    disturb(desk, 10000, 11000);
+    EXPECT_EQ(broken_by_end(13900), "none");
+    EXPECT_EQ(broken_by_end(14100), "LOST");
+    disturb(gateway, 20000, 21000);
+    EXPECT_EQ(broken_by_end(19980), "none") << "killed while it was answered";
+    EXPECT_EQ(broken_by_end(23900), "none");
+    times.begin_fault(gateway_store, false, at(30000));
+    EXPECT_EQ(broken_by_end(60000), "none") << "the fault lasts";
+    EXPECT_EQ(broken_by(request_kind::book, ok, 1000), "none");
+}
+
+// Guards against a soak that misses an old configuration that is still in force.
+TEST_F(soak_timeline, outdated_configuration_is_noticed) {
+    announce({false, true}, 0);
+    announce({true, false}, 10000);
+    EXPECT_EQ(broken_by(request_kind::later, no_route, 12020), "CONFIG");
+    EXPECT_EQ(broken_by(request_kind::guest, ok, 12020), "CONFIG");
+    announce({false, true}, 20000);
+    EXPECT_EQ(broken_by(request_kind::later, ok, 22020), "CONFIG");
+    EXPECT_EQ(broken_by(request_kind::guest, unknown_key, 22020), "CONFIG");
+    for (const int status : {unknown_key, no_route}) {
+        EXPECT_EQ(broken_by(request_kind::look, status, 22020), "CONFIG") << status;
+    }
+}
+
+// Guards against a soak that blames a gateway before a configuration is due, or for a fault.
+TEST_F(soak_timeline, configuration_that_may_be_in_force_is_allowed) {
+    announce({false, true}, 0);
+    announce({true, false}, 10000);
+    EXPECT_EQ(broken_by(request_kind::later, no_route, 11990), "none");
+    EXPECT_EQ(broken_by(request_kind::later, ok, 9960), "none") << "it is written meanwhile";
+    EXPECT_EQ(broken_by(request_kind::later, ok, 12020), "none");
+    EXPECT_EQ(broken_by(request_kind::later, unavailable, 9000), "none");
+    EXPECT_EQ(broken_by(request_kind::later, ok, 9000), "CONFIG") << "not yet written";
+    disturb(gateway_store, 13000, 13500);
+    EXPECT_EQ(broken_by(request_kind::guest, ok, 16400), "none");
+    EXPECT_EQ(broken_by(request_kind::guest, ok, 16600), "CONFIG");
+    // The third one allows what the first one did, as soon as it may be in force.
+    times.propose({false, true}, at(20000));
+    EXPECT_EQ(broken_by(request_kind::later, no_route, 20000), "none");
+    EXPECT_EQ(broken_by(request_kind::later, ok, 20000), "none");
+}
+
+// Guards against a soak that misses a request to a server that has left.
+TEST_F(soak_timeline, request_to_a_server_that_leaves_is_noticed) {
+    times.close_server("desk-zone-a", "leaving", leaving_bound, at(10000));
+    EXPECT_EQ(broken_by_arrival(12010), "DRAIN");
+    times.open_server("desk-zone-a", "leaving");
+    times.close_server("desk-zone-a", "evacuated", evacuation_bound, at(20000));
+    EXPECT_EQ(broken_by_arrival(25010), "DRAIN");
+}
+
+// Guards against a soak that blames a gateway before the bound, after the return, or for a fault.
+TEST_F(soak_timeline, request_to_a_server_that_may_be_used_is_allowed) {
+    EXPECT_EQ(broken_by_arrival(1000), "none");
+    times.close_server("desk-zone-a", "leaving", leaving_bound, at(10000));
+    EXPECT_EQ(broken_by_arrival(11990), "none");
+    EXPECT_EQ(broken_by_arrival(12010, "desk-zone-b"), "none");
+    disturb(gateway, 13000, 14000, true);
+    EXPECT_EQ(broken_by_arrival(16900), "none");
+    EXPECT_EQ(broken_by_arrival(17100), "DRAIN");
+    disturb(desk, 18000, 18100);
+    EXPECT_EQ(broken_by_arrival(20000), "none") << "it may have been held up";
+    times.open_server("desk-zone-a", "leaving");
+    EXPECT_EQ(broken_by_arrival(30000), "none");
+}
+
+/// An engine that loads what it has been given.
+class soak_engine : public ::testing::Test {
+protected:
+    void SetUp() override { engine.set_unchecked_loads(); }
+
+    int call(const std::string& method, const std::string& path, const std::string& body) {
+        http_request request;
+        request.method = method;
+        request.url = "http://" + engine.address() + path;
+        request.body = body;
+        return fetch_blocking(client, std::move(request), mebibyte).outcome.status;
+    }
+
+    void stage(std::uint64_t version, std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i) {
+            call("PUT",
+                 std::string("/stage-put/") + harness::standin_model +
+                     "?sample_count=" + std::to_string(i),
+                 harness::weight_origin::piece(version, i));
+        }
+    }
+
+    int order(std::uint64_t version, int sequence) {
+        return call("POST", "/order",
+                    nlohmann::json{{"version", version}, {"expected_revision", sequence}}.dump());
+    }
+
+    harness::platform_server engine{"engine-zone-a", true};
+    http_client client;
+};
+
+// Guards against a soak that misses weights of two versions, or blames a whole version.
+TEST_F(soak_engine, loads_of_pieces_of_two_versions_are_counted) {
+    constexpr std::size_t all_pieces = harness::weight_origin::piece_count;
+    constexpr int accepted = 202;
+    stage(2, all_pieces);
+    EXPECT_EQ(order(2, 0), accepted);
+    EXPECT_EQ(engine.wrong_load_count(), 0);
+    stage(3, all_pieces - 1);
+    EXPECT_EQ(order(3, 1), accepted);
+    EXPECT_EQ(engine.wrong_load_count(), 1);
+}
+
 // Guards against a seed that does not replay its faults.
 TEST(soak_plan, depends_on_the_seed_only) {
     const auto text = [](std::uint64_t seed) {
@@ -210,7 +390,40 @@
         EXPECT_LT(fault.end, milliseconds(60000)) << describe(fault);
         end = fault.end;
     }
-    EXPECT_EQ(free_at.size(), 14U);
+    EXPECT_EQ(free_at.size(), 22U);
+}
+
+// Guards against a series that checks no promise with a time bound, or overlaps too little.
+TEST(soak_plan, has_calm_periods_with_planned_work) {
+    constexpr milliseconds duration{60000};
+    std::set<fault_kind> kinds;
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        for (const auto& fault : make_plan(seed, duration, {4, 2, 2, 4})) {
+            kinds.insert(fault.kind);
+        }
+    }
+    EXPECT_EQ(kinds.size(), fault_names.size() - 1) << "each kind but none";
+    const auto plan = make_plan(7, duration, {4, 2, 2, 4});
+    constexpr std::size_t servers = 100;
+    // The longest time without faults at two of the gateways, their stores and the plain servers.
+    milliseconds longest{0};
+    for (milliseconds begin{0}; begin < duration; begin += milliseconds(100)) {
+        milliseconds end = duration;
+        std::set<std::size_t> disturbed;
+        for (const auto& fault : plan) {
+            const bool is_of_gateway =
+                fault.target == target_kind::gateway || fault.target == target_kind::store;
+            const bool is_relevant = is_of_gateway || fault.target == target_kind::desk;
+            if (is_relevant && !is_planned(fault.kind) && fault.end > begin && fault.begin < end) {
+                disturbed.insert(is_of_gateway ? fault.index : servers);
+                if (!is_of_gateway || disturbed.size() > 2) {
+                    end = std::max(fault.begin, begin);
+                }
+            }
+        }
+        longest = std::max(longest, end - begin);
+    }
+    EXPECT_GT(longest, contact_time + leaving_bound);
 }
 
 } // namespace
--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -126,6 +126,9 @@
         return;
     }
     ++arrival_count_;
+    if (on_arrival_) {
+        on_arrival_(find_header(request.headers, "X-Citronseam-Attempt-Id"));
+    }
     if (is_overloaded) {
         responder->respond(503, refusal_headers(), "");
     } else if (queue_delay_ms > 0) {
@@ -167,6 +170,10 @@
     on_piece_read_ = std::move(handler);
 }
 
+void platform_server::set_arrival_handler(std::function<void(const std::string&)> handler) {
+    on_arrival_ = std::move(handler);
+}
+
 void platform_server::set_orders_held(bool is_held) {
     const std::lock_guard<std::mutex> lock(mutex_);
     are_orders_held_ = is_held;
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -62,6 +62,9 @@
     bool has_staged(std::uint64_t version) const;
     /// Sets a function that is called before each call that reads a staged piece.
     void set_piece_read_handler(std::function<void(std::size_t piece)> handler);
+    /// Sets a function that is called for each request that is meant for it, before it is handled.
+    /// Call it before the first request.
+    void set_arrival_handler(std::function<void(const std::string& request)> handler);
     /// While true, orders are neither answered nor executed.
     void set_orders_held(bool is_held);
     /// @return orders that are held
@@ -124,6 +127,7 @@
     std::map<std::size_t, std::string> staged_pieces_;
     std::map<std::size_t, time_point> spoilt_at_; ///< by piece
     std::function<void(std::size_t)> on_piece_read_;
+    std::function<void(const std::string&)> on_arrival_;
     std::atomic<bool> is_load_unchecked_{false};
     int wrong_load_count_{0};
     bool are_orders_held_{false};
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -1,6 +1,5 @@
 #include "support/platform_world.h"
 
-#include <array>
 #include <filesystem>
 #include <fstream>
 
@@ -17,7 +16,6 @@
 
 const std::string daemon_path = std::string(CITRONSEAM_BIN_DIR) + "/citronseamd";
 constexpr milliseconds start_timeout{10000};
-constexpr std::array<const char*, platform_world::zone_count> zone_names{"zone-a", "zone-b"};
 
 /// A block of ports reserved for this test process. The blocks lie below the kernel's ephemeral
 /// port range. The first port of the block stays bound for the lifetime of the process, so that
@@ -111,10 +109,15 @@
 }
 
 void platform_world::put_server_row(const platform_server& server, const std::string& service,
-                                    const std::string& zone, const std::string& state) {
+                                    const std::string& zone, const std::string& state,
+                                    std::uint64_t started_at) {
     json entry = make_server_entry(service, address_of(server), zone, state);
     if (service == "drafts") {
-        entry["layers"] = make_layers(server.version());
+        const std::uint64_t weights = server.version();
+        entry["layers"] = weights == 0 ? json::array() : make_layers(weights);
+    }
+    if (started_at > 0) {
+        entry["born"] = started_at;
     }
     store.put("servers", server.id(), entry.dump());
 }
@@ -138,9 +141,12 @@
 
 void platform_world::set_server_address(const platform_server& server, const std::string& address) {
     server_addresses_[server.id()] = address;
-    json entry = json::parse(store.value("servers", server.id()));
-    entry["address"] = address;
-    store.put("servers", server.id(), entry.dump());
+    const std::string value = store.value("servers", server.id());
+    if (!value.empty()) {
+        json entry = json::parse(value);
+        entry["address"] = address;
+        store.put("servers", server.id(), entry.dump());
+    }
 }
 
 std::string platform_world::address_of(const platform_server& server) const {
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -4,6 +4,7 @@
 #ifndef CITRONSEAM_TESTS_SUPPORT_PLATFORM_WORLD_H
 #define CITRONSEAM_TESTS_SUPPORT_PLATFORM_WORLD_H
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -37,8 +38,8 @@
     void set_sidecar_store(std::size_t sidecar, std::string address);
     /// Sets the address of the store that a gateway uses from its start.
     void set_gateway_store(std::size_t gateway, std::string address);
-    /// Lets gateways and sidecars reach a server at another address, such as that of a proxy. Call
-    /// it before start().
+    /// Lets gateways, and sidecars from their start, reach a server at another address, such as
+    /// that of a proxy. Changes the server's row if there is one.
     void set_server_address(const platform_server& server, const std::string& address);
     /// Places the second zone in a region of its own, region-b. Call it before start().
     void separate_regions() { second_region_ = "region-b"; }
@@ -64,8 +65,10 @@
     /// Writes the weights version that the engines must load to the store.
     void set_weights_version(std::uint64_t version);
     /// Writes a backend server's row to the store.
+    /// @param started_at its `born`; 0 leaves it out
     void put_server_row(const platform_server& server, const std::string& service,
-                        const std::string& zone, const std::string& state = "ready");
+                        const std::string& zone, const std::string& state = "ready",
+                        std::uint64_t started_at = 0);
     /// Writes the row of a server that is none of the world's to the store, in the first zone.
     /// @param weights version of the model that an engine has loaded; 0 for a plain server
     void put_foreign_server_row(const std::string& id, const std::string& address,
@@ -93,6 +96,7 @@
 
     static constexpr const char* api_key = "key-1";
     static constexpr std::size_t zone_count = 2;
+    static constexpr std::array<const char*, zone_count> zone_names{"zone-a", "zone-b"};
 
 private:
     struct ports {
