Put proxies before the gateways' peer addresses in the soak

The messages between gateways, and between them and the sidecars, had no faults but those of whole processes. Rows that are read from the store now name a proxy instead of each gateway's peer address, and its connections are delayed, held, reset, silenced, split and cut like the others. A fault there counts as a disturbance of that gateway.

--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -77,6 +77,7 @@
     case target_kind::engine:
         return choose(numbers, engine_faults);
     case target_kind::store:
+    case target_kind::peer:
     case target_kind::sidecar_store:
     case target_kind::origin:
         return choose(numbers, store_faults);
@@ -171,8 +172,9 @@
 /// @return the calm period that the fault would disturb
 std::optional<calm_period> disturbed_calm(const planned_fault& fault,
                                           const std::vector<calm_period>& calms) {
-    const bool is_of_gateway =
-        fault.target == target_kind::gateway || fault.target == target_kind::store;
+    const bool is_of_gateway = fault.target == target_kind::gateway ||
+                               fault.target == target_kind::store ||
+                               fault.target == target_kind::peer;
     const bool is_harmless = is_planned(fault.kind) || is_of_weights(fault.target);
     for (const auto& calm : calms) {
         if (!is_harmless && fault.begin < calm.end && fault.end > calm.begin &&
@@ -236,6 +238,7 @@
              {target_kind::engine, counts.servers},
              {target_kind::desk, counts.servers},
              {target_kind::store, counts.stores},
+             {target_kind::peer, counts.gateways},
              {target_kind::sidecar_store, counts.sidecars},
              {target_kind::origin, 1},
              {target_kind::configuration, 1},
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -71,6 +71,7 @@
     engine,
     desk,
     store, ///< connections of a gateway to the store
+    peer,  ///< connections that other gateways and sidecars open to a gateway
     sidecar_store,
     origin,
     configuration,
@@ -79,12 +80,13 @@
     zone
 };
 
-inline constexpr std::array<enum_name<target_kind>, 11> target_names{{
+inline constexpr std::array<enum_name<target_kind>, 12> target_names{{
     {target_kind::gateway, "gateway"},
     {target_kind::sidecar, "sidecar"},
     {target_kind::engine, "engine"},
     {target_kind::desk, "desk"},
     {target_kind::store, "store"},
+    {target_kind::peer, "peer"},
     {target_kind::sidecar_store, "sidecar-store"},
     {target_kind::origin, "origin"},
     {target_kind::configuration, "configuration"},
@@ -122,8 +124,8 @@
 bool is_planned(fault_kind kind);
 
 /// Faults of one target follow each other; those of different targets overlap. In calm periods,
-/// only planned work, the faults of one gateway and its store, and those of sidecars go on, so that
-/// the promises with a time bound are checked at the other gateways.
+/// only planned work, the faults of one gateway and its connections, and those of sidecars go on,
+/// so that the promises with a time bound are checked at the other gateways.
 /// @return the faults in the order of their begin
 std::vector<planned_fault> make_plan(std::uint64_t seed, milliseconds duration,
                                      const target_counts& counts);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -120,6 +120,7 @@
 soak_run::soak_run(const soak_options& options)
     : options_(options), log_(options.seed), world_(options.gateways_per_zone),
       planned_work_(world_, timeline_, desk_proxies_) {
+    const std::string store_address = add_store_address();
     for (std::size_t i = 0; i < platform_world::zone_count; ++i) {
         world_.engines[i]->is_target_in_events = true;
         world_.engines[i]->event_interval_ms = event_interval_ms;
@@ -130,13 +131,13 @@
         world_.engines[i]->set_unchecked_loads();
         watch_arrivals(*world_.engines[i], {target_kind::engine, i});
         watch_arrivals(*world_.plain_servers[i], {target_kind::desk, i});
-        sidecar_store_proxies_.push_back(std::make_unique<fault_proxy>(world_.store.address()));
+        sidecar_store_proxies_.push_back(std::make_unique<fault_proxy>(store_address));
         world_.set_sidecar_store(i, sidecar_store_proxies_[i]->address());
     }
     origin_proxies_.push_back(std::make_unique<fault_proxy>(world_.origin.address()));
     planned_work_.announce_first_configuration(origin_proxies_[0]->address());
     for (std::size_t i = 0; i < world_.gateway_count(); ++i) {
-        store_proxies_.push_back(std::make_unique<fault_proxy>(world_.store.address()));
+        store_proxies_.push_back(std::make_unique<fault_proxy>(store_address));
         world_.set_gateway_store(i, store_proxies_[i]->address());
     }
 }
@@ -154,6 +155,26 @@
     });
 }
 
+/// @return an address of the store whose rows name a proxy instead of each gateway's peer address
+std::string soak_run::add_store_address() {
+    std::map<std::string, std::string> proxied;
+    for (std::size_t i = 0; i < world_.gateway_count(); ++i) {
+        peer_proxies_.push_back(std::make_unique<fault_proxy>(world_.peer_address(i)));
+        proxied[world_.peer_address(i)] = peer_proxies_.back()->address();
+    }
+    return world_.store.add_address(
+        [proxied](const std::string&, const std::string&, const std::string& value) {
+            std::string text = value;
+            for (const auto& [address, proxy] : proxied) {
+                const auto at = text.find(address);
+                if (at != std::string::npos) {
+                    text.replace(at, address.size(), proxy);
+                }
+            }
+            return text;
+        });
+}
+
 std::size_t soak_run::faulty_gateway_count() const {
     return std::min(world_.gateway_count(), max_faulty_gateways);
 }
@@ -231,6 +252,7 @@
     auto& proxies = fault.target == target_kind::engine          ? engine_proxies_
                     : fault.target == target_kind::desk          ? desk_proxies_
                     : fault.target == target_kind::store         ? store_proxies_
+                    : fault.target == target_kind::peer          ? peer_proxies_
                     : fault.target == target_kind::sidecar_store ? sidecar_store_proxies_
                                                                  : origin_proxies_;
     return *proxies.at(fault.index);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -28,7 +28,8 @@
     std::string log_directory; ///< where the run leaves all logs; empty: nowhere
 };
 
-/// Starts gateways in each of two zones, with proxies before the store, the servers and the origin.
+/// Starts gateways in each of two zones, with proxies before the store, the gateways' peer
+/// addresses, the servers and the origin.
 class soak_run {
 public:
     explicit soak_run(const soak_options& options);
@@ -51,6 +52,7 @@
     void check_process(target_kind target, std::size_t index);
     void check_runs();
     void check_loads();
+    std::string add_store_address();
     void watch_arrivals(harness::platform_server& server, fault_target link);
     void check_exchange(const timed_exchange& exchange);
     std::size_t faulty_gateway_count() const;
@@ -69,6 +71,7 @@
     std::vector<std::unique_ptr<fault_proxy>> engine_proxies_;
     std::vector<std::unique_ptr<fault_proxy>> desk_proxies_;
     std::vector<std::unique_ptr<fault_proxy>> store_proxies_;
+    std::vector<std::unique_ptr<fault_proxy>> peer_proxies_;
     std::vector<std::unique_ptr<fault_proxy>> sidecar_store_proxies_;
     std::vector<std::unique_ptr<fault_proxy>> origin_proxies_;
     planned_work planned_work_;
--- a/tests/soak/timeline.cpp
+++ b/tests/soak/timeline.cpp
@@ -84,7 +84,8 @@
 bool timeline::is_gateway_disturbed(std::size_t gateway, time_point from, time_point to,
                                     bool with_planned) const {
     return is_disturbed({target_kind::gateway, gateway}, from, to, with_planned) ||
-           is_disturbed({target_kind::store, gateway}, from, to, with_planned);
+           is_disturbed({target_kind::store, gateway}, from, to, with_planned) ||
+           is_disturbed({target_kind::peer, gateway}, from, to, with_planned);
 }
 
 std::optional<breach> timeline::check_arrival(const std::string& server, fault_target link,
--- a/tests/soak_promises_test.cpp
+++ b/tests/soak_promises_test.cpp
@@ -390,7 +390,7 @@
         EXPECT_LT(fault.end, milliseconds(60000)) << describe(fault);
         end = fault.end;
     }
-    EXPECT_EQ(free_at.size(), 22U);
+    EXPECT_EQ(free_at.size(), 26U);
 }
 
 // Guards against a series that checks no promise with a time bound, or overlaps too little.
@@ -405,14 +405,16 @@
     EXPECT_EQ(kinds.size(), fault_names.size() - 1) << "each kind but none";
     const auto plan = make_plan(7, duration, {4, 2, 2, 4});
     constexpr std::size_t servers = 100;
-    // The longest time without faults at two of the gateways, their stores and the plain servers.
+    // The longest time without faults at two of the gateways, their connections and the plain
+    // servers.
     milliseconds longest{0};
     for (milliseconds begin{0}; begin < duration; begin += milliseconds(100)) {
         milliseconds end = duration;
         std::set<std::size_t> disturbed;
         for (const auto& fault : plan) {
-            const bool is_of_gateway =
-                fault.target == target_kind::gateway || fault.target == target_kind::store;
+            const bool is_of_gateway = fault.target == target_kind::gateway ||
+                                       fault.target == target_kind::store ||
+                                       fault.target == target_kind::peer;
             const bool is_relevant = is_of_gateway || fault.target == target_kind::desk;
             if (is_relevant && !is_planned(fault.kind) && fault.end > begin && fault.begin < end) {
                 disturbed.insert(is_of_gateway ? fault.index : servers);
