Test a broken earlier answer before another one, cut at every byte

The table of raw answers had earlier answers before and after others in whole only. Without the change that rejects a head which is continued by another response, the cuts in the reason phrase and in the statement that a request has not run fail, also for requests that may run once, where the part comes first on a connection of their own: a 200 with the body of a 500, and a 503 for a request that ran.

--- a/tests/process_raw_answers_test.cpp
+++ b/tests/process_raw_answers_test.cpp
@@ -1050,6 +1050,112 @@
                "_" + std::get<2>(tested.param).name;
     });
 
+/// Two requests one after another, at a gateway that has one server for them. The server fails the
+/// second one, and writes a part of an earlier answer right before.
+class broken_surplus_answers
+    : public raw_answers<1>,
+      public ::testing::WithParamInterface<std::tuple<tested_surplus, tested_route>> {
+protected:
+    surplus_kind kind() const { return std::get<0>(GetParam()).kind; }
+    const tested_route& route() const { return std::get<1>(GetParam()); }
+
+    /// @return an earlier answer, as to a request with a number of as many digits
+    std::string make_surplus(const std::string& attempt) const {
+        const arrival earlier{"desk-0", route().prefix + attempt, attempt, 0};
+        switch (kind()) {
+        case surplus_kind::copy:
+            return make_answer(earlier, route(), answer_form::length);
+        case surplus_kind::refusal:
+            return make_refusal(attempt);
+        default:
+            return make_refusal("");
+        }
+    }
+
+    /// Sends both requests, and again if one did not get to the server.
+    /// @param size bytes of the earlier answer
+    void run_case(std::size_t gateway, std::size_t size, case_list& cases) {
+        for (int i = 0; i < max_sendings; ++i) {
+            if (world->send_sound(gateway, route()).empty() && run_once(gateway, size, cases)) {
+                return;
+            }
+            std::this_thread::sleep_for(pause_of_refused);
+        }
+        cases.add_result("part of " + std::to_string(size), "no server takes the request");
+    }
+
+private:
+    static constexpr const char* failure_body = "failed";
+
+    /// @return false if the request did not get to the server
+    bool run_once(std::size_t gateway, std::size_t size, case_list& cases) {
+        const tested_request request{route(), answer_form::length, world->next_path(route()),
+                                     false};
+        const std::string part =
+            make_surplus("a-" + std::to_string(raw_world::first_number)).substr(0, size);
+        world->script.set(
+            request.path,
+            {route(), answer_form::length, [part](const arrival& arrived, request_record&) {
+                 return raw_answer{part + make_head(arrived, "HTTP/1.1 500 Internal Server Error") +
+                                       "Content-Length: 6\r\n\r\n" + failure_body,
+                                   raw_ending::keep,
+                                   {},
+                                   {}};
+             }});
+        const caller_bytes received = world->send(gateway, request);
+        const request_record record = world->script.record(request.path);
+        if (record.arrival_count == 0) {
+            return false;
+        }
+        cases.add_result("after [" + part + "] " + describe(request, received),
+                         judge_failure(received, record));
+        return true;
+    }
+
+    /// @return what is wrong with the answer to a request that its server has failed
+    static std::string judge_failure(const caller_bytes& received, const request_record& record) {
+        const read_response response = read(received, false);
+        if (received.is_silent || !response.is_head_whole) {
+            return received.is_silent ? "no answer" : "";
+        }
+        if (!response.surplus.empty() || !response.is_whole) {
+            return "an answer that is not one";
+        }
+        const std::string seal = field(response.head, "X-Citronseam-Response-Seal");
+        if (response.status == 500) {
+            return record.seals.count(seal) > 0 && response.body == failure_body
+                       ? ""
+                       : "a failure that is not the server's";
+        }
+        const bool is_lost = response.status == 502 || response.status == 504;
+        return is_lost && seal.empty() ? "" : "a status that the server did not give";
+    }
+};
+
+// Guards against MIXED and REFUSED: a part of an earlier answer, cut at every byte, and the answer
+// after it are read as one.
+TEST_P(broken_surplus_answers, are_not_joined_with_answers) {
+    case_list cases;
+    const std::size_t size = make_surplus("a-" + std::to_string(raw_world::first_number)).size();
+    const std::size_t gateways = world->world.gateway_count();
+    case_list::run(size - 1, gateways, gateways, [&](std::size_t gateway, std::size_t index) {
+        run_case(gateway, index + 1, cases);
+        EXPECT_EQ(world->send_until_sound(gateway, route()), "");
+    });
+    cases.expect_no_failure();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    table, broken_surplus_answers,
+    ::testing::Combine(::testing::Values(tested_surplus{"copy", surplus_kind::copy},
+                                         tested_surplus{"refusal", surplus_kind::refusal},
+                                         tested_surplus{"refusal_without_id",
+                                                        surplus_kind::refusal_without_id}),
+                       ::testing::ValuesIn(tested_routes)),
+    [](const auto& tested) {
+        return std::string(std::get<0>(tested.param).name) + "_" + std::get<1>(tested.param).name;
+    });
+
 class connections_of_requests : public raw_answers<1> {};
 
 // Guards against TWICE, MIXED and REFUSED: a request that may run once waits for its answer where
