Read all that a stand-in has printed before its record is judged

A scenario could fail with "the verdict was ran, but the request did not run", or pass although a request ran twice: the record of a stand-in comes from its output, which a thread of the harness reads from a pipe, so a response may arrive before the line that was printed ahead of it. A restart took the output before the process was ended and lost what it had printed last. The check that generations rise also looked at what had been read so far.

The record now waits until the output has as many events as the process itself reports, or until the end of the output of a process that has ended; if they stay missing, it throws. A restart ends the process first and reads its output to the end. The generations are checked up to the accepted one, whose line is awaited.

--- a/tests/scenario/scenario_run.cpp
+++ b/tests/scenario/scenario_run.cpp
@@ -21,6 +21,8 @@
 /// of its own.
 constexpr std::string_view server_suffix = "-server";
 constexpr std::string_view zone_prefix = "zone-";
+/// From a status of a process until the lines that it logged before are read.
+constexpr milliseconds log_timeout{5000};
 
 bool is_server(const std::string& process) {
     return process.size() > server_suffix.size() &&
@@ -334,12 +336,18 @@
                              std::to_string(accepted) +
                                  " is not active everywhere: " + system().status().dump()};
         }
-        expect_rising_generations();
+        expect_rising_generations(accepted);
     }
 
-    /// Checks that the generations a process activated only increased.
-    void expect_rising_generations() {
+    /// Checks that the generations a process activated only increased, up to the accepted one.
+    void expect_rising_generations(std::uint64_t accepted) {
         for (const auto* name : {"entry-0", "entry-1", "entry-2", "agent-a", "agent-b"}) {
+            const std::string last =
+                "event=configuration_in_force generation=" + std::to_string(accepted) + " ";
+            if (process(name).wait_for_line(last, log_timeout).empty()) {
+                throw step_error{name, "no line says that it activated generation " +
+                                           std::to_string(accepted)};
+            }
             std::istringstream lines(process(name).output());
             std::uint64_t highest = 0;
             for (std::string line; std::getline(lines, line);) {
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -1,6 +1,7 @@
 #include "support/deployment.h"
 
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -125,6 +126,9 @@
 void deployment::restart(const std::string& name) {
     const auto previous = processes_.find(name);
     if (previous != processes_.end()) {
+        // What it printed last is read after its end.
+        previous->second->send_signal(SIGKILL);
+        previous->second->wait_for_end_of_output(startup_timeout);
         output_before_restart_[name] += previous->second->output();
         processes_.erase(previous);
     }
--- a/tests/support/deployment_calls.cpp
+++ b/tests/support/deployment_calls.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t max_response_bytes = 64 * mebibyte;
+/// From a response of a process until what it printed before is read.
+constexpr milliseconds output_timeout{5000};
 
 nlohmann::json parse_printed_events(const std::string& output) {
     constexpr std::string_view line_prefix = "record ";
@@ -104,13 +106,25 @@
 
 nlohmann::json deployment::recorded_events(const std::string& standin) {
     const auto& command = commands_.at(standin);
-    if (std::find(command.begin(), command.end(), "--print-record") != command.end()) {
-        return parse_printed_events(output_before_restart_[standin] + process(standin).output());
-    }
     const auto response =
         send_http_request("GET", "http://" + address(standin, "http") + "/record");
     const auto json = nlohmann::json::parse(response.body, nullptr, false);
-    return json.is_object() ? json["record"] : nlohmann::json::array();
+    auto events = json.is_object() ? json["record"] : nlohmann::json::array();
+    if (std::find(command.begin(), command.end(), "--print-record") == command.end()) {
+        return events;
+    }
+    // What the process has recorded may be read from its pipe later than its responses.
+    child_process& printer = process(standin);
+    const bool is_read =
+        json.is_object()
+            ? wait_until(
+                  [&] { return parse_printed_events(printer.output()).size() >= events.size(); },
+                  output_timeout)
+            : printer.wait_for_end_of_output(output_timeout) >= 0;
+    if (!is_read) {
+        throw std::runtime_error(standin + " has recorded more than it has printed");
+    }
+    return parse_printed_events(output_before_restart_[standin] + printer.output());
 }
 
 int deployment::count_runs(const std::string& standin, const std::string& field,
