Wait until an entry has counted a response in a test of metrics

The case could fail with a metrics page without the answered request: an entry counts a response in request_exchange::finish(), after it has sent its end, and the test read the page right after the response. It now waits for the count, at most 5 s.

Trial with a pause of 300 ms in finish(): it failed before in 3 of 3 runs, at the entry, and passes now in 3 of 3.

--- a/tests/process_path_test.cpp
+++ b/tests/process_path_test.cpp
@@ -34,13 +34,18 @@
     EXPECT_NE(plain.body.find("berth 7"), std::string::npos);
     EXPECT_EQ(system.count_runs("agent-d-server", "key", "key-1"), 1);
 
+    // An entry counts a response after it has sent it.
+    constexpr milliseconds count_timeout{5000};
     for (const auto* process : {"entry-1", "agent-d"}) {
-        const auto metrics_page = system.send_http_request(
-            "GET", "http://" + system.address(process, "operator") + "/metrics");
-        EXPECT_NE(
-            metrics_page.body.find("seconds_bucket{class=\"normal\",result=\"answered\",service="
-                                   "\"desk\",workspace=\"other\""),
-            std::string::npos)
+        EXPECT_TRUE(wait_until(
+            [&] {
+                const auto metrics_page = system.send_http_request(
+                    "GET", "http://" + system.address(process, "operator") + "/metrics");
+                return metrics_page.body.find(
+                           "seconds_bucket{class=\"normal\",result=\"answered\",service="
+                           "\"desk\",workspace=\"other\"") != std::string::npos;
+            },
+            count_timeout))
             << process;
     }
 }
