Judge the absence of log lines by a later line in four cases

Cases that say "sent once", "nothing large" or "not before the cut" looked at the lines that the harness had read so far, so a line that was printed but not yet read counted as absent. One case of process_distribution_test waited for the line about a row, which comes before the line about its copy that it then judged; with the latter unread it judged nothing.

Each now waits for a line that comes after those it judges: the copy that brought the row, a further change, or the next generation. The pauses in which further copies would arrive stay. The case that cuts the connection under a reply asks for two requests instead of no reply so far: without the cut there is one.

--- a/tests/process_configuration_test.cpp
+++ b/tests/process_configuration_test.cpp
@@ -1,6 +1,7 @@
 // How processes fetch the accepted configuration from their peers.
 #include <sstream>
 #include <thread>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -30,15 +31,18 @@
     return test_configuration({{"workspaces:\n", workspaces}});
 }
 
-/// @return how many bodies of that generation a process received
-int bodies_received(const child_process& process, const std::string& generation) {
-    int count = 0;
+/// @return the lines of an event of a process with that generation
+std::vector<std::string> lines_of(const child_process& process, const std::string& event,
+                                  const std::string& generation) {
+    std::vector<std::string> lines;
     std::istringstream output(process.output());
     for (std::string line; std::getline(output, line);) {
-        const bool is_body = line.find("event=configuration_received") != std::string::npos;
-        count += is_body && log_field_value(line, "generation") == generation ? 1 : 0;
+        const bool is_event = line.find("event=" + event + " ") != std::string::npos;
+        if (is_event && log_field_value(line, "generation") == generation) {
+            lines.push_back(line);
+        }
     }
-    return count;
+    return lines;
 }
 
 /// Four entries and one agent, which reaches each entry through a proxy.
@@ -86,20 +90,30 @@
     ASSERT_FALSE(wait_for_event("configuration_in_force", milliseconds(10000)).empty())
         << agent().output();
     std::this_thread::sleep_for(copies_wait);
-    EXPECT_EQ(bodies_received(agent(), "2"), 1);
+    // All lines until this one are read.
+    set_link_rate(0);
+    system.apply(test_configuration());
+    ASSERT_FALSE(
+        agent()
+            .wait_for_line("event=configuration_in_force generation=3 ", milliseconds(10000))
+            .empty())
+        << agent().output();
+    EXPECT_EQ(lines_of(agent(), "configuration_received", "2").size(), 1U);
 }
 
 // Guards against an agent that waits for a reply after the connection it requested it on was lost.
 TEST_F(configuration_fetch, configuration_is_requested_again_after_the_connection_is_lost) {
     ASSERT_FALSE(wait_for_event("configuration_requested", milliseconds(5000)).empty())
         << agent().output();
-    EXPECT_EQ(bodies_received(agent(), "2"), 0)
-        << "the reply arrived before the connection was cut";
     set_link_rate(0);
     set_disconnected(true);
     set_disconnected(false);
     EXPECT_FALSE(wait_for_event("configuration_in_force", reconnect_bound).empty())
         << agent().output();
+    // The configuration came before this line, so all requests for it are read.
+    EXPECT_GE(lines_of(agent(), "configuration_requested", "2").size(), 2U)
+        << "the reply arrived before the connection was cut\n"
+        << agent().output();
 }
 
 } // namespace
--- a/tests/process_distribution_test.cpp
+++ b/tests/process_distribution_test.cpp
@@ -224,7 +224,19 @@
         wait_until([&] { return has_configuration(world.sidecar(0), version); }, apply_bound));
     EXPECT_EQ(read_count, 0) << "reads of the store";
     constexpr int max_bytes = 64 * kibibyte;
-    for (const auto& line : lines_with(world.sidecar(0), {"event=rows_from_member", "table=op"})) {
+    // A process names its copies after the rows in them.
+    const auto copies = [this] {
+        return lines_with(world.sidecar(0), {"event=rows_from_member", "table=op"});
+    };
+    ASSERT_TRUE(wait_until(
+        [&] {
+            const auto lines = copies();
+            return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
+                return std::stoull(log_field_value(line, "version")) >= version;
+            });
+        },
+        apply_bound));
+    for (const auto& line : copies()) {
         EXPECT_LE(std::stoi(log_field_value(line, "bytes")), max_bytes) << line;
     }
 }
--- a/tests/process_rows_test.cpp
+++ b/tests/process_rows_test.cpp
@@ -22,6 +22,8 @@
 /// Shorter than the 1.3 s without a new version after which a gateway may count as not reading.
 constexpr milliseconds server_row_interval{200};
 constexpr milliseconds quiet_time{3000};
+/// Time in which further copies of a row would arrive: twice the interval of requests for rows.
+constexpr milliseconds further_copies_time{1000};
 /// How often the zone's reader reads the server list; the other gateways do not.
 constexpr milliseconds reader_interval{400};
 
@@ -64,6 +66,19 @@
         timeout);
 }
 
+/// Waits until a process has named the copy that brought it a version of the store, which it does
+/// after it has named the rows in it. Its earlier lines are read then.
+bool wait_for_copy(const child_process& process, std::uint64_t version, milliseconds timeout) {
+    return wait_until(
+        [&] {
+            const auto lines = operator_rows_received(process);
+            return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
+                return std::stoull(log_field_value(line, "version")) >= version;
+            });
+        },
+        timeout);
+}
+
 /// Three gateways and one sidecar in each of two zones, all connected to each other.
 class zone_rows : public ::testing::Test {
 protected:
@@ -149,10 +164,13 @@
     for (std::size_t i = 0; i < platform_world::zone_count; ++i) {
         ASSERT_TRUE(wait_for_configuration(world.sidecar(i), version, milliseconds(3000)));
     }
-    std::this_thread::sleep_for(milliseconds(1000));
+    std::this_thread::sleep_for(further_copies_time);
+    // One more change, after which all copies of the first one are read.
+    const auto last = world.put_configuration(3, true);
     for (std::size_t i = 0; i < platform_world::zone_count; ++i) {
-        EXPECT_EQ(operator_rows_received(world.sidecar(i)).size() - received_before[i], 1U)
-            << "sidecar-" << i << " received the row this often";
+        ASSERT_TRUE(wait_for_copy(world.sidecar(i), last, milliseconds(3000)));
+        EXPECT_EQ(operator_rows_received(world.sidecar(i)).size() - received_before[i], 2U)
+            << "sidecar-" << i << " received the two rows this often";
     }
 }
 
@@ -250,10 +268,14 @@
     });
     ASSERT_TRUE(wait_for_configuration(world.sidecar(0), version, milliseconds(10000)));
     set_link_rate(0);
-    std::this_thread::sleep_for(milliseconds(1000));
+    std::this_thread::sleep_for(further_copies_time);
+    // One more change, after which all copies of the large row are read.
+    const auto last = world.edit_configuration(
+        [](nlohmann::json& configuration) { configuration.erase("padding"); });
+    ASSERT_TRUE(wait_for_copy(world.sidecar(0), last, milliseconds(3000)));
     const auto received = operator_rows_received(world.sidecar(0));
-    ASSERT_EQ(received.size() - received_before, 1U);
-    EXPECT_GE(std::stoul(log_field_value(received.back(), "bytes")), padding_size);
+    ASSERT_EQ(received.size() - received_before, 2U);
+    EXPECT_GE(std::stoul(log_field_value(received[received.size() - 2], "bytes")), padding_size);
 }
 
 } // namespace
