Wait for what a test builds on instead of pausing in five cases

process_allowed_regions_test paused 300 ms for a request to reach its engine; on a slow machine the request began after the change and the case tested nothing. process_zone_test paused 500 ms for a request to run and 300 ms for SIGTERM to arrive, and then asked another entry at once for its list, which that one shortens when the next heartbeat of the leaving entry arrives.

Both files pass, once as a whole; no run with a delay.

--- a/tests/process_allowed_regions_test.cpp
+++ b/tests/process_allowed_regions_test.cpp
@@ -46,7 +46,8 @@
     std::future<http_response> start_waiting_stream() {
         world.engines[0]->queue_delay_ms = 5000;
         auto response = std::async(std::launch::async, [this] { return call_for_stream(); });
-        std::this_thread::sleep_for(milliseconds(300));
+        EXPECT_TRUE(
+            wait_until([this] { return world.engines[0]->arrival_count() > 0; }, propagation_time));
         return response;
     }
 
--- a/tests/process_zone_test.cpp
+++ b/tests/process_zone_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "support/requests.h"
+#include "support/rollout.h"
 
 namespace {
 
@@ -132,16 +133,29 @@
     auto in_flight = std::async(std::launch::async, [&system] {
         return system.call(0, "POST", "/v1/completions", completion_body("long", 40, true));
     });
-    std::this_thread::sleep_for(milliseconds(500));
+    ASSERT_TRUE(wait_until(
+        [&] { return process_status(system, "agent-a").value("running", 0) > 0; }, removal_bound));
     system.process("entry-0").send_signal(SIGTERM);
-    std::this_thread::sleep_for(milliseconds(300));
+    ASSERT_TRUE(wait_until(
+        [&] {
+            const auto ready = system.send_http_request(
+                "GET", "http://" + system.address("entry-0", "operator") + "/readyz");
+            return ready.body.find("leaving") != std::string::npos;
+        },
+        removal_bound));
     const auto refused = system.call(0, "POST", "/v1/completions", completion_body("new", 4, true));
     EXPECT_EQ(refused.outcome.status, 307);
     EXPECT_EQ(verdict_of(refused), "not_run");
     EXPECT_NE(find_header(refused.headers, "Location").find(system.address("entry-1", "http")),
               std::string::npos);
-    const auto entries = system.call(1, "GET", "/v1/entries");
-    EXPECT_EQ(nlohmann::json::parse(entries.body)["entries"].size(), 1U) << entries.body;
+    http_response entries;
+    EXPECT_TRUE(wait_until(
+        [&] {
+            entries = system.call(1, "GET", "/v1/entries");
+            return nlohmann::json::parse(entries.body)["entries"].size() == 1U;
+        },
+        removal_bound))
+        << entries.body;
     const auto answer = in_flight.get();
     EXPECT_TRUE(answer.outcome.is_complete);
     EXPECT_NE(answer.body.find("[DONE]"), std::string::npos);
