Report free room after a refusal, and apply both in the order in which they were sent

Callers of one entry were refused while a server had free places. The agent keeps in mind that it refused a request at its limit, so as to report as soon as it has room; refuse() itself consumed this at once and reported a full server, and the entry then waited for the next regular heartbeat, 250 ms in the tests. Where the report did come in time, the entry set the server's limit to zero on the strand of the request, which may run after the heartbeat that was sent later, and the server counted as full until the next one.

The agent now records the refusal after it has sent it, and reports when a request ends and there is room. The entry applies a refusal where it reads the connection, in the order of the frames.

--- a/src/programs/agent/admission_controller.cpp
+++ b/src/programs/agent/admission_controller.cpp
@@ -41,16 +41,20 @@
     }
     const std::lock_guard<std::mutex> lock(mutex_);
     if (!is_admissible(state_, is_isolated)) {
-        has_limit_refusal_ = true;
         return refusal::limit;
     }
     ticket = admit(state_, is_isolated);
     return refusal::none;
 }
 
+void admission_controller::record_limit_refusal() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    has_limit_refusal_ = true;
+}
+
 bool admission_controller::consume_limit_refusal() {
     const std::lock_guard<std::mutex> lock(mutex_);
-    return std::exchange(has_limit_refusal_, false);
+    return is_admissible(state_, false) && std::exchange(has_limit_refusal_, false);
 }
 
 void admission_controller::release_ticket(const admission_ticket& ticket) {
--- a/src/programs/agent/admission_controller.h
+++ b/src/programs/agent/admission_controller.h
@@ -35,8 +35,11 @@
     /// @param ticket      receives the reserved slot
     /// @return refusal::none when a slot was reserved, otherwise the reason
     refusal try_admit(bool is_isolated, admission_ticket& ticket);
-    /// @return whether a request was refused at the concurrency limit since the last call. The
-    /// entries that sent such requests wait for a heartbeat that reports free capacity.
+    /// Records that a request was refused at the concurrency limit. The entry that sent it waits
+    /// for a heartbeat that reports free capacity.
+    void record_limit_refusal();
+    /// @return whether there is free capacity and an entry waits for the news; then it is no longer
+    /// recorded
     bool consume_limit_refusal();
     /// Releases a slot without a latency sample.
     void release_ticket(const admission_ticket& ticket);
--- a/src/programs/agent/agent_request.cpp
+++ b/src/programs/agent/agent_request.cpp
@@ -356,6 +356,10 @@
     context_.process_metrics.count("citronseam_refusals_total",
                                    {{"reason", std::string(name(reason))}});
     send_end(run_verdict::not_run, reason, message, admission_retry_after);
+    if (reason == refusal::limit) {
+        // After the refusal, so that the report of the next free place is not older than it.
+        context_.admission.record_limit_refusal();
+    }
     context_.on_request_ended();
 }
 
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -264,6 +264,12 @@
                 exchange->handle_data(data->request(), *data);
             }
         } else if (const auto* end = message.body_as_response_end()) {
+            if (is_transient(from_wire(end->refusal()))) {
+                // The agent accepts nothing at present; assume no capacity until its next
+                // heartbeat. Set here, in the order of the frames, and not by the exchange: that
+                // could be later than the heartbeat.
+                link->load().limit.store(0, std::memory_order_relaxed);
+            }
             if (const auto exchange = find_exchange(*link, end->request())) {
                 exchange->handle_end(end->request(), *end);
             }
--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -26,9 +26,9 @@
     return find_header(headers, "Content-Type").rfind(event_stream_type, 0) == 0;
 }
 
-/// Refusals caused by the current state of a backend server and not by the request. Trying another
-/// backend server after one of them does not count against the retry budget.
-bool is_transient(refusal reason) {
+} // namespace
+
+bool is_transient(refusal reason) noexcept {
     switch (reason) {
     case refusal::limit:
     case refusal::availability_zone_out:
@@ -42,8 +42,6 @@
     }
 }
 
-} // namespace
-
 request_exchange::request_exchange(entry_context& context,
                                    std::shared_ptr<service_dispatcher> dispatcher,
                                    caller_request request,
@@ -341,10 +339,6 @@
 
 void request_exchange::end_attempt(attempt_outcome outcome) {
     const backend_server_load* tried = &attempt_.link->load();
-    if (is_transient(outcome.reason)) {
-        // The agent accepts nothing at present; assume no capacity until its next heartbeat.
-        attempt_.link->load().limit.store(0, std::memory_order_relaxed);
-    }
     release_attempt(false, outcome.verdict, outcome.reason);
     verdict_ = combine_verdicts(verdict_, outcome.verdict);
     outcome.verdict = verdict_;
--- a/src/programs/entry/request_exchange.h
+++ b/src/programs/entry/request_exchange.h
@@ -24,6 +24,10 @@
 
 namespace citronseam {
 
+/// Refusals caused by the current state of a backend server and not by the request. Trying another
+/// backend server after one of them does not count against the retry budget.
+bool is_transient(refusal reason) noexcept;
+
 /// A caller's request, resolved against the configuration.
 struct caller_request {
     std::string service;
