Put a request that an agent did not take back to the front of the queue

Callers were refused "for the queue's limit" after up to 1.1 s of waiting: a request that an agent refuses, since its server has filled up meanwhile, went to the end of the entry's queue, and was refused if later requests had filled it. It is now the next one of its workspace and priority, and no limit applies, as it had its place. A request that must run alone still goes to the end, so that the others do not wait until a server is empty.

The new case of request_logic_test cannot be built on the code before; it says what push() did not do.

--- a/include/citronseam/request/fair_queue.h
+++ b/include/citronseam/request/fair_queue.h
@@ -64,6 +64,10 @@
 /// requests is evicted, unless the new request's workspace would then have more waiting than it.
 push_result push(fair_queue& queue, queued_request request);
 
+/// Puts a request back that was taken and could not be run. It is the next one of its workspace and
+/// priority, and no limit refuses it: it had its place.
+void put_back(fair_queue& queue, queued_request request);
+
 /// @return the request that pop() would take, or nullptr when the queue is empty
 const queued_request* peek(const fair_queue& queue);
 
--- a/src/programs/entry/request_exchange.cpp
+++ b/src/programs/entry/request_exchange.cpp
@@ -374,7 +374,12 @@
     context_.process_metrics.count(
         "citronseam_retries_total",
         {{"service", request_.service}, {"reason", std::string(name(outcome.reason))}});
-    dispatcher_->submit(shared_from_this());
+    // A request that must run alone does not keep the others behind it waiting for that.
+    if (is_transient(outcome.reason) && !is_suspected_) {
+        dispatcher_->resubmit(shared_from_this());
+    } else {
+        dispatcher_->submit(shared_from_this());
+    }
 }
 
 void request_exchange::reject(refusal reason, milliseconds retry_after, std::string message) {
--- a/src/programs/entry/service_dispatcher.cpp
+++ b/src/programs/entry/service_dispatcher.cpp
@@ -120,6 +120,22 @@
     }
 }
 
+void service_dispatcher::resubmit(const exchange_pointer& exchange) {
+    std::shared_ptr<backend_server_link> link;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        link = choose_link(*exchange);
+        if (link == nullptr) {
+            exchange->clear_exclusions();
+            waiting_[exchange->id()] = exchange;
+            put_back(queue_, exchange->queue_entry());
+        }
+    }
+    if (link != nullptr) {
+        exchange->dispatch_to(link);
+    }
+}
+
 bool service_dispatcher::remove_waiting(const request_exchange& exchange) {
     const std::lock_guard<std::mutex> lock(mutex_);
     waiting_.erase(exchange.id());
--- a/src/programs/entry/service_dispatcher.h
+++ b/src/programs/entry/service_dispatcher.h
@@ -40,6 +40,8 @@
 
     /// Dispatches a request to a backend server, queues it, or refuses it immediately.
     void submit(const std::shared_ptr<request_exchange>& exchange);
+    /// Dispatches a request again that an agent did not take, or puts it back into the queue.
+    void resubmit(const std::shared_ptr<request_exchange>& exchange);
     /// Removes a request from the queue.
     /// @return whether it was waiting
     bool remove_waiting(const request_exchange& exchange);
--- a/src/request/fair_queue.cpp
+++ b/src/request/fair_queue.cpp
@@ -106,6 +106,16 @@
     return outcome;
 }
 
+void put_back(fair_queue& queue, queued_request request) {
+    fair_queue::workspace_queue& workspace_queue = queue.workspace_queues[request.workspace];
+    if (workspace_queue.size == 0) {
+        workspace_queue.virtual_time = std::max(workspace_queue.virtual_time, queue.virtual_now);
+    }
+    ++workspace_queue.size;
+    ++queue.size;
+    workspace_queue.waiting[index_of(request.priority)].push_front(std::move(request));
+}
+
 const queued_request* peek(const fair_queue& queue) {
     const auto next = next_queue(queue.workspace_queues);
     if (next == queue.workspace_queues.end() || next->second.size == 0) {
--- a/tests/request_logic_test.cpp
+++ b/tests/request_logic_test.cpp
@@ -185,6 +185,26 @@
         << "own zone has no capacity";
 }
 
+// Guards against a request that waited, was sent to a server that had filled up meanwhile, and is
+// then refused since later ones have filled the queue.
+TEST(fair_queue, request_that_is_put_back_is_next_and_is_not_refused) {
+    fair_queue queue;
+    queue.limit = 2;
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        ASSERT_TRUE(push(queue, make_queued_request(id, "a")).is_queued);
+    }
+    const auto taken = pop(queue);
+    ASSERT_TRUE(taken.has_value());
+    ASSERT_TRUE(push(queue, make_queued_request(3, "a")).is_queued);
+    put_back(queue, *taken);
+    EXPECT_EQ(queue.size, 3U);
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        const auto next = pop(queue);
+        ASSERT_TRUE(next.has_value());
+        EXPECT_EQ(next->id, id);
+    }
+}
+
 TEST(fair_queue, large_workspace_does_not_starve_small_one) {
     fair_queue queue;
     for (std::uint64_t i = 0; i < 200; ++i) {
