Leave each entry its share of a server's places

An entry subtracts the requests of the other entries as of the last report, up to 250 ms old in the tests, while a request takes 20 ms. If the others filled the server at each report, the entry sent nothing to it, however often places became free in between, until its queue was full. Metrics of each process: 59 of 200 requests answered at one entry, 200 at another; the refusals are those of the workspace's limit of 64 waiting requests.

Reports now take no entry below its equal share of the limit, rounded up, and an entry with its share leaves free places to those below theirs. The agent still refuses what exceeds its limit, and reports when it has room.

--- a/include/citronseam/request/balancer.h
+++ b/include/citronseam/request/balancer.h
@@ -26,6 +26,7 @@
 struct service_pool {
     std::vector<backend_server_load*> own_zone;
     std::vector<backend_server_load*> other_zones;
+    std::uint32_t entry_count{1}; ///< entry processes that send requests to the servers
 };
 
 /// A server that likely has the prompt's prefix cached, and whether it is in the local zone.
@@ -34,8 +35,13 @@
     bool is_own_zone{false};
 };
 
+/// A report of the requests of others is old after one short request, so it takes no entry process
+/// below its equal share of the limit, rounded up. Beyond its share, an entry process takes free
+/// places only while the others use less than theirs. An agent refuses what exceeds its limit, and
+/// reports again as soon as it has room.
+/// @param entry_count entry processes that send requests to the server
 /// @return the number of further requests the server can take, as known to this entry process
-std::uint32_t free_capacity(const backend_server_load& load) noexcept;
+std::uint32_t free_capacity(const backend_server_load& load, std::uint32_t entry_count) noexcept;
 
 /// Chooses a backend server with free capacity.
 ///
--- a/src/programs/entry/backend_server_directory.cpp
+++ b/src/programs/entry/backend_server_directory.cpp
@@ -79,6 +79,15 @@
     }
 }
 
+void backend_server_directory::set_entry_count(std::uint32_t count) {
+    if (entry_count_.exchange(count) == count) {
+        return;
+    }
+    for (const auto& [service, dispatcher] : dispatchers()) {
+        publish(service);
+    }
+}
+
 void backend_server_directory::apply_control_state(const control_view& view) {
     if (view->accepted == nullptr) {
         return;
@@ -108,6 +117,7 @@
 void backend_server_directory::publish(const std::string& service) {
     const std::lock_guard<std::mutex> publishing(publish_mutex_);
     auto snapshot = std::make_shared<service_snapshot>();
+    snapshot->pool.entry_count = entry_count_;
     for (const auto& link : links()) {
         if (link->service() != service) {
             continue;
--- a/src/programs/entry/backend_server_directory.h
+++ b/src/programs/entry/backend_server_directory.h
@@ -3,6 +3,8 @@
 #ifndef CITRONSEAM_PROGRAMS_ENTRY_BACKEND_SERVER_DIRECTORY_H
 #define CITRONSEAM_PROGRAMS_ENTRY_BACKEND_SERVER_DIRECTORY_H
 
+#include <atomic>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -37,6 +39,8 @@
     /// Passes an engine's prefix cache report to the dispatcher of its service.
     void handle_cache_report(const backend_server_link& link,
                              const wire::cache_report& message) const;
+    /// Sets how many entries share the backend servers.
+    void set_entry_count(std::uint32_t count);
     /// Applies the services and availability zones of the control state.
     void apply_control_state(const control_view& view);
     /// Runs the periodic work of all dispatchers.
@@ -56,6 +60,7 @@
     std::string zone_;
     const control_state_sync& state_sync_;
     metrics& metrics_;
+    std::atomic<std::uint32_t> entry_count_{1};
     std::mutex publish_mutex_; ///< prevents an older snapshot from replacing a newer one
     mutable std::mutex mutex_;
     std::map<std::string, std::shared_ptr<backend_server_link>> links_; ///< by instance
--- a/src/programs/entry/entry.cpp
+++ b/src/programs/entry/entry.cpp
@@ -1,5 +1,6 @@
 #include "programs/entry/entry.h"
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -315,6 +316,8 @@
             }
         }
         entry_count_ = others.size() + 1;
+        directory_.set_entry_count(
+            std::min(static_cast<std::uint32_t>(entry_count_), options_.control.entries_per_agent));
         const bool is_full_mesh = others.size() <= max_mesh_connections;
         dialer::target_map targets;
         for (const auto& other : choose_entries(options_.instance, options_.availability_zone,
--- a/src/request/balancer.cpp
+++ b/src/request/balancer.cpp
@@ -19,8 +19,9 @@
     return std::find(excluded.begin(), excluded.end(), load) != excluded.end();
 }
 
-bool has_room(const backend_server_load* load, const excluded_list& excluded) noexcept {
-    return free_capacity(*load) > 0 && !is_excluded(excluded, load);
+bool has_room(const backend_server_load* load, std::uint32_t entry_count,
+              const excluded_list& excluded) noexcept {
+    return free_capacity(*load, entry_count) > 0 && !is_excluded(excluded, load);
 }
 
 /// Requests at the server: this entry process's own count, which is exact, plus the requests of
@@ -44,9 +45,10 @@
 }
 
 backend_server_load* less_loaded_with_room(backend_server_load* left, backend_server_load* right,
+                                           std::uint32_t entry_count,
                                            const excluded_list& excluded) noexcept {
-    const bool has_left_room = has_room(left, excluded);
-    const bool has_right_room = has_room(right, excluded);
+    const bool has_left_room = has_room(left, entry_count, excluded);
+    const bool has_right_room = has_room(right, entry_count, excluded);
     if (has_left_room && has_right_room) {
         return is_less_loaded(*right, *left) ? right : left;
     }
@@ -57,7 +59,7 @@
 }
 
 backend_server_load* choose_in_group(const std::vector<backend_server_load*>& group,
-                                     const excluded_list& excluded,
+                                     std::uint32_t entry_count, const excluded_list& excluded,
                                      random_source& random) noexcept {
     if (group.empty()) {
         return nullptr;
@@ -65,7 +67,8 @@
     for (int attempt = 0; attempt < random_pairs; ++attempt) {
         backend_server_load* left = group[random_below(random, group.size())];
         backend_server_load* right = group[random_below(random, group.size())];
-        if (backend_server_load* found = less_loaded_with_room(left, right, excluded)) {
+        if (backend_server_load* found =
+                less_loaded_with_room(left, right, entry_count, excluded)) {
             return found;
         }
     }
@@ -73,7 +76,7 @@
     const std::size_t steps = std::min(group.size(), max_scanned_servers);
     for (std::size_t step = 0; step < steps; ++step) {
         backend_server_load* candidate = group[(start + step) % group.size()];
-        if (has_room(candidate, excluded)) {
+        if (has_room(candidate, entry_count, excluded)) {
             return candidate;
         }
     }
@@ -88,27 +91,39 @@
 
 } // namespace
 
-std::uint32_t free_capacity(const backend_server_load& load) noexcept {
-    if (!load.is_accepting.load(std::memory_order_relaxed)) {
+std::uint32_t free_capacity(const backend_server_load& load, std::uint32_t entry_count) noexcept {
+    const std::uint32_t limit = load.limit.load(std::memory_order_relaxed);
+    if (limit == 0 || !load.is_accepting.load(std::memory_order_relaxed)) {
         return 0;
     }
-    const std::uint32_t limit = load.limit.load(std::memory_order_relaxed);
+    const std::uint32_t own = load.outstanding.load(std::memory_order_relaxed);
     const std::uint32_t requests = estimated_requests(load);
-    return requests < limit ? limit - requests : 0;
+    const std::uint32_t room = requests < limit ? limit - requests : 0;
+    const std::uint32_t entries = std::max(entry_count, 1U);
+    const std::uint32_t share = (limit + entries - 1) / entries;
+    if (own < share) {
+        return std::max(room, share - own);
+    }
+    // Places that become free belong to the entries below their shares.
+    const std::uint32_t others = requests - own;
+    const std::uint32_t parts_of_others = (entries - 1) * (limit / entries);
+    return others > 0 && others >= parts_of_others ? 0 : room;
 }
 
 backend_server_load* choose_backend_server(const service_pool& pool,
                                            const preferred_server& preferred,
                                            const excluded_list& excluded,
                                            random_source& random) noexcept {
-    backend_server_load* chosen = choose_in_group(pool.own_zone, excluded, random);
+    backend_server_load* chosen =
+        choose_in_group(pool.own_zone, pool.entry_count, excluded, random);
 
     const bool has_own_zone_room = chosen != nullptr;
     if (!has_own_zone_room) {
-        chosen = choose_in_group(pool.other_zones, excluded, random);
+        chosen = choose_in_group(pool.other_zones, pool.entry_count, excluded, random);
     }
     const bool is_zone_acceptable = preferred.is_own_zone || !has_own_zone_room;
-    if (preferred.load != nullptr && is_zone_acceptable && has_room(preferred.load, excluded) &&
+    if (preferred.load != nullptr && is_zone_acceptable &&
+        has_room(preferred.load, pool.entry_count, excluded) &&
         is_within_affinity_bound(*preferred.load, chosen)) {
         return preferred.load;
     }
--- a/tests/process_fault_test.cpp
+++ b/tests/process_fault_test.cpp
@@ -102,13 +102,19 @@
                               "8", "--falls-over", "1"}}};
     deployment system(plan);
     system.start();
-    const auto result = system.load({"--service", "pool", "--rate", "300", "--seconds", "2",
-                                     "--tokens", "8", "--timeout-ms", "9000"});
+    // Half of what the queues of the three entries hold for the load's workspace, so that none of
+    // them is full on a slow machine, unless one entry gets too few of the server's places.
+    constexpr const char* most_running = "96";
+    constexpr int min_sent = 300; ///< about three times what the cold capacity can serve
+    const auto result =
+        system.load({"--service", "pool", "--rate", "300", "--seconds", "2", "--tokens", "8",
+                     "--timeout-ms", "9000", "--most-running", most_running});
     ASSERT_TRUE(system.process("agent-a-server").is_running())
         << "the server stopped: " << system.process("agent-a-server").output() << result.dump();
     EXPECT_EQ(result["short_answers"], 0) << result.dump();
-    EXPECT_GE(result["answered"].get<int>(), 9 * result["sent"].get<int>() / 10)
+    EXPECT_EQ(result["answered"], result["sent"])
         << result.dump() << system.process("agent-a").output();
+    EXPECT_GE(result["sent"].get<int>(), min_sent) << result.dump();
     const auto status = system.send_http_request(
         "GET", "http://" + system.address("agent-a-server", "http") + "/admin/status");
     EXPECT_LE(nlohmann::json::parse(status.body)["most_while_cold"], 1);
--- a/tests/request_logic_test.cpp
+++ b/tests/request_logic_test.cpp
@@ -159,7 +159,36 @@
     load.outstanding = 2;
     load.outstanding_at_report = 2;
     load.running = 9;
-    EXPECT_EQ(free_capacity(load), 1U);
+    constexpr std::uint32_t entry_count = 5; // a share of two
+    EXPECT_EQ(free_capacity(load, entry_count), 1U);
+}
+
+// Guards against an entry that sends nothing to a server since others kept it full at each report,
+// for as long as its own requests wait, while places are free in between.
+TEST(balancer, requests_of_other_entries_leave_each_entry_its_share) {
+    constexpr std::uint32_t entry_count = 3;
+    backend_server_load load;
+    load.is_accepting = true;
+    load.limit = 8;
+    load.running = 8;
+    EXPECT_EQ(free_capacity(load, entry_count), 3U);
+    load.outstanding = 2;
+    EXPECT_EQ(free_capacity(load, entry_count), 1U);
+    load.outstanding = 3;
+    EXPECT_EQ(free_capacity(load, entry_count), 0U);
+    load.running = 3;
+    load.outstanding_at_report = 3;
+    EXPECT_EQ(free_capacity(load, entry_count), 5U) << "the others send nothing";
+    load.running = 7;
+    EXPECT_EQ(free_capacity(load, entry_count), 0U) << "the others hold their shares";
+    load.outstanding = 0;
+    load.limit = 1;
+    EXPECT_EQ(free_capacity(load, entry_count), 1U) << "a share is one request at least";
+    load.limit = 0;
+    EXPECT_EQ(free_capacity(load, entry_count), 0U) << "the agent has refused a request";
+    load.limit = 8;
+    load.is_accepting = false;
+    EXPECT_EQ(free_capacity(load, entry_count), 0U);
 }
 
 queued_request make_queued_request(std::uint64_t id, const std::string& workspace,
