Believe an entry's answer to the operators' tool only if it states what was done

Symptom, by test: an empty, short or foreign 200 of an entry counted as a result, or as a notice or a configuration that the entry took: 'entries accepted the notice', and a command ended with success. A late second answer to one notice counted as that to the next.

Cause: the status decided; text that is no JSON was handed on, and the connections were kept although no answer names its request.

Fix: a query wants a JSON object, a notice or configuration wants 'taken', and each request has a connection of its own.

--- a/src/programs/tool/tool_context.cpp
+++ b/src/programs/tool/tool_context.cpp
@@ -15,6 +15,16 @@
 constexpr std::size_t max_response_bytes = 64 * mebibyte;
 constexpr std::size_t max_rows = 10000;
 
+constexpr int http_ok = 200;
+constexpr int first_failure_status = 300;
+
+/// @return whether an entry states that it took what was sent
+bool is_taken(const http_response& response) {
+    const auto json = nlohmann::json::parse(response.body, nullptr, false);
+    return response.outcome.is_complete && response.outcome.status < first_failure_status &&
+           json.is_object() && json.contains("taken") && json.at("taken") == true;
+}
+
 /// Calls an asynchronous function and blocks until its callback receives the result.
 template<typename Value, typename Start>
 result<Value> call_and_wait(Start start) {
@@ -78,6 +88,8 @@
     request.url = "http://" + entry + path;
     request.body = body;
     request.timeout = entry_request_timeout;
+    // No response names its request: a late one to an earlier request would count as this one's.
+    request.may_reuse_connection = false;
     return fetch_blocking(http_, std::move(request), max_response_bytes);
 }
 
@@ -104,6 +116,10 @@
                                                           : error_code::invalid_argument,
                            std::move(text));
         }
+        if (response.outcome.status != http_ok || !json.is_object()) {
+            return failure(error_code::protocol,
+                           entry + " sent a response that cannot be read; run the command again");
+        }
         return json;
     }
     return failure(error_code::unavailable, options_.entry_addresses.empty()
@@ -115,7 +131,7 @@
     int accepted_count = 0;
     for (const auto& entry : options_.entry_addresses) {
         const http_response response = send_request(entry, "POST", path, body);
-        accepted_count += response.outcome.is_complete && response.outcome.status < 300 ? 1 : 0;
+        accepted_count += is_taken(response) ? 1 : 0;
     }
     return accepted_count;
 }
--- a/tests/client_answers_test.cpp
+++ b/tests/client_answers_test.cpp
@@ -109,6 +109,16 @@
              head.hash = sha256_hex(configuration_body);
              return tool::read_body(context, head).has_value();
          }},
+        {"query_of_entry", R"({"requests":[]})",
+         [](const std::string& address) {
+             tool::tool_context context(options_for(address));
+             return context.query_entry("GET", "/v1/quarantine").has_value();
+         }},
+        {"notice_to_entries", R"({"taken":true})",
+         [](const std::string& address) {
+             tool::tool_context context(options_for(address));
+             return context.broadcast_to_entries("/v1/notices", "{}") == 1;
+         }},
     };
     return list;
 }
@@ -216,4 +226,13 @@
     }
 }
 
+// Guards against a notice that counts as taken since an earlier one's answer came once more.
+TEST(client_late_answers, earlier_notice_is_not_the_next_one) {
+    stuttering_server entry(with_length(R"({"taken":true})"),
+                            "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    tool::tool_context context(options_for(entry.address()));
+    EXPECT_EQ(context.broadcast_to_entries("/v1/notices", "{}"), 1);
+    EXPECT_EQ(context.broadcast_to_entries("/v1/notices", "{}"), 0);
+}
+
 } // namespace
