Report a release from quarantine only if the entry says so

Symptom, by test: 'citronseam quarantine release' printed 'released' and ended with success on any JSON object with status 200, such as the answer to another query.

Evidence: process_tool_answers_test fails in 3 of 3 runs before and passes in 3 of 3 after it.

--- a/src/programs/tool/status_commands.cpp
+++ b/src/programs/tool/status_commands.cpp
@@ -136,6 +136,10 @@
     if (!response) {
         return print_error(response.error());
     }
+    if (!response->contains("released") || response->at("released") != true) {
+        return print_error({error_code::outcome_unknown,
+                            "the entry did not state that it released " + fingerprint});
+    }
     print_result(context, *response, "released " + fingerprint + "\n");
     return succeeded;
 }
