Report a check of staged pieces that takes too long for an order

Fix in part: each such check counts in citronseam_late_checks_total and logs check_too_slow with its time and the limit.

--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -168,6 +168,7 @@
 void weights_loader::verify_next(std::size_t chunk) {
     if (chunk == weights_->chunks.size()) {
         check_.ended_at = boot_clock::now();
+        report_late_check();
         set_step(load_step::scheduled);
         order_load_when_due();
         return;
@@ -182,6 +183,20 @@
                      }));
 }
 
+/// Without a report, nothing would show that each check is too old for an order when it ends.
+void weights_loader::report_late_check() {
+    const auto taken = check_.ended_at - check_.started_at;
+    if (taken <= max_staging_check_age) {
+        return;
+    }
+    context_.metric_registry.count("citronseam_late_checks_total");
+    log_event(log_level::warning, "check_too_slow",
+              {{"version", check_.version},
+               {"pieces", weights_->chunks.size()},
+               {"check_ms", std::chrono::duration_cast<milliseconds>(taken).count()},
+               {"at_most_ms", max_staging_check_age.count()}});
+}
+
 void weights_loader::handle_read_back(std::size_t chunk, const http_response& response) {
     const bool is_valid = response.outcome.is_complete && response.outcome.status == 200 &&
                           is_chunk_valid(weights_->list, chunk, response.body);
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -67,6 +67,7 @@
     void handle_stage_reply(std::size_t chunk, const http_response& response);
     void start_check();
     void verify_next(std::size_t chunk);
+    void report_late_check();
     void handle_read_back(std::size_t chunk, const http_response& response);
     void settle_open_order();
     void settle_order();
--- a/tests/engine_answers_test.cpp
+++ b/tests/engine_answers_test.cpp
@@ -171,6 +171,8 @@
         control_.post([this, weights] { loader_->set_complete_weights(weights); });
     }
 
+    std::string metrics_text() const { return metrics_.text(); }
+
     std::weak_ptr<const weights_loader> loader() const { return loader_; }
 
     /// Calls a function of the monitor on its thread.
@@ -249,6 +251,25 @@
     EXPECT_TRUE(wait_until([&] { return engine->count().puts > 2; }, answer_timeout));
 }
 
+// Guards against weights that are never ordered without any sign: each check is too old when it
+// ends.
+TEST(engine_answers, check_that_takes_too_long_is_counted) {
+    constexpr milliseconds reading_time{800}; // three of them take longer than a check may
+    raw_engine engine([&](engine_call call, const std::string& answer) {
+        return call == engine_call::get ? raw_answer{"", raw_ending::keep, answer, reading_time}
+                                        : plain(answer);
+    });
+    engine.piece_count = 3;
+    engine_caller sidecar(engine.address());
+    sidecar.load(make_weights(2, 3));
+    EXPECT_TRUE(wait_until(
+        [&] {
+            return sidecar.metrics_text().find("citronseam_late_checks_total") != std::string::npos;
+        },
+        answer_timeout));
+    EXPECT_EQ(engine.count().orders, 0);
+}
+
 // Guards against an old state, answered once more, that counts as a restart of the engine: an open
 // order is then taken for lost.
 TEST(engine_answers, late_second_report_is_not_a_restart) {
