Test six more second engines of a resumed stream, and stray interim responses

A second engine that breaks off in its head, answers 204 or 206, sends no seal, names another request, or sends an error as an event; and an interim response that states a length, before and after answers.

--- a/tests/process_raw_answers_test.cpp
+++ b/tests/process_raw_answers_test.cpp
@@ -751,6 +751,39 @@
      [](const arrival&) {
          return raw_answer{"#noise", raw_ending::close, {}, {}};
      }},
+    {"breaks_off_in_its_head",
+     [](const arrival& request) {
+         return raw_answer{make_head(request, "HTTP/1.1 200 OK"), raw_ending::close, {}, {}};
+     }},
+    {"has_no_content",
+     [](const arrival& request) {
+         return raw_answer{
+             make_head(request, "HTTP/1.1 204 No Content") + "\r\n", raw_ending::keep, {}, {}};
+     }},
+    {"sends_a_part",
+     [](const arrival& request) {
+         return raw_answer{make_head(request, "HTTP/1.1 206 Partial Content") +
+                               "Content-Length: 4\r\n\r\npart",
+                           raw_ending::keep,
+                           {},
+                           {}};
+     }},
+    {"sends_no_seal",
+     [](const arrival& request) {
+         return raw_answer{"HTTP/1.1 200 OK\r\nX-Citronseam-Attempt-Id: " + request.attempt +
+                               "\r\nContent-Length: 16\r\n\r\ndata: no stream\n",
+                           raw_ending::keep,
+                           {},
+                           {}};
+     }},
+    {"names_another_request",
+     [](const arrival& request) {
+         arrival other = request;
+         other.attempt = "a-other";
+         return make_stream(other, make_events(request.path, request.last_event));
+     }},
+    {"sends_an_error_as_event",
+     [](const arrival& request) { return make_stream(request, "event: error\ndata: failed\n\n"); }},
     {"begins_anew",
      [](const arrival& request) { return make_stream(request, make_events(request.path, 0)); }},
     {"leaves_an_event_out", [](const arrival& request) {
@@ -866,7 +899,7 @@
         return std::string(std::get<0>(tested.param).name) + "_" + std::get<1>(tested.param).name;
     });
 
-enum class surplus_kind : std::uint8_t { copy, refusal, refusal_without_id, noise };
+enum class surplus_kind : std::uint8_t { copy, refusal, refusal_without_id, interim, noise };
 enum class surplus_place : std::uint8_t {
     before,      ///< right before the answer of the second request
     long_before, ///< the answer of the second request follows late
@@ -915,6 +948,8 @@
             return make_refusal(first.attempt);
         case surplus_kind::refusal_without_id:
             return make_refusal("");
+        case surplus_kind::interim:
+            return "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n";
         case surplus_kind::noise:
             return "#noise\x01 17\r\n";
         }
@@ -1038,6 +1073,7 @@
                                          tested_surplus{"refusal", surplus_kind::refusal},
                                          tested_surplus{"refusal_without_id",
                                                         surplus_kind::refusal_without_id},
+                                         tested_surplus{"interim", surplus_kind::interim},
                                          tested_surplus{"noise", surplus_kind::noise}),
                        ::testing::Values(tested_place{"before", surplus_place::before},
                                          tested_place{"long_before", surplus_place::long_before},
