Test that the body of a request that is answered early stays whole

A server that answers before it has read a long body, and reads it later, gets that body and then the next request, for a success and for refusals.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -1,6 +1,13 @@
 // Tests of the HTTP client with servers whose answers have no end.
+#include <algorithm>
+#include <atomic>
+#include <string>
+#include <thread>
+
 #include <gtest/gtest.h>
 
+#include <asio.hpp>
+
 #include "citronseam/connection/http_client.h"
 #include "citronseam/process/sizes.h"
 
@@ -122,4 +129,99 @@
     EXPECT_EQ(client.active_count(), 0U);
 }
 
+/// Server that answers a request as soon as it has its head, and reads the body later.
+class early_server {
+public:
+    explicit early_server(std::string answer) : answer_(std::move(answer)) {}
+    ~early_server() {
+        asio::post(context_, [this] {
+            asio::error_code ignored;
+            acceptor_.cancel(ignored);
+        });
+        thread_.join();
+    }
+    early_server(const early_server&) = delete;
+    early_server& operator=(const early_server&) = delete;
+
+    std::string address() const {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    int request_count() const { return request_count_; }
+    int foreign_body_count() const { return foreign_body_count_; }
+
+    static constexpr char body_byte = 'b';
+    static constexpr std::size_t body_size = 16 * mebibyte; ///< more than the sockets hold
+
+private:
+    static constexpr milliseconds pause_before_body{100};
+
+    void accept() {
+        acceptor_.async_accept([this](const asio::error_code& ec, asio::ip::tcp::socket accepted) {
+            if (!ec) {
+                serve(accepted);
+                accept();
+            }
+        });
+    }
+
+    /// Serves one connection until it ends.
+    void serve(asio::ip::tcp::socket& socket) {
+        std::string input;
+        asio::error_code ec;
+        while (!ec) {
+            const std::size_t size =
+                asio::read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n", ec);
+            if (ec) {
+                break;
+            }
+            ++request_count_;
+            const bool has_body = input.compare(0, 4, "POST") == 0;
+            input.erase(0, size);
+            asio::write(socket, asio::buffer(answer_), ec);
+            if (!has_body) {
+                continue;
+            }
+            std::this_thread::sleep_for(pause_before_body);
+            const std::size_t missing = body_size - std::min(body_size, input.size());
+            asio::read(socket, asio::dynamic_buffer(input), asio::transfer_exactly(missing), ec);
+            const std::string body = input.substr(0, body_size);
+            const bool is_own = body.find_first_not_of(body_byte) == std::string::npos;
+            foreign_body_count_ += is_own ? 0 : 1;
+            input.erase(0, body.size());
+        }
+    }
+
+    std::string answer_;
+    std::atomic<int> request_count_{0};
+    std::atomic<int> foreign_body_count_{0};
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_{context_, {asio::ip::make_address("127.0.0.1"), 0}};
+    std::thread thread_{[this] {
+        accept();
+        context_.run();
+    }};
+};
+
+// Guards against UNASKED: a server that answers before it has read a long body gets the next
+// request where the rest of that body is due.
+TEST(http_client, body_of_a_request_that_is_answered_early_stays_whole) {
+    for (const char* status : {"200 OK", "404 Not Found", "503 Service Unavailable"}) {
+        early_server server("HTTP/1.1 " + std::string(status) +
+                            "\r\nContent-Length: 4\r\n\r\ndone");
+        http_client client;
+        http_request first;
+        first.method = "POST";
+        first.url = "http://" + server.address() + "/";
+        first.body = std::string(early_server::body_size, early_server::body_byte);
+        http_request second;
+        second.url = first.url;
+        const http_response response = fetch_blocking(client, first, max_body_size);
+        EXPECT_TRUE(response.outcome.is_complete) << status << " " << response.outcome.message;
+        EXPECT_EQ(response.body, "done") << status;
+        EXPECT_TRUE(fetch_blocking(client, second, max_body_size).outcome.is_complete) << status;
+        EXPECT_EQ(server.request_count(), 2) << status;
+        EXPECT_EQ(server.foreign_body_count(), 0) << status;
+    }
+}
+
 } // namespace
