Measure a gateway's processor time for each refusal

`system_benchmark refusals` counts, by the operating system's schedstat, the microseconds that a gateway uses for a refused and a served request, on kept and on new connections, in rounds of 32 and so slowly that each leaves a log line, and what it uses while idle. Instructions can't be counted on this machine.

--- a/benchmark/measurements.h
+++ b/benchmark/measurements.h
@@ -24,6 +24,8 @@
 void measure_capacity();
 /// CPU time, wake-ups and memory of gateways and sidecars, idle and while streaming.
 void measure_platform();
+/// Processor time of a gateway for each request that it refuses or serves.
+void measure_refusals();
 
 } // namespace citronseam::measurement
 
--- a/benchmark/process_usage.cpp
+++ b/benchmark/process_usage.cpp
@@ -43,4 +43,18 @@
     return usage;
 }
 
+double read_scheduled_seconds(int pid) {
+    constexpr double nanoseconds_per_second = 1e9;
+    double nanoseconds = 0;
+    for (const auto& thread :
+         std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/task")) {
+        std::ifstream file(thread.path() / "schedstat");
+        double thread_ns = 0;
+        if (file >> thread_ns) {
+            nanoseconds += thread_ns;
+        }
+    }
+    return nanoseconds / nanoseconds_per_second;
+}
+
 } // namespace citronseam::measurement
--- a/benchmark/process_usage.h
+++ b/benchmark/process_usage.h
@@ -14,6 +14,9 @@
 
 /// @param pid process ID
 process_usage read_usage(int pid);
+/// @param pid process ID
+/// @return processor time of the threads that run now, to the nanosecond
+double read_scheduled_seconds(int pid);
 
 } // namespace citronseam::measurement
 
--- a/benchmark/system_benchmark.cpp
+++ b/benchmark/system_benchmark.cpp
@@ -17,6 +17,7 @@
         {"rollout-load", measure_load_during_rollout},
         {"capacity", measure_capacity},
         {"platform", measure_platform},
+        {"refusals", measure_refusals},
     };
     for (int i = 1; i < argc; ++i) {
         const auto found = measurements.find(argv[i]);
