Close connections idle for longest when open files run short

A gateway whose callers keep many connections accepts nobody, and uses most of a core for it.

Cause: callers repeat a refused request on a new connection and leave the old one open until the idle timeout (15 s there). Each costs two files, the socket that is read and its duplicate that is written. Some 340 refusals a second use up 4,100 files 6 s after the burst begins, which is when its log goes quiet. From then on accept() fails, the listening socket stays readable, and Pistache's accepting thread tries again without pause; connections to servers and the store fail as well ("Couldn't connect ... after 0 ms").

A server now reads how many files it may open and gives clients half of them. Beyond that it closes the connections that are idle for longest, on each check of the timeouts and when clients arrive faster; from half of that on a 503 closes its connection and says so. Connections with a request, with a part of one or with bytes to write are never chosen. What arrives on a connection that is being closed isn't read, so it hasn't run.

Not mended: more requests under way than files allow would still stop the accepting; engines that are full refuse before that.

--- a/include/citronseam/connection/connection_limits.h
+++ b/include/citronseam/connection/connection_limits.h
@@ -4,6 +4,8 @@
 #define CITRONSEAM_CONNECTION_CONNECTION_LIMITS_H
 
 #include <cstddef>
+#include <optional>
+#include <vector>
 
 #include "citronseam/connection/request_guard.h"
 #include "citronseam/process/clock.h"
@@ -39,6 +41,22 @@
 timeout_action choose_timeout_action(connection_phase phase, milliseconds since,
                                      const connection_limits& limits) noexcept;
 
+/// How many connections of clients a process holds, by the number of files that it may open.
+/// Without a file left it accepts no client, and tries again and again.
+struct connection_room {
+    std::size_t scarce{0}; ///< from here on, refusals close their connections
+    std::size_t most{0};   ///< idle connections beyond this are closed
+};
+
+/// @param descriptor_limit number of files that the process may open
+connection_room find_connection_room(std::size_t descriptor_limit) noexcept;
+
+/// @param idle_since when each idle connection became idle
+/// @param open       number of open connections, idle or not
+/// @return the time that those to close became idle at, or earlier; none when there is room
+std::optional<time_point> choose_idle_cutoff(std::vector<time_point> idle_since, std::size_t open,
+                                             const connection_room& room);
+
 } // namespace citronseam
 
 #endif
--- a/include/citronseam/connection/http_responder.h
+++ b/include/citronseam/connection/http_responder.h
@@ -26,12 +26,15 @@
 public:
     /// @param connection      the client's connection
     /// @param is_head_request whether the request was a HEAD, whose response has no body
-    http_responder(std::shared_ptr<server_connection> connection, bool is_head_request);
+    /// @param are_connections_scarce whether the server has few connections left for clients
+    http_responder(std::shared_ptr<server_connection> connection, bool is_head_request,
+                   bool are_connections_scarce = false);
     ~http_responder();
     http_responder(const http_responder&) = delete;
     http_responder& operator=(const http_responder&) = delete;
 
-    /// Sends a whole response with its Content-Length.
+    /// Sends a whole response with its Content-Length. A refusal (503) closes the connection when
+    /// few are left.
     void respond(int status, const std::vector<http_header>& headers, std::string_view body);
     /// Sends a response without a length that ends with its connection. For a body whose own end is
     /// not stated either: a length would turn what may have been cut off into a whole response.
@@ -70,6 +73,7 @@
 
     std::shared_ptr<server_connection> connection_;
     bool is_head_request_;
+    bool are_connections_scarce_;
     bool closes_connection_{false};
     state state_{state::waiting};
 };
--- a/src/connection/http_responder.cpp
+++ b/src/connection/http_responder.cpp
@@ -13,6 +13,8 @@
     std::string_view text;
 };
 
+constexpr int unavailable_status = 503;
+
 constexpr std::array<status_text, 26> status_texts{{
     {200, "OK"},
     {201, "Created"},
@@ -74,8 +76,10 @@
 
 } // namespace
 
-http_responder::http_responder(std::shared_ptr<server_connection> connection, bool is_head_request)
-    : connection_(std::move(connection)), is_head_request_(is_head_request) {}
+http_responder::http_responder(std::shared_ptr<server_connection> connection, bool is_head_request,
+                               bool are_connections_scarce)
+    : connection_(std::move(connection)), is_head_request_(is_head_request),
+      are_connections_scarce_(are_connections_scarce) {}
 
 http_responder::~http_responder() {
     abort();
@@ -86,6 +90,11 @@
     if (state_ != state::waiting) {
         return;
     }
+    // The client repeats the request on a new connection, and would keep this one until it is idle
+    // for too long.
+    if (are_connections_scarce_ && status == unavailable_status) {
+        close_after_response();
+    }
     std::string text = format_head(status, headers).append(closing_header());
     // The length of the answer to a HEAD request would be that of the body which GET gets.
     if (!is_head_request_ && !has_no_body(status)) {
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include <strings.h>
+#include <sys/resource.h>
 
 #include <pistache/endpoint.h>
 #include <pistache/http.h>
@@ -102,13 +103,19 @@
 public:
     void add(const std::shared_ptr<server_connection>& connection) {
         const std::lock_guard<std::mutex> lock(mutex_);
-        if (connections_.size() >= 2 * live_after_sweep_) {
-            std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
-            live_after_sweep_ = std::max(connections_.size(), min_sweep_size);
+        ++added_since_sweep_;
+        if (connections_.size() >= room_.most && added_since_sweep_ * sweeps_of_room > room_.most) {
+            make_room_locked();
         }
         connections_.push_back(connection);
     }
 
+    /// @return whether refused clients should leave, so that others can connect
+    bool are_connections_scarce() const {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return connections_.size() >= room_.scarce;
+    }
+
     void set_limits(const connection_limits& limits) {
         const std::lock_guard<std::mutex> lock(mutex_);
         limits_ = limits;
@@ -121,6 +128,7 @@
 
     void check_timeouts(time_point now) {
         const std::lock_guard<std::mutex> lock(mutex_);
+        make_room_locked();
         for (const auto& weak : connections_) {
             if (const auto connection = weak.lock()) {
                 connection->check_timeouts(limits_, now);
@@ -138,14 +146,49 @@
     }
 
 private:
-    /// Minimum of `live_after_sweep_`. Short lists are not scanned for expired entries, as the scan
-    /// would not pay off.
-    static constexpr std::size_t min_sweep_size = 64;
+    /// Clients that arrive between two checks of the timeouts make room once for this share of it.
+    static constexpr std::size_t sweeps_of_room = 16;
+
+    static connection_room find_room() {
+        rlimit files{};
+        ::getrlimit(RLIMIT_NOFILE, &files);
+        return find_connection_room(files.rlim_cur);
+    }
+
+    /// Drops the entries of connections that are gone, and closes those idle for longest when there
+    /// are too many. Their clients may send on, so what is closed was not read.
+    void make_room_locked() {
+        added_since_sweep_ = 0;
+        std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
+        if (connections_.size() <= room_.most) {
+            return;
+        }
+        std::vector<time_point> idle_since;
+        std::size_t open = 0;
+        for (const auto& weak : connections_) {
+            const auto connection = weak.lock();
+            if (connection == nullptr || !connection->is_open()) {
+                continue;
+            }
+            ++open;
+            if (const auto since = connection->idle_since()) {
+                idle_since.push_back(*since);
+            }
+        }
+        const auto cutoff = choose_idle_cutoff(std::move(idle_since), open, room_);
+        for (const auto& weak : connections_) {
+            const auto connection = weak.lock();
+            if (cutoff && connection != nullptr) {
+                connection->close_if_idle_since(*cutoff);
+            }
+        }
+    }
 
     mutable std::mutex mutex_;
     connection_limits limits_;
+    connection_room room_{find_room()};
     std::vector<std::weak_ptr<server_connection>> connections_;
-    std::size_t live_after_sweep_{min_sweep_size}; ///< entries left by the last removal
+    std::size_t added_since_sweep_{0};
 };
 
 /// Sits between the sockets and Pistache's parser: validates each header section, feeds the parser
@@ -293,7 +336,8 @@
         }
         const bool is_head_request = request.method() == http::Method::Head;
         handler_(to_server_request(request, std::move(input.target)),
-                 std::make_shared<http_responder>(input.connection, is_head_request));
+                 std::make_shared<http_responder>(input.connection, is_head_request,
+                                                  connections_->are_connections_scarce()));
     }
 
     static void refuse(int status, std::string_view text, connection_input& input) {
--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -205,6 +205,23 @@
     }
 }
 
+std::optional<time_point> server_connection::idle_since() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const bool is_idle =
+        is_open_ && !is_closing_ && !is_writing_ && phase_ == connection_phase::idle;
+    return is_idle ? std::optional(phase_since_) : std::nullopt;
+}
+
+void server_connection::close_if_idle_since(time_point latest) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!is_open_ || is_closing_ || is_writing_ || phase_ != connection_phase::idle ||
+        phase_since_ > latest) {
+        return;
+    }
+    is_closing_ = true;
+    post_locked(&server_connection::close_socket);
+}
+
 bool server_connection::begin_request() {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (phase_ == connection_phase::responding) {
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -47,6 +47,11 @@
     /// Enforces the time limits: refuses the request or closes the connection when the client takes
     /// too long. A connection is not idle while its client takes bytes of a response.
     void check_timeouts(const connection_limits& limits, time_point now);
+    /// @return since when the client may send a request without anything of an earlier one being
+    ///         under way; none while something is, or when the connection closes
+    std::optional<time_point> idle_since() const;
+    /// Closes the connection if it is idle, since the given time or earlier.
+    void close_if_idle_since(time_point latest);
     /// Records that a request was received.
     /// @return false when it must not be handled, as it cannot be answered: the response to an
     ///         earlier request is still in progress, or the connection is closed or closing
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -172,6 +172,24 @@
     EXPECT_EQ(server.exchange("NONSENSE\r\n\r\n").substr(0, 12), "HTTP/1.1 400");
 }
 
+// Guards against a server without open files left: idle connections give way, the longest idle
+// first.
+TEST(connection_limits, many_connections_give_up_those_idle_for_longest) {
+    const connection_room room = find_connection_room(64);
+    EXPECT_EQ(room.most, 16U) << "half of the files, two for each connection";
+    EXPECT_EQ(room.scarce, 8U);
+    const time_point start{};
+    std::vector<time_point> idle_since;
+    for (int i = 0; i < 20; ++i) {
+        idle_since.push_back(start + milliseconds((i * 7) % 20));
+    }
+    EXPECT_EQ(choose_idle_cutoff(idle_since, 16, room), std::nullopt);
+    EXPECT_EQ(choose_idle_cutoff(idle_since, 20, room), start + milliseconds(5))
+        << "six are closed, so that fourteen remain";
+    EXPECT_EQ(choose_idle_cutoff({}, 20, room), std::nullopt) << "requests are not given up";
+    EXPECT_EQ(choose_idle_cutoff({start}, 20, room), start);
+}
+
 TEST(connection_limits, unfinished_requests_are_refused_and_idle_connections_closed) {
     connection_limits limits;
     const milliseconds long_time(60000);
