Do not take a page without rows for the end of a table that has more

What callers would see: servers, routes or keys that are in the store are missing at a gateway, for which the table counts as read whole.

Cause: a page that names no row and says has_more was taken for the last one, since there is no row after which the next page could begin. The end of the table was concluded from the end of the reading (the class of the incident). Found by the review, by reading.

Such a page is unreadable now, and the table is read again. platform_store.page_that_says_more_and_names_no_row_is_unreadable asks for it; it fails without the check, which is all that it tests.

--- a/src/programs/node/store_client.cpp
+++ b/src/programs/node/store_client.cpp
@@ -156,7 +156,7 @@
                                      : std::min(collected.version, page->batch.version);
              collected.rows.insert(collected.rows.end(), page->batch.rows.begin(),
                                    page->batch.rows.end());
-             if (page->has_more && !page->batch.rows.empty()) {
+             if (page->has_more) {
                  // The next page begins at the smallest key after the last one: that key and a
                  // blank.
                  const std::string next = page->batch.rows.back().key + "%20";
--- a/tests/store_answers_test.cpp
+++ b/tests/store_answers_test.cpp
@@ -108,6 +108,17 @@
     EXPECT_TRUE(platform::parse_rows(response, "op").has_value());
 }
 
+// Guards against a table that counts as read whole although the store says that it has more rows.
+TEST(platform_store, page_that_says_more_and_names_no_row_is_unreadable) {
+    http_response response;
+    response.outcome.is_complete = true;
+    response.outcome.status = 200;
+    response.body = R"({"records":[],"has_more":true,"ver":9})";
+    EXPECT_FALSE(platform::parse_rows(response, "servers").has_value());
+    response.body = R"({"records":[],"has_more":false,"ver":9})";
+    EXPECT_TRUE(platform::parse_rows(response, "servers").has_value());
+}
+
 // Guards against "no rows" that was concluded from an answer that is empty or cut off.
 TEST(platform_store, no_cut_answer_is_a_page) {
     const std::string page = whole_page;
