Let a gateway's stop wait for responses that its clients are still taking

What callers would see: a large answer that is cut off by a planned stop, though the grace period lasts on.

Cause: the stop waited until no request was in progress, and a response counts as ended once it is queued. What a slow client has not taken, and the operating system does not hold, was lost when the process ended.

--- a/include/citronseam/connection/http_server.h
+++ b/include/citronseam/connection/http_server.h
@@ -54,6 +54,9 @@
     /// Replaces the limits on client connections; initially only sizes are limited. May be called
     /// from any thread.
     void set_limits(const connection_limits& limits);
+    /// @return whether a client has yet to take a part of its response, which the end of the
+    /// process would cut off
+    bool has_unsent_responses() const;
     /// @return the port that is bound, also when port 0 was requested
     std::uint16_t port() const;
 
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -136,6 +136,14 @@
         }
     }
 
+    bool has_unsent_responses() const {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return std::any_of(connections_.begin(), connections_.end(), [](const auto& weak) {
+            const auto connection = weak.lock();
+            return connection != nullptr && connection->has_unsent_bytes();
+        });
+    }
+
     void release_all() {
         const std::lock_guard<std::mutex> lock(mutex_);
         for (const auto& weak : connections_) {
@@ -399,6 +407,7 @@
 
     std::uint16_t port() const { return endpoint_.getPort(); }
     void set_limits(const connection_limits& limits) { connections_->set_limits(limits); }
+    bool has_unsent_responses() const { return connections_->has_unsent_responses(); }
 
 private:
     io_thread_pool write_loop_;
@@ -419,6 +428,10 @@
     implementation_->set_limits(limits);
 }
 
+bool http_server::has_unsent_responses() const {
+    return implementation_->has_unsent_responses();
+}
+
 std::string query_parameter(const server_request& request, std::string_view name) {
     const auto query_start = request.target.find('?');
     if (query_start == std::string::npos) {
--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -300,6 +300,11 @@
     return is_open_;
 }
 
+bool server_connection::has_unsent_bytes() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return is_open_ && is_writing_;
+}
+
 bool server_connection::has_client_left() {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (!is_open_ || !socket_) {
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -70,6 +70,9 @@
 
     /// @return whether the client is connected
     bool is_open() const;
+    /// @return whether bytes of responses are not with the operating system yet, which the end of
+    /// the process would cut off
+    bool has_unsent_bytes() const;
     /// @return whether the client has closed the connection, although that may not have been read
     /// from the socket yet
     bool has_client_left();
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -332,8 +332,9 @@
             std::chrono::duration_cast<milliseconds>(directory_ttl) * max_cached_lifetimes);
         while (true) {
             const auto waited = std::chrono::steady_clock::now() - drain_started_at;
-            if (waited >= max_drain_time ||
-                (waited >= min_drain_time && context_.requests_in_flight == 0)) {
+            const bool is_idle =
+                context_.requests_in_flight == 0 && !caller_server_->has_unsent_responses();
+            if (waited >= max_drain_time || (waited >= min_drain_time && is_idle)) {
                 break;
             }
             std::this_thread::sleep_for(drain_check_interval);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdio>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -665,4 +666,31 @@
     EXPECT_TRUE(ec) << "the server still reads";
 }
 
+// Guards against a planned stop that cuts off a response which its slow client has not taken yet.
+TEST(http_server, a_response_counts_as_unsent_until_its_client_has_taken_enough) {
+    constexpr std::size_t size = 32 * mebibyte - kibibyte;
+    constexpr milliseconds step_timeout{5000};
+    std::atomic<bool> is_handled{false};
+    http_server server(
+        {{"127.0.0.1", 0}, 1, mebibyte},
+        [&is_handled](const server_request&, const std::shared_ptr<http_responder>& responder) {
+            responder->respond(200, {}, std::string(size, 'x'));
+            is_handled = true;
+        });
+    EXPECT_FALSE(server.has_unsent_responses());
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    request_on(socket, server.port(), "/");
+    ASSERT_EQ(is_handled.get_future().wait_for(step_timeout), std::future_status::ready);
+    EXPECT_TRUE(server.has_unsent_responses());
+    std::string response;
+    asio::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(response), asio::transfer_at_least(size), ec);
+    const auto deadline = std::chrono::steady_clock::now() + step_timeout;
+    while (server.has_unsent_responses() && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(part_interval);
+    }
+    EXPECT_FALSE(server.has_unsent_responses());
+}
+
 } // namespace
