--- a/tests/process_path_test.cpp
+++ b/tests/process_path_test.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 #include <future>
 
+#include <asio.hpp>
 #include <gtest/gtest.h>
 
 #include "support/requests.h"
@@ -80,4 +81,19 @@
     EXPECT_EQ(body.find("[DONE]"), std::string::npos);
 }
 
+// Guards against a stand-in that accepts connections after its end, as processes that the test
+// started have inherited its listening socket.
+TEST(process_path, a_started_process_keeps_no_listening_socket_of_the_test_open) {
+    asio::io_context loop;
+    asio::ip::tcp::acceptor listener(loop, {asio::ip::make_address("127.0.0.1"), 0});
+    const auto endpoint = listener.local_endpoint();
+    deployment system(small_deployment_plan());
+    system.start_processes();
+    listener.close();
+    asio::ip::tcp::socket client(loop);
+    asio::error_code error;
+    client.connect(endpoint, error);
+    EXPECT_EQ(error, asio::error::connection_refused) << error.message();
+}
+
 } // namespace
