Close a connection that no file is left to answer on

Callers of a gateway that is held for two seconds, with more connections waiting than it has files for, were left without an answer or a close. A connection that got the last file had none for the duplicate that answers are written on; it counted as closed, its requests were ignored, and its socket stayed open until the caller gave up.

It is closed at once now, unread, so the caller may send the request elsewhere, whatever its kind.

Evidence: process_many_connections_test, 200 open files, 50 callers that leave and 50 that wait. A burst of more connections than files still ends some of them without an answer; one file a connection would carry twice as many.

--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -24,6 +24,11 @@
     asio::error_code ec;
     socket_->assign(asio::ip::tcp::v4(), ::dup(descriptor), ec);
     is_open_ = !ec;
+    if (!is_open_) {
+        // No file was left for the duplicate. Nothing was read, so the client may send it
+        // elsewhere.
+        ::shutdown(descriptor, SHUT_RDWR);
+    }
 }
 
 /// Posts a member function to the loop. The caller must hold the mutex, which keeps the socket and
