--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -670,12 +670,12 @@
 TEST(http_server, a_response_counts_as_unsent_until_its_client_has_taken_enough) {
     constexpr std::size_t size = 32 * mebibyte - kibibyte;
     constexpr milliseconds step_timeout{5000};
-    std::atomic<bool> is_handled{false};
+    std::promise<void> is_handled;
     http_server server(
         {{"127.0.0.1", 0}, 1, mebibyte},
         [&is_handled](const server_request&, const std::shared_ptr<http_responder>& responder) {
             responder->respond(200, {}, std::string(size, 'x'));
-            is_handled = true;
+            is_handled.set_value();
         });
     EXPECT_FALSE(server.has_unsent_responses());
     asio::io_context context;
