Close connections that wait for their clients' close when files run short

After its last response a connection is read on for up to two seconds, so that a request under way does not reset it; such a connection holds its two files, and did not count as one that may be closed when files run short.

A connection whose output has ended counts as idle since then, so those that wait longest for their clients' close are closed with the other idle ones. Nothing that was read is lost: such a connection handles no request.

--- a/include/citronseam/connection/header_syntax.h
+++ b/include/citronseam/connection/header_syntax.h
@@ -23,7 +23,8 @@
 /// @return the text without white space around it
 std::string_view trim_white_space(std::string_view text) noexcept;
 
-/// Control characters end a line for some readers and not for others.
+/// @return whether a line has a control character but the tab: it ends a line for some readers and
+/// not for others
 bool has_control_character(std::string_view line) noexcept;
 
 /// @param line without its terminator
--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -234,21 +234,23 @@
     }
 }
 
+/// A connection whose output has ended only waits for its client to close it.
+bool server_connection::is_idle_locked() const {
+    const bool is_between_requests = !is_closing_ && phase_ == connection_phase::idle;
+    return is_open_ && !is_writing_ && (is_between_requests || is_output_ended_);
+}
+
 std::optional<time_point> server_connection::idle_since() const {
     const std::lock_guard<std::mutex> lock(mutex_);
-    const bool is_idle =
-        is_open_ && !is_closing_ && !is_writing_ && phase_ == connection_phase::idle;
-    return is_idle ? std::optional(phase_since_) : std::nullopt;
+    return is_idle_locked() ? std::optional(phase_since_) : std::nullopt;
 }
 
 void server_connection::close_if_idle_since(time_point latest) {
     const std::lock_guard<std::mutex> lock(mutex_);
-    if (!is_open_ || is_closing_ || is_writing_ || phase_ != connection_phase::idle ||
-        phase_since_ > latest) {
-        return;
+    if (is_idle_locked() && phase_since_ <= latest) {
+        is_closing_ = true;
+        post_locked(&server_connection::close_socket);
     }
-    is_closing_ = true;
-    post_locked(&server_connection::close_socket);
 }
 
 bool server_connection::begin_request() {
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -47,8 +47,8 @@
     /// Enforces the time limits: refuses the request or closes the connection when the client takes
     /// too long. A connection is not idle while its client takes bytes of a response.
     void check_timeouts(const connection_limits& limits, time_point now);
-    /// @return since when the client may send a request without anything of an earlier one being
-    ///         under way; none while something is, or when the connection closes
+    /// @return since when nothing is under way: the client may send a request, or has yet to close
+    ///         the connection after its last response; none while something is
     std::optional<time_point> idle_since() const;
     /// Closes the connection if it is idle, since the given time or earlier.
     void close_if_idle_since(time_point latest);
@@ -86,6 +86,7 @@
     void end_response_locked();
     void set_reset_on_close_locked(bool is_reset);
     void record_progress_locked(time_point now);
+    bool is_idle_locked() const;
     timeout_action choose_action_locked(const connection_limits& limits, time_point now) const;
     void write_queued();
     void handle_written(const asio::error_code& ec);
