Keep in mind in the soak that a process was told to end

Cause: when the run's own loop is held up for longer than the gap between two faults of a process, it begins both in one round: the process is told to end and then paused, and the pause cleared the mark that it was told to.

Only the start of a new process clears the mark now. The check is as strict for a process that was told nothing.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -277,7 +277,9 @@
         return;
     }
     auto& process = process_of(fault.target, fault.index);
-    is_ending_[process_name(fault.target, fault.index)] = fault.kind != fault_kind::pause;
+    if (fault.kind != fault_kind::pause) {
+        is_ending_[process_name(fault.target, fault.index)] = true;
+    }
     process.send_signal(fault.kind == fault_kind::pause       ? SIGSTOP
                         : fault.kind == fault_kind::terminate ? SIGTERM
                                                               : SIGKILL);
