Handle signals that arrive while a process starts

What operators would see: a process that ends, and is started again, since its settings changed while it was starting.

Cause: the signals were blocked after the command line and the settings had been read, so until then SIGHUP ended the process.

They are blocked first now, and handled once the process runs. Before main begins a signal still ends it; the soak sends SIGHUP only to processes that have printed a line, as it means those that run.

--- a/src/programs/daemon/main.cpp
+++ b/src/programs/daemon/main.cpp
@@ -41,6 +41,8 @@
 } // namespace
 
 int main(int argc, char** argv) {
+    // A signal that arrives while the process starts is handled once it runs.
+    citronseam::shutdown_signal::block();
     CLI::App app("citronseamd: runs one citronseam process in the role given by its settings.\n"
                  "Exit codes: 0 clean shutdown, 1 failure, 2 invalid settings.");
     std::string path;
@@ -58,6 +60,5 @@
         std::cout << path << ": accepted\n";
         return 0;
     }
-    citronseam::shutdown_signal::block();
     return run(parsed.value);
 }
