--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -181,6 +181,7 @@
     EXPECT_EQ(room.scarce, 8U);
     const time_point start{};
     std::vector<time_point> idle_since;
+    idle_since.reserve(20);
     for (int i = 0; i < 20; ++i) {
         idle_since.push_back(start + milliseconds((i * 7) % 20));
     }
