Keep the check of the cold server as it was beside the new one

The case asked that 90% of 300 requests a second are answered; it was replaced by one with at most 96 requests under way, all of which must be answered. That one does not offer the full load, so it is not as strict.

--- a/tests/process_fault_test.cpp
+++ b/tests/process_fault_test.cpp
@@ -91,7 +91,8 @@
     EXPECT_GT(result["answered"], 0);
 }
 
-TEST(process_fault, a_cold_server_never_runs_more_than_its_cold_capacity) {
+/// Three entries and one server, which ends when it runs more than its cold capacity.
+deployment_plan cold_server_plan() {
     auto plan = small_deployment_plan();
     plan.entry_zones = {"zone-a", "zone-a", "zone-b"};
     plan.backend_servers = {{"agent-a",
@@ -100,7 +101,32 @@
                              true,
                              {"--cold-capacity", "1", "--cold-requests", "1", "--warm-capacity",
                               "8", "--falls-over", "1"}}};
-    deployment system(plan);
+    return plan;
+}
+
+/// Checks that the server still runs, and what it ran while it was cold.
+void expect_cold_capacity_kept(deployment& system, const nlohmann::json& result) {
+    ASSERT_TRUE(system.process("agent-a-server").is_running())
+        << "the server stopped: " << system.process("agent-a-server").output() << result.dump();
+    EXPECT_EQ(result["short_answers"], 0) << result.dump();
+    const auto status = system.send_http_request(
+        "GET", "http://" + system.address("agent-a-server", "http") + "/admin/status");
+    EXPECT_LE(nlohmann::json::parse(status.body)["most_while_cold"], 1);
+}
+
+TEST(process_fault, a_cold_server_never_runs_more_than_its_cold_capacity) {
+    deployment system(cold_server_plan());
+    system.start();
+    const auto result = system.load({"--service", "pool", "--rate", "300", "--seconds", "2",
+                                     "--tokens", "8", "--timeout-ms", "9000"});
+    expect_cold_capacity_kept(system, result);
+    EXPECT_GE(result["answered"].get<int>(), 9 * result["sent"].get<int>() / 10)
+        << result.dump() << system.process("agent-a").output();
+}
+
+// Guards against an entry that gets too few of a server's places while the others fill it.
+TEST(process_fault, a_cold_server_leaves_no_entry_without_places) {
+    deployment system(cold_server_plan());
     system.start();
     // Half of what the queues of the three entries hold for the load's workspace, so that none of
     // them is full on a slow machine, unless one entry gets too few of the server's places.
@@ -109,15 +135,10 @@
     const auto result =
         system.load({"--service", "pool", "--rate", "300", "--seconds", "2", "--tokens", "8",
                      "--timeout-ms", "9000", "--most-running", most_running});
-    ASSERT_TRUE(system.process("agent-a-server").is_running())
-        << "the server stopped: " << system.process("agent-a-server").output() << result.dump();
-    EXPECT_EQ(result["short_answers"], 0) << result.dump();
+    expect_cold_capacity_kept(system, result);
     EXPECT_EQ(result["answered"], result["sent"])
         << result.dump() << system.process("agent-a").output();
     EXPECT_GE(result["sent"].get<int>(), min_sent) << result.dump();
-    const auto status = system.send_http_request(
-        "GET", "http://" + system.address("agent-a-server", "http") + "/admin/status");
-    EXPECT_LE(nlohmann::json::parse(status.body)["most_while_cold"], 1);
 }
 
 TEST(process_fault, a_warm_server_that_turns_cold_is_limited_at_once) {
