--- a/tests/process_weights_test.cpp
+++ b/tests/process_weights_test.cpp
@@ -1,6 +1,9 @@
-// Streams that move between engines shortly before their weights must be replaced.
+// Announced weights: streams that move between engines shortly before they are due, and processes
+// that were out of touch while they were announced.
 #include <gtest/gtest.h>
 
+#include <csignal>
+
 #include "support/platform_world.h"
 
 namespace {
@@ -15,6 +18,10 @@
 constexpr milliseconds stream_start{3600};
 /// A response may arrive before the lines that its gateway logged earlier.
 constexpr milliseconds line_timeout{3000};
+/// Beyond the silence after which other processes give up their connections to a stopped one.
+constexpr milliseconds stop_time{3000};
+/// Time between the announcement and the moments that the processes take for it.
+constexpr milliseconds dating_tolerance{300};
 
 class weights : public ::testing::Test {
 protected:
@@ -97,4 +104,77 @@
                                make_events(4, platform_server::events_per_stream, "engine-zone-b"));
 }
 
+/// Processes that are stopped while the second version is announced.
+class late_announcement : public ::testing::Test {
+protected:
+    void SetUp() override {
+        ASSERT_TRUE(world.start()) << world.gateway(0).output() << world.gateway(1).output();
+        for (std::size_t i = 0; i < platform_world::zone_count; ++i) {
+            ASSERT_NE(world.sidecar(i).wait_for_line("event=weights_whole version=1", line_timeout),
+                      "")
+                << world.sidecar(i).output();
+        }
+    }
+
+    void announce_while_stopped(child_process& process) {
+        process.send_signal(SIGSTOP);
+        world.set_weights_version(2);
+        announced_at = std::chrono::steady_clock::now();
+        std::this_thread::sleep_until(announced_at + stop_time);
+        process.send_signal(SIGCONT);
+    }
+
+    int call_for_stream(std::size_t gateway) {
+        return world
+            .call(gateway, "POST", "/draft/1",
+                  {{"Authorization", std::string("Token ") + platform_world::api_key}})
+            .outcome.status;
+    }
+
+    platform_world world;
+    std::chrono::steady_clock::time_point announced_at;
+};
+
+// Guards against requests that begin on replaced weights after their due time, since a gateway that
+// was out of touch during the announcement counts that time from when it learned of it.
+TEST_F(late_announcement, gateway_that_was_stopped_counts_the_age_of_the_announcement) {
+    world.origin.is_down = true; // the engines keep the first version
+    ASSERT_NO_FATAL_FAILURE(announce_while_stopped(world.gateway(0)));
+    ASSERT_NE(world.gateway(0).wait_for_line("event=weights_named", line_timeout), "");
+    std::this_thread::sleep_until(announced_at + weights_due);
+    EXPECT_EQ(call_for_stream(1), 503) << "the weights of all engines are replaced";
+    EXPECT_EQ(call_for_stream(0), 503) << world.gateway(0).output();
+    for (const auto& engine : world.engines) {
+        EXPECT_TRUE(engine->runs_per_attempt().empty()) << engine->id();
+    }
+}
+
+// Guards against an engine that loads late, since a sidecar that was out of touch during the
+// announcement counts the due time from when it learned of it.
+TEST_F(late_announcement, sidecar_that_was_stopped_counts_the_age_of_the_announcement) {
+    ASSERT_NO_FATAL_FAILURE(announce_while_stopped(world.sidecar(0)));
+    const std::string line =
+        world.sidecar(0).wait_for_line("event=weights_whole version=2", line_timeout);
+    const auto elapsed =
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - announced_at);
+    ASSERT_NE(line, "") << world.sidecar(0).output();
+    EXPECT_GE(std::stoll(log_field_value(line, "after_ms")), (elapsed - dating_tolerance).count())
+        << line;
+    EXPECT_LE(std::stoll(log_field_value(line, "after_ms")), elapsed.count()) << line;
+}
+
+// Guards against refusals: a gateway that starts after an announcement takes it for older than it
+// is, although the others know when it was made.
+TEST_F(late_announcement, gateway_that_starts_counts_the_age_that_the_others_know) {
+    world.origin.is_down = true;
+    world.set_weights_version(2);
+    announced_at = std::chrono::steady_clock::now();
+    ASSERT_NE(world.gateway(1).wait_for_line("event=weights_named", line_timeout), "");
+    ASSERT_TRUE(world.restart_gateway(0)) << world.gateway(0).output();
+    std::this_thread::sleep_until(announced_at + stream_start);
+    EXPECT_EQ(call_for_stream(0), 200) << world.gateway(0).output();
+    std::this_thread::sleep_until(announced_at + weights_due);
+    EXPECT_EQ(call_for_stream(0), 503);
+}
+
 } // namespace
