--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -184,6 +184,7 @@
     sent->last_data_at = now;
     assumed_load_ = selection.assumed_load;
     expected_wait_ms_ = selection.expected_wait_ms;
+    min_weights_version_ = selection.min_weights_version;
     report_age_ms_ =
         selection.server->has_report ? elapsed_ms(selection.server->reported_at, now) : 0;
     ++attempt_count_;
@@ -216,6 +217,7 @@
                   {{"request", caller_.attempt},
                    {"server", selection.server->entry.id},
                    {"sending", attempt_count_},
+                   {"min_weights", min_weights_version_},
                    {"after_event", last_event_id_.value_or(0)}});
     }
     sent->number = context_.traffic.send(std::move(request), make_observer(sent));
--- a/src/programs/gateway/server_pool.cpp
+++ b/src/programs/gateway/server_pool.cpp
@@ -305,6 +305,7 @@
     }
     selection.failure_reason = choice.failure_reason;
     selection.assumed_load = choice.busy;
+    selection.min_weights_version = constraints.min_weights_version;
     for (const auto& server : pool->second.servers) {
         if (server.get() == choice.server) {
             selection.server = server;
--- a/src/programs/gateway/traffic_view_builder.cpp
+++ b/src/programs/gateway/traffic_view_builder.cpp
@@ -31,13 +31,14 @@
 }
 
 void traffic_view_builder::apply_weights(const std::string& model, std::uint64_t version,
-                                         time_point now) {
+                                         time_point announced_at, time_point now) {
     auto& announced = view_.weights[model];
     if (!announced.empty() && version <= announced.back().version) {
         return;
     }
-    log_event(log_level::info, "weights_named", {{"model", model}, {"version", version}});
-    announced.push_back({version, now});
+    log_event(log_level::info, "weights_named",
+              {{"model", model}, {"version", version}, {"age_ms", elapsed_ms(announced_at, now)}});
+    announced.push_back({version, announced_at});
 }
 
 void traffic_view_builder::apply_operator_rows(const std::vector<versioned_row>& changed,
@@ -56,7 +57,7 @@
                 view_.evacuated_zones.insert(*row.evacuated_zone);
             }
         } else if (row.weights) {
-            apply_weights(row.weights->model, row.weights->version, learned_at);
+            apply_weights(row.weights->model, row.weights->version, learned_at, now);
         }
     });
 }
--- a/src/programs/gateway/traffic_view_builder.h
+++ b/src/programs/gateway/traffic_view_builder.h
@@ -50,7 +50,8 @@
 
 private:
     void apply_configuration(routing rules);
-    void apply_weights(const std::string& model, std::uint64_t version, time_point now);
+    void apply_weights(const std::string& model, std::uint64_t version, time_point announced_at,
+                       time_point now);
 
     milliseconds first_weights_age_;
     bool has_operator_rows_{false};
