Count the time until weights are due from their announcement in sidecars

What callers would see: refusals and, at a gateway that dates late as well, requests on replaced weights, since an engine loads after its weights are due.

Cause: as in the gateways; a sidecar that was out of touch during the announcement, or that starts after it, scheduled its load by when it learned of it, up to 8 s too late.

Sidecars apply the ages that gateways tell to the fetch, its plan, and the schedule of a load that is waiting already.

--- a/src/programs/sidecar/complete_weights.h
+++ b/src/programs/sidecar/complete_weights.h
@@ -17,7 +17,7 @@
 struct target_weights {
     std::string model;
     std::uint64_t version{0}; ///< 0: none
-    time_point announced_at;  ///< when this process learned of them
+    time_point announced_at;  ///< as far as this process knows
 };
 
 /// @return the version name under which sidecars exchange the chunks
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -9,6 +9,7 @@
 #include "programs/daemon/role_runner.h"
 #include "programs/node/cluster_node.h"
 #include "programs/node/operator_rows.h"
+#include "programs/node/weights_news.h"
 #include "programs/sidecar/engine_monitor.h"
 #include "programs/sidecar/weights_fetcher.h"
 #include "programs/sidecar/weights_loader.h"
@@ -178,7 +179,10 @@
             handle_operator_rows(changed);
         };
         observer.on_members_changed = [] {};
-        observer.on_heartbeat = [](const connected_member&, const wire::member_beat&) {};
+        observer.on_heartbeat = [this](const connected_member&,
+                                       const wire::member_beat& heartbeat) {
+            handle_announced_weights(heartbeat);
+        };
         observer.on_neighbours_reply = [this](const wire::neighbours_reply& reply) {
             handle_neighbours(reply);
         };
@@ -187,20 +191,48 @@
 
     void handle_operator_rows(const std::vector<versioned_row>& changed) {
         const auto now = std::chrono::steady_clock::now();
-        decode_operator_rows(changed, [this](platform::operator_row row, std::uint64_t) {
+        const bool is_first = !has_operator_rows_;
+        has_operator_rows_ = true;
+        decode_operator_rows(changed, [&](platform::operator_row row, std::uint64_t) {
             if (row.rules) {
                 handle_routing(*row.rules);
             } else if (row.weights) {
-                // A restored store may list an older version for a moment.
-                std::uint64_t& announced = announced_versions_[row.weights->model];
-                announced = std::max(announced, row.weights->version);
+                learn_from_table(announced_, row.weights->model,
+                                 {row.weights->version, now, is_first});
             }
         });
-        if (!model_.empty()) {
-            const auto announced = announced_versions_.find(model_);
-            const std::uint64_t version =
-                announced == announced_versions_.end() ? first_weights_version : announced->second;
-            fetcher_->set_target({model_, version, now});
+        update_target(now);
+    }
+
+    /// The gateways know how old an announcement is that this process learned of late.
+    void handle_announced_weights(const wire::member_beat& heartbeat) {
+        const auto now = std::chrono::steady_clock::now();
+        for_each_announced_weights(
+            heartbeat, now, [&](const std::string& model, const announced_version& told) {
+                if (learn_from_member(announced_, model, told) != announcement_change::dated) {
+                    return;
+                }
+                log_event(log_level::info, "weights_dated",
+                          {{"model", model},
+                           {"version", told.version},
+                           {"age_ms", elapsed_ms(told.announced_at, now)}});
+                const target_weights dated{model, told.version, told.announced_at};
+                fetcher_->set_announced_at(dated);
+                loader_->set_announced_at(dated);
+            });
+        update_target(now);
+    }
+
+    void update_target(time_point now) {
+        if (model_.empty()) {
+            return;
+        }
+        const auto found = announced_.find(model_);
+        if (found == announced_.end() || found->second.empty()) {
+            fetcher_->set_target({model_, first_weights_version, now});
+        } else {
+            const announced_version& newest = found->second.back();
+            fetcher_->set_target({model_, newest.version, newest.announced_at});
         }
     }
 
@@ -313,8 +345,9 @@
     std::shared_ptr<chunk_swarm> swarm_;
     std::shared_ptr<weights_loader> loader_;
     std::shared_ptr<weights_fetcher> fetcher_;
-    std::map<std::string, std::uint64_t> announced_versions_; ///< announced version by model
-    std::string model_;                                       ///< model of the sidecar's engine
+    announced_versions announced_;
+    bool has_operator_rows_{false};
+    std::string model_; ///< model of the sidecar's engine
     std::string origin_region_;
     std::vector<swarm_member> members_;    ///< sidecars of the service, as last listed
     std::uint64_t members_fingerprint_{0}; ///< of that list
--- a/src/programs/sidecar/weights_fetcher.cpp
+++ b/src/programs/sidecar/weights_fetcher.cpp
@@ -63,6 +63,19 @@
     reconcile();
 }
 
+void weights_fetcher::set_announced_at(const target_weights& target) {
+    for (target_weights* known : {&newest_, &target_}) {
+        if (known->model == target.model && known->version == target.version) {
+            known->announced_at = target.announced_at;
+        }
+    }
+    for (planned_fetch& planned : plan_) {
+        if (newest_.model == target.model && planned.version == target.version) {
+            planned.announced_at = target.announced_at;
+        }
+    }
+}
+
 /// Starts the version that the plan lists for now, unless it is the current one.
 void weights_fetcher::start_planned_version(time_point now) {
     const bool is_same_model = target_.model == newest_.model;
--- a/src/programs/sidecar/weights_fetcher.h
+++ b/src/programs/sidecar/weights_fetcher.h
@@ -38,6 +38,8 @@
 
     /// Sets the weights to fetch. Weights that are not newer than the current target are ignored.
     void set_target(const target_weights& target);
+    /// Corrects when a version was announced.
+    void set_announced_at(const target_weights& target);
     /// Handles a manifest that another sidecar sent.
     void handle_peer_manifest(const std::string& version, const manifest& list);
     /// Sets the origin's address; empty: unknown.
--- a/src/programs/sidecar/weights_loader.cpp
+++ b/src/programs/sidecar/weights_loader.cpp
@@ -72,6 +72,17 @@
     reconcile();
 }
 
+void weights_loader::set_announced_at(const target_weights& target) {
+    for (auto* weights : {&weights_, &next_weights_}) {
+        if (*weights != nullptr && (*weights)->target.model == target.model &&
+            (*weights)->target.version == target.version) {
+            auto corrected = std::make_shared<complete_weights>(**weights);
+            corrected->target.announced_at = target.announced_at;
+            *weights = std::move(corrected);
+        }
+    }
+}
+
 /// Replaces the weights, unless a request or an order for the present ones is not settled.
 /// @return whether they were replaced
 bool weights_loader::take_next_weights() {
--- a/src/programs/sidecar/weights_loader.h
+++ b/src/programs/sidecar/weights_loader.h
@@ -48,6 +48,8 @@
     /// Sets the weights to load. They replace earlier ones as soon as no request for those is
     /// outstanding and no order for them is under way.
     void set_complete_weights(std::shared_ptr<const complete_weights> weights);
+    /// Corrects when a version was announced, which its load is scheduled by.
+    void set_announced_at(const target_weights& target);
     /// Advances the load. To be called periodically and after each poll of the engine.
     void reconcile();
 
