Do not vouch for the age of weights that were learned of after a pause

What callers would see: requests on replaced weights (VERSION), where no gateway was in touch throughout: one was frozen during the announcement, another one started after it.

Cause: the age that a process counts from when it learns of an announcement was told as known, also by a process that had just been out of touch. It replaced the assumed, higher age of the gateway that had started, which had been safe before ages were told.

A gateway whose control thread stood still for over a second, by the clock that counts suspensions, assumes the age of what it learns of in the next seconds, as one that starts does. A gateway that was in touch corrects it within a beat, so this refuses nothing while there is one.

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include <list>
 #include <thread>
 
+#include "citronseam/process/boot_clock.h"
 #include "citronseam/process/log.h"
 #include "citronseam/process/store_reads.h"
 #include "platform/directory.h"
@@ -18,6 +19,8 @@
 namespace {
 
 constexpr milliseconds reader_check_interval{200};
+/// A process whose control thread stood still for longer was out of touch.
+constexpr milliseconds max_pause{1000};
 /// Granularity of time limits on requests.
 constexpr milliseconds sweep_interval{50};
 /// A traffic thread that is later than this is logged.
@@ -65,6 +68,7 @@
                 [this] { return is_zone_reader_ || cluster_.is_server_list_outdated(); });
             server_rows_.start([this](const table_change& change) { apply_server_rows(change); });
             run_periodically(control_, reader_check_interval, [this] {
+                detect_pause();
                 update_heartbeat();
                 update_zone_reader();
                 update_readiness();
@@ -79,6 +83,18 @@
                    {"store", options_.node.store_address}});
     }
 
+    /// News that waited while this process was paused would count as new.
+    void detect_pause() {
+        const auto now = boot_clock::now();
+        const auto pause = std::chrono::duration_cast<milliseconds>(now - awake_at_);
+        awake_at_ = now;
+        if (pause > max_pause) {
+            log_event(log_level::warning, "process_paused", {{"pause_ms", pause.count()}});
+            view_builder_.set_ages_unknown_until(std::chrono::steady_clock::now() +
+                                                 options_.node.settling_time);
+        }
+    }
+
     void apply_server_rows(const table_change& change) {
         std::vector<versioned_row> relevant = view_builder_.apply_server_rows(change.rows);
         update_heartbeat();
@@ -203,6 +219,7 @@
     cluster_observer make_observer() {
         cluster_observer observer;
         observer.on_operator_rows = [this](const std::vector<versioned_row>& changed) {
+            detect_pause(); // the rows may be handled before the timer
             view_builder_.apply_operator_rows(changed, std::chrono::steady_clock::now());
             update_heartbeat();
             publish();
@@ -373,8 +390,9 @@
     cluster_node cluster_;
     table_follower server_rows_;
     traffic_view_builder view_builder_;
-    random_source random_;      ///< control thread only
-    bool is_zone_reader_{true}; ///< control thread only
+    boot_clock::time_point awake_at_{boot_clock::now()}; ///< control thread only
+    random_source random_;                               ///< control thread only
+    bool is_zone_reader_{true};                          ///< control thread only
     std::atomic<bool> is_ready_{false};
     bool is_draining_{false};                              ///< control thread only
     bool is_configuration_doubtful_{false};                ///< control thread only
--- a/src/programs/gateway/traffic_view_builder.cpp
+++ b/src/programs/gateway/traffic_view_builder.cpp
@@ -56,7 +56,7 @@
 
 void traffic_view_builder::apply_operator_rows(const std::vector<versioned_row>& changed,
                                                time_point now) {
-    const bool is_first = !has_operator_rows_;
+    const bool is_assumed = !has_operator_rows_ || now < ages_unknown_until_;
     has_operator_rows_ = true;
     decode_operator_rows(changed, [&](platform::operator_row row, std::uint64_t version) {
         if (row.rules) {
@@ -70,8 +70,8 @@
                 view_.evacuated_zones.insert(*row.evacuated_zone);
             }
         } else if (row.weights) {
-            const announced_version listed{row.weights->version,
-                                           is_first ? now - first_weights_age_ : now, is_first};
+            const announced_version listed{
+                row.weights->version, is_assumed ? now - assumed_weights_age_ : now, is_assumed};
             log_change(learn_from_table(view_.weights, row.weights->model, listed), "table",
                        row.weights->model, listed, now);
         }
--- a/src/programs/gateway/traffic_view_builder.h
+++ b/src/programs/gateway/traffic_view_builder.h
@@ -16,10 +16,14 @@
 /// Holds the state behind the published views. All functions run on the control thread.
 class traffic_view_builder {
 public:
-    /// @param first_weights_age assumed age of weight versions that were announced before this
-    ///                          process first read the operator's table
-    explicit traffic_view_builder(milliseconds first_weights_age)
-        : first_weights_age_(first_weights_age) {}
+    /// @param assumed_weights_age assumed age of weight versions of which this process cannot say
+    ///                            when they were announced
+    explicit traffic_view_builder(milliseconds assumed_weights_age)
+        : assumed_weights_age_(assumed_weights_age) {}
+
+    /// Records that this process was out of touch: weights that it learns of until `end` may have
+    /// been announced before.
+    void set_ages_unknown_until(time_point end) { ages_unknown_until_ = end; }
 
     /// Applies changed rows of the operator's table.
     void apply_operator_rows(const std::vector<versioned_row>& changed, time_point now);
@@ -57,7 +61,8 @@
 private:
     void apply_configuration(routing rules);
 
-    milliseconds first_weights_age_;
+    milliseconds assumed_weights_age_;
+    time_point ages_unknown_until_{time_point::min()};
     bool has_operator_rows_{false};
     traffic_view view_;
     std::map<std::string, listed_server> servers_; ///< by identifier
--- a/tests/process_weights_test.cpp
+++ b/tests/process_weights_test.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds line_timeout{3000};
 /// Beyond the silence after which other processes give up their connections to a stopped one.
 constexpr milliseconds stop_time{3000};
+/// A process that was out of touch counts as settled after this time; the gateways' default.
+constexpr milliseconds settling_time{3000};
 
 class weights : public ::testing::Test {
 protected:
@@ -150,6 +152,24 @@
     }
 }
 
+// Guards against an age that counts as known though its process was out of touch: it would replace
+// the assumed age of a gateway that starts, so both would send to replaced weights.
+TEST_F(late_announcement, gateway_that_was_stopped_does_not_vouch_for_the_age) {
+    world.origin.is_down = true;
+    world.gateway(0).send_signal(SIGSTOP);
+    world.gateway(1).send_signal(SIGKILL);
+    world.set_weights_version(2);
+    announced_at = std::chrono::steady_clock::now();
+    world.replace_gateway(1);
+    std::this_thread::sleep_until(announced_at + stop_time);
+    world.gateway(0).send_signal(SIGCONT);
+    ASSERT_NE(world.gateway(0).wait_for_line("event=weights_named", line_timeout), "");
+    ASSERT_TRUE(wait_until([this] { return world.readiness(1) == 200; }, line_timeout));
+    std::this_thread::sleep_until(announced_at + stop_time + settling_time);
+    EXPECT_EQ(call_for_stream(0), 503) << world.gateway(0).output();
+    EXPECT_EQ(call_for_stream(1), 503) << world.gateway(1).output();
+}
+
 // Guards against an engine that loads late, since a sidecar that was out of touch during the
 // announcement counts the due time from when it learned of it.
 TEST_F(late_announcement, sidecar_that_was_stopped_counts_the_age_of_the_announcement) {
