Stop telling of weights that have long been due

Heartbeats told of the newest due version for ever, to every sidecar. 30 s after its due time nobody needs it: a process that starts takes it for due. Sidecars compute their target again only when something changed. Not measured; found by a review. Tests also cover that assumed ages replace no known ones, and that the age that is told may rise at any time.

--- a/include/citronseam/version/announced_versions.h
+++ b/include/citronseam/version/announced_versions.h
@@ -51,7 +51,7 @@
 
 /// @param due time after an announcement within which the weights must be served
 /// @return the versions of a model that others need to know: those that are not due yet, and the
-/// newest one that is
+/// newest one that is, unless that was long ago
 std::vector<announced_version> versions_to_tell(const std::vector<announced_version>& known,
                                                 milliseconds due, time_point now);
 
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -207,9 +207,12 @@
     /// The gateways know how old an announcement is that this process learned of late.
     void handle_announced_weights(const wire::member_beat& heartbeat) {
         const auto now = std::chrono::steady_clock::now();
+        bool is_changed = false;
         for_each_announced_weights(
             heartbeat, now, [&](const std::string& model, const announced_version& told) {
-                if (learn_from_member(announced_, model, told) != announcement_change::dated) {
+                const announcement_change change = learn_from_member(announced_, model, told);
+                is_changed = is_changed || change != announcement_change::none;
+                if (change != announcement_change::dated) {
                     return;
                 }
                 log_event(log_level::info, "weights_dated",
@@ -220,7 +223,9 @@
                 fetcher_->set_announced_at(dated);
                 loader_->set_announced_at(dated);
             });
-        update_target(now);
+        if (is_changed) {
+            update_target(now);
+        }
     }
 
     void update_target(time_point now) {
--- a/src/version/announced_versions.cpp
+++ b/src/version/announced_versions.cpp
@@ -8,6 +8,9 @@
 
 /// Lower differences of ages are the delays of the messages that carry them.
 constexpr milliseconds dating_tolerance{50};
+/// Time after which a version that is due is not told any more: every process takes it for due, one
+/// that starts as well.
+constexpr milliseconds max_telling_time{30000};
 
 std::vector<announced_version>::iterator find_position(std::vector<announced_version>& versions,
                                                        std::uint64_t version) {
@@ -68,8 +71,11 @@
         return now - announced.announced_at >= due;
     };
     const auto newest_due = std::find_if(known.rbegin(), known.rend(), is_due);
-    const auto first = newest_due == known.rend() ? known.begin() : std::prev(newest_due.base());
-    return {first, known.end()};
+    if (newest_due == known.rend()) {
+        return known;
+    }
+    const bool is_told = now - newest_due->announced_at < due + max_telling_time;
+    return {is_told ? std::prev(newest_due.base()) : newest_due.base(), known.end()};
 }
 
 } // namespace citronseam
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -643,4 +643,28 @@
     EXPECT_TRUE(versions_to_tell({}, due, now).empty());
 }
 
+// Guards against an assumed age that replaces a known one, and against a clock that stood still:
+// the age that is told may rise at any time.
+TEST(announced_versions, known_age_is_replaced_by_higher_known_ages_only) {
+    const time_point now = time_point(seconds(100));
+    announced_versions known;
+    EXPECT_EQ(learn_from_table(known, "m", {3, now - seconds(1)}), announcement_change::added);
+    EXPECT_EQ(learn_from_member(known, "m", {3, now - seconds(6), true}),
+              announcement_change::none);
+    EXPECT_EQ(learn_from_table(known, "m", {3, now - seconds(6), true}), announcement_change::none);
+    EXPECT_EQ(known["m"].front().announced_at, now - seconds(1));
+    EXPECT_EQ(learn_from_member(known, "m", {3, now - milliseconds(1100)}),
+              announcement_change::dated);
+    EXPECT_EQ(learn_from_member(known, "m", {3, now - seconds(5)}), announcement_change::dated);
+}
+
+// Guards against heartbeats that tell of one version for ever.
+TEST(announced_versions, version_that_has_long_been_due_is_not_told) {
+    const time_point now = time_point(seconds(100));
+    const milliseconds due{8000};
+    EXPECT_EQ(versions_to_tell({{2, now - seconds(37)}}, due, now).size(), 1U);
+    EXPECT_TRUE(versions_to_tell({{2, now - seconds(39)}}, due, now).empty());
+    EXPECT_EQ(versions_to_tell({{2, now - seconds(39)}, {3, now}}, due, now).size(), 1U);
+}
+
 } // namespace
