Move the end of a planned fetch with its announcement

What callers would see: refusals, since a sidecar goes on with older weights for seconds after the newer ones should have its link, and gets those late.

Cause: a corrected date of an announcement left the end of its fetch, which follows from it, as it was. Found by a review; the unit test fails without the change of ends_at.

--- a/include/citronseam/version/fetch_order.h
+++ b/include/citronseam/version/fetch_order.h
@@ -48,6 +48,10 @@
 void add_to_plan(std::vector<planned_fetch>& plan, std::uint64_t version, time_point announced_at,
                  const fetch_order_params& params);
 
+/// Corrects when a planned version was announced. When its fetch must end moves with it.
+void correct_plan(std::vector<planned_fetch>& plan, std::uint64_t version,
+                  time_point announced_at) noexcept;
+
 /// @param plan    planned versions, oldest first
 /// @param minimum versions lower than this are ignored
 /// @return the version to fetch now, or nullptr
--- a/src/programs/sidecar/weights_fetcher.cpp
+++ b/src/programs/sidecar/weights_fetcher.cpp
@@ -69,10 +69,8 @@
             known->announced_at = target.announced_at;
         }
     }
-    for (planned_fetch& planned : plan_) {
-        if (newest_.model == target.model && planned.version == target.version) {
-            planned.announced_at = target.announced_at;
-        }
+    if (newest_.model == target.model) {
+        correct_plan(plan_, target.version, target.announced_at);
     }
 }
 
--- a/src/version/fetch_order.cpp
+++ b/src/version/fetch_order.cpp
@@ -44,6 +44,19 @@
     plan.push_back(added);
 }
 
+void correct_plan(std::vector<planned_fetch>& plan, std::uint64_t version,
+                  time_point announced_at) noexcept {
+    for (planned_fetch& planned : plan) {
+        if (planned.version != version) {
+            continue;
+        }
+        if (planned.ends_at != time_point::max()) {
+            planned.ends_at += announced_at - planned.announced_at;
+        }
+        planned.announced_at = announced_at;
+    }
+}
+
 const planned_fetch* find_current_fetch(const std::vector<planned_fetch>& plan,
                                         std::uint64_t minimum, time_point now) noexcept {
     const auto found =
--- a/tests/version_logic_test.cpp
+++ b/tests/version_logic_test.cpp
@@ -667,4 +667,22 @@
     EXPECT_EQ(versions_to_tell({{2, now - seconds(39)}, {3, now}}, due, now).size(), 1U);
 }
 
+// Guards against a fetch of older weights that goes on beyond its end, since they turned out to
+// have been announced earlier than it seemed.
+TEST(fetch_order, end_of_a_planned_fetch_moves_with_its_announcement) {
+    const time_point start = time_point(seconds(100));
+    const fetch_order_params params{milliseconds(16000), milliseconds(4000), milliseconds(1000)};
+    std::vector<planned_fetch> plan;
+    add_to_plan(plan, 1, start - seconds(60), params);
+    add_to_plan(plan, 2, start, params);
+    add_to_plan(plan, 3, start + seconds(2), params);
+    ASSERT_EQ(plan.front().version, 2U);
+    const time_point end = plan.front().ends_at;
+    ASSERT_EQ(find_current_fetch(plan, 2, end - seconds(1))->version, 2U);
+    correct_plan(plan, 2, start - seconds(4));
+    EXPECT_EQ(find_current_fetch(plan, 2, end - seconds(1))->version, 3U);
+    EXPECT_EQ(plan.back().announced_at, start + seconds(2));
+    EXPECT_EQ(plan.back().ends_at, time_point::max());
+}
+
 } // namespace
