Keep the other records of a page when one is odd

Callers saw: one record with a key that is no text, a version that is none or too high, or a value that is not base64 made its whole page unreadable. Each read of the table failed from then on, so gateways and sidecars stopped following it, and ones that started never became ready. A version nested 200,000 levels deep ended the process.

Cause: parse_rows threw for the first odd record, and copied the version's value, recursively. A version above that of the page was kept, so that its row ignored all later writes; a row without a version entered the copy without a key.

A record is read on its own now. Without a key it names no row; without a usable version its row counts as listed and changes nothing; without a usable value its row cannot be decoded and names no engine. None of them is taken for a removal. A page of another table, a cut one, one without records or a version, and one of records of which none has a key stay unreadable, so something else than the store is no empty table. Each fault is logged once.

--- a/src/process/versioned_row.cpp
+++ b/src/process/versioned_row.cpp
@@ -9,11 +9,11 @@
 namespace {
 
 bool update_row(row_cache& cache, const versioned_row& row) {
-    versioned_row& known = cache.rows[row.key];
-    if (row.version <= known.version) {
+    const auto known = cache.rows.find(row.key);
+    if (row.version <= (known == cache.rows.end() ? 0 : known->second.version)) {
         return false;
     }
-    known = row;
+    cache.rows.insert_or_assign(row.key, row);
     return true;
 }
 
--- a/src/programs/node/store_client.cpp
+++ b/src/programs/node/store_client.cpp
@@ -14,6 +14,8 @@
 /// A response holds at most 1 MB of rows; base64 and field names make it larger.
 constexpr std::size_t max_response_bytes = 4 * mebibyte;
 constexpr milliseconds silence_check_interval{100};
+/// For each table; further ones are not logged.
+constexpr std::size_t max_logged_faults = 1000;
 
 const char* name_of(store_outcome outcome) {
     switch (outcome) {
@@ -31,24 +33,6 @@
     return "unknown";
 }
 
-/// @param[out] outcome of the call
-/// @return the rows of a response; nullopt when the call failed or they cannot be parsed
-std::optional<platform::row_page>
-parse_page(const std::string& table, const http_response& response, store_outcome& outcome) {
-    outcome = platform::parse_store_outcome(response);
-    if (outcome != store_outcome::done) {
-        return std::nullopt;
-    }
-    auto page = platform::parse_rows(response, table);
-    if (!page) {
-        log_event(log_level::warning, "store_answer_unreadable",
-                  {{"table", table}, {"reason", page.error().message}});
-        outcome = store_outcome::unknown;
-        return std::nullopt;
-    }
-    return std::move(*page);
-}
-
 /// What a call has received. Used on the thread of the http_client until the call is done.
 struct store_receipt {
     http_response response;
@@ -128,6 +112,37 @@
               {{"call", name}, {"outcome", name_of(outcome)}, {"detail", message}});
 }
 
+/// @param[out] outcome of the call
+/// @return the rows of a response; nullopt when the call failed or they cannot be parsed
+std::optional<platform::row_page> store_client::parse_page(const std::string& table,
+                                                           const http_response& response,
+                                                           store_outcome& outcome) {
+    outcome = platform::parse_store_outcome(response);
+    if (outcome != store_outcome::done) {
+        return std::nullopt;
+    }
+    auto page = platform::parse_rows(response, table);
+    if (!page) {
+        log_event(log_level::warning, "store_answer_unreadable",
+                  {{"table", table}, {"reason", page.error().message}});
+        outcome = store_outcome::unknown;
+        return std::nullopt;
+    }
+    log_faults(table, page->faults);
+    return std::move(*page);
+}
+
+/// Logs odd records once, although each read of the table names them again.
+void store_client::log_faults(const std::string& table, const std::vector<std::string>& faults) {
+    std::set<std::string>& logged = logged_faults_[table];
+    for (const std::string& fault : faults) {
+        if (logged.size() < max_logged_faults && logged.insert(fault).second) {
+            log_event(log_level::warning, "store_record_unreadable",
+                      {{"table", table}, {"record", fault}});
+        }
+    }
+}
+
 void store_client::read_table(const std::string& table, batch_handler done) {
     read_page(table, "", {}, std::move(done));
 }
@@ -171,7 +186,7 @@
 void store_client::await_changes(const std::string& table, std::uint64_t after, milliseconds wait,
                                  batch_handler done) {
     call("feed", platform::make_watch_request(base_url_, table, after, wait), wait,
-         [table, after, done = std::move(done)](const http_response& response) {
+         [this, table, after, done = std::move(done)](const http_response& response) {
              store_outcome outcome{};
              auto page = parse_page(table, response, outcome);
              if (!page) {
--- a/src/programs/node/store_client.h
+++ b/src/programs/node/store_client.h
@@ -4,8 +4,12 @@
 #define CITRONSEAM_PROGRAMS_NODE_STORE_CLIENT_H
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "citronseam/connection/http_client.h"
 #include "citronseam/connection/io_thread_pool.h"
@@ -39,6 +43,10 @@
                    batch_handler done);
     void call(const char* name, http_request request, milliseconds wait,
               std::function<void(const http_response&)> done);
+    std::optional<platform::row_page> parse_page(const std::string& table,
+                                                 const http_response& response,
+                                                 platform::store_outcome& outcome);
+    void log_faults(const std::string& table, const std::vector<std::string>& faults);
     void record_outcome(const char* name, platform::store_outcome outcome,
                         const std::string& message);
 
@@ -47,6 +55,7 @@
     metrics& metrics_;
     std::string base_url_;
     bool is_available_{true};
+    std::map<std::string, std::set<std::string>> logged_faults_; ///< by table
 };
 
 } // namespace citronseam
--- /dev/null
+++ b/tests/odd_entries_test.cpp
@@ -0,0 +1,192 @@
+// Entries and records that another writer left: each names nothing to use, and the others hold.
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "citronseam/process/member.h"
+#include "platform/decode.h"
+#include "platform/engine.h"
+#include "platform/sidecar_rows.h"
+#include "platform/store.h"
+
+namespace {
+
+using namespace citronseam;
+
+constexpr std::size_t deep_levels = 200000;
+
+std::string nested(std::size_t levels) {
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+/// Values in the place of a whole number that is not negative.
+std::vector<std::string> odd_numbers() {
+    return {
+        "-1",   "1e300",  "1e999", "1.5", "-9223372036854775808", "18446744073709551616", "true",
+        "null", R"("8")", "[]",    "{}",  nested(deep_levels)};
+}
+
+/// Shortens an input for the message of a failure.
+std::string head_of(const std::string& text) {
+    constexpr std::size_t max_shown = 200;
+    return text.substr(0, max_shown);
+}
+
+result<platform::row_page> parse_page(const std::string& body, std::string_view table = "servers") {
+    http_response response;
+    response.outcome.is_complete = true;
+    response.outcome.status = 200;
+    response.body = body;
+    return platform::parse_rows(response, table);
+}
+
+/// @return a page with a sound record `a` before and `z` after others
+std::string page_around(const std::string& records) {
+    return R"({"records":[{"table":"servers","part":"","key":"a","value":"YQ==","ver":4},)" +
+           records + R"(,{"table":"servers","part":"","key":"z","value":"eg==","ver":8}],"ver":9})";
+}
+
+std::string record_with(const std::string& field, const std::string& value) {
+    std::string record = R"({"table":"servers","part":"")";
+    for (const auto& [name, usual] : std::vector<std::pair<std::string, std::string>>{
+             {"key", R"("k")"}, {"value", R"("aw==")"}, {"ver", "5"}}) {
+        if (name != field) {
+            record += ",\"" + name + "\":" + usual;
+        }
+    }
+    return record + ",\"" + field + "\":" + value + "}";
+}
+
+const versioned_row* find_row(const row_batch& batch, const std::string& key) {
+    for (const auto& row : batch.rows) {
+        if (row.key == key) {
+            return &row;
+        }
+    }
+    return nullptr;
+}
+
+bool has_both_sound_rows(const row_batch& batch) {
+    const auto* first = find_row(batch, "a");
+    const auto* last = find_row(batch, "z");
+    return first != nullptr && last != nullptr && first->value == "a" && last->value == "z" &&
+           first->version == 4 && last->version == 8;
+}
+
+/// A copy of the table that holds `a`, `k` and `z`.
+row_cache known_rows() {
+    row_cache cache;
+    merge(cache, {{{"a", "a", 1, false}, {"k", "k", 2, false}, {"z", "z", 3, false}}, 3, true, 0});
+    return cache;
+}
+
+// Guards against a table that can never be read again for one record that is odd.
+TEST(odd_records, the_other_records_of_a_page_hold) {
+    std::vector<std::string> records{"7",  "null", "true",   R"("text")",
+                                     "[]", "{}",   "[[[]]]", nested(deep_levels)};
+    for (const std::string& value : odd_numbers()) {
+        if (value != "1e999") { // No JSON parser without a limit on numbers reads that page.
+            records.push_back(record_with("ver", value));
+        }
+    }
+    for (const std::string& value : {std::string("7"), std::string("null"), std::string("[]"),
+                                     std::string("{}"), nested(deep_levels)}) {
+        for (const char* field : {"key", "value", "tombstone", "table", "part"}) {
+            records.push_back(record_with(field, value));
+        }
+    }
+    for (const char* value :
+         {"\"*\"", "\"a\"", "\"====\"", "\"aw=\"", "\"\"", "\"\\u0000\"", "\"\xc3\xa4\xc3\xa4\""}) {
+        records.push_back(record_with("value", value));
+    }
+    records.push_back(record_with("ver", "281474976710656"));
+    for (const std::string& record : records) {
+        const auto page = parse_page(page_around(record));
+        ASSERT_TRUE(page.has_value()) << head_of(record) << ": " << page.error().message;
+        EXPECT_TRUE(has_both_sound_rows(page->batch)) << head_of(record);
+    }
+}
+
+// Guards against a process that ends since it copies a deeply nested value.
+TEST(odd_records, deeply_nested_version_is_none) {
+    const auto page = parse_page(page_around(record_with("ver", nested(deep_levels))));
+    ASSERT_TRUE(page.has_value());
+    EXPECT_TRUE(has_both_sound_rows(page->batch));
+}
+
+// Guards against a row that counts as removed, or as another one, since its record is odd.
+TEST(odd_records, row_of_an_odd_record_is_listed_and_never_removed_by_it) {
+    const std::vector<std::pair<std::string, std::string>> odd{
+        {"value", "7"}, {"value", "\"*\""}, {"tombstone", "\"yes\""}, {"tombstone", "7"},
+        {"ver", "-1"},  {"ver", "1e300"},   {"ver", "\"5\""},         {"ver", "281474976710656"}};
+    for (const auto& [field, value] : odd) {
+        const auto page = parse_page(page_around(record_with(field, value)));
+        ASSERT_TRUE(page.has_value()) << field << value;
+        row_batch batch = page->batch;
+        batch.is_whole = true;
+        row_cache cache = known_rows();
+        merge(cache, batch);
+        EXPECT_FALSE(cache.rows.at("k").is_removed) << field << value;
+        EXPECT_EQ(cache.rows.at("k").key, "k") << field << value;
+        EXPECT_EQ(cache.rows.at("k").value, field == "ver" ? "k" : "") << field << value;
+    }
+}
+
+// Guards against a row that ignores all its later writes since one version was too high.
+TEST(odd_records, version_above_that_of_the_store_is_no_version) {
+    const auto page = parse_page(page_around(record_with("ver", "281474976710655")));
+    ASSERT_TRUE(page.has_value());
+    row_batch batch = page->batch;
+    batch.is_whole = true;
+    row_cache cache = known_rows();
+    merge(cache, batch);
+    const auto next = parse_page(page_around(record_with("ver", "6")));
+    ASSERT_TRUE(next.has_value());
+    merge(cache, next->batch);
+    EXPECT_EQ(cache.rows.at("k").version, 6U);
+}
+
+// Guards against a row without a key that a record without a usable version leaves in the copy.
+TEST(odd_records, unknown_row_without_version_is_not_kept) {
+    const auto page = parse_page(page_around(record_with("ver", "null")));
+    ASSERT_TRUE(page.has_value());
+    row_cache cache;
+    row_batch batch = page->batch;
+    batch.is_whole = true;
+    EXPECT_EQ(merge(cache, batch).size(), 2U);
+    EXPECT_EQ(cache.rows.size(), 2U);
+}
+
+// Guards against an answer of something else that counts as an empty table.
+TEST(odd_records, page_that_is_not_the_stores_is_not_read) {
+    std::vector<std::string> pages{"",
+                                   "7",
+                                   "[]",
+                                   "{}",
+                                   R"({"records":{},"ver":9})",
+                                   R"({"records":null,"ver":9})",
+                                   R"({"records":7,"ver":9})",
+                                   R"({"records":"","ver":9})",
+                                   R"({"ver":9})",
+                                   R"({"records":[]})",
+                                   R"({"records":[7],"ver":9})",
+                                   R"({"records":[{}],"ver":9})",
+                                   R"({"records":[{"key":7}],"ver":9})",
+                                   R"({"records":[],"ver":9,"has_more":"no"})",
+                                   page_around(R"({"table":"op","part":"","key":"k","ver":5})"),
+                                   nested(deep_levels)};
+    for (const std::string& value : odd_numbers()) {
+        pages.push_back(R"({"records":[],"ver":)" + value + "}");
+    }
+    for (const std::string& page : pages) {
+        EXPECT_FALSE(parse_page(page).has_value()) << head_of(page);
+    }
+    const std::string whole = page_around(record_with("ver", "5"));
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        EXPECT_FALSE(parse_page(whole.substr(0, size)).has_value()) << size;
+    }
+}
+
+} // namespace
