--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -189,4 +189,15 @@
     }
 }
 
+// Guards against a row of another part that is taken for the operator's, since a feed has them all.
+TEST(odd_records, row_of_another_part_is_not_the_row_of_that_key) {
+    const auto page = parse_page(
+        R"({"records":[{"table":"op","part":"x","key":"config","value":"e30=","ver":4},)"
+        R"({"table":"op","part":"","key":"evacuate/z","value":"e30=","ver":5}],"ver":9})",
+        "op");
+    ASSERT_TRUE(page.has_value());
+    ASSERT_EQ(page->batch.rows.size(), 1U);
+    EXPECT_EQ(page->batch.rows[0].key, "evacuate/z");
+}
+
 } // namespace
