Ask for the next page by the bytes of the last key

Callers saw: where a page of a table ended at a key with `&`, `#`, `%` or a line end, the next request asked for another range: a page was read again without end, or rows were left out.

Cause: make_read_request put keys into the query as they are.

--- a/src/programs/node/store_client.cpp
+++ b/src/programs/node/store_client.cpp
@@ -150,7 +150,7 @@
 void store_client::read_page(const std::string& table, const std::string& first,
                              row_batch collected, batch_handler done) {
     call("read", platform::make_read_request(base_url_, table, first, ""), milliseconds(0),
-         [this, table, collected = std::move(collected),
+         [this, table, first, collected = std::move(collected),
           done = std::move(done)](const http_response& response) mutable {
              store_outcome outcome{};
              const auto page = parse_page(table, response, outcome);
@@ -174,7 +174,13 @@
              if (page->has_more) {
                  // The next page begins at the smallest key after the last one: that key and a
                  // blank.
-                 const std::string next = page->batch.rows.back().key + "%20";
+                 const std::string next = page->batch.rows.back().key + " ";
+                 if (next <= first) {
+                     log_event(log_level::warning, "store_answer_unreadable",
+                               {{"table", table}, {"reason", "a page ends before its first key"}});
+                     done(store_outcome::unknown, {});
+                     return;
+                 }
                  read_page(table, next, std::move(collected), std::move(done));
                  return;
              }
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -200,4 +200,16 @@
     EXPECT_EQ(page->batch.rows[0].key, "evacuate/z");
 }
 
+// Guards against a read that never ends since the next page begins at another key than is asked
+// for.
+TEST(odd_records, next_page_is_asked_for_by_the_bytes_of_the_key) {
+    const auto request =
+        platform::make_read_request("http://s", "servers", "a&b=#%/\n\xc3\xa4 ", "");
+    EXPECT_NE(request.url.find("&from=a%26b%3D%23%25%2F%0A%C3%A4%20"), std::string::npos)
+        << request.url;
+    EXPECT_NE(platform::make_read_request("http://s", "servers", "i-7f.3_a~ ", "")
+                  .url.find("&from=i-7f.3_a~%20"),
+              std::string::npos);
+}
+
 } // namespace
