--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -212,4 +212,92 @@
               std::string::npos);
 }
 
+std::string entry_with(const std::string& field, const std::string& value) {
+    std::string entry = "{";
+    for (const auto& [name, usual] :
+         std::vector<std::pair<std::string, std::string>>{{"service", R"("s")"},
+                                                          {"address", R"("10.0.0.1:80")"},
+                                                          {"zone", R"("z")"},
+                                                          {"version", R"("v1")"},
+                                                          {"slots", "16"},
+                                                          {"state", R"("ready")"},
+                                                          {"cold_ms", "0"},
+                                                          {"sequence", "4"},
+                                                          {"born", "1700000000000"},
+                                                          {"models", "[]"}}) {
+        if (name != field) {
+            entry += "\"" + name + "\":" + usual + ",";
+        }
+    }
+    return entry + "\"" + field + "\":" + value + "}";
+}
+
+result<listed_server> decode_entry(const std::string& value, const std::string& id = "i-1") {
+    return platform::decode_server({id, value, 7, false});
+}
+
+// Guards against an engine that is called at an address that is none.
+TEST(odd_entries, address_that_is_none_names_no_engine) {
+    for (const char* address : {"",
+                                ":80",
+                                "10.0.0.1",
+                                "10.0.0.1:",
+                                "10.0.0.1:0",
+                                "10.0.0.1:-1",
+                                "10.0.0.1:+80",
+                                "10.0.0.1:65536",
+                                "10.0.0.1:99999",
+                                "10.0.0.1:080",
+                                "10.0.0.1:000000080",
+                                "10.0.0.1:18446744073709551696",
+                                "10.0.0.1:80 ",
+                                " 10.0.0.1:80",
+                                "10.0.0.1:80/path",
+                                "10.0.0.1/path:80",
+                                "10.0.0.1:80?q",
+                                "10.0.0.1?q:80",
+                                "10.0.0.1#f:80",
+                                "user@10.0.0.1:80",
+                                "user:word@10.0.0.1:80",
+                                "http://10.0.0.1:80",
+                                "10.0.0.1:80\\n",
+                                "10.0.0.1\\r\\nHost: x:80",
+                                "10.0.0.1\\u0000:80",
+                                "10.0.0.1:80\\u0000",
+                                "10.0.0.1\\u00e4:80",
+                                "a b:80",
+                                "{a,b}:80",
+                                "[::1:80",
+                                "::1:80",
+                                "[]:80",
+                                "[::1%25x]:80",
+                                "10.0.0.1,10.0.0.2:80"}) {
+        const auto entry = entry_with("address", '"' + std::string(address) + '"');
+        EXPECT_FALSE(decode_entry(entry).has_value()) << address;
+    }
+    EXPECT_FALSE(decode_entry(entry_with("address", '"' + std::string(1U << 20U, 'a') + ":80\"")));
+    for (const char* address :
+         {"10.0.0.1:1", "10.0.0.1:65535", "engine-1.example:80", "a:1", "[::1]:80"}) {
+        const auto entry = entry_with("address", '"' + std::string(address) + '"');
+        EXPECT_TRUE(decode_entry(entry).has_value()) << address;
+    }
+}
+
+TEST(odd_entries, any_field_may_be_odd) {
+    for (const std::string& value :
+         {std::string("null"), std::string("7"), std::string("[7]"), std::string("{}"),
+          std::string("\"\\ud800\""), std::string("\"\xff\xfe\""), nested(deep_levels)}) {
+        for (const char* field : {"service", "address", "zone", "state"}) {
+            EXPECT_FALSE(decode_entry(entry_with(field, value)).has_value())
+                << field << head_of(value);
+        }
+    }
+    for (const std::string& text :
+         {std::string(), std::string("\0", 1), std::string("\xff"), std::string("{"),
+          nested(deep_levels), std::string(deep_levels, '['), std::string(1U << 20U, '"')}) {
+        EXPECT_FALSE(decode_entry(text).has_value()) << head_of(text);
+    }
+    EXPECT_TRUE(decode_entry(entry_with("other", nested(deep_levels))).has_value());
+}
+
 } // namespace
