Take no engine from an entry with a number that does not fit

Callers saw: an entry with slots had 1, one with -1 had, `true` was 1, and 1e300 was whatever the machine makes of it. `cold_ms`, `born` and the versions of weights were read alike.

Cause: nlohmann::json converts any number or bool to the type asked for. Whole numbers are read as such and within their type now. Models that are no list of objects are unreadable.

--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -283,6 +283,36 @@
     }
 }
 
+// Guards against a number of an entry that is wrapped around, cut or undefined.
+TEST(odd_entries, number_that_does_not_fit_names_no_engine) {
+    for (const char* field : {"slots", "cold_ms", "born"}) {
+        for (const std::string& value : odd_numbers()) {
+            if (std::string(field) == "cold_ms" && value == "1.5") {
+                continue; // part of a millisecond
+            }
+            EXPECT_FALSE(decode_entry(entry_with(field, value)).has_value())
+                << field << head_of(value);
+        }
+    }
+    for (const char* slots : {"4294967297", "4294967295", "9223372036854775807"}) {
+        EXPECT_FALSE(decode_entry(entry_with("slots", slots)).has_value()) << slots;
+    }
+    for (const char* cold_ms : {"9223372036854775807", "18446744073709551615", "1e15"}) {
+        EXPECT_FALSE(decode_entry(entry_with("cold_ms", cold_ms)).has_value()) << cold_ms;
+    }
+    for (const std::string& version : odd_numbers()) {
+        const std::string span = R"([{"from":0,"target":4,"version":)" + version + "}]";
+        EXPECT_FALSE(decode_entry(entry_with("layers", span)).has_value()) << head_of(version);
+        const std::string model = R"([{"name":"m","version":)" + version + "}]";
+        EXPECT_FALSE(decode_entry(entry_with("models", model)).has_value()) << head_of(version);
+    }
+    for (const char* models : {"7", "[7]", "{\"m\":{}}", "\"m\"", "[[]]"}) {
+        EXPECT_FALSE(decode_entry(entry_with("models", models)).has_value()) << models;
+    }
+    EXPECT_TRUE(decode_entry(entry_with("slots", "16")).has_value());
+    EXPECT_EQ(decode_entry(entry_with("cold_ms", "1.5"))->remaining_cold_time.count(), 1);
+}
+
 TEST(odd_entries, any_field_may_be_odd) {
     for (const std::string& value :
          {std::string("null"), std::string("7"), std::string("[7]"), std::string("{}"),
