--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -313,6 +313,16 @@
     EXPECT_EQ(decode_entry(entry_with("cold_ms", "1.5"))->remaining_cold_time.count(), 1);
 }
 
+// Guards against an engine's id that ends a header field of the requests that name it.
+TEST(odd_entries, id_that_fits_no_header_names_no_engine) {
+    for (const std::string& id :
+         {std::string(), std::string("i\r\nX: y"), std::string("i\n"), std::string("i 1"),
+          std::string("i\0", 2), std::string("\xc3\xa4"), std::string("i\x7f")}) {
+        EXPECT_FALSE(decode_entry(entry_with("slots", "16"), id).has_value()) << id;
+    }
+    EXPECT_TRUE(decode_entry(entry_with("slots", "16"), "i-7f3a91c2").has_value());
+}
+
 TEST(odd_entries, any_field_may_be_odd) {
     for (const std::string& value :
          {std::string("null"), std::string("7"), std::string("[7]"), std::string("{}"),
