Keep the reasons why an entry cannot be read short

Callers saw: the log line on an unreadable entry, member, configuration or answer quoted it, up to its whole size.

Cause: the reason held the text that could not be read. It is cut after 200 bytes.

--- a/include/citronseam/process/error.h
+++ b/include/citronseam/process/error.h
@@ -42,6 +42,9 @@
 /// @param message human-readable text
 tl::unexpected<error> failure(error_code code, std::string message);
 
+/// @return the beginning of a text that may quote what another program sent, for messages
+std::string shortened(std::string_view text);
+
 } // namespace citronseam
 
 #endif
--- a/src/process/error.cpp
+++ b/src/process/error.cpp
@@ -27,4 +27,10 @@
     return tl::unexpected<error>(error{code, std::move(message)});
 }
 
+std::string shortened(std::string_view text) {
+    constexpr std::size_t max_shown = 200;
+    return text.size() <= max_shown ? std::string(text)
+                                    : std::string(text.substr(0, max_shown)) + "...";
+}
+
 } // namespace citronseam
--- a/src/process/member.cpp
+++ b/src/process/member.cpp
@@ -44,8 +44,8 @@
         process.incarnation = value.at("incarnation").get<std::uint64_t>();
         return process;
     } catch (const std::exception& exception) {
-        return failure(error_code::protocol,
-                       std::string("a member's row cannot be read: ") + exception.what());
+        return failure(error_code::protocol, std::string("a member's row cannot be read: ") +
+                                                 shortened(exception.what()));
     }
 }
 
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -340,4 +340,18 @@
     EXPECT_TRUE(decode_entry(entry_with("other", nested(deep_levels))).has_value());
 }
 
+// Guards against log lines as long as an odd entry.
+TEST(odd_entries, reason_is_short) {
+    constexpr std::size_t max_reason = 400;
+    const std::string huge = '"' + std::string(1U << 20U, 'x') + '"';
+    EXPECT_LE(decode_entry(entry_with("state", huge)).error().message.size(), max_reason);
+    const std::string cut = huge.substr(0, huge.size() - 1);
+    EXPECT_LE(decode_entry(cut).error().message.size(), max_reason);
+    EXPECT_LE(parse_member(cut).error().message.size(), max_reason);
+    EXPECT_LE(parse_page(cut).error().message.size(), max_reason);
+    EXPECT_LE(platform::parse_engine_state(cut).error().message.size(), max_reason);
+    EXPECT_LE(platform::decode_operator_row({"config", cut, 7, false}).error().message.size(),
+              max_reason);
+}
+
 } // namespace
