--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -354,4 +354,16 @@
               max_reason);
 }
 
+// Guards against a version that no later one exceeds, so that all of these are left out.
+TEST(odd_operator_rows, version_that_is_no_number_is_not_taken) {
+    for (const std::string& version : odd_numbers()) {
+        const std::string config = R"({"routes":[],"services":[],"version":)" + version + "}";
+        EXPECT_FALSE(platform::decode_operator_row({"config", config, 7, false}).has_value())
+            << head_of(version);
+        const std::string weights = R"({"model":"m","version":)" + version + "}";
+        EXPECT_FALSE(platform::decode_operator_row({"version/m", weights, 7, false}).has_value())
+            << head_of(version);
+    }
+}
+
 } // namespace
