--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -366,4 +366,29 @@
     }
 }
 
+// Guards against a time that overflows when it is added to the current one.
+TEST(odd_operator_rows, time_too_long_is_cut) {
+    for (const char* time : {"1e300", "9223372036854775807", "18446744073709551615", "-1e300"}) {
+        const std::string config = R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/",)"
+                                   R"("type":"idempotent","service":"s","timeout_ms":)" +
+                                   std::string(time) + R"(,"slo_ms":)" + time +
+                                   R"(,"gap_slo_ms":)" + time +
+                                   R"(}],"services":[{"name":"s","cold_s":)" + time +
+                                   R"(,"engine":{"models":[{"name":"m","warm_s":)" + time +
+                                   R"(}]}}],"limits":{"header_timeout_ms":)" + time +
+                                   R"(,"idle_timeout_ms":)" + time + "}}";
+        const auto rules = platform::decode_routing(config);
+        ASSERT_TRUE(rules.has_value()) << time << rules.error().message;
+        const route& rule = rules->routes.at(0);
+        const service_config& service = rules->services.begin()->second;
+        for (const milliseconds& read :
+             {rule.timeout, rule.latency_objective, rule.event_gap_objective,
+              service.warm_up_duration, service.engine.load_duration, rules->limits.head_timeout,
+              rules->limits.idle_timeout}) {
+            EXPECT_GE(read.count(), 0) << time;
+            EXPECT_LE(read, std::chrono::hours(24 * 366)) << time;
+        }
+    }
+}
+
 } // namespace
