--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -391,4 +391,13 @@
     }
 }
 
+// Guards against a process that ends since it writes a deeply nested configuration again.
+TEST(odd_operator_rows, deeply_nested_configuration_is_passed_on) {
+    const std::string config = R"({"version":1,"routes":[],"other":)" + nested(deep_levels) + "}";
+    const auto reduced = platform::reduce_for_sidecars({"config", config, 7, false});
+    EXPECT_EQ(reduced.key, "config");
+    EXPECT_EQ(reduced.version, 7U);
+    EXPECT_TRUE(nlohmann::json::accept(reduced.value));
+}
+
 } // namespace
