Take no member from a row with an unknown role or an odd number

Callers saw: a member's row with any other role counted as a gateway, to which others then tried to connect; an incarnation of -1 counted as the newest.

Cause: parse_member compared the role with one name only, and converted any number. Such a row cannot be read now.

Evidence: odd_members.odd_row_names_no_member failed before (7 checks) and passes now.

--- a/src/process/member.cpp
+++ b/src/process/member.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "citronseam/process/json_number.h"
+
 namespace citronseam {
 namespace {
 
@@ -34,6 +36,9 @@
         member process;
         process.instance = value.at("instance").get<std::string>();
         const std::string role = value.at("role").get<std::string>();
+        if (role != name(process_role::sidecar) && role != name(process_role::gateway)) {
+            throw std::invalid_argument("the role is none");
+        }
         process.role =
             role == name(process_role::sidecar) ? process_role::sidecar : process_role::gateway;
         process.zone = value.at("zone").get<std::string>();
@@ -41,7 +46,7 @@
         process.peer_address = value.at("peer").get<std::string>();
         process.http_address = value.at("http").get<std::string>();
         process.service = value.at("service").get<std::string>();
-        process.incarnation = value.at("incarnation").get<std::uint64_t>();
+        process.incarnation = read_whole_number<std::uint64_t>(value.at("incarnation"));
         return process;
     } catch (const std::exception& exception) {
         return failure(error_code::protocol, std::string("a member's row cannot be read: ") +
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -400,4 +400,39 @@
     EXPECT_TRUE(nlohmann::json::accept(reduced.value));
 }
 
+std::string member_with(const std::string& field, const std::string& value) {
+    std::string text = "{";
+    for (const auto& [name, usual] :
+         std::vector<std::pair<std::string, std::string>>{{"instance", R"("g")"},
+                                                          {"role", R"("gateway")"},
+                                                          {"zone", R"("z")"},
+                                                          {"region", R"("r")"},
+                                                          {"peer", R"("10.0.0.1:80")"},
+                                                          {"http", R"("10.0.0.1:81")"},
+                                                          {"service", R"("")"},
+                                                          {"incarnation", "1700000000000"}}) {
+        if (name != field) {
+            text += "\"" + name + "\":" + usual + ",";
+        }
+    }
+    return text + "\"" + field + "\":" + value + "}";
+}
+
+// Guards against a member that is taken for a gateway, or for the newest start, by an odd row.
+TEST(odd_members, odd_row_names_no_member) {
+    ASSERT_TRUE(parse_member(member_with("role", R"("sidecar")")).has_value());
+    ASSERT_TRUE(parse_member(member_with("role", R"("gateway")")).has_value());
+    EXPECT_FALSE(parse_member(member_with("role", R"("")")).has_value());
+    EXPECT_FALSE(parse_member(member_with("role", R"("other")")).has_value());
+    for (const std::string& value : odd_numbers()) {
+        EXPECT_FALSE(parse_member(member_with("incarnation", value)).has_value()) << head_of(value);
+    }
+    for (const std::string& value : {std::string("7"), std::string("null"), nested(deep_levels)}) {
+        for (const char* field :
+             {"instance", "role", "zone", "region", "peer", "http", "service"}) {
+            EXPECT_FALSE(parse_member(member_with(field, value)).has_value()) << field;
+        }
+    }
+}
+
 } // namespace
