--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -435,4 +435,23 @@
     }
 }
 
+// Guards against a count of an engine's report that is wrapped around or undefined.
+TEST(odd_reports, number_that_does_not_fit_is_unreadable) {
+    const auto report_with = [](const std::string& field, const std::string& value) {
+        std::string text = R"({"busy":false,"models":[])";
+        for (const char* name : {"sequence", "num_waiting", "num_running", "born"}) {
+            text += ",\"" + std::string(name) + "\":" + (name == field ? value : "3");
+        }
+        return text + "}";
+    };
+    ASSERT_TRUE(platform::parse_engine_state(report_with("", "")).has_value());
+    for (const char* field : {"sequence", "num_waiting", "num_running", "born"}) {
+        for (const std::string& value : odd_numbers()) {
+            EXPECT_FALSE(platform::parse_engine_state(report_with(field, value)).has_value())
+                << field << head_of(value);
+        }
+    }
+    EXPECT_FALSE(platform::parse_engine_state(report_with("num_waiting", "4294967297")));
+}
+
 } // namespace
