Give open requests a final answer before a stopping process exits

Callers whose request was open 1 s before the end of the grace period got a closed connection and no answer, whatever its server was doing: the process stopped its server for callers while requests were passed on. Bookings that had run, reads, and streams without an event yet.

At that time all that is open is ended, with 503 if no server has begun it and else with 504, which promises nothing; a stream that has begun is broken off.

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/gateway.h"
 
 #include <atomic>
+#include <future>
 #include <list>
 #include <thread>
 
@@ -330,15 +331,15 @@
         const milliseconds min_drain_time = std::min<milliseconds>(
             max_drain_time,
             std::chrono::duration_cast<milliseconds>(directory_ttl) * max_cached_lifetimes);
-        while (true) {
-            const auto waited = std::chrono::steady_clock::now() - drain_started_at;
-            const bool is_idle =
-                context_.requests_in_flight == 0 && !caller_server_->has_unsent_responses();
-            if (waited >= max_drain_time || (waited >= min_drain_time && is_idle)) {
-                break;
-            }
-            std::this_thread::sleep_for(drain_check_interval);
-        }
+        std::this_thread::sleep_until(drain_started_at + min_drain_time);
+        wait_until_idle(plan.open_until);
+        // What comes while the server ends would be passed on and then cut off.
+        run_on_traffic_thread(
+            [this] { context_.shutdown->open_until = std::chrono::steady_clock::now(); },
+            plan.exits_at);
+        wait_until_idle(plan.open_until);
+        run_on_traffic_thread([this] { end_open_requests(); }, plan.exits_at);
+        wait_until_idle(plan.exits_at);
         caller_server_.reset();
         readiness_server_.reset();
         directory_server_.reset();
@@ -346,6 +347,35 @@
         control_.stop();
     }
 
+    /// Waits until no request is open and all answers are with the operating system.
+    void wait_until_idle(time_point latest) const {
+        const auto is_idle = [this] {
+            return context_.requests_in_flight == 0 && !caller_server_->has_unsent_responses();
+        };
+        while (!is_idle() && std::chrono::steady_clock::now() < latest) {
+            std::this_thread::sleep_for(drain_check_interval);
+        }
+    }
+
+    /// Runs a function on the traffic thread and waits for its end.
+    void run_on_traffic_thread(std::function<void()> function, time_point latest) {
+        const auto task = std::make_shared<std::packaged_task<void()>>(std::move(function));
+        auto is_done = task->get_future();
+        traffic_.post([task] { (*task)(); });
+        if (is_done.wait_until(latest) != std::future_status::ready) {
+            log_event(log_level::warning, "shutdown_late", {});
+        }
+    }
+
+    /// Gives the callers of requests that are still open a final answer. Traffic thread.
+    void end_open_requests() {
+        for (const auto& entry : exchanges_) {
+            if (const auto exchange = entry.lock()) {
+                exchange->end_before_exit();
+            }
+        }
+    }
+
     const settings& options_;
     metrics metrics_;
     io_thread_pool control_;
--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -262,17 +262,27 @@
 }
 
 void gateway_exchange::fail_deadline() {
+    fail_unfinished("out_of_time", "the time for the request is over", {});
+}
+
+void gateway_exchange::end_before_exit() {
+    if (!is_done_) {
+        fail_unfinished("leaving", "this process exits",
+                        retry_after(shutdown_retry_delay, context_.pool.random()));
+    }
+}
+
+void gateway_exchange::fail_unfinished(std::string_view reason, std::string message,
+                                       milliseconds retry_delay) {
     const bool is_attempt_active = attempt_ != nullptr && attempt_->server != nullptr;
     if (responder_->has_started()) {
         responder_->abort();
-        finish("out_of_time", 0);
+        finish(reason, 0);
         return;
     }
     const bool is_not_run = verdict_ == run_verdict::not_run && !is_attempt_active;
-    refuse({is_not_run ? status_unavailable : status_gateway_timeout,
-            "out_of_time",
-            "the time for the request is over",
-            {}});
+    refuse({is_not_run ? status_unavailable : status_gateway_timeout, reason, std::move(message),
+            is_not_run ? retry_delay : milliseconds(0)});
 }
 
 void gateway_exchange::handle_disconnect() {
--- a/src/programs/gateway/gateway_exchange.h
+++ b/src/programs/gateway/gateway_exchange.h
@@ -34,6 +34,9 @@
     void start();
     /// Enforces the time limits. Called periodically while the request is in flight.
     void check_time(time_point now);
+    /// Ends the request, since the process exits: with a refusal if it has not run, else with a
+    /// final answer that promises nothing. A stream that has begun is broken off.
+    void end_before_exit();
     /// @return whether the request has ended
     bool is_done() const noexcept { return is_done_; }
 
@@ -129,6 +132,7 @@
     void refuse(const refusal& details);
     void refuse_for(choice_failure failure_reason);
     void fail_deadline();
+    void fail_unfinished(std::string_view reason, std::string message, milliseconds retry_delay);
     bool is_out_of_weights(const attempt& waiting, time_point now) const;
     void log_cancelled(std::string_view reason, time_point now) const;
     void leave_replaced_weights(time_point now);
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -135,6 +135,10 @@
     return {"X-Citronseam-Deadline-Ms", std::to_string(time.count())};
 }
 
+std::string worked(const std::string& path, milliseconds work) {
+    return path + "?work_ms=" + std::to_string(work.count());
+}
+
 class planned_stop : public ::testing::Test {
 protected:
     void start(seconds grace, milliseconds timeout) {
@@ -160,7 +164,7 @@
     }
 
     /// Waits until so long after SIGTERM.
-    void wait_for(milliseconds after_stop) const {
+    void wait_for(microseconds after_stop) const {
         std::this_thread::sleep_until(stopped_at_ + after_stop);
     }
 
@@ -306,4 +310,71 @@
     expect_exit();
 }
 
+// Guards against LOST: what was open at the end of the grace period ended with a closed connection.
+TEST_F(planned_stop, request_that_is_open_at_the_end_of_the_grace_gets_a_final_answer) {
+    start(seconds(4), long_timeout);
+    std::vector<std::future<seen_answer>> open;
+    open.push_back(send({"POST", worked("/book/2", endless_work), {}, ""}));
+    open.push_back(send({"GET", worked("/look/2", endless_work), {}, ""}));
+    for (const auto& engine : world.engines) {
+        engine->queue_delay_ms = static_cast<int>(endless_work.count());
+    }
+    open.push_back(send({"POST", "/draft/2", {}, ""}));
+    open.push_back(send({"POST", "/draft-once/2", {}, ""}));
+    std::this_thread::sleep_for(milliseconds(300));
+    stop();
+    for (auto& pending : open) {
+        const auto answer = pending.get();
+        EXPECT_EQ(answer.status(), 504) << describe(answer);
+        EXPECT_TRUE(answer.is_whole) << describe(answer);
+        if (!answer.path.starts_with("/look")) {
+            EXPECT_LE(runs_of(answer.attempt), 1) << describe(answer);
+        }
+    }
+    expect_exit();
+}
+
+// Guards against MIXED: a stream that is cut at the end of the grace period must not look complete.
+TEST_F(planned_stop, stream_that_is_open_at_the_end_of_the_grace_is_broken_off) {
+    start(seconds(4), long_timeout);
+    for (const auto& engine : world.engines) {
+        engine->event_interval_ms = 900;
+    }
+    auto pending = send({"POST", "/draft-once/2", {}, ""});
+    std::this_thread::sleep_for(milliseconds(200));
+    stop();
+    const auto stream = pending.get();
+    EXPECT_EQ(stream.status(), 200) << describe(stream);
+    EXPECT_FALSE(stream.is_whole) << describe(stream);
+    EXPECT_NE(stream.text.find("id: 3"), std::string::npos) << "goes on during the grace period";
+    expect_exit();
+}
+
+// Guards against LOST: a request that came as an idle gateway ended was passed on and cut.
+TEST_F(planned_stop, requests_that_cross_the_exit_in_the_grace_are_not_passed_on) {
+    constexpr int request_count = 400;
+    constexpr milliseconds first{5950};
+    constexpr microseconds interval{500};
+    start(seconds(8), milliseconds(150));
+    stop();
+    std::vector<std::shared_ptr<client_connection>> kept;
+    while (kept.size() < request_count) {
+        kept.push_back(open());
+        ASSERT_NE(kept.back(), nullptr);
+    }
+    std::vector<std::future<seen_answer>> pending;
+    for (std::size_t i = 0; i < kept.size(); ++i) {
+        wait_for(first + interval * i);
+        pending.push_back(send(kept[i], {"POST", "/book/2", {}, ""}));
+    }
+    int answered = 0;
+    for (auto& one : pending) {
+        const auto answer = one.get();
+        expect_true_end(answer);
+        answered += answer.status() == 200 ? 1 : 0;
+    }
+    EXPECT_GT(answered, 0);
+    expect_exit();
+}
+
 } // namespace
