Send no refused booking to one more server when its end is not certain

Callers of bookings were cut off by the exit of a stopping process: a request from before SIGTERM that its first server refused was sent to another one, whatever time was left, since only the arrival of a request was checked.

A request that may not be repeated is now checked again before it is sent once more.

--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -258,6 +258,7 @@
 bool gateway_exchange::may_retry(time_point now) {
     return attempt_count_ < rule_->max_attempts && time_left(now) >= min_send_time &&
            !has_unnumbered_event_ && !is_quarantined() &&
+           (is_retryable(*rule_) || can_end_before_exit(now)) &&
            context_.pool.try_spend_retry(service_, now);
 }
 
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -350,6 +350,31 @@
     expect_exit();
 }
 
+// Guards against LOST: a request that its first server refused during the grace period was sent to
+// another one, whose answer the exit cut off.
+TEST_F(planned_stop, refused_request_is_not_sent_again_when_its_end_is_not_certain) {
+    world.edit_configuration(
+        [](nlohmann::json& configuration) { configuration["routes"][1]["max_attempts"] = 2; });
+    constexpr milliseconds refusal_delay{700};
+    std::atomic<bool> is_first{true};
+    for (const auto& desk : world.plain_servers) {
+        desk->set_arrival_handler([&, server = desk.get()](const std::string& attempt) {
+            if (attempt.starts_with("late-") && is_first.exchange(false)) {
+                server->is_overloaded = true;
+                std::this_thread::sleep_for(refusal_delay);
+            }
+        });
+    }
+    start(seconds(4), long_timeout);
+    auto pending = send({"POST", worked("/book/2", endless_work), {}, ""});
+    std::this_thread::sleep_for(refusal_delay / 3);
+    stop();
+    const auto answer = pending.get();
+    EXPECT_EQ(answer.status(), 503) << describe(answer);
+    EXPECT_EQ(runs_of(answer.attempt), 0) << describe(answer);
+    expect_exit();
+}
+
 // Guards against LOST: a request that came as an idle gateway ended was passed on and cut.
 TEST_F(planned_stop, requests_that_cross_the_exit_in_the_grace_are_not_passed_on) {
     constexpr int request_count = 400;
