Refuse half received requests when a process stops

Callers that were still sending their request as a stopping process exited saw their connection close without an answer, since only requests that were read whole are known to the process.

Bytes that come after the refusal are not handled, as its connection is closing.

--- a/include/citronseam/connection/http_server.h
+++ b/include/citronseam/connection/http_server.h
@@ -54,6 +54,8 @@
     /// Replaces the limits on client connections; initially only sizes are limited. May be called
     /// from any thread.
     void set_limits(const connection_limits& limits);
+    /// Refuses, with 503, the requests of which only a part was received. For a server that ends.
+    void refuse_unfinished_requests();
     /// @return whether a client has yet to take a part of its response, which the end of the
     /// process would cut off
     bool has_unsent_responses() const;
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -136,6 +136,15 @@
         }
     }
 
+    void refuse_unfinished_requests(std::string_view response) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const auto& weak : connections_) {
+            if (const auto connection = weak.lock()) {
+                connection->refuse_unfinished_request(response);
+            }
+        }
+    }
+
     bool has_unsent_responses() const {
         const std::lock_guard<std::mutex> lock(mutex_);
         return std::any_of(connections_.begin(), connections_.end(), [](const auto& weak) {
@@ -407,6 +416,11 @@
 
     std::uint16_t port() const { return endpoint_.getPort(); }
     void set_limits(const connection_limits& limits) { connections_->set_limits(limits); }
+    void refuse_unfinished_requests() {
+        connections_->refuse_unfinished_requests(
+            "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\n"
+            "Content-Length: 0\r\n\r\n");
+    }
     bool has_unsent_responses() const { return connections_->has_unsent_responses(); }
 
 private:
@@ -428,6 +442,10 @@
     implementation_->set_limits(limits);
 }
 
+void http_server::refuse_unfinished_requests() {
+    implementation_->refuse_unfinished_requests();
+}
+
 bool http_server::has_unsent_responses() const {
     return implementation_->has_unsent_responses();
 }
--- a/src/connection/server_connection.cpp
+++ b/src/connection/server_connection.cpp
@@ -225,15 +225,25 @@
         // A request that comes before the close below must not be handled.
         is_closing_ = is_closing_ || action == timeout_action::close;
     }
-    if (action == timeout_action::refuse && begin_request()) {
-        close_after_response();
-        send("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
-        end_response();
+    if (action == timeout_action::refuse) {
+        refuse_unfinished_request(
+            "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     } else if (action == timeout_action::close) {
         close_now();
     }
 }
 
+void server_connection::refuse_unfinished_request(std::string_view response) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const bool is_unfinished = phase_ == connection_phase::head || phase_ == connection_phase::body;
+    if (!is_unfinished || !is_open_ || is_closing_) {
+        return;
+    }
+    is_last_response_ = true;
+    send_locked(std::string(response));
+    end_response_locked();
+}
+
 /// A connection whose output has ended only waits for its client to close it.
 bool server_connection::is_idle_locked() const {
     const bool is_between_requests = !is_closing_ && phase_ == connection_phase::idle;
--- a/src/connection/server_connection.h
+++ b/src/connection/server_connection.h
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <asio.hpp>
@@ -47,6 +48,8 @@
     /// Enforces the time limits: refuses the request or closes the connection when the client takes
     /// too long. A connection is not idle while its client takes bytes of a response.
     void check_timeouts(const connection_limits& limits, time_point now);
+    /// Answers a request of which only a part was received, and closes the connection.
+    void refuse_unfinished_request(std::string_view response);
     /// @return since when nothing is under way: the client may send a request, or has yet to close
     ///         the connection after its last response; none while something is
     std::optional<time_point> idle_since() const;
--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -339,6 +339,7 @@
             plan.exits_at);
         wait_until_idle(plan.open_until);
         run_on_traffic_thread([this] { end_open_requests(); }, plan.exits_at);
+        caller_server_->refuse_unfinished_requests();
         wait_until_idle(plan.exits_at);
         caller_server_.reset();
         readiness_server_.reset();
--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -375,6 +375,33 @@
     expect_exit();
 }
 
+// Guards against a closed connection without an answer while a request is on its way.
+TEST_F(planned_stop, request_whose_body_is_on_its_way_at_the_end_of_the_grace_is_refused) {
+    start(seconds(4), long_timeout);
+    const auto connection = open();
+    const auto late = open();
+    ASSERT_TRUE(connection != nullptr && late != nullptr);
+    stop();
+    seen_answer unfinished;
+    unfinished.attempt = next_attempt();
+    const std::string bytes = to_bytes({"POST", "/book/2", {}, "0123456789"}, unfinished.attempt);
+    ASSERT_TRUE(connection->send(bytes.substr(0, bytes.size() - 1)));
+    seen_answer finished_late;
+    finished_late.attempt = next_attempt();
+    const std::string slow = to_bytes({"POST", "/book/3", {}, "0123456789"}, finished_late.attempt);
+    ASSERT_TRUE(late->send(slow.substr(0, slow.size() - 1)));
+    wait_for(milliseconds(2500));
+    finished_late.sent_at = std::chrono::steady_clock::now();
+    ASSERT_TRUE(late->send("9"));
+    late->receive(finished_late);
+    expect_refused(finished_late);
+    connection->receive(unfinished);
+    EXPECT_EQ(unfinished.status(), 503) << describe(unfinished);
+    EXPECT_TRUE(unfinished.is_whole) << describe(unfinished);
+    EXPECT_EQ(runs_of(unfinished.attempt), 0);
+    expect_exit();
+}
+
 // Guards against LOST: a request that came as an idle gateway ended was passed on and cut.
 TEST_F(planned_stop, requests_that_cross_the_exit_in_the_grace_are_not_passed_on) {
     constexpr int request_count = 400;
