Test requests through the whole grace period of a gateway

Bookings, reads and both kinds of streams, every 200 ms from SIGTERM on, on new and on kept connections, with answers after 50 ms up to longer than the grace period: each ends with a whole answer, a refusal that is true, or a final answer that promises nothing, and those that end for certain before the exit are served.

--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds timing_slack{400};
 /// A connection may end this long after the last byte of a request that was not passed on.
 constexpr milliseconds loss_slack{200};
+/// Gateways poll the list of servers more often than this.
+constexpr milliseconds listing_time{1500};
 /// Longer than any grace period.
 constexpr milliseconds endless_work{20000};
 constexpr milliseconds long_timeout{20000};
@@ -163,6 +165,18 @@
         world.gateway(0).send_signal(SIGTERM);
     }
 
+    /// Lets the servers take more requests at once, and waits until gateways know.
+    void set_slots(int slots) {
+        for (const auto* servers : {&world.plain_servers, &world.engines}) {
+            for (const auto& server : *servers) {
+                auto entry = nlohmann::json::parse(world.store.value("servers", server->id()));
+                entry["slots"] = slots;
+                world.store.put("servers", server->id(), entry.dump());
+            }
+        }
+        std::this_thread::sleep_for(listing_time);
+    }
+
     /// Waits until so long after SIGTERM.
     void wait_for(microseconds after_stop) const {
         std::this_thread::sleep_until(stopped_at_ + after_stop);
@@ -429,4 +443,73 @@
     expect_exit();
 }
 
+// Guards against LOST: requests of all kinds that come at any time of the grace period.
+TEST_F(planned_stop, requests_through_the_whole_grace_are_answered_or_truly_refused) {
+    constexpr milliseconds interval{200};
+    constexpr seconds grace{8};
+    constexpr milliseconds first_event{400};
+    world.edit_configuration([](nlohmann::json& configuration) {
+        for (auto& route : configuration["routes"]) {
+            route["slo_ms"] = long_timeout.count();
+        }
+    });
+    start(grace, milliseconds(6000));
+    set_slots(512);
+    struct kind {
+        client_request request;
+        milliseconds limit; ///< its deadline
+        bool is_quick;      ///< its server answers before that
+    };
+    std::vector<kind> kinds;
+    for (const int work_ms : {50, 400, 2500, 12000}) {
+        const milliseconds work(work_ms);
+        const milliseconds short_limit(900);
+        const milliseconds timeout(6000);
+        const auto add = [&](const char* method, const char* path, milliseconds limit) {
+            kinds.push_back({{method, worked(path, work), {deadline(limit)}, "body"},
+                             limit,
+                             work + timing_slack < limit});
+        };
+        add("POST", "/book/2", timeout);
+        add("POST", "/book/3", short_limit);
+        add("GET", "/look/2", short_limit);
+    }
+    kinds.push_back({{"POST", "/draft/2", {short_answer, deadline(milliseconds(1500))}, ""},
+                     milliseconds(1500),
+                     true});
+    kinds.push_back(
+        {{"POST", "/draft-once/2", {deadline(milliseconds(1500))}, ""}, milliseconds(1500), true});
+    const std::size_t waves = (grace - grace_margin + first_event) / interval;
+    std::vector<std::shared_ptr<client_connection>> kept;
+    for (std::size_t i = 0; i < waves; ++i) {
+        kept.push_back(open());
+        ASSERT_NE(kept.back(), nullptr);
+    }
+    stop();
+    struct sent_request {
+        std::future<seen_answer> answer;
+        bool is_served;
+    };
+    std::vector<sent_request> pending;
+    for (std::size_t wave = 0; wave < waves; ++wave) {
+        const milliseconds at = interval * wave;
+        wait_for(at);
+        for (std::size_t i = 0; i < kinds.size(); ++i) {
+            const bool is_kept = i == wave % kinds.size();
+            const bool ends_in_time = at + kinds[i].limit + timing_slack < grace - grace_margin;
+            pending.push_back(
+                {is_kept ? send(kept[wave], kinds[i].request) : send(kinds[i].request),
+                 kinds[i].is_quick && ends_in_time});
+        }
+    }
+    for (auto& one : pending) {
+        const auto answer = one.answer.get();
+        expect_true_end(answer);
+        if (one.is_served) {
+            EXPECT_EQ(answer.status(), 200) << describe(answer);
+        }
+    }
+    expect_exit();
+}
+
 } // namespace
