--- a/tests/support/row_store.cpp
+++ b/tests/support/row_store.cpp
@@ -77,6 +77,26 @@
     tables_[table][key] = {"", ++version_, true};
 }
 
+void row_store::set_raw_records(const std::string& table, std::vector<std::string> records) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    raw_records_[table] = std::move(records);
+}
+
+/// @return an answer with the raw records of its table
+std::string row_store::to_text(const std::string& table, const json& page) const {
+    constexpr std::string_view list_begin = R"("records":[)";
+    std::string text = page.dump();
+    const auto raw = raw_records_.find(table);
+    if (raw == raw_records_.end() || page.at("records").empty()) {
+        return text;
+    }
+    std::string records;
+    for (const std::string& record : raw->second) {
+        records += record + ",";
+    }
+    return text.insert(text.find(list_begin) + list_begin.size(), records);
+}
+
 void row_store::save_copy() {
     const std::lock_guard<std::mutex> lock(mutex_);
     saved_tables_ = tables_;
@@ -162,7 +182,7 @@
         const json found = list(table, after, true, rewrite);
         feed_counts_[table] += found.at("records").empty() ? 0 : 1;
         if (!found.at("records").empty() || remaining_polls == 0) {
-            respond(*responder, 200, found.dump());
+            respond(*responder, 200, to_text(table, found));
             return;
         }
     }
@@ -182,7 +202,7 @@
     } else if (request.path == "/rows-get") {
         const std::lock_guard<std::mutex> lock(mutex_);
         ++read_counts_[table];
-        respond(*responder, 200, list(table, 0, false, rewrite).dump());
+        respond(*responder, 200, to_text(table, list(table, 0, false, rewrite)));
     } else if (request.path == "/rows-feed" && !has_feed_history) {
         const std::lock_guard<std::mutex> lock(mutex_);
         respond(*responder, 410);
--- a/tests/support/row_store.h
+++ b/tests/support/row_store.h
@@ -28,6 +28,9 @@
     /// Writes a row directly, as an operator or a backend server would.
     /// @return version of the row
     std::uint64_t put(const std::string& table, const std::string& key, const std::string& value);
+    /// Sets JSON texts that all answers on a table hold as further records, before its rows. Empty
+    /// answers of feeds stay empty.
+    void set_raw_records(const std::string& table, std::vector<std::string> records);
     /// Removes a row.
     void remove(const std::string& table, const std::string& key);
     /// @return value of a row; empty if it is missing
@@ -70,6 +73,7 @@
                          const rewriter& rewrite, const std::shared_ptr<http_responder>& responder);
     void write(const nlohmann::json& body);
     void respond(http_responder& responder, int status, const std::string& body = "") const;
+    std::string to_text(const std::string& table, const nlohmann::json& page) const;
     nlohmann::json list(const std::string& table, std::uint64_t after, bool with_removed,
                         const rewriter& rewrite) const;
 
@@ -79,8 +83,9 @@
     std::map<std::string, table_rows> saved_tables_;
     std::uint64_t saved_version_{0};
     std::uint64_t era_{1};
-    std::map<std::string, int> read_counts_; ///< by table
-    std::map<std::string, int> feed_counts_; ///< by table
+    std::map<std::string, std::vector<std::string>> raw_records_; ///< by table
+    std::map<std::string, int> read_counts_;                      ///< by table
+    std::map<std::string, int> feed_counts_;                      ///< by table
     io_thread_pool timers_{1};
     std::vector<std::unique_ptr<http_server>> servers_;
 };
