--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 
 fuzz: setup
 	cmake --preset fuzz > /dev/null
-	cmake --build build/fuzz --target fuzz_configuration fuzz_settings fuzz_frame fuzz_response
+	cmake --build build/fuzz --target fuzz_configuration fuzz_settings fuzz_frame fuzz_response fuzz_rows
 	fuzz/run build/fuzz
 
 sanitize: setup
