--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -191,7 +191,7 @@
     std::string next_attempt() { return "late-" + std::to_string(++attempt_count_); }
 
     /// Sends a request on a connection that is open, and awaits its answer on another thread.
-    std::future<seen_answer> send(std::shared_ptr<client_connection> connection,
+    std::future<seen_answer> send(const std::shared_ptr<client_connection>& connection,
                                   const client_request& request) {
         seen_answer answer;
         answer.attempt = next_attempt();
@@ -211,13 +211,13 @@
     }
 
     std::future<seen_answer> send(const client_request& request) {
-        auto connection = open();
+        const auto connection = open();
         if (connection == nullptr) {
             std::promise<seen_answer> refused;
             refused.set_value({});
             return refused.get_future();
         }
-        return send(std::move(connection), request);
+        return send(connection, request);
     }
 
     int runs_of(const std::string& attempt) const {
