Do not move a request whose caller has left

A gateway that was held up for longer than the stall timeout moved streams to a second engine at once when it went on, although their callers had left meanwhile: it checks the time limits before it reads the close of the connection. The engine gets a request more than half a second after its caller has left (GONE). A request that is sent again was asked for its caller already; one that is moved was not.

process_gone_test stops a gateway eight times with three streams at silent engines, and closes their connections meanwhile.

The program also goes through the stages of a request (queued, streaming, moved, repeated after a refusal, a failure, a loss and an unproven end, its end being checked, its connection being opened), each with a caller that leaves and one whose deadline passes: no engine has the request 0.5 s later, nor gets it in the next 1.5 s.

--- a/src/programs/gateway/gateway_exchange.cpp
+++ b/src/programs/gateway/gateway_exchange.cpp
@@ -298,9 +298,14 @@
         return;
     }
     const std::string_view reason = reason_to_move(now);
-    if (!reason.empty()) {
-        start_move(reason, now);
+    if (reason.empty()) {
+        return;
+    }
+    if (responder_->has_client_left()) {
+        handle_disconnect();
+        return;
     }
+    start_move(reason, now);
 }
 
 } // namespace citronseam
--- a/tests/support/raw_server.cpp
+++ b/tests/support/raw_server.cpp
@@ -129,6 +129,15 @@
     }
 }
 
+void raw_server::accept_again() {
+    asio::post(loop_.context(), [this] {
+        is_hanging_ = false;
+        queued_.clear();
+        acceptor_.listen();
+        accept();
+    });
+}
+
 void raw_server::send_late(const connection_pointer& accepted, const raw_answer& answered) {
     accepted->late_bytes = answered.late_bytes;
     accepted->timer.expires_after(answered.late_delay);
@@ -152,8 +161,10 @@
         break;
     case raw_ending::silence:
         // Keeps the connection open until the client closes it.
-        accepted->socket.async_wait(asio::socket_base::wait_read,
-                                    [accepted](const asio::error_code&) {});
+        ++waiting_count_;
+        accepted->socket.async_wait(
+            asio::socket_base::wait_read,
+            [this, accepted](const asio::error_code&) { --waiting_count_; });
         break;
     case raw_ending::keep:
         read_request(accepted);
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -53,11 +53,15 @@
     /// May be called by the function that answers.
     /// @return the last answer on the present request's connection; empty on a new connection
     const std::string& previous_answer() const { return previous_answer_; }
+    /// @return number of requests that were left in silence and whose client has not closed yet
+    int waiting_count() const { return waiting_count_; }
     /// Refuses connections from the next answer on, which ends with its connection as usual.
     void crash_with_next_answer() { is_crashing_ = true; }
     /// Leaves connections unanswered from the next answer on, which ends with its connection as
     /// usual.
     void hang_with_next_answer() { is_hanging_ = true; }
+    /// Accepts connections again, after hang_with_next_answer().
+    void accept_again();
 
 private:
     struct connection;
@@ -73,6 +77,7 @@
     std::string previous_answer_;
     std::atomic<int> request_count_{0};
     std::atomic<int> connection_count_{0};
+    std::atomic<int> waiting_count_{0};
     std::atomic<bool> is_crashing_{false};
     std::atomic<bool> is_hanging_{false};
     io_thread_pool loop_{1};
