Cancel a request at the engine where it waits when it gets an earlier failure

A stream that failed at one engine and waits at a second one is refused once it is known to crash engines; its caller gets the first engine's failure. The attempt at the second engine was overwritten by the failed one before the request ended, so it was neither cancelled nor taken out of the gateway's count of running requests: the engine worked on until the deadline for nobody (GONE), and that gateway took it for busier by one request, and by the request's prefill, ever after.

process_gone_test lets a stream fail at the first of four engines, wait at the second, and three others with its part of the prompt end their engines. All other ways to the stored failure end their attempt first.

--- a/src/programs/gateway/gateway_exchange_responses.cpp
+++ b/src/programs/gateway/gateway_exchange_responses.cpp
@@ -450,6 +450,8 @@
         return;
     }
     if (failure_ != nullptr) {
+        // It still waits at its server if the request is refused meanwhile.
+        cancel_attempt(*attempt_, exchange_outcome::abandoned);
         attempt_ = failure_;
         deliver_response();
         return;
--- a/tests/process_gone_test.cpp
+++ b/tests/process_gone_test.cpp
@@ -87,6 +87,7 @@
             " HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token " + platform_world::api_key +
             "\r\nX-Citronseam-Attempt-Id: gone-" + std::to_string(++sent) +
             "\r\nX-Citronseam-Deadline-Ms: " + std::to_string(deadline.count()) +
+            "\r\nX-Citronseam-Prompt-Prefix: bad0:60," + std::to_string(sent) + ":10" +
             (is_stream ? "\r\nContent-Length: 0" : "") + "\r\n\r\n";
         asio::write(socket, asio::buffer(text));
         return socket;
@@ -272,4 +273,31 @@
     EXPECT_GT(request_count(), 0);
 }
 
+// Guards against GONE: a request that failed at one engine and waits at another one when it becomes
+// known to crash engines gets the failure, and the second engine works on.
+TEST_F(late_move, request_that_is_refused_while_it_waits_leaves_its_engine) {
+    constexpr int engine_count = 4;
+    constexpr int max_crashing_requests = 10;
+    constexpr milliseconds retry_interval{300};
+    std::atomic<int> failures{0};
+    world.set_retry_ratio(1.0);
+    start(engine_count, [&failures](int, const std::string& head) {
+        if (head.rfind("POST /draft/crash", 0) == 0) {
+            return raw_answer{"", raw_ending::reset, {}, {}};
+        }
+        return failures++ == 0 ? raw_answer{failure, raw_ending::close, {}, {}} : silence;
+    });
+    auto caller = send_request("/draft/waits", milliseconds(5500));
+    ASSERT_TRUE(wait_until([&] { return waiting_count() == 1; }, stage_timeout));
+    for (int i = 0; i < max_crashing_requests && caller.available() == 0; ++i) {
+        auto crashing = send_request("/draft/crash-" + std::to_string(i), milliseconds(1000));
+        std::this_thread::sleep_for(retry_interval);
+    }
+    std::string answer;
+    asio::read_until(caller, asio::dynamic_buffer(answer), "\r\n\r\n");
+    EXPECT_EQ(answer.rfind("HTTP/1.1 500", 0), 0U) << answer;
+    EXPECT_TRUE(wait_until([&] { return waiting_count() == 0; }, due_time))
+        << world.gateway(0).output();
+}
+
 } // namespace
