--- a/tests/process_gone_test.cpp
+++ b/tests/process_gone_test.cpp
@@ -257,6 +257,7 @@
     start(2, [](int, const std::string&) { return silence; });
     for (int i = 0; i < round_count; ++i) {
         std::vector<asio::ip::tcp::socket> callers;
+        callers.reserve(callers_in_a_round);
         for (int k = 0; k < callers_in_a_round; ++k) {
             callers.push_back(send_request("/draft/" + std::to_string(k), milliseconds(5500)));
         }
