Do not take bytes that waited during a stop for a sign of life

What callers saw: a gateway that had been stopped for some seconds named a gateway of another zone that was lost meanwhile for 4.5 s after it went on. It counts as in touch after 3 s, so for 1.5 s its directory sent callers to a machine without power.

Cause: a session dated the last sign of its peer by when bytes were read. A process that goes on reads what waited for it, the peer's last heartbeats, before it checks for silence, so the silence began anew at that moment, however long the stop had been.

The session notices that its periodic check did not run. What is read within 0.1 s after that may be as old as the beginning of the stop; the peer then has 2.3 s, longer than the interval of heartbeats between zones, to show that it lives. In the own zone the silence timeout of 2 s is shorter than that and stays as it was. The last receipt, which nobody asked for, is gone.

--- a/include/citronseam/connection/peer_session.h
+++ b/include/citronseam/connection/peer_session.h
@@ -14,6 +14,7 @@
 #include <asio.hpp>
 
 #include "citronseam/connection/frame.h"
+#include "citronseam/connection/peer_silence.h"
 #include "citronseam/connection/wire_message.h"
 #include "citronseam/process/clock.h"
 #include "citronseam/process/sizes.h"
@@ -38,12 +39,6 @@
 /// small frames.
 constexpr std::size_t read_buffer_size = 16 * kibibyte;
 
-/// Heartbeat timing of a session.
-struct session_timing {
-    milliseconds heartbeat_interval{500};
-    milliseconds silence_timeout{2000};
-};
-
 /// One connection. It keeps itself alive while an operation is pending, so its owner may release it
 /// at any time.
 class peer_session : public std::enable_shared_from_this<peer_session> {
@@ -66,7 +61,11 @@
     void close(close_reason reason);
 
     /// Replaces the silence timeout. Must run on the session's executor.
-    void set_silence_timeout(milliseconds timeout) { timing_.silence_timeout = timeout; }
+    /// @param confirmation timeout of a peer whose last bytes waited while this process did not run
+    void set_silence_timeout(milliseconds timeout, milliseconds confirmation) {
+        timing_.silence_timeout = timeout;
+        timing_.confirmation_timeout = confirmation;
+    }
 
     /// @return whether the connection is open. May be called from any thread.
     bool is_open() const noexcept { return is_open_.load(std::memory_order_acquire); }
@@ -80,9 +79,6 @@
     /// @return bytes received since the last call
     std::uint64_t consume_received_bytes() noexcept { return received_bytes_.exchange(0); }
 
-    /// @return the time of the last receipt of data
-    time_point last_received() const noexcept { return last_received_.load(); }
-
     /// @return whether a part of a frame was received. May be called from any thread.
     bool is_receiving_frame() const noexcept { return is_receiving_frame_.load(); }
 
@@ -103,6 +99,7 @@
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
     session_timing timing_;
+    peer_silence silence_; ///< used on the session's executor only
     session_observer observer_;
     std::uint64_t number_;
 
@@ -120,7 +117,6 @@
     std::atomic<std::size_t> queued_bytes_{0};
     std::atomic<std::uint64_t> sent_bytes_{0};
     std::atomic<std::uint64_t> received_bytes_{0};
-    std::atomic<time_point> last_received_;
 };
 
 } // namespace citronseam
--- a/src/connection/peer_session.cpp
+++ b/src/connection/peer_session.cpp
@@ -21,8 +21,9 @@
 peer_session::peer_session(asio::ip::tcp::socket socket, shared_frame hello, session_timing timing,
                            session_observer observer)
     : socket_(std::move(socket)), timer_(socket_.get_executor()), timing_(timing),
-      observer_(std::move(observer)), number_(next_number()),
-      last_received_(std::chrono::steady_clock::now()) {
+      observer_(std::move(observer)), number_(next_number()) {
+    silence_.last_heard_at = std::chrono::steady_clock::now();
+    silence_.last_run_at = silence_.last_heard_at;
     queue_.push_back(std::move(hello));
 }
 
@@ -77,7 +78,7 @@
 
 void peer_session::handle_bytes(std::size_t size) {
     received_bytes_ += size;
-    last_received_ = std::chrono::steady_clock::now();
+    record_receipt(silence_, timing_, std::chrono::steady_clock::now());
     decoder_.feed(read_buffer_.data(), size);
     std::basic_string_view<std::uint8_t> payload;
     while (is_open() && decoder_.next(payload)) {
@@ -153,7 +154,8 @@
         return;
     }
     const auto now = std::chrono::steady_clock::now();
-    if (now - last_received_.load() > timing_.silence_timeout) {
+    record_check(silence_, timing_, now);
+    if (is_peer_lost(silence_, timing_, now)) {
         close_now(close_reason::receive_timeout);
         return;
     }
--- a/src/programs/node/member_mesh.cpp
+++ b/src/programs/node/member_mesh.cpp
@@ -279,7 +279,8 @@
                {"incarnation", connected.process.incarnation}});
     // The timing of the own zone holds until the peer has said where it is.
     if (connected.process.zone != self_.zone) {
-        session->set_silence_timeout(timing_.other_zones_silence_timeout);
+        session->set_silence_timeout(timing_.other_zones_silence_timeout,
+                                     timing_.other_zones_confirmation_timeout);
     }
     if (observer_.make_greeting) {
         for (const auto& frame : observer_.make_greeting(connected.process)) {
--- a/src/programs/node/member_mesh.h
+++ b/src/programs/node/member_mesh.h
@@ -41,6 +41,9 @@
 struct mesh_timing {
     session_timing same_zone{milliseconds(500), milliseconds(2000)};
     milliseconds other_zones_silence_timeout{4500};
+    /// After a stop of this process: longer than the interval of the heartbeats, and short enough
+    /// that lost processes are forgotten before this one counts as in touch again.
+    milliseconds other_zones_confirmation_timeout{2300};
 };
 
 /// Answer to a request for rows.
--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -10,6 +10,8 @@
 using namespace citronseam;
 using namespace citronseam::harness;
 
+constexpr milliseconds propagation_time{8000};
+
 const http_header key_header{"Authorization", std::string("Token ") + platform_world::api_key};
 
 class platform : public ::testing::Test {
@@ -158,6 +160,27 @@
         << "the history was dropped, so the table is read again";
 }
 
+// Guards against a gateway that was stopped and then lists a lost gateway of another zone for
+// longer than it takes to be in touch again, because it read that one's last heartbeats late.
+TEST_F(platform, gateway_that_was_stopped_does_not_list_one_that_was_lost_meanwhile) {
+    constexpr milliseconds beats_time{2500}; // several heartbeats wait for the stopped gateway
+    constexpr milliseconds contact_time{3000};
+    const auto is_second_listed = [this] {
+        const std::string body = world.resolve(0, "zone-a").body;
+        return body.find(":" + std::to_string(world.http_port(1)) + "\"") != std::string::npos;
+    };
+    ASSERT_TRUE(wait_until(is_second_listed, propagation_time));
+    world.gateway(0).send_signal(SIGSTOP);
+    std::this_thread::sleep_for(beats_time);
+    // Its connections stay open and silent, as when its machine loses power.
+    world.gateway(1).send_signal(SIGSTOP);
+    world.gateway(0).send_signal(SIGCONT);
+    EXPECT_TRUE(wait_until([&] { return !is_second_listed(); }, contact_time))
+        << world.gateway(0).output();
+    world.gateway(1).send_signal(SIGCONT);
+    EXPECT_TRUE(wait_until(is_second_listed, propagation_time)) << world.gateway(0).output();
+}
+
 TEST_F(platform, draining_server_gets_no_new_requests) {
     world.put_server_row(*world.engines[0], "drafts", "zone-a", "draining");
     EXPECT_TRUE(wait_until(
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -110,6 +110,66 @@
     EXPECT_EQ(listener.wait_closed(), close_reason::receive_timeout);
 }
 
+constexpr session_timing remote_timing{milliseconds(500), milliseconds(4500), milliseconds(2300)};
+constexpr time_point start{seconds(100)};
+
+/// @return the state of a session that was checked and heard at `start`
+peer_silence heard_at_start() {
+    peer_silence silence;
+    silence.last_heard_at = start;
+    silence.last_run_at = start;
+    return silence;
+}
+
+// Guards against a peer that counts as heard when this process reads bytes that waited while it was
+// stopped: a lost peer counted as connected for another silence timeout.
+TEST(peer_silence, bytes_that_waited_during_a_stop_do_not_show_that_the_peer_lives) {
+    peer_silence silence = heard_at_start();
+    const auto resumed_at = start + seconds(20);
+    record_receipt(silence, remote_timing, resumed_at);
+    record_check(silence, remote_timing, resumed_at);
+    record_receipt(silence, remote_timing, resumed_at + milliseconds(50));
+    EXPECT_FALSE(is_peer_lost(silence, remote_timing, resumed_at + milliseconds(2000)))
+        << "a peer that lives has time for its next heartbeat";
+    EXPECT_TRUE(is_peer_lost(silence, remote_timing, resumed_at + milliseconds(2500)));
+}
+
+TEST(peer_silence, bytes_that_waited_are_not_older_than_the_stop) {
+    peer_silence silence = heard_at_start();
+    const auto resumed_at = start + milliseconds(1100);
+    record_receipt(silence, remote_timing, resumed_at);
+    EXPECT_FALSE(is_peer_lost(silence, remote_timing, start + milliseconds(4500)));
+    EXPECT_TRUE(is_peer_lost(silence, remote_timing, start + milliseconds(4501)));
+}
+
+TEST(peer_silence, peer_that_is_heard_after_a_stop_lives) {
+    peer_silence silence = heard_at_start();
+    const auto resumed_at = start + seconds(20);
+    record_receipt(silence, remote_timing, resumed_at);
+    const auto heard_at = resumed_at + milliseconds(400);
+    record_receipt(silence, remote_timing, heard_at);
+    EXPECT_FALSE(is_peer_lost(silence, remote_timing, heard_at + milliseconds(4500)));
+    EXPECT_TRUE(is_peer_lost(silence, remote_timing, heard_at + milliseconds(4501)));
+}
+
+TEST(peer_silence, peer_of_a_process_that_runs_is_lost_after_the_timeout) {
+    peer_silence silence = heard_at_start();
+    for (int i = 1; i <= 9; ++i) {
+        record_check(silence, remote_timing, start + i * remote_timing.heartbeat_interval);
+    }
+    EXPECT_FALSE(is_peer_lost(silence, remote_timing, start + milliseconds(4500)));
+    EXPECT_TRUE(is_peer_lost(silence, remote_timing, start + milliseconds(4501)));
+}
+
+// Guards against a process that forgets all peers because it did not run itself.
+TEST(peer_silence, peer_of_the_own_zone_has_its_whole_timeout_after_a_stop) {
+    const session_timing timing{milliseconds(500), milliseconds(2000), milliseconds(2300)};
+    peer_silence silence = heard_at_start();
+    const auto resumed_at = start + seconds(20);
+    record_receipt(silence, timing, resumed_at);
+    EXPECT_FALSE(is_peer_lost(silence, timing, resumed_at + milliseconds(2000)));
+}
+
 TEST(frame_decoder, decodes_frames_split_at_any_byte) {
     std::vector<std::uint8_t> stream;
     for (std::uint64_t i = 0; i < 3; ++i) {
