Correct the times of a crash by reports that date it earlier

What callers saw: a request that crashes engines could be sent on for the ten minutes that crashes are kept, by a gateway that had been stopped while three engines were lost. All other gateways refused it.

Cause: a report of a loss carries the ages of its times at its sending, and the receiver counts them from when it reads the report. A gateway that goes on reads the reports that waited for it within milliseconds of each other, so crashes that followed each other seem to be of one moment, such as a loss of power, and no cause is found. The same reports come again with true ages in the greeting on the next connection, but the times of a known crash and of a known suspect never changed.

A time can only be dated too late, by what its report waited, so of two times the earlier one holds. The crashes keep their order, and the refused traits are computed anew.

--- a/include/citronseam/request/crash_attribution.h
+++ b/include/citronseam/request/crash_attribution.h
@@ -56,8 +56,9 @@
 /// @return the trait of requests whose prompt has the part
 std::uint64_t prompt_part_trait(std::string_view model, std::string_view part) noexcept;
 
-/// Adds what is known of the loss of a server.
-/// @param loss suspects that are known already are ignored, as are all beyond a fixed number
+/// Adds what is known of the loss of a server. A report of a known loss or suspect only corrects
+/// its time, if it was earlier.
+/// @param loss suspects beyond a fixed number are ignored
 /// @return whether anything was new
 bool add_crash(crash_attribution& state, const server_crash& loss, time_point now);
 
--- a/src/request/crash_attribution.cpp
+++ b/src/request/crash_attribution.cpp
@@ -33,11 +33,25 @@
                         [&](const server_crash& crash) { return crash.server == server; });
 }
 
+/// A report that is read late dates what it tells too late, so of two times the earlier one holds.
+/// @return whether the time changed
+bool keep_earlier(time_point& known, time_point reported) noexcept {
+    if (reported >= known) {
+        return false;
+    }
+    known = reported;
+    return true;
+}
+
+/// @return whether anything was new
 bool add_suspect(server_crash& crash, const crash_suspect& added) {
-    const bool is_known =
-        std::any_of(crash.suspects.begin(), crash.suspects.end(),
-                    [&](const crash_suspect& suspect) { return suspect.request == added.request; });
-    if (is_known || crash.suspects.size() >= max_suspects) {
+    const auto known = std::find_if(
+        crash.suspects.begin(), crash.suspects.end(),
+        [&](const crash_suspect& suspect) { return suspect.request == added.request; });
+    if (known != crash.suspects.end()) {
+        return keep_earlier(known->sent_at, added.sent_at);
+    }
+    if (crash.suspects.size() >= max_suspects) {
         return false;
     }
     crash.suspects.push_back(added);
@@ -158,10 +172,16 @@
     auto crash = find_crash(state, loss.server);
     bool is_new = crash == state.crashes.end();
     if (is_new) {
-        const auto later =
-            std::find_if(state.crashes.begin(), state.crashes.end(),
-                         [&](const server_crash& known) { return known.lost_at > loss.lost_at; });
-        crash = state.crashes.insert(later, {loss.server, loss.lost_at, {}});
+        crash = state.crashes.insert(crash, {loss.server, loss.lost_at, {}});
+    } else {
+        is_new = keep_earlier(crash->lost_at, loss.lost_at);
+    }
+    const auto later = std::find_if(state.crashes.begin(), crash, [&](const server_crash& known) {
+        return known.lost_at > loss.lost_at;
+    });
+    if (is_new && later != crash) {
+        std::rotate(later, crash, std::next(crash));
+        crash = later;
     }
     for (const crash_suspect& suspect : loss.suspects) {
         if (add_suspect(*crash, suspect)) {
--- a/tests/crash_attribution_test.cpp
+++ b/tests/crash_attribution_test.cpp
@@ -170,6 +170,48 @@
     EXPECT_TRUE(is_refused({guilty}));
 }
 
+// Guards against BUDGET: a process that was stopped reads reports of successive crashes all at
+// once, takes them for one moment, and sends the cause on although it hears the true times later.
+TEST_F(crash_causes, reports_that_were_read_late_are_corrected_by_later_ones) {
+    constexpr int crash_count = 3;
+    const time_point read_at = now + seconds(10);
+    std::vector<server_crash> losses;
+    for (int i = 0; i < crash_count; ++i) {
+        const time_point lost_at = now + seconds(i);
+        losses.push_back({{"server-" + std::to_string(i), 1},
+                          lost_at,
+                          {{++request, {guilty}, lost_at - run_time}}});
+    }
+    for (server_crash late : losses) {
+        late.lost_at = read_at;
+        late.suspects[0].sent_at = read_at - run_time;
+        add_crash(state, late, read_at);
+    }
+    now = read_at;
+    EXPECT_FALSE(is_refused({guilty})) << "they seem to be of one moment";
+    // In another order than that of the crashes.
+    for (const std::size_t i : {2U, 0U, 1U}) {
+        EXPECT_TRUE(add_crash(state, losses[i], now));
+    }
+    EXPECT_TRUE(is_refused({guilty}));
+    EXPECT_EQ(state.crashes.front().server, losses.front().server);
+    EXPECT_EQ(state.crashes.back().server, losses.back().server);
+    EXPECT_FALSE(add_crash(state, losses[1], now)) << "nothing new";
+}
+
+// Guards against servers that are lost at the same moment and count as successive crashes, since
+// the report of one of them was read late.
+TEST_F(crash_causes, late_report_of_a_known_loss_changes_no_time) {
+    const time_point lost_at = now;
+    server_crash loss{{"server-1", 1}, lost_at, {{++request, {guilty}, lost_at - run_time}}};
+    add_crash(state, loss, now);
+    loss.lost_at += seconds(3);
+    loss.suspects[0].sent_at += seconds(3);
+    EXPECT_FALSE(add_crash(state, loss, now + seconds(3)));
+    EXPECT_EQ(state.crashes[0].lost_at, lost_at);
+    EXPECT_EQ(state.crashes[0].suspects[0].sent_at, lost_at - run_time);
+}
+
 TEST(prompt_part_trait, differs_by_model_and_part) {
     EXPECT_EQ(prompt_part_trait("m", "5c1e07a2"), prompt_part_trait("m", "5c1e07a2"));
     EXPECT_NE(prompt_part_trait("m", "5c1e07a2"), prompt_part_trait("n", "5c1e07a2"));
