Remove a time of the view that nothing reads, and order a test's increments

The exchange reads the times of a shutdown from its context since the admission has a plan, so the view's copy was never used. process_gone_test incremented and read a count in one expression, whose order is not defined.

--- a/src/programs/gateway/gateway.cpp
+++ b/src/programs/gateway/gateway.cpp
@@ -358,9 +358,8 @@
         const auto max_drain_time =
             std::chrono::duration_cast<milliseconds>(plan.open_until - drain_started_at);
         traffic_.post([this, plan] { context_.shutdown = plan; });
-        control_.post([this, shutdown_at = plan.open_until] {
+        control_.post([this] {
             is_draining_ = true;
-            view_builder_.set_shutdown_time(shutdown_at);
             publish();
         });
         const milliseconds min_drain_time = std::min<milliseconds>(
--- a/src/programs/gateway/traffic_view.h
+++ b/src/programs/gateway/traffic_view.h
@@ -29,7 +29,6 @@
     /// configuration is the newest that is known of.
     std::optional<time_point> outdated_since;
     sender_list gateways; ///< that share the system-wide limits; empty until they are known
-    std::optional<time_point> shutdown_at; ///< set once the process is shutting down
 };
 
 /// @return whether requests can be decided on: the configuration, the server list and the gateways
--- a/src/programs/gateway/traffic_view_builder.h
+++ b/src/programs/gateway/traffic_view_builder.h
@@ -43,8 +43,6 @@
     const sender_list& gateways() const noexcept { return view_.gateways; }
     /// Records since when the configuration is known to be outdated.
     void set_outdated_since(std::optional<time_point> since) { view_.outdated_since = since; }
-    /// Records when this process will exit.
-    void set_shutdown_time(time_point shutdown_at) { view_.shutdown_at = shutdown_at; }
 
     /// @return an immutable copy for the traffic thread
     std::shared_ptr<const traffic_view> build() const;
--- a/tests/process_gone_test.cpp
+++ b/tests/process_gone_test.cpp
@@ -82,12 +82,13 @@
         asio::ip::tcp::socket socket(loop);
         socket.connect({asio::ip::make_address("127.0.0.1"), world.http_port(0)});
         const bool is_stream = path.rfind("/draft", 0) == 0;
+        const std::string number = std::to_string(++sent);
         const std::string text =
             (is_stream ? "POST " : "GET ") + path +
             " HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token " + platform_world::api_key +
-            "\r\nX-Citronseam-Attempt-Id: gone-" + std::to_string(++sent) +
+            "\r\nX-Citronseam-Attempt-Id: gone-" + number +
             "\r\nX-Citronseam-Deadline-Ms: " + std::to_string(deadline.count()) +
-            "\r\nX-Citronseam-Prompt-Prefix: bad0:60," + std::to_string(sent) + ":10" +
+            "\r\nX-Citronseam-Prompt-Prefix: bad0:60," + number + ":10" +
             (is_stream ? "\r\nContent-Length: 0" : "") + "\r\n\r\n";
         asio::write(socket, asio::buffer(text));
         return socket;
