--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -53,7 +53,7 @@
     for (const auto& [name, usual] : std::vector<std::pair<std::string, std::string>>{
              {"key", R"("k")"}, {"value", R"("aw==")"}, {"ver", "5"}}) {
         if (name != field) {
-            record += ",\"" + name + "\":" + usual;
+            record.append(",\"").append(name).append("\":").append(usual);
         }
     }
     return record + ",\"" + field + "\":" + value + "}";
@@ -226,7 +226,7 @@
                                                           {"born", "1700000000000"},
                                                           {"models", "[]"}}) {
         if (name != field) {
-            entry += "\"" + name + "\":" + usual + ",";
+            entry.append("\"").append(name).append("\":").append(usual).append(",");
         }
     }
     return entry + "\"" + field + "\":" + value + "}";
@@ -412,7 +412,7 @@
                                                           {"service", R"("")"},
                                                           {"incarnation", "1700000000000"}}) {
         if (name != field) {
-            text += "\"" + name + "\":" + usual + ",";
+            text.append("\"").append(name).append("\":").append(usual).append(",");
         }
     }
     return text + "\"" + field + "\":" + value + "}";
--- a/tests/process_odd_entries_test.cpp
+++ b/tests/process_odd_entries_test.cpp
@@ -107,13 +107,12 @@
     /// Adds entries and removes them, and waits until each gateway has followed both.
     void expect_followed(const std::string& id) {
         const auto has_all_logged = [&](const std::string& event) {
+            const std::string line = event + " server=" + id;
             return wait_until(
                 [&] {
                     for (std::size_t i = 0; i < world.gateway_count(); ++i) {
-                        if (world.gateway(i).output().find(event + " server=" + id + " ") ==
-                                std::string::npos &&
-                            world.gateway(i).output().find(event + " server=" + id + "\n") ==
-                                std::string::npos) {
+                        if (world.gateway(i).output().find(line + " ") == std::string::npos &&
+                            world.gateway(i).output().find(line + "\n") == std::string::npos) {
                             return false;
                         }
                     }
