Review: show that a request that crashes servers is forgotten

Cause: what gateways know of requests that crash their servers is in their memory only, so nothing is left when all of them are killed together.

--- /dev/null
+++ b/review/standins/case_deadly_request.cpp
@@ -0,0 +1,168 @@
+// A request crashes each server that begins to run it, until the gateways refuse it. Then all
+// gateways are killed together and start again. The same request comes again.
+//
+// Usage: case_deadly_request RECORD
+#include <csignal>
+#include <cstdio>
+#include <map>
+#include <thread>
+
+#include "standins/review_world.h"
+
+namespace {
+
+using namespace citronseam;
+using namespace citronseam::review;
+
+constexpr std::size_t server_count = 6;
+/// "The engine is back after some seconds."
+constexpr milliseconds server_absence{2500};
+constexpr milliseconds calm_time = contact_time + milliseconds(500);
+/// Time for which the request comes again.
+constexpr milliseconds return_time{9000};
+constexpr milliseconds return_interval{1000};
+/// "In more than three retries."
+constexpr std::size_t max_retries = 3;
+constexpr const char* key = "key-1";
+constexpr const char* deadly_target = "/look/deadly";
+
+/// Servers that crash when the request reaches them.
+class crashing_servers {
+public:
+    crashing_servers(review_world& world, record& log) : world_(world), log_(log) {}
+
+    ~crashing_servers() {
+        for (auto& restart : restarts_) {
+            restart.join();
+        }
+    }
+
+    void add(std::size_t number, const std::string& zone) {
+        listed_standin& listed = world_.add_server("desk-" + std::to_string(number), zone);
+        watch(listed, number);
+    }
+
+    /// @return times at which the request reached a server
+    std::vector<double> arrivals() {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return arrivals_;
+    }
+
+private:
+    void watch(listed_standin& listed, std::size_t number) {
+        listed.server->set_arrival_handler([this, &listed, number](const std::string& attempt) {
+            if (attempt.rfind("dead", 0) != 0) {
+                return;
+            }
+            const std::lock_guard<std::mutex> lock(mutex_);
+            log_.write("request " + attempt + " reaches " + listed.server->id() + ", which crashes");
+            arrivals_.push_back(log_.now_ms());
+            listed.front->set_disconnected(true);
+            restarts_.emplace_back([this, &listed, number] { restart(listed, number); });
+        });
+    }
+
+    /// The server comes back as a new incarnation with a new id.
+    void restart(listed_standin& listed, std::size_t number) {
+        std::this_thread::sleep_for(server_absence);
+        const std::string id =
+            "desk-" + std::to_string(number) + "-" + std::to_string(++incarnations_);
+        world_.replace_server(listed, id, [&] { watch(listed, number); });
+        log_.write(id + " starts");
+    }
+
+    review_world& world_;
+    record& log_;
+    std::mutex mutex_;
+    std::vector<double> arrivals_;
+    std::vector<std::thread> restarts_;
+    std::atomic<int> incarnations_{0};
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+    if (argc != 2) {
+        return 2;
+    }
+    record log(argv[1]);
+    const std::vector<std::string> zones{"nord-tunis", "sahel-sfax", "sud-gabes"};
+    review_world world(log, zones);
+    std::size_t retries = 0;
+    {
+        crashing_servers servers(world, log);
+        for (std::size_t i = 0; i < server_count; ++i) {
+            servers.add(i, zones[i % zones.size()]);
+        }
+        world.put_configuration(3, {key});
+        if (!world.start()) {
+            log.write("the gateways did not get ready");
+            return 2;
+        }
+        std::atomic<int> count{0};
+        const auto send = [&](std::size_t gateway) {
+            const std::string attempt = "dead" + std::to_string(++count);
+            log.write("request " + attempt + " is sent to edge-" + std::to_string(gateway));
+            const int status = world.call(gateway, "GET", deadly_target, key, milliseconds(1500), attempt)
+                                   .outcome.status;
+            log.write("request " + attempt + " is answered " + std::to_string(status));
+            return status;
+        };
+        const auto serves = [&] {
+            for (std::size_t i = 0; i < world.gateway_count(); ++i) {
+                if (world.call(i, "GET", "/look/other", key, milliseconds(1500)).outcome.status != 200) {
+                    return false;
+                }
+            }
+            return true;
+        };
+        // Until the gateways know the request.
+        for (int i = 0; servers.arrivals().size() < 3 && i < 10; ++i) {
+            if (!wait_until(serves, milliseconds(6000))) {
+                log.write("other requests are not served");
+                return 2;
+            }
+            send(static_cast<std::size_t>(i) % world.gateway_count());
+            std::this_thread::sleep_for(milliseconds(500));
+        }
+        if (servers.arrivals().size() < 3) {
+            log.write("the request did not crash three servers");
+            return 2;
+        }
+        log.write("three servers have crashed");
+        std::this_thread::sleep_for(server_absence + calm_time);
+        if (has_trouble()) {
+            world.kill_gateways_and_restart();
+            if (!world.wait_until_ready(milliseconds(10000)) || !wait_until(serves, milliseconds(6000))) {
+                log.write("the gateways did not get ready again");
+                return 2;
+            }
+            log.write("all gateways are ready again");
+        }
+        std::this_thread::sleep_for(calm_time);
+        log.write("the request comes again, at all machines");
+        const double returned_ms = log.now_ms();
+        std::vector<std::thread> callers;
+        for (std::size_t gateway = 0; gateway < world.gateway_count(); ++gateway) {
+            callers.emplace_back([&, gateway] {
+                const auto end = std::chrono::steady_clock::now() + return_time;
+                while (std::chrono::steady_clock::now() < end) {
+                    send(gateway);
+                    std::this_thread::sleep_for(return_interval);
+                }
+            });
+        }
+        for (auto& caller : callers) {
+            caller.join();
+        }
+        for (const double at_ms : servers.arrivals()) {
+            retries += at_ms >= returned_ms ? 1 : 0;
+        }
+    }
+    const std::string result = "BUDGET: later than " + std::to_string(contact_time.count()) +
+                               " ms after it had crashed the third server, the request reached " +
+                               std::to_string(retries) + " servers";
+    log.write(result);
+    std::printf("%s\n", result.c_str());
+    return retries > max_retries ? 1 : 0;
+}
--- a/review/standins/review_world.cpp
+++ b/review/standins/review_world.cpp
@@ -135,6 +135,21 @@
     store.remove("servers", listed.server->id());
 }
 
+void review_world::replace_server(listed_standin& listed, const std::string& id,
+                                  const std::function<void()>& prepare) {
+    {
+        const std::lock_guard<std::mutex> lock(entries_mutex_);
+        store.remove("servers", listed.server->id());
+        // A handler of the old server may be running.
+        retired_.push_back(std::move(listed.server));
+        retired_fronts_.push_back(std::move(listed.front));
+        listed.server = std::make_unique<harness::platform_server>(id, false);
+        listed.front = std::make_unique<harness::relay>(listed.server->address());
+        prepare();
+    }
+    write_entries();
+}
+
 void review_world::put_configuration(std::uint64_t version, const std::vector<std::string>& keys) {
     const auto route = [](const char* name, const char* type, int attempts) {
         return json{{"name", name},
--- a/review/standins/review_world.h
+++ b/review/standins/review_world.h
@@ -71,6 +71,10 @@
     /// Ends a server in the way of a process that exits: its connections close, new ones are refused,
     /// and its entry goes.
     void end_server(listed_standin& listed);
+    /// Replaces a server by a new process with another id at another address.
+    /// @param prepare called before the new server is listed
+    void replace_server(listed_standin& listed, const std::string& id,
+                        const std::function<void()>& prepare);
     /// Starts the gateways and waits until all are ready and the servers are listed.
     bool start();
     /// Kills gateways together and starts each again half a second later.
@@ -101,6 +105,8 @@
     std::vector<std::unique_ptr<harness::child_process>> gateways_;
     http_client client_;
     std::mutex entries_mutex_;
+    std::vector<std::unique_ptr<harness::platform_server>> retired_;
+    std::vector<std::unique_ptr<harness::relay>> retired_fronts_;
     std::atomic<bool> is_ending_{false};
     std::thread heartbeats_;
 };
