Review: show that restarted gateways press a cold server twice

Cause: a gateway counts in its memory what it has sent to a server in the last second. One that is killed and starts again within that second spends its part of the bound for cold servers once more.

--- a/review/standins/case_deadly_request.cpp
+++ b/review/standins/case_deadly_request.cpp
@@ -132,7 +132,7 @@
         log.write("three servers have crashed");
         std::this_thread::sleep_for(server_absence + calm_time);
         if (has_trouble()) {
-            world.kill_gateways_and_restart();
+            world.kill_gateways_and_restart(world.gateway_count());
             if (!world.wait_until_ready(milliseconds(10000)) || !wait_until(serves, milliseconds(6000))) {
                 log.write("the gateways did not get ready again");
                 return 2;
--- a/review/standins/review_world.cpp
+++ b/review/standins/review_world.cpp
@@ -121,7 +121,7 @@
                             {"version", "v1"},
                             {"slots", 6},
                             {"state", listed->state},
-                            {"cold_ms", 0},
+                            {"cold_ms", listed->cold_ms},
                             {"sequence", 1},
                             {"born", 1700000000000}};
         store.put("servers", listed->server->id(), entry.dump());
@@ -150,6 +150,11 @@
     write_entries();
 }
 
+void review_world::set_cold_rate(double seconds, double requests_per_s) {
+    cold_s_ = seconds;
+    cold_per_s_ = requests_per_s;
+}
+
 void review_world::put_configuration(std::uint64_t version, const std::vector<std::string>& keys) {
     const auto route = [](const char* name, const char* type, int attempts) {
         return json{{"name", name},
@@ -167,7 +172,11 @@
     const json value = {
         {"version", version},
         {"routes", json::array({route("look", "idempotent", 2), route("book", "non_idempotent", 1)})},
-        {"services", json::array({{{"name", "desk"}, {"health_path", "/healthz"}, {"max_conns", 100}}})},
+        {"services", json::array({{{"name", "desk"},
+                                   {"health_path", "/healthz"},
+                                   {"max_conns", 100},
+                                   {"cold_s", cold_s_},
+                                   {"cold_per_s", cold_per_s_}}})},
         {"tenants", json::array({{{"name", "team"}, {"api_keys", keys}, {"priority", 1}}})}};
     store.put("op", "config", value.dump());
 }
@@ -240,16 +249,17 @@
         timeout);
 }
 
-void review_world::kill_gateways_and_restart() {
-    log_.write("all gateways are killed (SIGKILL)");
-    for (auto& process : gateways_) {
-        process->send_signal(SIGKILL);
+void review_world::kill_gateways_and_restart(std::size_t count) {
+    log_.write(std::to_string(count) + " of " + std::to_string(gateways_.size()) +
+               " gateways are killed (SIGKILL)");
+    for (std::size_t i = 0; i < count; ++i) {
+        gateways_[i]->send_signal(SIGKILL);
     }
-    for (auto& process : gateways_) {
-        process->wait_for_exit(milliseconds(2000));
+    for (std::size_t i = 0; i < count; ++i) {
+        gateways_[i]->wait_for_exit(milliseconds(2000));
     }
     std::this_thread::sleep_for(restart_delay);
-    for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    for (std::size_t i = 0; i < count; ++i) {
         gateways_[i] = start_gateway(i);
     }
 }
--- a/review/standins/review_world.h
+++ b/review/standins/review_world.h
@@ -51,6 +51,7 @@
     std::string zone;
     std::string state{"ready"};
     bool is_listed{true};
+    int cold_ms{0}; ///< how long it stays cold, as it says itself
     std::unique_ptr<harness::relay> front; ///< in front of the server; its end is the server's
 };
 
@@ -75,10 +76,12 @@
     /// @param prepare called before the new server is listed
     void replace_server(listed_standin& listed, const std::string& id,
                         const std::function<void()>& prepare);
+    /// Sets what a cold server bears; 0: the service names no rate. Call it before put_configuration().
+    void set_cold_rate(double seconds, double requests_per_s);
     /// Starts the gateways and waits until all are ready and the servers are listed.
     bool start();
-    /// Kills gateways together and starts each again half a second later.
-    void kill_gateways_and_restart();
+    /// Kills the first gateways together and starts each again half a second later.
+    void kill_gateways_and_restart(std::size_t count);
     bool wait_until_ready(milliseconds timeout);
     /// Sends a request with a new attempt id, or with the one given.
     http_response call(std::size_t gateway, const std::string& method, const std::string& target,
@@ -104,6 +107,8 @@
     std::vector<ports> ports_;
     std::vector<std::unique_ptr<harness::child_process>> gateways_;
     http_client client_;
+    double cold_s_{0};
+    double cold_per_s_{0};
     std::mutex entries_mutex_;
     std::vector<std::unique_ptr<harness::platform_server>> retired_;
     std::vector<std::unique_ptr<harness::relay>> retired_fronts_;
