Review: show that a stream that was broken off ends as complete

Cause: the gateway ends each stream with a last chunk of its own, also one that its engine sent without a length and broke off between two events.

--- a/review/standins.cmake
+++ b/review/standins.cmake
@@ -8,7 +8,7 @@
 set(SUPPORT ${CMAKE_SOURCE_DIR}/tests/support)
 set(REVIEW ${CMAKE_SOURCE_DIR}/review)
 add_library(review_standins STATIC
-            ${SUPPORT}/child_process.cpp ${SUPPORT}/platform_server.cpp ${SUPPORT}/relay.cpp
+            ${SUPPORT}/child_process.cpp ${SUPPORT}/platform_server.cpp ${SUPPORT}/raw_server.cpp ${SUPPORT}/relay.cpp
             ${SUPPORT}/row_store.cpp ${SUPPORT}/standin_http.cpp ${SUPPORT}/weight_origin.cpp
             ${REVIEW}/standins/review_world.cpp ${REVIEW}/standins/record.cpp)
 target_include_directories(review_standins PUBLIC ${CMAKE_SOURCE_DIR}/tests ${REVIEW})
--- a/review/standins/review_world.cpp
+++ b/review/standins/review_world.cpp
@@ -150,6 +150,24 @@
     write_entries();
 }
 
+void review_world::put_engine(const std::string& id, const std::string& address,
+                              const std::string& zone) {
+    const json entry = {
+        {"service", "drafts"},
+        {"address", address},
+        {"zone", zone},
+        {"version", "v1"},
+        {"slots", 16},
+        {"state", "ready"},
+        {"cold_ms", 0},
+        {"sequence", 0},
+        {"stage", "colocated"},
+        {"models", json::array({{{"name", harness::standin_model}, {"version", 1}}})},
+        {"layers", json::array({{{"from", 0}, {"target", 16}, {"version", 1}}})},
+        {"born", 1700000000000}};
+    store.put("servers", id, entry.dump());
+}
+
 void review_world::set_cold_rate(double seconds, double requests_per_s) {
     cold_s_ = seconds;
     cold_per_s_ = requests_per_s;
@@ -169,14 +187,33 @@
                     {"no_auth", false},
                     {"allowed_regions", json::array()}};
     };
+    json draft = route("draft", "streaming", 2);
+    draft.update(json{{"service", "drafts"},
+                      {"timeout_ms", 6000},
+                      {"slo_ms", 400},
+                      {"gap_slo_ms", 300},
+                      {"priority", 1},
+                      {"resumable", true},
+                      {"sticky", true}});
+    const json engine = {{"slots", 16},
+                         {"stride", 6},
+                         {"step_ms", 7.4},
+                         {"per_seq_ms", 0.0387},
+                         {"read_per_s", 31900},
+                         {"chunk", 2048},
+                         {"layers", 16},
+                         {"usual", {{"prompt", 800}, {"answer", 100}}},
+                         {"models", json::array({{{"name", harness::standin_model}, {"warm_s", 0.3}}})}};
     const json value = {
         {"version", version},
-        {"routes", json::array({route("look", "idempotent", 2), route("book", "non_idempotent", 1)})},
+        {"routes",
+         json::array({route("look", "idempotent", 2), route("book", "non_idempotent", 1), draft})},
         {"services", json::array({{{"name", "desk"},
                                    {"health_path", "/healthz"},
                                    {"max_conns", 100},
                                    {"cold_s", cold_s_},
-                                   {"cold_per_s", cold_per_s_}}})},
+                                   {"cold_per_s", cold_per_s_}},
+                                  {{"name", "drafts"}, {"max_conns", 424}, {"engine", engine}}})},
         {"tenants", json::array({{{"name", "team"}, {"api_keys", keys}, {"priority", 1}}})}};
     store.put("op", "config", value.dump());
 }
--- a/review/standins/review_world.h
+++ b/review/standins/review_world.h
@@ -76,6 +76,8 @@
     /// @param prepare called before the new server is listed
     void replace_server(listed_standin& listed, const std::string& id,
                         const std::function<void()>& prepare);
+    /// Lists an engine with version 1 of the weights, of the service of the streams at /draft/.
+    void put_engine(const std::string& id, const std::string& address, const std::string& zone);
     /// Sets what a cold server bears; 0: the service names no rate. Call it before put_configuration().
     void set_cold_rate(double seconds, double requests_per_s);
     /// Starts the gateways and waits until all are ready and the servers are listed.
