--- a/review/standins.cmake
+++ b/review/standins.cmake
@@ -3,6 +3,7 @@
 set(CMAKE_CXX_STANDARD 20)
 set(CMAKE_CXX_STANDARD_REQUIRED ON)
 set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
 
 # The project's own stand-ins for the platform's store, the servers and the weight origin.
 set(SUPPORT ${CMAKE_SOURCE_DIR}/tests/support)
@@ -10,11 +11,11 @@
 add_library(review_standins STATIC
             ${SUPPORT}/child_process.cpp ${SUPPORT}/platform_server.cpp ${SUPPORT}/raw_server.cpp ${SUPPORT}/relay.cpp
             ${SUPPORT}/row_store.cpp ${SUPPORT}/standin_http.cpp ${SUPPORT}/weight_origin.cpp
-            ${REVIEW}/standins/review_world.cpp ${REVIEW}/standins/record.cpp)
+            ${REVIEW}/standins/review_world.cc ${REVIEW}/standins/record.cc ${REVIEW}/standins/crashing_servers.cc)
 target_include_directories(review_standins PUBLIC ${CMAKE_SOURCE_DIR}/tests ${REVIEW})
 target_link_libraries(review_standins PUBLIC citronseam_io)
 
-file(GLOB CASES CONFIGURE_DEPENDS ${REVIEW}/standins/case_*.cpp)
+file(GLOB CASES CONFIGURE_DEPENDS ${REVIEW}/standins/case_*.cc)
 set(CASE_NAMES)
 foreach(source IN LISTS CASES)
   get_filename_component(name ${source} NAME_WE)
--- a/review/standins/case_restored_store.cpp
+++ b/review/standins/case_restored_store.cc
@@ -7,7 +7,7 @@
 #include <set>
 #include <thread>
 
-#include "standins/review_world.h"
+#include "standins/review_world.hh"
 
 namespace {
 
--- a/review/standins/record.cpp
+++ b/review/standins/record.cc
@@ -1,4 +1,4 @@
-#include "standins/record.h"
+#include "standins/record.hh"
 
 #include <iomanip>
 #include <iostream>
--- a/review/standins/review_world.h
+++ b/review/standins/review_world.hh
@@ -17,7 +17,7 @@
 
 #include "citronseam/connection/http_client.h"
 
-#include "standins/record.h"
+#include "standins/record.hh"
 #include "support/child_process.h"
 #include "support/platform_server.h"
 #include "support/relay.h"
@@ -51,7 +51,7 @@
     std::string zone;
     std::string state{"ready"};
     bool is_listed{true};
-    int cold_ms{0}; ///< how long it stays cold, as it says itself
+    int cold_ms{0};                        ///< how long it stays cold, as it says itself
     std::unique_ptr<harness::relay> front; ///< in front of the server; its end is the server's
 };
 
@@ -69,8 +69,8 @@
     void write_entries();
     /// Writes the configuration: an idempotent route /look/, a non-idempotent one /book/.
     void put_configuration(std::uint64_t version, const std::vector<std::string>& keys);
-    /// Ends a server in the way of a process that exits: its connections close, new ones are refused,
-    /// and its entry goes.
+    /// Ends a server in the way of a process that exits: its connections close, new ones are
+    /// refused, and its entry goes.
     void end_server(listed_standin& listed);
     /// Replaces a server by a new process with another id at another address.
     /// @param prepare called before the new server is listed
@@ -78,7 +78,8 @@
                         const std::function<void()>& prepare);
     /// Lists an engine with version 1 of the weights, of the service of the streams at /draft/.
     void put_engine(const std::string& id, const std::string& address, const std::string& zone);
-    /// Sets what a cold server bears; 0: the service names no rate. Call it before put_configuration().
+    /// Sets what a cold server bears; 0: the service names no rate. Call it before
+    /// put_configuration().
     void set_cold_rate(double seconds, double requests_per_s);
     /// Starts the gateways and waits until all are ready and the servers are listed.
     bool start();
