Review: put the stand-ins beside the cases' folders

Cause: the folders under review are those of the cases, 1 to 5.

Change: the stand-ins move up one folder; no line of them changes but the paths of their includes.

--- a/review/standins/case_cold_server.cc
+++ b/review/case_cold_server.cc
@@ -6,7 +6,7 @@
 #include <cstdio>
 #include <thread>
 
-#include "standins/review_world.hh"
+#include "review_world.hh"
 
 namespace {
 
--- a/review/standins/case_cut_stream.cc
+++ b/review/case_cut_stream.cc
@@ -5,7 +5,7 @@
 #include <map>
 #include <thread>
 
-#include "standins/review_world.hh"
+#include "review_world.hh"
 #include "support/raw_server.h"
 
 namespace {
--- a/review/standins/case_deadly_request.cc
+++ b/review/case_deadly_request.cc
@@ -7,7 +7,7 @@
 #include <map>
 #include <thread>
 
-#include "standins/crashing_servers.hh"
+#include "crashing_servers.hh"
 
 namespace {
 
--- a/review/standins/case_restored_store.cc
+++ b/review/case_restored_store.cc
@@ -7,7 +7,7 @@
 #include <set>
 #include <thread>
 
-#include "standins/review_world.hh"
+#include "review_world.hh"
 
 namespace {
 
--- a/review/standins/case_silent_crash.cc
+++ b/review/case_silent_crash.cc
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <thread>
 
-#include "standins/crashing_servers.hh"
+#include "crashing_servers.hh"
 
 namespace {
 
--- a/review/standins/crashing_servers.cc
+++ b/review/crashing_servers.cc
@@ -1,4 +1,4 @@
-#include "standins/crashing_servers.hh"
+#include "crashing_servers.hh"
 
 namespace citronseam::review {
 
--- a/review/standins/crashing_servers.hh
+++ b/review/crashing_servers.hh
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-#include "standins/review_world.hh"
+#include "review_world.hh"
 
 namespace citronseam::review {
 
--- a/review/standins/record.cc
+++ b/review/record.cc
@@ -1,4 +1,4 @@
-#include "standins/record.hh"
+#include "record.hh"
 
 #include <iomanip>
 #include <iostream>
--- a/review/standins/review_world.cc
+++ b/review/review_world.cc
@@ -1,4 +1,4 @@
-#include "standins/review_world.hh"
+#include "review_world.hh"
 
 #include <cstdlib>
 #include <filesystem>
--- a/review/standins/review_world.hh
+++ b/review/review_world.hh
@@ -17,7 +17,7 @@
 
 #include "citronseam/connection/http_client.h"
 
-#include "standins/record.hh"
+#include "record.hh"
 #include "support/child_process.h"
 #include "support/platform_server.h"
 #include "support/relay.h"
--- a/review/standins.cmake
+++ b/review/standins.cmake
@@ -11,11 +11,11 @@
 add_library(review_standins STATIC
             ${SUPPORT}/child_process.cpp ${SUPPORT}/platform_server.cpp ${SUPPORT}/raw_server.cpp ${SUPPORT}/relay.cpp
             ${SUPPORT}/row_store.cpp ${SUPPORT}/standin_http.cpp ${SUPPORT}/weight_origin.cpp
-            ${REVIEW}/standins/review_world.cc ${REVIEW}/standins/record.cc ${REVIEW}/standins/crashing_servers.cc)
+            ${REVIEW}/review_world.cc ${REVIEW}/record.cc ${REVIEW}/crashing_servers.cc)
 target_include_directories(review_standins PUBLIC ${CMAKE_SOURCE_DIR}/tests ${REVIEW})
 target_link_libraries(review_standins PUBLIC citronseam_io)
 
-file(GLOB CASES CONFIGURE_DEPENDS ${REVIEW}/standins/case_*.cc)
+file(GLOB CASES CONFIGURE_DEPENDS ${REVIEW}/case_*.cc)
 set(CASE_NAMES)
 foreach(source IN LISTS CASES)
   get_filename_component(name ${source} NAME_WE)
