Show that a list in two field lines reaches the engine cut short

Cause: a gateway takes the headers of a request from a map that keeps one value for each name, so the second field line of a name is lost. X-Citronseam-Prompt-Prefix is a list that HTTP/1.1 lets a client split.

The client sends the shared parts of its prompt in one line and its own part in the next one.

--- a/review/second_world.hh
+++ b/review/second_world.hh
@@ -897,6 +897,8 @@
     std::atomic<int> wrong_streams{0}; ///< written with a layer that was taken wrong
     std::atomic<int> streams{0};
     std::atomic<int> event_interval_ms{20};
+    /// Called for each request that it runs. Set it before the first one.
+    std::function<void(const http_message&)> on_arrival;
 
 private:
     json state_locked() const {
@@ -990,6 +992,9 @@
             is_wrong = is_taken_wrong_;
             version = version_;
         }
+        if (on_arrival) {
+            on_arrival(request);
+        }
         ++running_;
         ++streams;
         wrong_streams += is_wrong ? 1 : 0;
