--- a/review/second_world.hh
+++ b/review/second_world.hh
@@ -3,6 +3,7 @@
 #ifndef CITRONSEAM_REVIEW_SECOND_WORLD_HH
 #define CITRONSEAM_REVIEW_SECOND_WORLD_HH
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <chrono>
@@ -26,6 +27,7 @@
 #include <sstream>
 #include <string>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -305,7 +307,11 @@
         std::thread([this] {
             while (true) {
                 const int accepted = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-                if (accepted < 0) {
+                if (accepted < 0 || is_stopped_) {
+                    ::close(listener_);
+                    if (accepted >= 0) {
+                        ::close(accepted);
+                    }
                     return;
                 }
                 std::thread([this, accepted] { serve(accepted); }).detach();
@@ -315,20 +321,44 @@
 
     std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
+    /// Refuses connections from now on, and resets those that are open.
+    void stop() {
+        if (is_stopped_.exchange(true)) {
+            return;
+        }
+        ::shutdown(listener_, SHUT_RDWR); // ends the accepting thread, which closes it
+        const std::lock_guard<std::mutex> lock(mutex_);
+        for (const int descriptor : open_) {
+            const linger option{1, 0};
+            ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+
 private:
     void serve(int accepted) {
         stream_socket socket(accepted);
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            open_.insert(accepted);
+        }
         while (true) {
             const http_message request = read_message(socket, false, 600000);
             if (!request.is_whole || !handle_(request, socket)) {
-                return;
+                break;
             }
         }
+        const std::lock_guard<std::mutex> lock(mutex_);
+        open_.erase(accepted);
+        socket.close();
     }
 
     handler handle_;
     int listener_;
     std::uint16_t port_{0};
+    std::mutex mutex_;
+    std::set<int> open_; ///< connections
+    std::atomic<bool> is_stopped_{false};
 };
 
 inline std::uint16_t free_port() {
@@ -497,6 +527,7 @@
         words.push_back(nullptr);
         pid_ = ::fork();
         if (pid_ == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // also when the case itself is killed
             ::dup2(output, STDOUT_FILENO);
             ::dup2(output, STDERR_FILENO);
             ::execv(words[0], words.data());
@@ -1042,6 +1073,8 @@
                 {"version", "v1"},   {"slots", 6},                   {"state", "ready"},
                 {"cold_ms", 0},      {"sequence", 1}};
     }
+    /// Refuses connections from now on.
+    void stop() { server_.stop(); }
     /// Replaces the usual answer.
     http_listener::handler on_run;
     std::function<void(const http_message&)> on_arrival;
