Show that a request begins on weights that were due to be replaced

Cause: a gateway assumes that a request begins within 0.9 s at any engine, and gives it up by closing its connection, which not every engine obeys. The request carries the whole time of its caller.

The origin is down as version 2 is named; an engine turns slow before the weights are due. Ports of the stand-ins are taken from below the range of outgoing connections.

--- a/review/second_world.hh
+++ b/review/second_world.hh
@@ -361,19 +361,24 @@
     std::atomic<bool> is_stopped_{false};
 };
 
+/// @return a free port below those that the operating system gives to outgoing connections
 inline std::uint16_t free_port() {
-    static std::set<std::uint16_t> used;
+    constexpr int first = 12000;
+    constexpr int count = 18000;
+    static int next = static_cast<int>(::getpid()) * 97 % count;
     while (true) {
+        const auto port = static_cast<std::uint16_t>(first + next);
+        next = (next + 1) % count;
         const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-        socklen_t size = sizeof(address);
-        ::getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size);
+        address.sin_port = htons(port);
+        const bool is_free =
+            ::bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
         ::close(probe);
-        if (used.insert(ntohs(address.sin_port)).second) {
-            return ntohs(address.sin_port);
+        if (is_free) {
+            return port;
         }
     }
 }
@@ -866,9 +871,14 @@
 
     /// Changes an answer to a call for the digests; the first argument counts these calls.
     std::function<void(int, json&)> spoil;
+    std::atomic<bool> is_down{false}; ///< resets all connections
 
 private:
     bool handle(const http_message& request, stream_socket& socket) {
+        if (is_down) {
+            socket.reset();
+            return false;
+        }
         const auto version =
             static_cast<std::uint64_t>(number_of(query_value(request.target, "version"), 1));
         if (request.target.rfind("/manifest/", 0) == 0) {
@@ -928,8 +938,17 @@
     std::atomic<int> wrong_streams{0}; ///< written with a layer that was taken wrong
     std::atomic<int> streams{0};
     std::atomic<int> event_interval_ms{20};
+    /// From the arrival of a request to its first token. It begins to run with that.
+    std::atomic<long> wait_ms{0};
+    /// Whether a request that waits goes on when its connection closes.
+    std::atomic<bool> keeps_cancelled{false};
     /// Called for each request that it runs. Set it before the first one.
     std::function<void(const http_message&)> on_arrival;
+    /// @return time and version of each request that began to run
+    std::vector<std::pair<long, std::uint64_t>> begun() {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return begun_;
+    }
 
 private:
     json state_locked() const {
@@ -949,7 +968,7 @@
             json state = state_locked();
             state.update({{"busy", is_loading_},
                           {"sequence", sequence_},
-                          {"num_waiting", 0},
+                          {"num_waiting", waiting_.load()},
                           {"num_running", running_.load()},
                           {"kv_used_tokens", 0},
                           {"kv_total_tokens", 685000},
@@ -1007,12 +1026,30 @@
         return 202;
     }
 
+    /// @return whether the request may begin; false if its connection was closed meanwhile
+    bool wait_for_turn(stream_socket& socket) {
+        const auto turn = clock_type::now() + milliseconds(wait_ms);
+        while (clock_type::now() < turn) {
+            if (!keeps_cancelled && socket.has_peer_left()) {
+                return false;
+            }
+            sleep_ms(5);
+        }
+        return true;
+    }
+
     bool run(const http_message& request, stream_socket& socket) {
         const std::string attempt = find_header(request.headers, "X-Citronseam-Attempt-Id");
         const std::string expected = find_header(request.headers, "X-Citronseam-Expect-Instance");
         if (!expected.empty() && expected != id_) {
             return socket.send(make_response(421, {{"X-Citronseam-Instance-Id", id_}}, ""));
         }
+        ++waiting_;
+        const bool is_left = !wait_for_turn(socket);
+        --waiting_;
+        if (is_left) {
+            return false;
+        }
         bool is_wrong = false;
         std::uint64_t version = 0;
         {
@@ -1022,6 +1059,7 @@
             }
             is_wrong = is_taken_wrong_;
             version = version_;
+            begun_.emplace_back(elapsed_ms(), version);
         }
         if (on_arrival) {
             on_arrival(request);
@@ -1057,6 +1095,8 @@
     bool is_loading_{false};
     bool is_taken_wrong_{false};
     std::atomic<int> running_{0};
+    std::atomic<int> waiting_{0};
+    std::vector<std::pair<long, std::uint64_t>> begun_;
     http_listener server_;
 };
 
