Count chunks only where two answers agree on their place

Cause: a list was believed whole from a single answer, and every later check (fetch, inventory, staging check, order) compared with it. A digest stood for its place and version, so a piece of another place or version made it complete. Nothing asked for a list again.

Change: lists are evidence for each place. One of another shape than the configuration's is refused. A chunk is held, told and passed on only for the version and the place for which it was sent, and its bytes must match what a list states there; where lists disagree, a digest needs two statements. While a chunk does not match, further lists are requested at growing intervals. Staged chunks count for the version in service, or with a list whose fingerprint is in the store. Lists that are identified by their own hash, those of agents, work as before.

Why it works: list and bytes are answers to two requests, so one wrong list cannot make wrong bytes count, whoever passes it on and however often it comes; what was settled stays, so right answers end the fetch. It costs nothing at the origin while they agree.

--- a/include/citronseam/version/manifest.h
+++ b/include/citronseam/version/manifest.h
@@ -23,6 +23,11 @@
 struct chunk {
     std::string hash;      ///< SHA-256 of the content
     std::uint32_t size{0}; ///< bytes
+    /// Other hashes that are as likely: the content tells which one is right.
+    std::vector<std::string> alternatives{};
+    bool is_disputed{false}; ///< nothing tells which hash is right, so no content is valid
+
+    bool operator==(const chunk&) const = default;
 };
 
 /// The list of chunks of a version.
@@ -31,6 +36,9 @@
     std::uint64_t chunk_size{0}; ///< bytes of each chunk but the last
     std::uint64_t total_size{0}; ///< bytes of all chunks
     std::vector<chunk> chunks;
+    /// Its own hash was verified. Otherwise a hash may be wrong, and a chunk is held only for the
+    /// version and the place for which it was sent.
+    bool is_identified{true};
 };
 
 /// Splits weights into chunks and hashes them.
@@ -47,6 +55,9 @@
 /// @param identity expected hash of `text`
 result<manifest> parse_manifest(const std::string& text, std::string_view identity);
 
+/// @return the hash of the chunk at `index` that `content` has; nullptr if it has none of them
+const std::string* find_chunk_hash(const manifest& list, std::size_t index,
+                                   std::string_view content);
 /// @return whether `content` is the chunk at `index`
 bool is_chunk_valid(const manifest& list, std::size_t index, std::string_view content);
 
--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -59,12 +59,14 @@
 public:
     explicit sidecar(const settings& options)
         : options_(options), control_(1), context_{options_, control_, http_, metrics_},
-          cluster_(options_, control_, http_, metrics_, make_observer()), engine_(context_),
+          cluster_(options_, control_, http_, metrics_, make_observer()),
+          proofs_(control_, cluster_.store()), engine_(context_),
           swarm_(std::make_shared<chunk_swarm>(make_swarm_context(),
                                                [this] { return make_swarm_hello(); })),
           loader_(std::make_shared<weights_loader>(context_, engine_, make_loader_callbacks())),
           fetcher_(std::make_shared<weights_fetcher>(
-              context_, engine_, swarm_, [this](std::shared_ptr<const complete_weights> weights) {
+              context_, engine_, proofs_, swarm_,
+              [this](std::shared_ptr<const complete_weights> weights) {
                   loader_->set_complete_weights(std::move(weights));
               })) {}
 
@@ -88,8 +90,12 @@
             operator_options);
         control_.post([this] {
             set_rates();
-            swarm_->set_manifest_handler([this](const std::string& version, const manifest& list) {
-                fetcher_->handle_peer_manifest(version, list);
+            swarm_->set_list_handler([this](const std::string& version, const digest_list& list,
+                                            const std::string& instance) {
+                fetcher_->handle_member_list(version, list, instance);
+            });
+            swarm_->set_mismatch_handler([this](const std::string& version, std::size_t chunk) {
+                fetcher_->handle_mismatch(version, chunk);
             });
             swarm_->start();
             cluster_.start({});
@@ -259,6 +265,7 @@
         if (own != rules.services.end() && own->second.has_engine) {
             model_ = own->second.engine.model;
             profile_ = own->second.engine;
+            fetcher_->set_shape({profile_.chunks, profile_.chunk_bytes});
         }
         if (const service_config* origin = find_weight_origin(rules)) {
             fetcher_->set_origin(origin->origin_address);
@@ -429,6 +436,7 @@
     http_client http_;
     sidecar_context context_;
     cluster_node cluster_;
+    weights_proof_table proofs_;
     engine_monitor engine_;
     std::shared_ptr<chunk_swarm> swarm_;
     std::shared_ptr<weights_loader> loader_;
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "citronseam/process/log.h"
+#include "citronseam/version/sha256.h"
 
 namespace citronseam {
 namespace {
@@ -11,6 +12,10 @@
 constexpr std::uint64_t download_burst_divisor = 20;
 /// Weight of the newest sample in the moving average of a neighbour's response time.
 constexpr double response_time_smoothing = 0.3;
+/// Two chunks of the origin in a row that do not match: more likely the list is wrong than both.
+constexpr std::uint32_t origin_mismatches_until_delay = 2;
+constexpr milliseconds initial_origin_delay{200};
+constexpr milliseconds max_origin_delay{3200};
 
 void record_response_time(neighbour_state& neighbour, std::uint32_t took_ms) {
     const double sample = std::max<double>(took_ms, 1);
@@ -21,6 +26,18 @@
             : sample;
 }
 
+/// @param mismatches in a row
+/// @return time until the next request to the origin, which sends its bytes again and again
+milliseconds origin_delay(std::uint32_t mismatches) {
+    if (mismatches < origin_mismatches_until_delay) {
+        return milliseconds(0);
+    }
+    constexpr std::uint32_t max_doublings = 4;
+    const std::uint32_t doublings =
+        std::min(mismatches - origin_mismatches_until_delay, max_doublings);
+    return std::min(initial_origin_delay * (1 << doublings), max_origin_delay);
+}
+
 } // namespace
 
 void chunk_swarm::set_members(std::vector<swarm_member> members, const std::string& region,
@@ -81,33 +98,34 @@
 }
 
 void chunk_swarm::update_ranks() {
-    ranks_.resize(manifest_.chunks.size());
+    ranks_.resize(current_.list.chunks.size());
     origin_ranks_.clear();
     if (rates_.is_origin_used_by_all_regions && members_.empty()) {
         // With rank 0 for all chunks, each agent would fetch everything until it knows the others.
         origin_ranks_.assign(ranks_.size(), 1);
     } else if (rates_.is_origin_used_by_all_regions) {
-        origin_ranks_ = origin_fetch_ranks(version_, ranks_.size(), context_.instance, members_);
+        origin_ranks_ =
+            origin_fetch_ranks(current_.name, ranks_.size(), context_.instance, members_);
     }
     for (std::size_t i = 0; i < ranks_.size(); ++i) {
-        ranks_[i] = is_origin_only()
-                        ? 0
-                        : regional_fetch_rank(version_, i, context_.instance, region_, members_);
+        ranks_[i] = is_origin_only() ? 0
+                                     : regional_fetch_rank(current_.name, i, context_.instance,
+                                                           region_, members_);
     }
 }
 
 void chunk_swarm::prepare(const std::string& version, const manifest& list) {
     on_complete_ = nullptr;
-    if (version != version_) {
-        previous_version_ = std::move(version_);
-        previous_manifest_ = std::move(manifest_);
-    }
-    version_ = version;
-    manifest_ = list;
-    retain_chunks(chunks_, {&manifest_, &previous_manifest_});
-    is_wanted_.assign(manifest_.chunks.size(), false);
+    const held_version* before = find_version(version);
+    held_version next = make_held_version(version, list, chunks_, before);
+    if (version != current_.name) {
+        previous_ = std::move(current_);
+    }
+    current_ = std::move(next);
+    retain_chunks(chunks_, {&current_.list, &previous_.list});
+    is_wanted_.assign(current_.list.chunks.size(), false);
     for (std::size_t i = 0; i < is_wanted_.size(); ++i) {
-        is_wanted_[i] = find_chunk(chunks_, manifest_.chunks[i].hash) == nullptr;
+        set_wanted(i);
     }
     update_ranks();
     for (auto& [number, agent] : agents_) {
@@ -117,6 +135,34 @@
         send_inventory(agent, true);
     }
     origin_requests_ = 0;
+    origin_mismatches_ = 0;
+    origin_retry_at_ = {};
+}
+
+void chunk_swarm::set_wanted(std::size_t chunk) {
+    is_wanted_[chunk] = !current_.is_held[chunk] && !current_.list.chunks[chunk].is_disputed;
+}
+
+bool chunk_swarm::amend(const std::string& version, const manifest& list) {
+    if (version != current_.name) {
+        return false;
+    }
+    const std::vector<std::size_t> changed = amend_list(current_, list);
+    for (const std::size_t chunk : changed) {
+        set_wanted(chunk);
+    }
+    if (changed.empty()) {
+        return false;
+    }
+    origin_mismatches_ = 0;
+    origin_retry_at_ = {};
+    for (auto& [number, agent] : agents_) {
+        // It may have sent the right bytes, for which no hash was known.
+        agent.state.corrupt_chunks = 0;
+        send_inventory(agent, true);
+    }
+    request_chunks();
+    return true;
 }
 
 void chunk_swarm::fetch(const std::string& version, const manifest& list,
@@ -131,7 +177,7 @@
 }
 
 void chunk_swarm::finish_if_complete() {
-    if (is_fetching() && count_held_chunks(chunks_, manifest_) == manifest_.chunks.size()) {
+    if (is_fetching() && is_complete(current_)) {
         send_inventories();
         const auto done = std::exchange(on_complete_, nullptr);
         done();
@@ -139,11 +185,7 @@
 }
 
 bool chunk_swarm::add_local_chunk(std::size_t chunk, std::string content) {
-    if (chunk >= manifest_.chunks.size() || !is_chunk_valid(manifest_, chunk, content)) {
-        return false;
-    }
-    store_valid_chunk(chunk, std::move(content));
-    return true;
+    return chunk < is_wanted_.size() && store_valid_chunk(chunk, content);
 }
 
 void chunk_swarm::stop_fetch() {
@@ -173,7 +215,7 @@
         rates_.remote_region_rate > 0 && rates_.same_region_rate > 0
             ? std::min(rates_.remote_region_rate, rates_.same_region_rate)
             : std::max(rates_.remote_region_rate, rates_.same_region_rate);
-    return stall_timeout(manifest_.chunk_size, slowest, rates_.min_stall_timeout);
+    return stall_timeout(current_.list.chunk_size, slowest, rates_.min_stall_timeout);
 }
 
 /// Tracks which chunks are held by agents of other regions only.
@@ -246,7 +288,8 @@
     const bool is_stable = is_membership_stable(milliseconds(elapsed_ms(started_at_, now)),
                                                 milliseconds(elapsed_ms(members_changed_at_, now)),
                                                 rates_.settling_time);
-    state.max_origin_requests = is_stable ? rates_.max_origin_requests : 0;
+    const bool may_use_origin = is_stable && now >= origin_retry_at_;
+    state.max_origin_requests = may_use_origin ? rates_.max_origin_requests : 0;
     return state;
 }
 
@@ -262,7 +305,7 @@
         if (!choice) {
             return;
         }
-        consume_tokens(download_bucket_, manifest_.chunks[choice->chunk].size, now);
+        consume_tokens(download_bucket_, current_.list.chunks[choice->chunk].size, now);
         state.wanted[choice->chunk] = false;
         is_wanted_[choice->chunk] = false;
         if (choice->neighbour) {
@@ -280,18 +323,18 @@
     ++agent.state.outstanding_requests;
     agent.requested_at[chunk] = std::chrono::steady_clock::now();
     wire::chunk_requestT request;
-    request.manifest = version_;
+    request.manifest = current_.name;
     request.index = static_cast<std::uint32_t>(chunk);
     agent.session->send(make_frame(std::move(request)));
 }
 
 void chunk_swarm::request_from_origin(std::size_t chunk) {
     ++origin_requests_;
-    http_request request = context_.make_origin_request(manifest_, chunk);
+    http_request request = context_.make_origin_request(current_.list, chunk);
     request.max_receive_bytes_per_s = rates_.origin;
     context_.http.fetch(
         std::move(request), max_chunk_size,
-        [self = shared_from_this(), version = version_, chunk](http_response response) {
+        [self = shared_from_this(), version = current_.name, chunk](http_response response) {
             self->context_.control.post([self, version, chunk, response = std::move(response)] {
                 self->handle_origin_chunk(version, chunk, response);
             });
@@ -301,25 +344,51 @@
 void chunk_swarm::handle_origin_chunk(const std::string& version, std::size_t chunk,
                                       const http_response& response) {
     origin_bytes_ += response.body.size();
-    if (version != version_) {
+    if (version != current_.name || chunk >= is_wanted_.size()) {
         return;
     }
     origin_requests_ -= origin_requests_ > 0 ? 1 : 0;
-    if (response.outcome.is_complete && is_chunk_valid(manifest_, chunk, response.body)) {
-        store_valid_chunk(chunk, response.body);
+    const bool is_content = response.outcome.is_complete && response.outcome.status < 300;
+    std::string content = is_content ? response.body : std::string();
+    if (is_content && store_valid_chunk(chunk, content)) {
+        origin_mismatches_ = 0;
         return;
     }
-    if (response.outcome.is_complete && response.outcome.status < 300) {
-        context_.metric_registry.count("citronseam_chunks_rejected_total", {{"source", "origin"}});
+    if (is_content) {
+        handle_origin_mismatch(chunk, content);
     }
     // Retried by the next tick(), so that an origin that is down is not flooded with requests.
-    is_wanted_[chunk] = find_chunk(chunks_, manifest_.chunks[chunk].hash) == nullptr;
+    set_wanted(chunk);
+}
+
+/// Either the chunk is corrupt or the list is wrong. All that the origin sends is paid for.
+void chunk_swarm::handle_origin_mismatch(std::size_t chunk, const std::string& content) {
+    context_.metric_registry.count("citronseam_chunks_rejected_total", {{"source", "origin"}});
+    ++origin_mismatches_;
+    origin_retry_at_ = std::chrono::steady_clock::now() + origin_delay(origin_mismatches_);
+    report_mismatch(chunk, "origin", content);
+}
+
+void chunk_swarm::report_mismatch(std::size_t chunk, const std::string& from,
+                                  const std::string& content) {
+    log_event(log_level::warning, "chunk_rejected",
+              {{"from", from},
+               {"version", current_.name},
+               {"chunk", chunk},
+               {"bytes", content.size()},
+               {"hash", sha256_hex(content)},
+               {"stated", current_.list.chunks[chunk].hash},
+               {"alternatives", current_.list.chunks[chunk].alternatives.size()},
+               {"disputed", current_.list.chunks[chunk].is_disputed}});
+    if (!current_.list.is_identified && on_mismatch_) {
+        on_mismatch_(current_.name, chunk);
+    }
 }
 
 void chunk_swarm::handle_chunk_reply(std::uint64_t session, const std::string& version,
                                      std::size_t chunk, bool is_found, std::string content) {
     const auto found = agents_.find(session);
-    if (found == agents_.end() || version != version_ || chunk >= is_wanted_.size()) {
+    if (found == agents_.end() || version != current_.name || chunk >= is_wanted_.size()) {
         context_.metric_registry.count("citronseam_late_chunks_total");
         return;
     }
@@ -328,8 +397,8 @@
         // A chunk whose request timed out is still used. Dropping it would make a busy link carry
         // the same chunks repeatedly.
         context_.metric_registry.count("citronseam_late_chunks_total");
-        if (is_found && is_missing(chunk) && is_chunk_valid(manifest_, chunk, content)) {
-            store_valid_chunk(chunk, std::move(content));
+        if (is_found && !current_.is_held[chunk]) {
+            store_valid_chunk(chunk, content);
         }
         return;
     }
@@ -338,45 +407,60 @@
     record_response_time(agent.state,
                          elapsed_ms(request->second, std::chrono::steady_clock::now()));
     agent.requested_at.erase(request);
-    if (is_found && is_chunk_valid(manifest_, chunk, content)) {
+    if (is_found && store_valid_chunk(chunk, content)) {
         agent.state.timed_out_chunks = 0;
-        store_valid_chunk(chunk, std::move(content));
         return;
     }
-    is_wanted_[chunk] = true;
-    agent.state.held[chunk] = false;
-    if (is_found) {
-        ++agent.state.corrupt_chunks;
-        context_.metric_registry.count("citronseam_chunks_rejected_total", {{"source", "agent"}});
-        log_event(
-            log_level::warning, "chunk_rejected",
-            {{"from", agent.instance}, {"chunk", chunk}, {"faults", agent.state.corrupt_chunks}});
+    set_wanted(chunk);
+    if (chunk < agent.state.held.size()) {
+        agent.state.held[chunk] = false;
+    }
+    if (is_found && !current_.is_held[chunk]) {
+        handle_agent_mismatch(agent, chunk, content);
     }
     request_chunks();
 }
 
-void chunk_swarm::store_valid_chunk(std::size_t chunk, std::string content) {
-    const std::string& hash = manifest_.chunks[chunk].hash;
+/// Either the agent's chunk is corrupt or one of the two lists is wrong: it tells its own one.
+void chunk_swarm::handle_agent_mismatch(connected_agent& agent, std::size_t chunk,
+                                        const std::string& content) {
+    ++agent.state.corrupt_chunks;
+    context_.metric_registry.count("citronseam_chunks_rejected_total", {{"source", "agent"}});
+    if (!current_.list.is_identified) {
+        wire::piece_list_requestT request;
+        request.manifest = current_.name;
+        agent.session->send(make_frame(std::move(request)));
+    }
+    report_mismatch(chunk, agent.instance, content);
+}
+
+/// @param content moved from if it is stored
+/// @return whether the content matches the manifest
+bool chunk_swarm::store_valid_chunk(std::size_t chunk, std::string& content) {
     const std::uint64_t size = content.size();
-    if (!add_chunk(chunks_, hash, std::make_shared<const std::string>(std::move(content)))) {
+    const chunk_outcome outcome = store_chunk(current_, chunks_, chunk, content);
+    if (outcome == chunk_outcome::mismatch) {
+        return false;
+    }
+    if (outcome == chunk_outcome::memory_full) {
         log_event(log_level::error, "weight_memory_full",
                   {{"held", chunks_.used_bytes}, {"limit", chunks_.limit_bytes}, {"chunk", size}});
         stop_fetch();
-        return;
+        return true;
     }
-    // The same content may occur at several positions of a version.
     for (std::size_t i = 0; i < is_wanted_.size(); ++i) {
-        is_wanted_[i] = is_wanted_[i] && manifest_.chunks[i].hash != hash;
+        is_wanted_[i] = is_wanted_[i] && !current_.is_held[i];
     }
     last_progress_at_ = std::chrono::steady_clock::now();
     is_inventory_changed_ = true;
     finish_if_complete();
     request_chunks();
+    return true;
 }
 
 std::string chunk_swarm::describe_missing() const {
     for (std::size_t chunk = 0; chunk < is_wanted_.size(); ++chunk) {
-        if (find_chunk(chunks_, manifest_.chunks[chunk].hash) != nullptr) {
+        if (current_.is_held[chunk]) {
             continue;
         }
         std::size_t local_holders = 0;
@@ -391,7 +475,9 @@
             remote_holders += is_held && !agent.state.is_same_region ? 1 : 0;
         }
         std::string text = "chunk " + std::to_string(chunk);
-        text += is_wanted_[chunk] ? " not requested" : " requested";
+        text += is_wanted_[chunk]                         ? " not requested"
+                : current_.list.chunks[chunk].is_disputed ? " disputed"
+                                                          : " requested";
         text += ", " + std::to_string(outstanding_requests) + " outstanding, " +
                 std::to_string(timed_out_chunks) + " timed out";
         text += ", " + std::to_string(origin_requests_) + " at the origin";
@@ -404,10 +490,6 @@
     return {};
 }
 
-bool chunk_swarm::is_missing(std::size_t chunk) const {
-    return find_chunk(chunks_, manifest_.chunks[chunk].hash) == nullptr;
-}
-
 void chunk_swarm::tick() {
     expire_requests(std::chrono::steady_clock::now());
     send_inventories();
@@ -429,7 +511,7 @@
             record_response_time(agent.state, elapsed_ms(entry->second, now));
             agent.state.outstanding_requests -= agent.state.outstanding_requests > 0 ? 1 : 0;
             if (entry->first < is_wanted_.size()) {
-                is_wanted_[entry->first] = true;
+                set_wanted(entry->first);
             }
             context_.metric_registry.count("citronseam_chunks_late_total");
             entry = agent.requested_at.erase(entry);
--- a/src/programs/swarm/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -14,8 +14,10 @@
 #include "citronseam/connection/dialer.h"
 #include "citronseam/connection/peer_listener.h"
 #include "citronseam/process/configuration.h"
+#include "citronseam/version/chunk_digests.h"
 #include "citronseam/version/chunk_selection.h"
 #include "citronseam/version/chunk_store.h"
+#include "citronseam/version/held_version.h"
 #include "citronseam/version/link_pacer.h"
 #include "programs/swarm/swarm_context.h"
 
@@ -68,15 +70,24 @@
     /// Fetches a version, except for chunks that are already held. Control thread.
     /// @param on_complete called once all chunks are held
     void fetch(const std::string& version, const manifest& list, std::function<void()> on_complete);
+    /// Takes hashes that became known for the current version. Control thread.
+    /// @return whether any changed that a chunk is missing for
+    bool amend(const std::string& version, const manifest& list);
     /// Adds a chunk that was obtained outside the swarm. Control thread.
     /// @return whether its hash matches the manifest
     bool add_local_chunk(std::size_t chunk, std::string content);
     /// Asks the connected agents for the manifest of a version, for when the origin does not
     /// provide it. Replies go to the handler set by set_manifest_handler(). Control thread.
     void request_manifest(const std::string& version);
-    /// Sets the handler for manifests that other agents send.
-    void set_manifest_handler(
-        std::function<void(const std::string& version, const manifest& list)> handler);
+    /// Called with the list that another agent sent, and the agent.
+    using list_handler = std::function<void(const std::string& version, const digest_list& list,
+                                            const std::string& instance)>;
+    /// Sets the handler for lists that other agents send.
+    void set_list_handler(list_handler handler);
+    /// Called when a chunk of the current version does not match an unidentified list.
+    using mismatch_handler = std::function<void(const std::string& version, std::size_t chunk)>;
+    /// Sets the handler for chunks that do not match.
+    void set_mismatch_handler(mismatch_handler handler);
     /// Stops fetching; chunks that are held are still served. Control thread.
     void stop_fetch();
     /// Expires requests, announces new chunks and sends requests. To be called periodically on the
@@ -86,6 +97,8 @@
     /// @return description of the first missing chunk and of its requests and holders, for logs;
     /// empty if none is missing
     std::string describe_missing() const;
+    /// @return the current version and which of its chunks are held. Control thread.
+    const held_version& version() const noexcept { return current_; }
     /// @return the chunks held. Control thread.
     const chunk_store& chunks() const noexcept { return chunks_; }
     /// @return bytes received from the origin since the process started
@@ -113,16 +126,20 @@
     void handle_inventory(std::uint64_t session, const std::string& version,
                           const std::string& held, bool is_question);
     void handle_manifest_request(std::uint64_t session, const std::string& version);
-    void handle_manifest_reply(const wire::piece_list_replyT& reply);
-    const manifest* find_manifest(const std::string& version) const;
+    void handle_list_reply(std::uint64_t session, const wire::piece_list_replyT& reply);
+    const held_version* find_version(const std::string& version) const;
     void handle_chunk_request(std::uint64_t session, const std::string& version, std::size_t chunk);
     void send_paced(const connected_agent& agent, shared_frame frame);
     void handle_chunk_reply(std::uint64_t session, const std::string& version, std::size_t chunk,
                             bool is_found, std::string content);
     void handle_origin_chunk(const std::string& version, std::size_t chunk,
                              const http_response& response);
-    bool is_missing(std::size_t chunk) const;
-    void store_valid_chunk(std::size_t chunk, std::string content);
+    void set_wanted(std::size_t chunk);
+    bool store_valid_chunk(std::size_t chunk, std::string& content);
+    void handle_origin_mismatch(std::size_t chunk, const std::string& content);
+    void handle_agent_mismatch(connected_agent& agent, std::size_t chunk,
+                               const std::string& content);
+    void report_mismatch(std::size_t chunk, const std::string& from, const std::string& content);
     void request_chunks();
     void request_from_neighbour(std::size_t chunk, std::uint64_t session);
     void request_from_origin(std::size_t chunk);
@@ -158,11 +175,10 @@
     link_pacer pacer_;
     token_bucket download_bucket_; ///< limits the rate of requested bytes
 
-    std::string version_;
-    manifest manifest_;
-    std::string previous_version_; ///< still served to agents that are fetching it
-    manifest previous_manifest_;
-    std::function<void(const std::string&, const manifest&)> on_manifest_;
+    held_version current_;
+    held_version previous_; ///< still served to agents that are fetching it
+    list_handler on_list_;
+    mismatch_handler on_mismatch_;
     chunk_store chunks_;
     std::vector<bool> is_wanted_;
     std::vector<std::uint32_t> ranks_;
@@ -174,6 +190,8 @@
     bool is_inventory_changed_{false};
     agent_map agents_; ///< by session number
     std::uint32_t origin_requests_{0};
+    std::uint32_t origin_mismatches_{0}; ///< since the last chunk of the origin that matched
+    time_point origin_retry_at_;         ///< no chunk is requested from the origin before
     std::uint64_t origin_bytes_{0};
 };
 
--- a/src/programs/swarm/chunk_swarm_connections.cpp
+++ b/src/programs/swarm/chunk_swarm_connections.cpp
@@ -86,7 +86,8 @@
     } else if (const auto* list = message.body_as_piece_list_reply()) {
         wire::piece_list_replyT copy;
         list->UnPackTo(&copy);
-        context_.control.post([this, copy = std::move(copy)] { handle_manifest_reply(copy); });
+        context_.control.post(
+            [this, number, copy = std::move(copy)] { handle_list_reply(number, copy); });
     } else if (const auto* reply = message.body_as_chunk_reply()) {
         context_.control.post([this, number, version = std::string(view(reply->manifest())),
                                chunk = std::size_t{reply->index()}, is_found = reply->found(),
@@ -104,7 +105,7 @@
         }
         for (const auto& [chunk, requested_at] : found->second.requested_at) {
             if (chunk < is_wanted_.size()) {
-                is_wanted_[chunk] = true;
+                set_wanted(chunk);
             }
         }
         agents_.erase(found);
@@ -123,16 +124,12 @@
 }
 
 void chunk_swarm::send_inventory(connected_agent& agent, bool is_question) const {
-    if (version_.empty() || is_origin_only()) {
+    if (current_.name.empty() || is_origin_only()) {
         return;
     }
-    std::vector<bool> held(manifest_.chunks.size());
-    for (std::size_t i = 0; i < held.size(); ++i) {
-        held[i] = find_chunk(chunks_, manifest_.chunks[i].hash) != nullptr;
-    }
-    const std::string packed = pack_chunk_bitmap(held);
+    const std::string packed = pack_chunk_bitmap(current_.is_held);
     wire::inventoryT message;
-    message.manifest = version_;
+    message.manifest = current_.name;
     message.held.assign(packed.begin(), packed.end());
     message.is_question = is_question;
     agent.session->send(make_frame(std::move(message)));
@@ -141,10 +138,10 @@
 void chunk_swarm::handle_inventory(std::uint64_t session, const std::string& version,
                                    const std::string& held, bool is_question) {
     const auto found = agents_.find(session);
-    if (found == agents_.end() || version != version_) {
+    if (found == agents_.end() || version != current_.name) {
         return;
     }
-    found->second.state.held = unpack_chunk_bitmap(held, manifest_.chunks.size());
+    found->second.state.held = unpack_chunk_bitmap(held, current_.list.chunks.size());
     if (is_question) {
         send_inventory(found->second, false);
     }
@@ -162,9 +159,8 @@
     wire::chunk_replyT reply;
     reply.manifest = version;
     reply.index = static_cast<std::uint32_t>(chunk);
-    const manifest* list = find_manifest(version);
-    if (list != nullptr && chunk < list->chunks.size()) {
-        if (const chunk_content content = find_chunk(chunks_, list->chunks[chunk].hash)) {
+    if (const held_version* held = find_version(version)) {
+        if (const chunk_content content = held_chunk(*held, chunks_, chunk)) {
             reply.found = true;
             reply.data.assign(content->begin(), content->end());
         }
@@ -172,11 +168,11 @@
     send_paced(found->second, make_frame(std::move(reply)));
 }
 
-const manifest* chunk_swarm::find_manifest(const std::string& version) const {
-    if (version == version_) {
-        return &manifest_;
+const held_version* chunk_swarm::find_version(const std::string& version) const {
+    if (version == current_.name) {
+        return &current_;
     }
-    return version == previous_version_ ? &previous_manifest_ : nullptr;
+    return version == previous_.name ? &previous_ : nullptr;
 }
 
 void chunk_swarm::request_manifest(const std::string& version) {
@@ -188,37 +184,43 @@
     }
 }
 
-void chunk_swarm::set_manifest_handler(
-    std::function<void(const std::string&, const manifest&)> handler) {
-    on_manifest_ = std::move(handler);
+void chunk_swarm::set_list_handler(list_handler handler) {
+    on_list_ = std::move(handler);
+}
+
+void chunk_swarm::set_mismatch_handler(mismatch_handler handler) {
+    on_mismatch_ = std::move(handler);
 }
 
 void chunk_swarm::handle_manifest_request(std::uint64_t session, const std::string& version) {
     const auto found = agents_.find(session);
-    const manifest* list = find_manifest(version);
-    if (found == agents_.end() || list == nullptr || list->chunks.empty()) {
+    const held_version* known = find_version(version);
+    if (found == agents_.end() || known == nullptr || known->list.chunks.empty()) {
         return;
     }
     wire::piece_list_replyT reply;
     reply.manifest = version;
-    reply.chunk_size = list->chunk_size;
-    for (const auto& piece : list->chunks) {
+    reply.chunk_size = known->list.chunk_size;
+    for (const auto& piece : known->list.chunks) {
         reply.hashes.push_back(piece.hash);
     }
+    const std::string packed = pack_chunk_bitmap(known->is_held);
+    reply.held.assign(packed.begin(), packed.end());
     found->second.session->send(make_frame(std::move(reply)));
 }
 
-void chunk_swarm::handle_manifest_reply(const wire::piece_list_replyT& reply) {
-    if (!on_manifest_) {
+void chunk_swarm::handle_list_reply(std::uint64_t session, const wire::piece_list_replyT& reply) {
+    const auto found = agents_.find(session);
+    if (!on_list_ || found == agents_.end()) {
         return;
     }
-    manifest list;
-    list.chunk_size = reply.chunk_size;
-    for (const auto& hash : reply.hashes) {
-        list.chunks.push_back({hash, static_cast<std::uint32_t>(list.chunk_size)});
-    }
-    list.total_size = list.chunk_size * list.chunks.size();
-    on_manifest_(reply.manifest, list);
+    digest_list list;
+    list.source = list_source::member;
+    list.chunk_bytes = reply.chunk_size;
+    list.digests = reply.hashes;
+    list.confirmed =
+        unpack_chunk_bitmap(std::string(reply.held.begin(), reply.held.end()), list.digests.size());
+    on_list_(reply.manifest, list, found->second.instance);
 }
 
 void chunk_swarm::send_paced(const connected_agent& agent, shared_frame frame) {
--- a/src/version/manifest.cpp
+++ b/src/version/manifest.cpp
@@ -1,5 +1,7 @@
 #include "citronseam/version/manifest.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "citronseam/version/sha256.h"
@@ -74,9 +76,23 @@
     }
 }
 
+const std::string* find_chunk_hash(const manifest& list, std::size_t index,
+                                   std::string_view content) {
+    if (index >= list.chunks.size() || list.chunks[index].is_disputed ||
+        content.size() != list.chunks[index].size) {
+        return nullptr;
+    }
+    const chunk& expected = list.chunks[index];
+    const std::string hash = sha256_hex(content);
+    if (hash == expected.hash) {
+        return &expected.hash;
+    }
+    const auto found = std::find(expected.alternatives.begin(), expected.alternatives.end(), hash);
+    return found == expected.alternatives.end() ? nullptr : &*found;
+}
+
 bool is_chunk_valid(const manifest& list, std::size_t index, std::string_view content) {
-    return index < list.chunks.size() && content.size() == list.chunks[index].size &&
-           sha256_hex(content) == list.chunks[index].hash;
+    return find_chunk_hash(list, index, content) != nullptr;
 }
 
 std::uint64_t chunk_offset(const manifest& list, std::size_t index) noexcept {
--- a/src/version/sha256.cpp
+++ b/src/version/sha256.cpp
@@ -22,4 +22,21 @@
     return text;
 }
 
+std::optional<std::string> parse_sha256_hex(std::string_view text) {
+    constexpr std::size_t digest_digits = 64;
+    if (text.size() != digest_digits) {
+        return std::nullopt;
+    }
+    std::string digest(text);
+    for (char& digit : digest) {
+        if (digit >= 'A' && digit <= 'F') {
+            digit = static_cast<char>(digit - 'A' + 'a');
+        }
+        if ((digit < '0' || digit > '9') && (digit < 'a' || digit > 'f')) {
+            return std::nullopt;
+        }
+    }
+    return digest;
+}
+
 } // namespace citronseam
--- a/tests/support/platform_server.cpp
+++ b/tests/support/platform_server.cpp
@@ -154,11 +154,16 @@
     return wrong_load_count_;
 }
 
-void platform_server::lose_power() {
+void platform_server::lose_weights() {
     const std::lock_guard<std::mutex> lock(mutex_);
     version_ = 0;
     accepted_order_count_ = 0;
     ++started_at_;
+}
+
+void platform_server::lose_power() {
+    lose_weights();
+    const std::lock_guard<std::mutex> lock(mutex_);
     staged_pieces_.clear();
     spoilt_at_.clear();
 }
--- a/tests/support/platform_server.h
+++ b/tests/support/platform_server.h
@@ -59,6 +59,8 @@
     int wrong_load_count() const;
     /// Starts the engine again, without weights and staged pieces.
     void lose_power();
+    /// Starts the engine again, without weights; staged pieces are kept, as after a crash.
+    void lose_weights();
     /// Spoils the staged pieces before `end`.
     void spoil_pieces(std::size_t end);
     /// @return whether all staged pieces are those of a version
--- a/tests/support/platform_world.cpp
+++ b/tests/support/platform_world.cpp
@@ -208,6 +208,7 @@
                          {"read_per_s", 31900},
                          {"layers", 1},
                          {"chunks", weight_origin::piece_count},
+                         {"chunk_bytes", weight_origin::piece_bytes},
                          {"usual", {{"prompt", 100}, {"answer", 20}}},
                          {"models", json::array({{{"name", standin_model}, {"warm_s", 0.2}}})}};
     const json services =
@@ -251,8 +252,9 @@
     const ports& own_ports = ports_[index];
     return "role: gateway\ninstance: gateway-" + std::to_string(index) + region_settings(index) +
            "\nstore: " + gateway_stores_[index] +
-           "\nbounds:\n  configuration_due: 4s\n  weights_due: 5s\n  grace_period: " +
-           std::to_string(grace_period_.count()) + "s" +
+           "\nbounds:\n  configuration_due: 4s\n  weights_due: " +
+           std::to_string(weights_due_.count()) +
+           "ms\n  grace_period: " + std::to_string(grace_period_.count()) + "s" +
            (retry_ratio_ ? "\n  retry_ratio: " + std::to_string(*retry_ratio_) : "") +
            "\nlisten:\n  http: " + loopback_address(own_ports.http) +
            "\n  readiness: " + loopback_address(own_ports.readiness) +
@@ -264,8 +266,8 @@
 std::string platform_world::sidecar_settings(std::size_t index) const {
     return "role: sidecar\ninstance: sidecar-" + std::to_string(index) + region_settings(index) +
            "\nstore: " + sidecar_stores_[index] +
-           "\nbounds:\n  weights_due: 5s\nbackend_server:\n  service: drafts\n  address: " +
-           address_of(*engines[index]) +
+           "\nbounds:\n  weights_due: " + std::to_string(weights_due_.count()) +
+           "ms\nbackend_server:\n  service: drafts\n  address: " + address_of(*engines[index]) +
            "\nlisten:\n  peer: " + loopback_address(sidecar_ports_[index]) +
            "\n  operator: " + loopback_address(sidecar_operator_ports_[index]) + "\n";
 }
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -47,6 +47,8 @@
     void set_retry_ratio(double ratio) { retry_ratio_ = ratio; }
     /// Sets the time from SIGTERM until the gateways are killed. Call it before start().
     void set_grace_period(seconds period) { grace_period_ = period; }
+    /// Sets the time from the announcement of weights until they are due. Call it before start().
+    void set_weights_due(milliseconds due) { weights_due_ = due; }
     /// Sets the memory, such as `112MiB`, that the settings of all processes state. Call it before
     /// start().
     void set_memory(std::string size) { memory_ = std::move(size); }
@@ -127,6 +129,7 @@
     std::string second_region_{"region-a"};
     std::optional<double> retry_ratio_; ///< empty for the default
     seconds grace_period_{4};
+    milliseconds weights_due_{5000};
     http_client client_;
     std::vector<ports> ports_;
     std::string memory_;              ///< empty: not stated
