Ask an origin that sends nothing for its list every 0.2 s again

What callers saw: after an outage of the origin, new weights came up to 1.6 s later than before the change of lists.

Cause: the intervals between requests for a list double, so that wrong lists do not take the origin's link. They doubled also when nothing was sent.

Why it works: a request without an answer costs the origin nothing, and what it delays is the whole fetch.

--- a/src/programs/sidecar/weights_fetcher.cpp
+++ b/src/programs/sidecar/weights_fetcher.cpp
@@ -19,7 +19,7 @@
     {fetch_step::done, "done"},
 }};
 
-/// Between two requests for a list, doubled each time: the origin sends them to many sidecars.
+/// Between two requests for a list, doubled with each list: the origin sends them to many sidecars.
 constexpr milliseconds min_list_delay{200};
 constexpr milliseconds max_list_delay{1600};
 /// When the origin was asked so often that the delay has reached this, other sidecars are asked,
@@ -217,10 +217,10 @@
 }
 
 void weights_fetcher::handle_chunk_list(const http_response& response) {
-    const auto parsed = response.outcome.is_complete && response.outcome.status == 200
-                            ? platform::parse_chunk_list(response.body)
-                            : result<platform::chunk_list>(
-                                  failure(error_code::unavailable, response.outcome.message));
+    const bool is_answered = response.outcome.is_complete && response.outcome.status == 200;
+    const auto parsed = is_answered ? platform::parse_chunk_list(response.body)
+                                    : result<platform::chunk_list>(failure(
+                                          error_code::unavailable, response.outcome.message));
     const bool is_wanted =
         parsed && parsed->version == target_.version && parsed->model == target_.model;
     if (!is_wanted) {
@@ -232,7 +232,11 @@
     const bool needs_second =
         is_wanted &&
         use_list({list_source::origin, parsed->chunk_bytes, parsed->digests, {}}, "origin");
-    schedule_next_list(needs_second);
+    if (is_answered) {
+        schedule_next_list(needs_second);
+    } else {
+        list_retry_at_ = std::chrono::steady_clock::now() + min_list_delay; // nothing was sent
+    }
     if (step_ == fetch_step::list || (is_list_wanted() && list_delay_ >= members_list_delay)) {
         swarm_->request_manifest(swarm_version(target_));
     }
--- a/tests/process_piece_list_test.cpp
+++ b/tests/process_piece_list_test.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds weights_due{2000};
 constexpr milliseconds load_timeout{10000};
 constexpr milliseconds line_timeout{5000};
+/// From the return of the origin until all sidecars have the weights: 0.2 s until the next request for
+/// the list, and the fetch.
+constexpr milliseconds origin_return_time{800};
 /// From its start, until a sidecar knows the others and fetches newer weights without delay.
 constexpr milliseconds settling_time{1200};
 
@@ -216,6 +219,22 @@
     expect_loaded(2);
 }
 
+// Guards against weights that wait for a list although the origin answers again: an origin that sends
+// nothing is asked at short intervals.
+TEST_F(piece_list, of_an_origin_that_was_down_is_there_soon_after_its_return) {
+    start();
+    world.origin.is_down = true;
+    world.set_weights_version(2);
+    std::this_thread::sleep_for(milliseconds(3200));
+    world.origin.is_down = false;
+    const auto back_at = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < platform_world::zone_count; ++i) {
+        EXPECT_NE(world.sidecar(i).wait_for_line("event=weights_whole version=2", line_timeout), "")
+            << world.sidecar(i).output();
+    }
+    EXPECT_LE(std::chrono::steady_clock::now() - back_at, origin_return_time);
+}
+
 // Guards against WHOLE where the configuration does not state how many pieces there are.
 TEST_F(piece_list, without_a_configured_number_of_pieces_is_stated_twice) {
     world.edit_configuration([](json& configuration) {
