Read all fields of a request's head, in their order

Cookies were lost.

Cause: the fields were taken from Pistache's map, which has one value for each name.

Change: they are read from the head that the request guard has checked.

Why it works: the guard accepts only lines that all readers take for the same field, so nothing is left for a parser to decide. The values of fields that come once are what they were.

--- a/include/citronseam/connection/http_client.h
+++ b/include/citronseam/connection/http_client.h
@@ -122,6 +122,10 @@
 /// @return the value of the first header of that name, compared without case; empty when absent
 std::string find_header(const std::vector<http_header>& headers, std::string_view name);
 
+/// @return the list in all headers of that name, in their order: a sender may divide a list of
+/// values separated by commas into several fields. Source: RFC 9110, section 5.3.
+std::string join_headers(const std::vector<http_header>& headers, std::string_view name);
+
 } // namespace citronseam
 
 #endif
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -417,4 +417,14 @@
     return found == headers.end() ? std::string{} : found->value;
 }
 
+std::string join_headers(const std::vector<http_header>& headers, std::string_view name) {
+    std::string list;
+    for (const http_header& header : headers) {
+        if (equals_ignoring_case(header.name, name)) {
+            list += (list.empty() ? "" : ",") + header.value;
+        }
+    }
+    return list;
+}
+
 } // namespace citronseam
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -22,6 +22,7 @@
 #include <pistache/transport.h>
 
 #include "citronseam/connection/chunk_decoder.h"
+#include "citronseam/connection/header_syntax.h"
 #include "citronseam/connection/http_client.h"
 #include "citronseam/connection/io_thread_pool.h"
 #include "citronseam/connection/request_guard.h"
@@ -61,15 +62,21 @@
     bool is_refused{false};
 };
 
-void add_typed_headers(const http::Request& request, std::vector<http_header>& headers) {
-    for (const auto& header : request.headers().list()) {
-        if (!find_header(headers, header->name()).empty()) {
-            continue;
-        }
-        std::ostringstream value;
-        header->write(value);
-        headers.push_back({header->name(), value.str()});
+/// Pistache keeps one field line of each name, and no cookies.
+/// @param head request line and fields that check_head() accepted
+/// @return the fields in their order
+std::vector<http_header> read_header_fields(std::string_view head) {
+    constexpr std::string_view line_end = "\r\n";
+    std::vector<http_header> headers;
+    head.remove_prefix(head.find(line_end) + line_end.size());
+    while (!head.starts_with(line_end)) {
+        const std::string_view line = head.substr(0, head.find(line_end));
+        const auto colon = line.find(':');
+        headers.push_back({std::string(line.substr(0, colon)),
+                           std::string(trim_white_space(line.substr(colon + 1)))});
+        head.remove_prefix(line.size() + line_end.size());
     }
+    return headers;
 }
 
 /// @return path and query of a request line; parsed here because Pistache sorts and decodes the
@@ -84,15 +91,14 @@
 }
 
 /// @param request without its body
-server_request to_server_request(const http::Request& request, std::string target) {
+/// @param head    from which it was parsed
+server_request to_server_request(const http::Request& request, std::string_view head,
+                                 std::string target) {
     server_request converted;
     converted.method = http::methodString(request.method());
     converted.path = target.substr(0, target.find('?'));
     converted.target = std::move(target);
-    for (const auto& [name, raw] : request.headers().rawList()) {
-        converted.headers.push_back({raw.name(), raw.value()});
-    }
-    add_typed_headers(request, converted.headers);
+    converted.headers = read_header_fields(head);
     converted.client_address = request.address().host();
     return converted;
 }
@@ -451,20 +457,20 @@
             }
             parser->request.copyAddress(peer->address());
             input.is_in_body = false;
-            dispatch_request(parser->request, std::move(body), std::move(memory), input);
+            dispatch_request(parser->request, head, std::move(body), std::move(memory), input);
             parser->reset();
         } catch (const std::exception&) {
             refuse(bad_request, "the request cannot be parsed", input);
         }
     }
 
-    void dispatch_request(const http::Request& request, std::string body,
+    void dispatch_request(const http::Request& request, std::string_view head, std::string body,
                           std::shared_ptr<void> memory, connection_input& input) {
         if (!input.connection->begin_request()) {
             return;
         }
         const bool is_head_request = request.method() == http::Method::Head;
-        server_request converted = to_server_request(request, std::move(input.target));
+        server_request converted = to_server_request(request, head, std::move(input.target));
         if (input.has_body_fields) {
             converted.headers.push_back({content_length, std::to_string(body.size())});
         }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -35,7 +35,9 @@
         : server_({{"127.0.0.1", 0}, 1, mebibyte},
                   [this](const server_request& request,
                          const std::shared_ptr<http_responder>& responder) {
-                      if (request.path == "/target") {
+                      if (request.path == "/fields") {
+                          responder->respond(200, {}, fields_of(request));
+                      } else if (request.path == "/target") {
                           responder->respond(200, {}, request.target);
                       } else if (request.path == "/stream") {
                           writer_.post([responder] { stream(*responder); });
@@ -66,6 +68,14 @@
     }
 
 private:
+    static std::string fields_of(const server_request& request) {
+        std::string text;
+        for (const http_header& header : request.headers) {
+            text += header.name + "=" + header.value + ";";
+        }
+        return text;
+    }
+
     static void stream(http_responder& responder) {
         responder.begin(200, {});
         for (std::size_t i = 0; i < part_count; ++i) {
@@ -315,6 +325,18 @@
     EXPECT_NE(response.find(target), std::string::npos) << response;
 }
 
+// Guards against UNASKED: a list in several field lines that is passed on cut short.
+TEST(http_server, fields_of_one_name_all_arrive_in_their_order) {
+    streaming_server server;
+    const std::string response = server.exchange("GET /fields HTTP/1.1\r\nHost: h\r\nList: a,b\r\n"
+                                                 "Cookie: c=1\r\nlist:\tc \r\nConnection: close\r\n"
+                                                 "Content-Length: 0\r\nList:\r\n\r\n"
+                                                 "GET /again HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_NE(response.find("Host=h;List=a,b;Cookie=c=1;list=c;Connection=close;List=;"),
+              std::string::npos)
+        << response;
+}
+
 TEST(http_server, a_pipelined_request_gets_a_response_or_a_closed_connection) {
     streaming_server server;
     const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -170,6 +170,12 @@
     EXPECT_TRUE(parse("e4402b7d:250").shared_prompt_parts.empty());
     EXPECT_FALSE(parse("e4402b7d:250").has_invalid_prompt_parts);
     EXPECT_FALSE(platform::parse_caller_headers({}).has_invalid_prompt_parts);
+    EXPECT_EQ(platform::parse_caller_headers({{"X-Citronseam-Prompt-Prefix", "5c1e07a2:800"},
+                                              {"X-Other", "1"},
+                                              {"x-citronseam-prompt-prefix", "e4402b7d:250"}})
+                  .shared_prompt_parts,
+              std::vector<std::string>{"5c1e07a2"})
+        << "one list in two field lines";
     for (const char* malformed : {"a,b", "a:1,", "x-1:2,b:1", ":4,b:1", "a:1,b:many"}) {
         EXPECT_TRUE(parse(malformed).shared_prompt_parts.empty()) << malformed;
         EXPECT_TRUE(parse(malformed).has_invalid_prompt_parts) << malformed;
@@ -222,7 +228,7 @@
         R"({"records":[{"table":"t","part":"","key":"a","value":"bm9kZS0x","ver":4},
             {"table":"t","part":"","key":"b","tombstone":true,"ver":5}],"has_more":true,"ver":9})");
     ASSERT_TRUE(page.has_value());
-    EXPECT_TRUE(page->has_more);
+    EXPECT_EQ(page->has_more, true);
     EXPECT_EQ(page->batch.version, 9U);
     EXPECT_EQ(page->batch.rows[0].value, "node-1");
     EXPECT_TRUE(page->batch.rows[1].is_removed);
--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -65,6 +65,24 @@
         << "the gateways discover each other";
 }
 
+// Guards against UNASKED: an engine that gets only the first line of a list in two field lines.
+TEST_F(platform, list_in_two_field_lines_reaches_the_engine_whole) {
+    constexpr const char* name = "X-Citronseam-Prompt-Prefix";
+    const auto stream = world.call(0, "POST", "/draft/1",
+                                   {key_header,
+                                    {name, "5c1e07a2:800,91bd3f06:410"},
+                                    {"X-Other", "1"},
+                                    {name, "e4402b7d:250"}});
+    EXPECT_EQ(stream.outcome.status, 200);
+    std::string list;
+    for (const http_header& header : world.engines[0]->last_headers()) {
+        if (header.name == name) {
+            list += header.value + ",";
+        }
+    }
+    EXPECT_EQ(list, "5c1e07a2:800,91bd3f06:410,e4402b7d:250,");
+}
+
 TEST_F(platform, broken_stream_resumes_at_another_engine) {
     world.engines[0]->streams_to_truncate = 1;
     const auto stream = world.call(0, "POST", "/draft/1", {key_header});
