Take a table for whole only if its last page says so

What callers could see: a page of a table without has_more ended the reading, and all servers that it does not name counted as gone.

A read states has_more in each page; the default was false.

Change: has_more is optional.

Evidence: platform_store.table_is_whole_only_if_its_last_page_says_so failed before: the outcome was done instead of unknown.

--- a/fuzz/fuzz_rows.cpp
+++ b/fuzz/fuzz_rows.cpp
@@ -65,7 +65,8 @@
     if (!page) {
         return;
     }
-    require(!page->has_more || !page->batch.rows.empty(), "a page that goes on names a row");
+    require(!page->has_more.value_or(false) || !page->batch.rows.empty(),
+            "a page that goes on names a row");
     for (const versioned_row& row : page->batch.rows) {
         require(row.version <= page->batch.version, "no row is newer than the store");
         require(!row.is_removed || row.value.empty(), "a removed row has no value");
--- a/src/programs/node/store_client.cpp
+++ b/src/programs/node/store_client.cpp
@@ -169,6 +169,12 @@
                  done(outcome, {});
                  return;
              }
+             if (!page->has_more) {
+                 log_event(log_level::warning, "store_answer_unreadable",
+                           {{"table", table}, {"reason", "it does not say whether rows follow"}});
+                 done(store_outcome::unknown, {});
+                 return;
+             }
              const bool is_other_era =
                  collected.version != 0 && era_of(page->batch.version) != era_of(collected.version);
              if (is_other_era) {
@@ -182,7 +188,7 @@
                                      : std::min(collected.version, page->batch.version);
              collected.rows.insert(collected.rows.end(), page->batch.rows.begin(),
                                    page->batch.rows.end());
-             if (page->has_more) {
+             if (*page->has_more) {
                  // The next page begins at the smallest key after the last one: that key and a
                  // blank.
                  const std::string next = page->batch.rows.back().key + " ";
--- a/tests/store_answers_test.cpp
+++ b/tests/store_answers_test.cpp
@@ -2,11 +2,15 @@
 #include <functional>
 #include <future>
 #include <string>
+#include <utility>
 
 #include <gtest/gtest.h>
 
+#include "citronseam/connection/io_thread_pool.h"
 #include "citronseam/connection/table_client.h"
+#include "citronseam/process/metrics.h"
 #include "platform/store.h"
+#include "programs/node/store_client.h"
 #include "support/invalid_statuses.h"
 #include "support/raw_server.h"
 
@@ -121,6 +125,29 @@
     EXPECT_TRUE(platform::parse_rows(response, "servers").has_value());
 }
 
+// Guards against a table that counts as read whole although no page said that it is the last one:
+// all rows that it does not name would count as gone.
+TEST(platform_store, table_is_whole_only_if_its_last_page_says_so) {
+    for (const auto& [page, outcome] :
+         {std::pair{R"({"records":[],"ver":9})", platform::store_outcome::unknown},
+          std::pair{R"({"records":[],"has_more":false,"ver":9})", platform::store_outcome::done}}) {
+        raw_server server(
+            [page = std::string(page)](const std::string&) { return with_length(page); });
+        io_thread_pool control(1);
+        http_client http;
+        metrics metric_registry;
+        store_client store(control, http, metric_registry, server.address());
+        std::promise<platform::store_outcome> promise;
+        control.post([&] {
+            store.read_table("servers", [&](platform::store_outcome read, const row_batch&) {
+                promise.set_value(read);
+            });
+        });
+        EXPECT_EQ(promise.get_future().get(), outcome) << page;
+        control.stop();
+    }
+}
+
 // Guards against "no rows" that was concluded from an answer that is empty or cut off.
 TEST(platform_store, no_cut_answer_is_a_page) {
     const std::string page = whole_page;
