Ask the sidecar whose chunk did not match before the origin

What callers could see: nothing; it is a matter of price. With a wrong list at many sidecars, each of them would have asked the origin for another one, as soon as a piece of another sidecar did not match: 1.5 MB for 330 sidecars, three quarters of a copy of the weights.

Change: the sender of such a piece is asked at once, as before, and the origin 0.5 s later if that did not settle the piece. A proof is written again every 2 s while the store refuses it, as refused calls are paid for, too.

--- a/src/programs/sidecar/sidecar.cpp
+++ b/src/programs/sidecar/sidecar.cpp
@@ -94,9 +94,10 @@
                                             const std::string& instance) {
                 fetcher_->handle_member_list(version, list, instance);
             });
-            swarm_->set_mismatch_handler([this](const std::string& version, std::size_t chunk) {
-                fetcher_->handle_mismatch(version, chunk);
-            });
+            swarm_->set_mismatch_handler(
+                [this](const std::string& version, std::size_t chunk, list_source source) {
+                    fetcher_->handle_mismatch(version, chunk, source);
+                });
             swarm_->start();
             cluster_.start({});
             engine_.start([this] {
--- a/src/programs/sidecar/weights_fetcher.cpp
+++ b/src/programs/sidecar/weights_fetcher.cpp
@@ -25,6 +25,8 @@
 /// When the origin was asked so often that the delay has reached this, other sidecars are asked,
 /// too.
 constexpr milliseconds members_list_delay{800};
+/// For the list of a sidecar whose chunk did not match. It holds the chunk, so its list is enough.
+constexpr milliseconds member_list_time{500};
 constexpr milliseconds progress_interval{500};
 constexpr std::size_t max_list_bytes = mebibyte;
 /// Estimated duration of a fetch on a link shared with live requests, until one was observed.
@@ -260,9 +262,16 @@
     }
 }
 
-void weights_fetcher::handle_mismatch(const std::string& version, std::size_t chunk) {
-    if (version == swarm_version(target_) && chunk < is_mismatched_.size()) {
-        is_mismatched_[chunk] = true;
+void weights_fetcher::handle_mismatch(const std::string& version, std::size_t chunk,
+                                      list_source source) {
+    if (version != swarm_version(target_) || chunk >= is_mismatched_.size() ||
+        is_mismatched_[chunk]) {
+        return;
+    }
+    is_mismatched_[chunk] = true;
+    if (source == list_source::member) {
+        list_retry_at_ =
+            std::max(list_retry_at_, std::chrono::steady_clock::now() + member_list_time);
     }
 }
 
--- a/src/programs/sidecar/weights_fetcher.h
+++ b/src/programs/sidecar/weights_fetcher.h
@@ -49,7 +49,7 @@
     void handle_member_list(const std::string& version, const digest_list& list,
                             const std::string& instance);
     /// Handles a chunk that did not match.
-    void handle_mismatch(const std::string& version, std::size_t chunk);
+    void handle_mismatch(const std::string& version, std::size_t chunk, list_source source);
     /// Sets the shape of the weights that the configuration states.
     void set_shape(const weights_shape& shape);
     /// Sets the origin's address; empty: unknown.
--- a/src/programs/sidecar/weights_proof_table.cpp
+++ b/src/programs/sidecar/weights_proof_table.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr const char* proofs_table = "citronseam_weights_proofs";
-constexpr milliseconds retry_delay{500};
+constexpr milliseconds retry_delay{2000}; // all calls to the store are paid for
 
 weights_proof find_proof(const row_batch& batch, const std::string& model) {
     for (const versioned_row& row : batch.rows) {
--- a/src/programs/swarm/chunk_swarm.cpp
+++ b/src/programs/swarm/chunk_swarm.cpp
@@ -366,10 +366,10 @@
     context_.metric_registry.count("citronseam_chunks_rejected_total", {{"source", "origin"}});
     ++origin_mismatches_;
     origin_retry_at_ = std::chrono::steady_clock::now() + origin_delay(origin_mismatches_);
-    report_mismatch(chunk, "origin", content);
+    report_mismatch(chunk, list_source::origin, "origin", content);
 }
 
-void chunk_swarm::report_mismatch(std::size_t chunk, const std::string& from,
+void chunk_swarm::report_mismatch(std::size_t chunk, list_source source, const std::string& from,
                                   const std::string& content) {
     log_event(log_level::warning, "chunk_rejected",
               {{"from", from},
@@ -381,7 +381,7 @@
                {"alternatives", current_.list.chunks[chunk].alternatives.size()},
                {"disputed", current_.list.chunks[chunk].is_disputed}});
     if (!current_.list.is_identified && on_mismatch_) {
-        on_mismatch_(current_.name, chunk);
+        on_mismatch_(current_.name, chunk, source);
     }
 }
 
@@ -431,7 +431,7 @@
         request.manifest = current_.name;
         agent.session->send(make_frame(std::move(request)));
     }
-    report_mismatch(chunk, agent.instance, content);
+    report_mismatch(chunk, list_source::member, agent.instance, content);
 }
 
 /// @param content moved from if it is stored
--- a/src/programs/swarm/chunk_swarm.h
+++ b/src/programs/swarm/chunk_swarm.h
@@ -84,8 +84,10 @@
                                             const std::string& instance)>;
     /// Sets the handler for lists that other agents send.
     void set_list_handler(list_handler handler);
-    /// Called when a chunk of the current version does not match an unidentified list.
-    using mismatch_handler = std::function<void(const std::string& version, std::size_t chunk)>;
+    /// Called when a chunk of the current version does not match an unidentified list. An agent
+    /// that sent it was asked for its list.
+    using mismatch_handler =
+        std::function<void(const std::string& version, std::size_t chunk, list_source source)>;
     /// Sets the handler for chunks that do not match.
     void set_mismatch_handler(mismatch_handler handler);
     /// Stops fetching; chunks that are held are still served. Control thread.
@@ -139,7 +141,8 @@
     void handle_origin_mismatch(std::size_t chunk, const std::string& content);
     void handle_agent_mismatch(connected_agent& agent, std::size_t chunk,
                                const std::string& content);
-    void report_mismatch(std::size_t chunk, const std::string& from, const std::string& content);
+    void report_mismatch(std::size_t chunk, list_source source, const std::string& from,
+                         const std::string& content);
     void request_chunks();
     void request_from_neighbour(std::size_t chunk, std::uint64_t session);
     void request_from_origin(std::size_t chunk);
--- a/tests/chunk_digests_test.cpp
+++ b/tests/chunk_digests_test.cpp
@@ -173,7 +173,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(kinds, wrong_digests, ::testing::ValuesIn(wrong_lists),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         [](const auto& kind) { return std::string(kind.param.name); });
 
 // Guards against a fetch that never ends since its digests are in capitals.
 TEST(digests, in_capitals_are_the_same) {
--- a/tests/process_piece_list_test.cpp
+++ b/tests/process_piece_list_test.cpp
@@ -19,8 +19,8 @@
 constexpr milliseconds weights_due{2000};
 constexpr milliseconds load_timeout{10000};
 constexpr milliseconds line_timeout{5000};
-/// From the return of the origin until all sidecars have the weights: 0.2 s until the next request for
-/// the list, and the fetch.
+/// From the return of the origin until all sidecars have the weights: 0.2 s until the next request
+/// for the list, and the fetch.
 constexpr milliseconds origin_return_time{800};
 /// From its start, until a sidecar knows the others and fetches newer weights without delay.
 constexpr milliseconds settling_time{1200};
@@ -151,7 +151,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(kinds, wrong_piece_list, ::testing::ValuesIn(wrong_lists),
-                         [](const auto& info) { return std::string(info.param.name); });
+                         [](const auto& kind) { return std::string(kind.param.name); });
 
 // Guards against WHOLE: a list that only one sidecar got from the origin is believed by another
 // one.
@@ -219,8 +219,8 @@
     expect_loaded(2);
 }
 
-// Guards against weights that wait for a list although the origin answers again: an origin that sends
-// nothing is asked at short intervals.
+// Guards against weights that wait for a list although the origin answers again: an origin that
+// sends nothing is asked at short intervals.
 TEST_F(piece_list, of_an_origin_that_was_down_is_there_soon_after_its_return) {
     start();
     world.origin.is_down = true;
