Close the sockets that a stand-in relay holds back before its loop ends

What was seen: process_quarantine_test ended with a segmentation fault in 7 of 7 runs of the whole program on this machine, after the case with servers that fall silent; the case alone passed under a debugger.

Cause: writes that a relay holds back own connections. They were destroyed after the event loop that their sockets belong to. Trace: ~relay, ~vector of paused writes, ~shared_ptr of the connection.

Change: the destructor drops them once the loop has stopped.

--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -47,6 +47,7 @@
 relay::~relay() {
     set_disconnected(true);
     loop_.stop();
+    paused_writes_.clear(); // they own sockets of the loop
 }
 
 std::string relay::address() const {
